--- /dev/null
+++ b/core/result/result.go
@@ -0,0 +1,188 @@
+// Package result defines the numbered result codes of the system. Every
+// refusal and failure carries one; docs/RESULT-CODES.md holds the same table.
+package result
+
+import (
+	"fmt"
+	"time"
+)
+
+// Ran tells whether work was executed.
+type Ran uint8
+
+const (
+	// RanUnspecified is the zero value and is never sent to a caller.
+	RanUnspecified Ran = iota
+	// RanNo means that no execution took place and none can follow.
+	RanNo
+	// RanYes means that an execution took place.
+	RanYes
+	// RanUnknown means that an execution may have taken place.
+	RanUnknown
+)
+
+// String returns the word used on the wire towards callers.
+func (r Ran) String() string {
+	switch r {
+	case RanNo:
+		return "no"
+	case RanYes:
+		return "yes"
+	case RanUnknown:
+		return "unknown"
+	}
+	return "unspecified"
+}
+
+// ParseRan is the inverse of String; other words give RanUnspecified.
+func ParseRan(s string) Ran {
+	for _, r := range []Ran{RanNo, RanYes, RanUnknown} {
+		if r.String() == s {
+			return r
+		}
+	}
+	return RanUnspecified
+}
+
+// Code is a numbered result code. 1xxx: the request is at fault; 2xxx: refused
+// for load or state; 3xxx: failed while running; 4xxx: idempotency; 5xxx:
+// configuration; 6xxx: administration and orders; 9xxx: internal.
+type Code uint32
+
+// The codes. Numbers are never reused.
+const (
+	OK Code = 0
+
+	UnknownCall      Code = 1001
+	BadContentType   Code = 1002
+	BodyTooLarge     Code = 1003
+	BadDeadline      Code = 1004
+	BadCustomer      Code = 1005
+	BadKey           Code = 1006
+	BadBody          Code = 1007
+	HeaderTooLarge   Code = 1008
+	UnknownRequest   Code = 1009
+	SlowCaller       Code = 1010
+	MethodNotAllowed Code = 1011
+	StreamTooLong    Code = 1012
+	BadLastEventID   Code = 1013
+	NotYourRequest   Code = 1014
+	KeyRequired      Code = 1015
+	KeyNotAllowed    Code = 1016
+
+	Overloaded        Code = 2001
+	DeadlineTooShort  Code = 2002
+	CustomerOverShare Code = 2003
+	NoServer          Code = 2004
+	ServerLeaving     Code = 2005
+	QueueFull         Code = 2006
+	WrongIncarnation  Code = 2007
+	BudgetSpent       Code = 2008
+	EntryDraining     Code = 2009
+	ResultsFull       Code = 2010
+	Tombstoned        Code = 2011
+	ConfigTooOld      Code = 2012
+	NotReady          Code = 2013
+	ModelNotLoaded    Code = 2014
+	RetryBudgetSpent  Code = 2015
+
+	DeadlineExceeded Code = 3001
+	ServerFailed     Code = 3002
+	AgentLost        Code = 3003
+	Cancelled        Code = 3004
+	PayloadLost      Code = 3005
+	ChecksumMismatch Code = 3006
+	ResultExpired    Code = 3007
+	EntryLost        Code = 3008
+
+	KeyReused        Code = 4001
+	KeyFromFuture    Code = 4002
+	KeyExpired       Code = 4003
+	ClaimUnavailable Code = 4004
+	ClaimLost        Code = 4005
+	HolderGone       Code = 4006
+
+	ConfigConflict    Code = 5001
+	ConfigInvalid     Code = 5002
+	ConfigUnavailable Code = 5003
+	ConfigUnknown     Code = 5004
+	ConfigNoObject    Code = 5005
+	ConfigNotReached  Code = 5006
+
+	AdminUnauthorized Code = 6001
+	AdminForbidden    Code = 6002
+	OrderRefused      Code = 6003
+	OrderFenced       Code = 6004
+	OrderLeaseWait    Code = 6005
+	AdminBadRequest   Code = 6006
+	AdminNotFound     Code = 6007
+
+	Internal     Code = 9001
+	PlatformDown Code = 9002
+)
+
+// Info describes a code.
+type Info struct {
+	Code Code
+	// Name is the identifier used in JSON and logs, in snake case.
+	Name string
+	// HTTP is the status code towards callers and operators.
+	HTTP int
+	// Ran is "no", "yes", "unknown" or "varies".
+	Ran string
+	// Meaning is one sentence.
+	Meaning string
+	// Action tells the caller what to do.
+	Action string
+}
+
+// Lookup returns the description of c; ok is false for an unlisted code.
+func Lookup(c Code) (Info, bool) {
+	info, ok := byCode[c]
+	return info, ok
+}
+
+// All returns every code in numerical order.
+func All() []Info { return append([]Info(nil), table...) }
+
+// String returns the number and name of the code.
+func (c Code) String() string {
+	if info, ok := byCode[c]; ok {
+		return fmt.Sprintf("%d %s", uint32(c), info.Name)
+	}
+	return fmt.Sprintf("%d", uint32(c))
+}
+
+// HTTP returns the HTTP status for the code, 500 for an unlisted one.
+func (c Code) HTTP() int {
+	if info, ok := byCode[c]; ok {
+		return info.HTTP
+	}
+	return 500
+}
+
+// Error is a result other than success.
+type Error struct {
+	Code    Code
+	Message string
+	// Ran tells whether any stage of the work was executed.
+	Ran Ran
+	// Effects tells whether any stage that is not idempotent was executed.
+	// Repeating is safe if and only if it is RanNo.
+	Effects Ran
+	// RetryAfter is when coming back helps; 0 if it does not.
+	RetryAfter time.Duration
+}
+
+// Error returns the code and message.
+func (e *Error) Error() string {
+	if e.Message == "" {
+		return e.Code.String()
+	}
+	return e.Code.String() + ": " + e.Message
+}
+
+// New returns an error of work that did not run.
+func New(c Code, format string, args ...any) *Error {
+	return &Error{Code: c, Message: fmt.Sprintf(format, args...), Ran: RanNo, Effects: RanNo}
+}
--- /dev/null
+++ b/core/routing/routing.go
@@ -0,0 +1,67 @@
+// Package routing chooses the server for an attempt at a stage. A Router serves
+// one pool of one entry; it has no clock and no I/O.
+package routing
+
+import (
+	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+)
+
+// Server is a backend server with the agent in front of it.
+type Server struct {
+	// ID is the name of the instance.
+	ID string
+	// Addr is the agent's address.
+	Addr   string
+	Zone   string
+	Region string
+	// Leaving servers are never chosen.
+	Leaving bool
+}
+
+// Load is what an agent last said of itself.
+type Load struct {
+	Running, Queued, Limit int
+	// Wait is the expected wait in the queue.
+	Wait time.Duration
+	// Service is the smoothed time of one call.
+	Service time.Duration
+	Leaving bool
+	Models  []string
+}
+
+// Query describes what is to be placed.
+type Query struct {
+	// Zone and Region are those of the entry.
+	Zone, Region string
+	// Model is empty for servers that are not engines.
+	Model string
+	// Prefix is the hash of the prompt prefix; 0 if there is none.
+	Prefix uint64
+	// Bytes is the size of the input; BytesRegion is where it lies.
+	Bytes       int64
+	BytesRegion string
+	// Exclude names servers already tried.
+	Exclude []string
+}
+
+// Outcome tells the router how an attempt ended.
+type Outcome struct {
+	Code result.Code
+	// Silent is set when the server stopped answering.
+	Silent bool
+	// Took is the time from sending to the end.
+	Took time.Duration
+}
+
+// Policy names a way of choosing.
+type Policy string
+
+// The policies.
+const (
+	// LeastFinish chooses the least expected finish time among a few candidates.
+	LeastFinish Policy = "least-finish"
+	// RoundRobin takes usable servers in turn; the baseline.
+	RoundRobin Policy = "round-robin"
+)
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,40 @@
+// Package telemetry sets up structured logs and metrics.
+package telemetry
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is the time between two reports of metrics to the exporter.
+const reportInterval = time.Second
+
+// Logger returns a logger that writes JSON lines to w at the level, which is
+// debug, info, warn or error. Each part of the system adds its prefix by WithName.
+func Logger(w io.Writer, level string) (logr.Logger, error) {
+	var lv slog.Level
+	if err := lv.UnmarshalText([]byte(level)); err != nil {
+		return logr.Discard(), errors.Wrapf(err, "log level %q", level)
+	}
+	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: lv})
+	return logr.FromSlogHandler(handler), nil
+}
+
+// Metrics returns the root scope and the handler of the Prometheus endpoint.
+func Metrics(role string) (tally.Scope, http.Handler, io.Closer) {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "magnoliawheel",
+		Tags:           map[string]string{"role": role},
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+	}, reportInterval)
+	return scope, reporter.HTTPHandler(), closer
+}
