Wire both binaries; state the interfaces between the parts

Empty processes behind go-flags, and the types through which the entry uses routing, admission, retry, membership and configuration, with the baselines as first bodies.

--- /dev/null
+++ b/cmd/magnoliawheel/main.go
@@ -0,0 +1,161 @@
+// Command magnoliawheel runs an entry or an agent.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/jessevdk/go-flags"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/agent"
+	"github.com/magnoliawheel/magnoliawheel/internal/entry"
+	"github.com/magnoliawheel/magnoliawheel/internal/settings"
+	"github.com/magnoliawheel/magnoliawheel/internal/telemetry"
+	"github.com/magnoliawheel/magnoliawheel/internal/version"
+)
+
+// Exit codes, listed in docs/OPERATIONS.md.
+const (
+	exitFailed   = 1
+	exitUsage    = 2
+	exitSettings = 3
+	exitCut      = 4
+)
+
+type options struct {
+	Version func() `long:"version" description:"Print the version and exit"`
+}
+
+type entryCommand struct {
+	Settings string `short:"s" long:"settings" required:"true" description:"Settings file (TOML)"`
+}
+
+type agentCommand struct {
+	Settings string `short:"s" long:"settings" required:"true" description:"Settings file (TOML)"`
+}
+
+type checkCommand struct {
+	Role string `long:"role" choice:"entry" choice:"agent" required:"true" description:"Role that the file is for"`
+	Args struct {
+		File string `positional-arg-name:"FILE" required:"true"`
+	} `positional-args:"true"`
+}
+
+func main() {
+	opts := options{Version: func() {
+		fmt.Println("magnoliawheel", version.String())
+		os.Exit(0)
+	}}
+	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
+	add(parser, "entry", "Run an entry", "Example: magnoliawheel entry -s entry.toml", &entryCommand{})
+	add(parser, "agent", "Run an agent beside a backend server", "Example: magnoliawheel agent -s agent.toml", &agentCommand{})
+	add(parser, "check-settings", "List all mistakes of a settings file",
+		"Example: magnoliawheel check-settings --role entry entry.toml", &checkCommand{})
+	if _, err := parser.Parse(); err != nil {
+		exit(err)
+	}
+}
+
+func add(parser *flags.Parser, name, short, long string, command any) {
+	if _, err := parser.AddCommand(name, short, long, command); err != nil {
+		panic(err)
+	}
+}
+
+// settingsError marks an error that stands for a mistake in a settings file.
+type settingsError struct{ error }
+
+func exit(err error) {
+	var usage *flags.Error
+	if errors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			fmt.Println(usage.Message)
+			os.Exit(0)
+		}
+		fmt.Fprintln(os.Stderr, usage.Message)
+		os.Exit(exitUsage)
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var bad settingsError
+	if errors.As(err, &bad) {
+		os.Exit(exitSettings)
+	}
+	os.Exit(exitFailed)
+}
+
+// Execute runs the entry.
+func (c *entryCommand) Execute([]string) error {
+	s, err := settings.LoadEntry(c.Settings)
+	if err != nil {
+		return settingsError{err}
+	}
+	return run("entry", s.Log.Level, func(log logr.Logger, scope tally.Scope, metrics http.Handler) (process, error) {
+		return entry.New(entry.Options{Settings: s, Log: log, Scope: scope, Metrics: metrics})
+	})
+}
+
+// Execute runs the agent.
+func (c *agentCommand) Execute([]string) error {
+	s, err := settings.LoadAgent(c.Settings)
+	if err != nil {
+		return settingsError{err}
+	}
+	return run("agent", s.Log.Level, func(log logr.Logger, scope tally.Scope, metrics http.Handler) (process, error) {
+		return agent.New(agent.Options{Settings: s, Log: log, Scope: scope, Metrics: metrics})
+	})
+}
+
+// Execute checks the file.
+func (c *checkCommand) Execute([]string) error {
+	var err error
+	if c.Role == "entry" {
+		_, err = settings.LoadEntry(c.Args.File)
+	} else {
+		_, err = settings.LoadAgent(c.Args.File)
+	}
+	if err != nil {
+		return settingsError{err}
+	}
+	fmt.Println(c.Args.File, "is valid")
+	return nil
+}
+
+// process is what both roles have in common.
+type process interface {
+	Run(ctx context.Context) error
+	WriteCut(w io.Writer)
+}
+
+// run drains the process on the first signal and exits at once on the second.
+func run(role, level string, build func(logr.Logger, tally.Scope, http.Handler) (process, error)) error {
+	log, err := telemetry.Logger(os.Stderr, level)
+	if err != nil {
+		return settingsError{err}
+	}
+	scope, metrics, closer := telemetry.Metrics(role)
+	defer func() { _ = closer.Close() }()
+	p, err := build(log.WithName(role), scope, metrics)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		stop()
+		<-signals
+		p.WriteCut(os.Stderr)
+		os.Exit(exitCut)
+	}()
+	return p.Run(ctx)
+}
--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -2,7 +2,11 @@
 // its deadline and within its customer's share. It has no clock and no I/O.
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+)
 
 // Policy names a way of admitting.
 type Policy string
@@ -28,3 +32,31 @@
 	// that would be chosen now; Least is the same without load.
 	Expected, Least time.Duration
 }
+
+// Decision is the answer to an Ask. Code is result.OK for an admitted request.
+type Decision struct {
+	Code       result.Code
+	RetryAfter time.Duration
+}
+
+// Options sets up a Controller.
+type Options struct {
+	Policy Policy
+	// Seed makes the spread of RetryAfter reproducible.
+	Seed uint64
+}
+
+// Controller admits requests at one entry. It is not safe for concurrent use.
+type Controller struct{ opts Options }
+
+// New returns a controller without history.
+func New(o Options) *Controller { return &Controller{opts: o} }
+
+// Admit decides on a request; an admitted one must be ended by Finish.
+func (c *Controller) Admit(now time.Time, a *Ask) Decision { return Decision{} }
+
+// Finish records the end of an admitted request.
+func (c *Controller) Finish(now time.Time, customer string, code result.Code, took time.Duration) {}
+
+// SetEntries tells how many entries share the customers' rates.
+func (c *Controller) SetEntries(n int) {}
