--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -116,36 +116,39 @@
 // or of the file system.
 func LoadEntry(path string) (*Entry, error) {
 	e := &Entry{}
-	if err := decodeFile(path, e); err != nil {
+	text, err := decodeFile(path, e)
+	if err != nil {
 		return nil, err
 	}
 	e.fill(path)
-	return e, mistakesOrNil(e.check())
+	return e, mistakesOrNil(text, e.check())
 }
 
 // LoadAgent reads and checks an agent's settings. The error is schema.Mistakes
 // or of the file system.
 func LoadAgent(path string) (*Agent, error) {
 	a := &Agent{}
-	if err := decodeFile(path, a); err != nil {
+	text, err := decodeFile(path, a)
+	if err != nil {
 		return nil, err
 	}
 	a.fill(path)
-	return a, mistakesOrNil(a.check())
+	return a, mistakesOrNil(text, a.check())
 }
 
-func decodeFile(path string, v any) error {
-	text, err := os.ReadFile(path)
+func decodeFile(path string, v any) (text []byte, err error) {
+	text, err = os.ReadFile(path)
 	if err != nil {
-		return errors.Wrap(err, "read settings")
+		return nil, errors.Wrap(err, "read settings")
 	}
-	return mistakesOrNil(schema.Decode(text, v))
+	return text, mistakesOrNil(text, schema.Decode(text, v))
 }
 
-func mistakesOrNil(m schema.Mistakes) error {
+func mistakesOrNil(text []byte, m schema.Mistakes) error {
 	if len(m) == 0 {
 		return nil
 	}
+	locate(text, m)
 	return m
 }
 
