--- /dev/null
+++ b/internal/rpc/rpc_test.go
@@ -0,0 +1,132 @@
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+)
+
+type peer struct {
+	wire.DRPCPeerUnimplementedServer
+}
+
+func (peer) Exchange(_ context.Context, in *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	return &wire.ExchangeReply{Instance: "answering " + in.Instance, ConfigOffset: in.ConfigOffset + 1}, nil
+}
+
+// serve starts a server with the secret and returns its address.
+func serve(t testing.TB, secret string) string {
+	conf, err := TLSConfig([]byte(secret))
+	assert.NilError(t, err)
+	mux := drpcmux.New()
+	assert.NilError(t, wire.DRPCRegisterPeer(mux, peer{}))
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = Serve(ctx, lis, conf, mux) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return lis.Addr().String()
+}
+
+func exchange(t testing.TB, conf *tls.Config, addr string) error {
+	pool := NewPool(conf)
+	defer func() { assert.NilError(t, pool.Close()) }()
+	ctx := context.Background()
+	reply, err := wire.NewDRPCPeerClient(pool.Conn(ctx, addr)).Exchange(ctx, &wire.ExchangeRequest{Instance: "a", ConfigOffset: 6})
+	if err != nil {
+		return err
+	}
+	assert.Equal(t, reply.Instance, "answering a")
+	assert.Equal(t, reply.ConfigOffset, uint64(7))
+	sent, received := pool.Bytes()
+	assert.Assert(t, sent > 0 && received > 0)
+	return nil
+}
+
+func TestPeersMustShareTheSecret(t *testing.T) {
+	const secret = "0123456789abcdef"
+	addr := serve(t, secret)
+	same, err := TLSConfig([]byte(secret))
+	assert.NilError(t, err)
+	other, err := TLSConfig([]byte("fedcba9876543210"))
+	assert.NilError(t, err)
+	cases := []struct {
+		name string
+		conf *tls.Config
+		ok   bool
+	}{
+		{"same secret", same, true},
+		{"other secret", other, false},
+		{"no certificate", &tls.Config{InsecureSkipVerify: true}, false},
+		{"other secret, server not verified", &tls.Config{InsecureSkipVerify: true, Certificates: other.Certificates}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			err := exchange(t, c.conf, addr)
+			assert.Equal(t, err == nil, c.ok, "%v", err)
+		})
+	}
+}
+
+func TestShortSecretIsRefused(t *testing.T) {
+	_, err := TLSConfig([]byte("short"))
+	assert.ErrorContains(t, err, "at least 16")
+}
+
+func TestPoolDialsAgainAfterForget(t *testing.T) {
+	const secret = "0123456789abcdef"
+	conf, err := TLSConfig([]byte(secret))
+	assert.NilError(t, err)
+	addr := serve(t, secret)
+	pool := NewPool(conf)
+	defer func() { assert.NilError(t, pool.Close()) }()
+	ctx := context.Background()
+	for range 3 {
+		_, err := wire.NewDRPCPeerClient(pool.Conn(ctx, addr)).Exchange(ctx, &wire.ExchangeRequest{})
+		assert.NilError(t, err)
+		pool.Forget(addr)
+	}
+}
+
+func BenchmarkExchange(b *testing.B) {
+	const secret = "0123456789abcdef"
+	conf, err := TLSConfig([]byte(secret))
+	assert.NilError(b, err)
+	addr := serve(b, secret)
+	pool := NewPool(conf)
+	defer func() { _ = pool.Close() }()
+	ctx := context.Background()
+	b.ReportAllocs()
+	sent0, received0 := pool.Bytes()
+	for b.Loop() {
+		_, err := wire.NewDRPCPeerClient(pool.Conn(ctx, addr)).Exchange(ctx, &wire.ExchangeRequest{Instance: "entry-1", ConfigOffset: 7})
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	sent, received := pool.Bytes()
+	b.ReportMetric(float64(sent-sent0+received-received0)/float64(b.N), "wire-B/op")
+}
+
+func BenchmarkHandshake(b *testing.B) {
+	const secret = "0123456789abcdef"
+	conf, err := TLSConfig([]byte(secret))
+	assert.NilError(b, err)
+	addr := serve(b, secret)
+	b.ReportAllocs()
+	for b.Loop() {
+		conn, err := tls.Dial("tcp", addr, conf)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,43 @@
+package telemetry
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestLoggerWritesPrefixAndValues(t *testing.T) {
+	var out bytes.Buffer
+	log, err := Logger(&out, "info")
+	assert.NilError(t, err)
+	log.WithName("entry").Info("Request finished.", "request", "e~1.2")
+	log.V(4).Info("Not written.")
+	assert.Assert(t, strings.Contains(out.String(), `"logger":"entry"`), out.String())
+	assert.Assert(t, strings.Contains(out.String(), `"request":"e~1.2"`))
+	assert.Assert(t, !strings.Contains(out.String(), "Not written."))
+}
+
+func TestLoggerRefusesUnknownLevel(t *testing.T) {
+	_, err := Logger(&bytes.Buffer{}, "loud")
+	assert.ErrorContains(t, err, `log level "loud"`)
+}
+
+func TestLimitedCountsSuppressedLines(t *testing.T) {
+	var out bytes.Buffer
+	log, err := Logger(&out, "info")
+	assert.NilError(t, err)
+	l := NewLimited(log, time.Second)
+	now := time.Unix(100, 0)
+	l.now = func() time.Time { return now }
+	for range 5 {
+		l.Error(errors.New("down"), "Log unavailable.")
+	}
+	assert.Equal(t, strings.Count(out.String(), "Log unavailable."), 1)
+	now = now.Add(time.Second)
+	l.Error(errors.New("down"), "Log unavailable.")
+	assert.Assert(t, strings.Contains(out.String(), `"suppressed":4`), out.String())
+}
