--- /dev/null
+++ b/test/standin/cmd/standin/main.go
@@ -0,0 +1,44 @@
+// Command standin runs stand-ins for the platform and for backend servers in one
+// process, as a specification file says. It is for tests and is not shipped.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/magnoliawheel/magnoliawheel/test/standin/spec"
+)
+
+func main() {
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "usage: standin SPEC.json")
+		os.Exit(2)
+	}
+	if err := run(os.Args[1]); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+// run prints one JSON object, the addresses by name, once all listen. It ends on a
+// signal.
+func run(path string) error {
+	s, err := spec.Load(path)
+	if err != nil {
+		return err
+	}
+	running, err := s.Start()
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(running.Addrs()); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	return running.Close()
+}
