Serve the agent's RPCs in front of a model engine or a plain service

The agent queues calls by customer, limits them by measured latency, runs each attempt at most once per incarnation and keeps its result until Ack.

Conclusion: a call runs through an agent on real sockets; Fetch, Order and claims of idempotency keys are still to come.

--- a/core/fairqueue/fairqueue.go
+++ b/core/fairqueue/fairqueue.go
@@ -81,6 +81,9 @@
 	return &Queue{policy: policy, limit: limit}
 }
 
+// SetLimit changes the bound; items over a lower bound stay.
+func (q *Queue) SetLimit(limit int) { q.limit = limit }
+
 // Len returns the number of waiting items.
 func (q *Queue) Len() int { return q.length }
 
--- /dev/null
+++ b/internal/agent/admin.go
@@ -0,0 +1,35 @@
+package agent
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/pprof"
+	"time"
+)
+
+// adminReadTimeout bounds the reading of an administration request's header.
+const adminReadTimeout = 5 * time.Second
+
+func (p *Process) adminMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("GET /readyz", p.ready)
+	if p.opts.Metrics != nil {
+		mux.Handle("GET /metrics", p.opts.Metrics)
+	}
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/cmdline", pprof.Cmdline)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	return mux
+}
+
+// ready answers 200 if the agent takes new work.
+func (p *Process) ready(w http.ResponseWriter, _ *http.Request) {
+	if p.work.isLeaving() {
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(w, "ok")
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,15 +1,27 @@
-// Package agent is the agent process.
+// Package agent is the agent process: the only way to the backend server beside
+// it. It queues and limits calls, runs each attempt at most once, and keeps
+// results until they are acknowledged.
 package agent
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
 	"io"
+	"net"
 	"net/http"
+	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/uber-go/tally/v4"
+	"storj.io/drpc/drpcmux"
 
+	"github.com/magnoliawheel/magnoliawheel/core/configlog"
+	"github.com/magnoliawheel/magnoliawheel/internal/confsync"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
 	"github.com/magnoliawheel/magnoliawheel/internal/settings"
 )
 
@@ -23,13 +35,117 @@
 }
 
 // Process is one agent.
-type Process struct{ opts Options }
+type Process struct {
+	opts        Options
+	settings    *settings.Agent
+	log         logr.Logger
+	incarnation uint64
+	config      confsync.Source
+	work        *work
+	pool        *rpc.Pool
+	metrics     metrics
+}
 
 // New returns a process that has not started.
-func New(o Options) (*Process, error) { return &Process{opts: o}, nil }
+func New(o Options) (*Process, error) {
+	secret, err := o.Settings.Security.PeerSecret()
+	if err != nil {
+		return nil, err
+	}
+	conf, err := rpc.TLSConfig(secret)
+	if err != nil {
+		return nil, err
+	}
+	incarnation, err := newIncarnation()
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{
+		opts: o, settings: o.Settings, log: o.Log.WithValues("instance", o.Settings.Instance.ID),
+		incarnation: incarnation, config: noConfig{}, pool: rpc.NewPool(conf), metrics: newMetrics(o.Scope),
+	}
+	p.work = newWork(p)
+	return p, nil
+}
+
+// newIncarnation returns a random number that is not zero.
+func newIncarnation() (uint64, error) {
+	var b [8]byte
+	for {
+		if _, err := rand.Read(b[:]); err != nil {
+			return 0, errors.Wrap(err, "choose incarnation")
+		}
+		if n := binary.BigEndian.Uint64(b[:]); n != 0 {
+			return n, nil
+		}
+	}
+}
 
 // Run serves until ctx ends, then drains and returns nil.
-func (p *Process) Run(ctx context.Context) error { return errors.New("not implemented") }
+func (p *Process) Run(ctx context.Context) error {
+	peers, err := net.Listen("tcp", p.settings.Listen.Peers)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	admin, err := net.Listen("tcp", p.settings.Listen.Admin)
+	if err != nil {
+		_ = peers.Close()
+		return errors.Wrap(err, "listen for administration")
+	}
+	return p.serve(ctx, peers, admin)
+}
+
+func (p *Process) serve(ctx context.Context, peers, admin net.Listener) error {
+	secret, err := p.settings.Security.PeerSecret()
+	if err != nil {
+		return err
+	}
+	conf, err := rpc.TLSConfig(secret)
+	if err != nil {
+		return err
+	}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterAgent(mux, &rpcServer{p: p}); err != nil {
+		return errors.Wrap(err, "register agent service")
+	}
+	live, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	wg.Go(func() { p.work.expireLoop(live) })
+	wg.Go(func() {
+		if err := rpc.Serve(live, peers, conf, mux); err != nil {
+			p.log.Error(err, "Serving peers ended.")
+		}
+	})
+	srv := &http.Server{Handler: p.adminMux(), ReadHeaderTimeout: adminReadTimeout}
+	wg.Go(func() { _ = srv.Serve(admin) })
+	p.log.Info("Agent started.", "incarnation", p.incarnation, "peers", peers.Addr().String(), "pool", p.settings.Server.Pool)
+	<-ctx.Done()
+	p.drain()
+	stop()
+	_ = srv.Close()
+	p.work.stop()
+	wg.Wait()
+	return p.pool.Close()
+}
+
+// drain refuses new work, waits for the work in hand, and keeps results until
+// they are acknowledged or the grace is over.
+func (p *Process) drain() {
+	p.work.setLeaving(leavingSignal, true)
+	p.log.Info("Draining started.")
+	p.work.waitIdle()
+	grace := time.NewTimer(p.settings.Limits.DrainGrace.Std())
+	defer grace.Stop()
+	kept := p.work.waitAcknowledged(grace.C)
+	p.log.Info("Draining ended.", "results_not_taken", kept)
+}
 
 // WriteCut writes what would be cut if the process exited now.
-func (p *Process) WriteCut(w io.Writer) {}
+func (p *Process) WriteCut(w io.Writer) { p.work.writeCut(w) }
+
+// noConfig is a configuration without a schema.
+type noConfig struct{}
+
+func (noConfig) Current() *configlog.Snapshot        { return &configlog.Snapshot{} }
+func (noConfig) Learn(string, uint64)                {}
+func (noConfig) WaitReady(ctx context.Context) error { return nil }
--- /dev/null
+++ b/internal/agent/harness_test.go
@@ -0,0 +1,131 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/schema"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+	"github.com/magnoliawheel/magnoliawheel/internal/settings"
+)
+
+const testSecret = "0123456789abcdef"
+
+// fixture is an agent in this process, with a client.
+type fixture struct {
+	*Process
+	addr   string
+	client wire.DRPCAgentClient
+	pool   *rpc.Pool
+	stop   context.CancelFunc
+	done   chan error
+}
+
+func testSettings(t testing.TB, id, serverURL string) *settings.Agent {
+	secret := filepath.Join(t.TempDir(), "secret")
+	assert.NilError(t, os.WriteFile(secret, []byte(testSecret), 0o600))
+	s := &settings.Agent{}
+	s.Instance = settings.Instance{ID: id, Zone: "amman-1", Region: "amman"}
+	s.Server = settings.Server{Pool: "engines", URL: serverURL}
+	s.Security.PeerSecretFile = secret
+	s.Limits = settings.AgentLimits{KeptBytes: 32 << 20, DrainGrace: schema.Duration(10 * time.Second), Queue: "fair"}
+	return s
+}
+
+// start serves an agent until the test ends.
+func start(t testing.TB, s *settings.Agent) *fixture {
+	p, err := New(Options{Settings: s, Log: logr.Discard()})
+	assert.NilError(t, err)
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	admin, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	conf, err := rpc.TLSConfig([]byte(testSecret))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fixture{Process: p, addr: peers.Addr().String(), pool: rpc.NewPool(conf), stop: cancel, done: make(chan error, 1)}
+	f.client = wire.NewDRPCAgentClient(f.pool.Conn(ctx, f.addr))
+	go func() { f.done <- p.serve(ctx, peers, admin) }()
+	t.Cleanup(func() {
+		p.settings.Limits.DrainGrace = schema.Duration(time.Millisecond)
+		cancel()
+		assert.NilError(t, <-f.done)
+		_ = f.pool.Close()
+	})
+	return f
+}
+
+// runRequest is a call of a plain service.
+func (f *fixture) runRequest(request string) *wire.RunRequest {
+	return &wire.RunRequest{
+		Attempt: &wire.AttemptID{RequestId: request, Attempt: 1}, Incarnation: f.incarnation,
+		BudgetUs: uint64((10 * time.Second).Microseconds()), Customer: "burj-consult", Weight: 1,
+		Call: "encode", Idempotent: true, Payload: []byte(`{"nonce":"` + request + `"}`),
+	}
+}
+
+func (f *fixture) generateRequest(request string, tokens uint32) *wire.RunRequest {
+	req := f.runRequest(request)
+	req.Call, req.Model, req.MaxTokens = "generate", "clause-7b", tokens
+	return req
+}
+
+// answer is what a caller of Run or Attach received.
+type answer struct {
+	events   []string
+	accepted *wire.Accepted
+	refused  *wire.Refused
+	failed   *wire.Failed
+	done     *wire.Done
+	text     string
+	next     uint64
+}
+
+type receiver interface{ Recv() (*wire.RunEvent, error) }
+
+// receive takes events until the last, or until stop returns true.
+func (a *answer) receive(t testing.TB, r receiver, stop func(*answer) bool) {
+	if a.next == 0 {
+		a.next = 1
+	}
+	for a.refused == nil && a.failed == nil && a.done == nil && (stop == nil || !stop(a)) {
+		ev, err := r.Recv()
+		assert.NilError(t, err)
+		switch e := ev.Event.(type) {
+		case *wire.RunEvent_Accepted:
+			a.accepted = e.Accepted
+			a.events = append(a.events, fmt.Sprintf("accepted attached=%t", e.Accepted.Attached))
+		case *wire.RunEvent_Refused:
+			a.refused = e.Refused
+			a.events = append(a.events, fmt.Sprintf("refused %d %s", e.Refused.Code, e.Refused.Ran))
+		case *wire.RunEvent_Failed:
+			a.failed = e.Failed
+			a.events = append(a.events, fmt.Sprintf("failed %d %s", e.Failed.Code, e.Failed.Ran))
+		case *wire.RunEvent_Done:
+			a.done = e.Done
+			a.events = append(a.events, fmt.Sprintf("done %d", e.Done.Count))
+		case *wire.RunEvent_Chunk:
+			assert.Equal(t, e.Chunk.Seq, a.next)
+			a.next++
+			a.text += string(e.Chunk.Data)
+		}
+	}
+}
+
+func (f *fixture) run(t testing.TB, req *wire.RunRequest) *answer {
+	stream, err := f.client.Run(context.Background(), req)
+	assert.NilError(t, err)
+	defer func() { _ = stream.Close() }()
+	a := &answer{}
+	a.receive(t, stream, nil)
+	return a
+}
--- /dev/null
+++ b/internal/agent/metrics.go
@@ -0,0 +1,43 @@
+package agent
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+)
+
+// metrics are the counters and gauges of an agent.
+type metrics struct {
+	scope    tally.Scope
+	accepted tally.Counter
+	attached tally.Counter
+	running  tally.Gauge
+	queued   tally.Gauge
+	limit    tally.Gauge
+	kept     tally.Gauge
+	known    tally.Gauge
+	service  tally.Timer
+}
+
+func newMetrics(s tally.Scope) metrics {
+	if s == nil {
+		s = tally.NoopScope
+	}
+	return metrics{
+		scope:    s,
+		accepted: s.Counter("agent_accepted"),
+		attached: s.Counter("agent_attached"),
+		running:  s.Gauge("agent_running"),
+		queued:   s.Gauge("agent_queued"),
+		limit:    s.Gauge("agent_limit"),
+		kept:     s.Gauge("agent_kept_bytes"),
+		known:    s.Gauge("agent_known_attempts"),
+		service:  s.Timer("agent_service_time"),
+	}
+}
+
+// ended counts an attempt that was refused or ended with a code.
+func (m *metrics) ended(code result.Code) {
+	info, _ := result.Lookup(code)
+	m.scope.Tagged(map[string]string{"code": info.Name}).Counter("agent_ended").Inc(1)
+}
--- /dev/null
+++ b/internal/agent/server.go
@@ -0,0 +1,120 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/ledger"
+	"github.com/magnoliawheel/magnoliawheel/core/reqid"
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+)
+
+// rpcServer answers the RPCs of entries and other agents.
+type rpcServer struct{ p *Process }
+
+// Run takes in an attempt and streams its result.
+func (s *rpcServer) Run(req *wire.RunRequest, stream wire.DRPCAgent_RunStream) error {
+	p := s.p
+	p.config.Learn("", req.ConfigOffset)
+	if req.Incarnation != p.incarnation {
+		return p.refuse(stream, result.New(result.WrongIncarnation, "this is another process"))
+	}
+	id := idOf(req.Attempt)
+	if id.Request == "" || len(id.Request) > reqid.MaxLength {
+		return p.refuse(stream, result.New(result.BadBody, "the request id is missing or too long"))
+	}
+	attached := p.work.accept(time.Now(), id, req)
+	if attached {
+		p.metrics.attached.Inc(1)
+	}
+	return p.follow(stream, id, 1, attached)
+}
+
+// Attach streams the result of an attempt that was accepted before.
+func (s *rpcServer) Attach(req *wire.AttachRequest, stream wire.DRPCAgent_AttachStream) error {
+	if req.Incarnation != s.p.incarnation {
+		e := result.New(result.WrongIncarnation, "this is another process")
+		e.Ran = result.RanUnknown
+		return s.p.refuse(stream, e)
+	}
+	s.p.metrics.attached.Inc(1)
+	return s.p.follow(stream, idOf(req.Attempt), max(req.FromSeq, 1), true)
+}
+
+// Cancel stops an attempt, or leaves a tombstone so that it never runs.
+func (s *rpcServer) Cancel(_ context.Context, req *wire.CancelRequest) (*wire.CancelReply, error) {
+	reply := &wire.CancelReply{State: wire.AttemptState_ATTEMPT_STATE_UNKNOWN_HERE}
+	if req.Incarnation == s.p.incarnation {
+		reply.State = wireState(s.p.work.cancelTask(time.Now(), idOf(req.Attempt)))
+	}
+	reply.Load = s.p.load()
+	return reply, nil
+}
+
+// Ack drops results that were taken.
+func (s *rpcServer) Ack(_ context.Context, req *wire.AckRequest) (*wire.AckReply, error) {
+	if req.Incarnation == s.p.incarnation {
+		now := time.Now()
+		for _, a := range req.Attempts {
+			s.p.work.acknowledge(now, idOf(a))
+		}
+	}
+	return &wire.AckReply{Load: s.p.load()}, nil
+}
+
+// Probe tells the incarnation and the load.
+func (s *rpcServer) Probe(_ context.Context, req *wire.ProbeRequest) (*wire.ProbeReply, error) {
+	s.p.config.Learn("", req.ConfigOffset)
+	return &wire.ProbeReply{Load: s.p.load()}, nil
+}
+
+// Find lists the attempts of a request.
+func (s *rpcServer) Find(_ context.Context, req *wire.FindRequest) (*wire.FindReply, error) {
+	return &wire.FindReply{Attempts: s.p.work.find(req.RequestId, s.p.incarnation), Load: s.p.load()}, nil
+}
+
+// Order changes the server.
+func (s *rpcServer) Order(_ context.Context, req *wire.OrderRequest) (*wire.OrderReply, error) {
+	return &wire.OrderReply{Code: uint32(result.OrderRefused), Message: "orders are not allowed", Load: s.p.load()}, nil
+}
+
+func (w *work) find(request string, incarnation uint64) []*wire.FoundAttempt {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var found []*wire.FoundAttempt
+	for _, a := range w.ledger.Find(request) {
+		found = append(found, &wire.FoundAttempt{
+			Attempt: wireID(a.ID), State: wireState(a.State), Chunks: uint64(len(a.Chunks)), Incarnation: incarnation,
+		})
+	}
+	return found
+}
+
+func wireState(s ledger.State) wire.AttemptState {
+	switch s {
+	case ledger.NotRun:
+		return wire.AttemptState_ATTEMPT_STATE_NOT_RUN
+	case ledger.Queued, ledger.Running:
+		return wire.AttemptState_ATTEMPT_STATE_RUNNING
+	case ledger.Finished, ledger.Spent:
+		return wire.AttemptState_ATTEMPT_STATE_FINISHED
+	}
+	return wire.AttemptState_ATTEMPT_STATE_UNKNOWN_HERE
+}
+
+func wireRan(r result.Ran) wire.Ran { return wire.Ran(r) }
+
+// load describes the agent and its server.
+func (p *Process) load() *wire.Load {
+	w := p.work
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return &wire.Load{
+		Instance: p.settings.Instance.ID, Incarnation: p.incarnation,
+		Running: uint32(w.running), Queued: uint32(w.queue.Len()), Limit: uint32(w.limiter.Limit()),
+		WaitUs: uint64(w.wait(&wire.RunRequest{}).Microseconds()), ServiceUs: uint64(w.timing.service.Microseconds()),
+		TokensPerS: w.timing.tokensPerSecond, Leaving: w.leaving != 0,
+		ConfigOffset: p.config.Current().Offset, KeptBytes: uint64(w.ledger.KeptBytes()), Models: w.models,
+	}
+}
