--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -64,6 +64,9 @@
 	Deadline time.Time
 	// Idempotent attempts may lose their result for want of memory.
 	Idempotent bool
+	// Shared results stay after Ack for later copies of the work, as long as the
+	// tombstone would and while there is memory.
+	Shared bool
 	// Reserve is the memory that the result is expected to take, in bytes.
 	Reserve int64
 	// MaxBytes bounds the result; 0 is no bound of its own.
@@ -97,6 +100,9 @@
 	// Bytes is the size of the result so far.
 	Bytes int64
 
+	// Acknowledged is set on a shared result that was taken.
+	Acknowledged bool
+
 	job      Job
 	reserved int64
 	// expires is when the ledger moves on; zero for attempts that have not ended.
@@ -110,12 +116,14 @@
 type Ledger struct {
 	opts     Options
 	attempts map[ID]*Attempt
-	// evictable holds the attempts that may be forgotten for want of memory, firm
-	// the others that have ended.
-	evictable, firm expiries
+	// evictable holds the attempts that may be forgotten, and droppable the results
+	// that may be dropped, for want of memory; firm holds the others that have ended.
+	evictable, droppable, firm expiries
 	kept            int64
 	// remembered counts the attempts in state Spent or NotRun.
 	remembered int
+	// dropped lists the attempts that lost their results for want of memory.
+	dropped []ID
 }
 
 // New returns an empty ledger.
@@ -155,7 +163,7 @@
 	if !now.Before(job.Deadline) {
 		return result.BudgetSpent
 	}
-	if l.kept+job.Reserve > l.opts.KeptBytes {
+	if !l.room(now, job.Reserve) {
 		return result.ResultsFull
 	}
 	if l.remembered >= l.opts.MaxRemembered && !l.evict() {
@@ -164,6 +172,16 @@
 	return result.OK
 }
 
+// room makes room for size bytes by dropping shared results, and returns false if
+// there is not enough.
+func (l *Ledger) room(now time.Time, size int64) bool {
+	for l.kept+size > l.opts.KeptBytes && len(l.droppable) > 0 {
+		l.dropped = append(l.dropped, l.droppable[0].ID)
+		l.spend(now, l.droppable[0])
+	}
+	return l.kept+size <= l.opts.KeptBytes
+}
+
 // Refuse records that an unknown or queued attempt never runs.
 func (l *Ledger) Refuse(now time.Time, id ID, o Outcome) {
 	a := l.attempts[id]
@@ -220,7 +238,7 @@
 
 // Append adds a chunk to the result of a running attempt. With another code than
 // OK the chunk was not kept and the attempt must be ended with that code.
-func (l *Ledger) Append(id ID, c Chunk) result.Code {
+func (l *Ledger) Append(now time.Time, id ID, c Chunk) result.Code {
 	a := l.attempts[id]
 	if a == nil || a.State != Running {
 		return result.Internal
@@ -230,7 +248,7 @@
 		return result.StreamTooLong
 	}
 	grow := max(0, a.Bytes+size-a.reserved)
-	if a.job.Idempotent && l.kept+grow > l.opts.KeptBytes {
+	if !l.room(now, grow) && a.job.Idempotent {
 		return result.ResultsFull
 	}
 	a.Chunks = append(a.Chunks, c)
@@ -262,11 +280,18 @@
 	schedule(&l.firm, a, now.Add(l.opts.Retention))
 }
 
-// Ack drops the result of a finished attempt.
+// Ack drops the result of a finished attempt; a shared one becomes droppable.
 func (l *Ledger) Ack(now time.Time, id ID) {
-	if a := l.attempts[id]; a != nil && a.State == Finished {
+	a := l.attempts[id]
+	if a == nil || a.State != Finished || a.Acknowledged {
+		return
+	}
+	if !a.job.Shared {
 		l.spend(now, a)
+		return
 	}
+	a.Acknowledged = true
+	schedule(&l.droppable, a, now.Add(l.opts.TombstoneRetention))
 }
 
 func (l *Ledger) spend(now time.Time, a *Attempt) {
@@ -277,9 +302,14 @@
 	l.remember(a, Spent, now.Add(retention), a.job.Idempotent)
 }
 
-// Expire drops what has outlived its retention, and returns the attempts whose
-// results are gone.
+// Expire drops what has outlived its retention, and returns the attempts that
+// lost their results since the last call.
 func (l *Ledger) Expire(now time.Time) (spent []ID) {
+	spent, l.dropped = l.dropped, nil
+	for len(l.droppable) > 0 && !now.Before(l.droppable[0].expires) {
+		spent = append(spent, l.droppable[0].ID)
+		l.spend(now, l.droppable[0])
+	}
 	for len(l.firm) > 0 && !now.Before(l.firm[0].expires) {
 		a := l.firm[0]
 		if a.State == Finished {
@@ -315,7 +345,9 @@
 		case Queued, Running:
 			working++
 		case Finished:
-			results++
+			if !a.Acknowledged {
+				results++
+			}
 		}
 	}
 	return working, results
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -119,7 +119,7 @@
 	case v.state == ledger.Spent:
 		return p.fail(stream, ledger.Outcome{Code: result.ResultExpired, Message: "the result was acknowledged or expired", Ran: result.RanYes})
 	case v.state == ledger.NotRun && !failed(v.outcome.Code):
-		e := &result.Error{Code: v.outcome.Code, Message: v.outcome.Message, Ran: result.RanNo, RetryAfter: v.outcome.RetryAfter}
+		e := &result.Error{Code: v.outcome.Code, Message: v.outcome.Message, Ran: v.outcome.Ran, RetryAfter: v.outcome.RetryAfter}
 		return p.refuse(stream, e)
 	case !v.outcome.OK():
 		return p.fail(stream, v.outcome)
--- a/internal/agent/task.go
+++ b/internal/agent/task.go
@@ -84,7 +84,7 @@
 func (w *work) take(t *task, c engine.Chunk) result.Code {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	code := w.ledger.Append(t.id, ledger.Chunk{Data: c.Data, Tokens: c.Tokens})
+	code := w.ledger.Append(time.Now(), t.id, ledger.Chunk{Data: c.Data, Tokens: c.Tokens})
 	if code != result.OK {
 		return code
 	}
@@ -183,5 +183,8 @@
 		return
 	}
 	w.ledger.Ack(now, id)
-	w.drop(id)
+	if w.ledger.Get(id).State != ledger.Finished {
+		w.drop(id)
+	}
+	w.notify()
 }
