Claim idempotency keys in the log before work that must not repeat

A keyed call is queued once its claim holds. A claim that cannot be settled in time is given up: the attempt is tombstoned, a release follows until it took effect, and the answer is ran: no with a time to come back. Copies attach to the holder. Incarnations carry the time in front, since those of one instance grow.

Proved failing first: with lost claims taken as held, concurrent copies run more than once; without the release, a key whose claim landed late stays taken; restored, both pass.

--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -25,14 +25,6 @@
 // UnmarshalText reads hexadecimal.
 func (id *ID) UnmarshalText(b []byte) error { return decodeHex(id[:], b) }
 
-// Holder is the attempt that runs the work if its claim holds.
-type Holder struct {
-	Instance    string    `json:"i"`
-	Address     string    `json:"a"`
-	Incarnation uint64    `json:"n"`
-	Attempt     ledger.ID `json:"t"`
-}
-
 // Record is one record of a claim stream: a claim, or its release.
 type Record struct {
 	ID  ID  `json:"id"`
@@ -42,7 +34,8 @@
 	// Release voids the claim of that id, also one that comes later.
 	Release bool   `json:"r,omitempty"`
 	Digest  uint64 `json:"d,omitempty"`
-	Holder  Holder `json:"h,omitzero"`
+	// Holder is the attempt that runs the work if the claim holds.
+	Holder ledger.Holder `json:"h,omitzero"`
 }
 
 // MaxRecordBytes bounds an encoded record.
--- a/core/claims/claims_test.go
+++ b/core/claims/claims_test.go
@@ -49,7 +49,7 @@
 
 func (s *sim) claim() {
 	s.nextID++
-	r := Record{Minted: epoch.UnixMilli(), Holder: Holder{Instance: "a", Incarnation: s.nextID, Attempt: ledger.ID{Request: "r"}}}
+	r := Record{Minted: epoch.UnixMilli(), Holder: ledger.Holder{Instance: "a", Incarnation: s.nextID, Attempt: ledger.ID{Request: "r"}}}
 	binary.BigEndian.PutUint64(r.ID[:], s.nextID)
 	r.Key[0] = byte(rapid.IntRange(0, 2).Draw(s.t, "key"))
 	s.pending = append(s.pending, simClaim{r, rapid.IntRange(0, len(s.agents)-1).Draw(s.t, "agent")})
@@ -158,7 +158,7 @@
 }
 
 func record(id, key byte, release bool) []byte {
-	r := Record{ID: ID{id}, Key: Key{key}, Minted: epoch.UnixMilli(), Release: release, Holder: Holder{Instance: fmt.Sprint(id)}}
+	r := Record{ID: ID{id}, Key: Key{key}, Minted: epoch.UnixMilli(), Release: release, Holder: ledger.Holder{Instance: fmt.Sprint(id)}}
 	return r.Encode()
 }
 
@@ -262,10 +262,10 @@
 	b.ReportAllocs()
 	p := New()
 	for i := uint64(1); b.Loop(); i++ {
-		r := Record{Minted: epoch.UnixMilli(), Holder: Holder{Instance: "agent-1", Address: "10.0.0.1:7000", Incarnation: i, Attempt: ledger.ID{Request: "entry-1~abcdefgh.ijklmnop"}}}
+		r := Record{Minted: epoch.UnixMilli(), Holder: ledger.Holder{Instance: "agent-1", Address: "10.0.0.1:7000", Incarnation: i, Attempt: ledger.ID{Request: "entry-1~abcdefgh.ijklmnop"}}}
 		binary.BigEndian.PutUint64(r.ID[:], i)
 		binary.BigEndian.PutUint64(r.Key[:], i)
 		p.Fold(i, r.Encode())
 	}
-	b.ReportMetric(float64(len((&Record{Minted: epoch.UnixMilli(), Holder: Holder{Instance: "agent-1", Address: "10.0.0.1:7000", Incarnation: 1 << 63, Attempt: ledger.ID{Request: "entry-1~abcdefgh.ijklmnop"}}}).Encode())), "record-B")
+	b.ReportMetric(float64(len((&Record{Minted: epoch.UnixMilli(), Holder: ledger.Holder{Instance: "agent-1", Address: "10.0.0.1:7000", Incarnation: 1 << 63, Attempt: ledger.ID{Request: "entry-1~abcdefgh.ijklmnop"}}}).Encode())), "record-B")
 }
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -14,8 +14,17 @@
 
 // ID names one attempt at one stage of one request.
 type ID struct {
-	Request        string
-	Stage, Attempt uint32
+	Request string `json:"r"`
+	Stage   uint32 `json:"s"`
+	Attempt uint32 `json:"a"`
+}
+
+// Holder names an attempt at one process of an agent.
+type Holder struct {
+	Instance    string `json:"i"`
+	Address     string `json:"a"`
+	Incarnation uint64 `json:"n"`
+	Attempt     ID     `json:"t"`
 }
 
 // State is the state of an attempt.
@@ -86,6 +95,8 @@
 	Ran     result.Ran
 	// RetryAfter is when coming back helps; 0 if it does not.
 	RetryAfter time.Duration
+	// Holder is set with code ClaimLost: the attempt that does the same work.
+	Holder *Holder
 }
 
 // OK tells whether the result is complete.
@@ -119,7 +130,7 @@
 	// evictable holds the attempts that may be forgotten, and droppable the results
 	// that may be dropped, for want of memory; firm holds the others that have ended.
 	evictable, droppable, firm expiries
-	kept            int64
+	kept                       int64
 	// remembered counts the attempts in state Spent or NotRun.
 	remembered int
 	// dropped lists the attempts that lost their results for want of memory.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/configlog"
 	"github.com/magnoliawheel/magnoliawheel/internal/confsync"
+	"github.com/magnoliawheel/magnoliawheel/internal/platform"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
 	"github.com/magnoliawheel/magnoliawheel/internal/settings"
@@ -40,14 +41,21 @@
 	settings    *settings.Agent
 	log         logr.Logger
 	incarnation uint64
-	config      confsync.Source
-	work        *work
-	pool        *rpc.Pool
-	metrics     metrics
+	// address is where entries and other agents reach the process.
+	address string
+	config  confsync.Source
+	plog    platform.Log
+	work    *work
+	pool    *rpc.Pool
+	metrics metrics
 }
 
 // New returns a process that has not started.
 func New(o Options) (*Process, error) {
+	return newProcess(o, noLog{}, noConfig{})
+}
+
+func newProcess(o Options, plog platform.Log, config confsync.Source) (*Process, error) {
 	secret, err := o.Settings.Security.PeerSecret()
 	if err != nil {
 		return nil, err
@@ -62,23 +70,23 @@
 	}
 	p := &Process{
 		opts: o, settings: o.Settings, log: o.Log.WithValues("instance", o.Settings.Instance.ID),
-		incarnation: incarnation, config: noConfig{}, pool: rpc.NewPool(conf), metrics: newMetrics(o.Scope),
+		incarnation: incarnation, config: config, plog: plog, pool: rpc.NewPool(conf), metrics: newMetrics(o.Scope),
 	}
 	p.work = newWork(p)
 	return p, nil
 }
 
-// newIncarnation returns a random number that is not zero.
+// randomBits is the number of random bits of an incarnation; the bits above are
+// the time in milliseconds, so that the incarnations of one instance grow.
+const randomBits = 22
+
 func newIncarnation() (uint64, error) {
-	var b [8]byte
-	for {
-		if _, err := rand.Read(b[:]); err != nil {
-			return 0, errors.Wrap(err, "choose incarnation")
-		}
-		if n := binary.BigEndian.Uint64(b[:]); n != 0 {
-			return n, nil
-		}
+	var b [4]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return 0, errors.Wrap(err, "choose incarnation")
 	}
+	random := uint64(binary.BigEndian.Uint32(b[:])) >> (32 - randomBits)
+	return uint64(time.Now().UnixMilli())<<randomBits | random, nil
 }
 
 // Run serves until ctx ends, then drains and returns nil.
@@ -108,9 +116,11 @@
 	if err := wire.DRPCRegisterAgent(mux, &rpcServer{p: p}); err != nil {
 		return errors.Wrap(err, "register agent service")
 	}
+	p.address = peers.Addr().String()
 	live, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	wg.Go(func() { p.work.expireLoop(live) })
+	wg.Go(func() { p.work.claims.run(live, p.work.takesKeys, p.work.validity) })
 	wg.Go(func() {
 		if err := rpc.Serve(live, peers, conf, mux); err != nil {
 			p.log.Error(err, "Serving peers ended.")
@@ -149,3 +159,14 @@
 func (noConfig) Current() *configlog.Snapshot        { return &configlog.Snapshot{} }
 func (noConfig) Learn(string, uint64)                {}
 func (noConfig) WaitReady(ctx context.Context) error { return nil }
+
+// noLog is a log that is down.
+type noLog struct{}
+
+func (noLog) Append(context.Context, string, ...[]byte) (uint64, error) {
+	return 0, platform.ErrUnavailable
+}
+
+func (noLog) Read(context.Context, string, uint64, int, time.Duration) (platform.Batch, error) {
+	return platform.Batch{}, platform.ErrUnavailable
+}
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -11,8 +11,11 @@
 
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/magnoliawheel/magnoliawheel/core/schema"
+	"github.com/magnoliawheel/magnoliawheel/internal/confsync"
+	"github.com/magnoliawheel/magnoliawheel/internal/platform"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
 	"github.com/magnoliawheel/magnoliawheel/internal/settings"
@@ -43,7 +46,11 @@
 
 // start serves an agent until the test ends.
 func start(t testing.TB, s *settings.Agent) *fixture {
-	p, err := New(Options{Settings: s, Log: logr.Discard()})
+	return startWith(t, s, noLog{}, noConfig{})
+}
+
+func startWith(t testing.TB, s *settings.Agent, log platform.Log, config confsync.Source) *fixture {
+	p, err := newProcess(Options{Settings: s, Log: logr.Discard()}, log, config)
 	assert.NilError(t, err)
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -90,7 +97,9 @@
 	next     uint64
 }
 
-type receiver interface{ Recv() (*wire.RunEvent, error) }
+type receiver interface {
+	Recv() (*wire.RunEvent, error)
+}
 
 // receive takes events until the last, or until stop returns true.
 func (a *answer) receive(t testing.TB, r receiver, stop func(*answer) bool) {
@@ -129,3 +138,33 @@
 	a.receive(t, stream, nil)
 	return a
 }
+
+func (f *fixture) attach(t testing.TB, id *wire.AttemptID, from uint64) *answer {
+	stream, err := f.client.Attach(context.Background(), &wire.AttachRequest{Attempt: id, Incarnation: f.incarnation, FromSeq: from})
+	assert.NilError(t, err)
+	defer func() { _ = stream.Close() }()
+	a := &answer{next: from}
+	a.receive(t, stream, nil)
+	return a
+}
+
+func (f *fixture) ack(t testing.TB, req *wire.RunRequest) {
+	_, err := f.client.Ack(context.Background(), &wire.AckRequest{Attempts: []*wire.AttemptID{req.Attempt}, Incarnation: f.incarnation})
+	assert.NilError(t, err)
+}
+
+func (f *fixture) cancel(t testing.TB, id *wire.AttemptID) wire.AttemptState {
+	reply, err := f.client.Cancel(context.Background(), &wire.CancelRequest{Attempt: id, Incarnation: f.incarnation})
+	assert.NilError(t, err)
+	return reply.State
+}
+
+// eventually waits for a condition.
+func eventually(t testing.TB, cond func() bool) {
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if cond() {
+			return poll.Success()
+		}
+		return poll.Continue("not yet")
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(20*time.Second))
+}
--- /dev/null
+++ b/internal/agent/keyed.go
@@ -0,0 +1,158 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/claims"
+	"github.com/magnoliawheel/magnoliawheel/core/ledger"
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/core/schema"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+)
+
+// Defaults while no schema is in force.
+const (
+	defaultValidity = 10 * time.Minute
+	defaultSkew     = 5 * time.Second
+)
+
+// keyed tells whether a call needs a claim.
+func keyed(req *wire.RunRequest) bool { return !req.Idempotent && req.IdempotencyKey != "" }
+
+// keyLimits returns the validity of keys and the clock difference allowed.
+func (w *work) keyLimits() (validity, skew time.Duration) {
+	if s := w.p.config.Current().Schema; s != nil && s.Limits.KeyValidity > 0 {
+		return s.Limits.KeyValidity.Std(), s.Limits.KeySkew.Std()
+	}
+	return defaultValidity, defaultSkew
+}
+
+func (w *work) validity() time.Duration {
+	v, _ := w.keyLimits()
+	return v
+}
+
+// takesKeys tells whether calls with an idempotency key may come to this agent.
+func (w *work) takesKeys() bool {
+	s := w.p.config.Current().Schema
+	if s == nil {
+		return false
+	}
+	pool := s.Pool(w.p.settings.Server.Pool)
+	return pool != nil && pool.Kind == schema.KindService
+}
+
+// judgeKey refuses a key by its form and time.
+func (w *work) judgeKey(now time.Time, req *wire.RunRequest) *result.Error {
+	if !keyed(req) {
+		return nil
+	}
+	minted, ok := claims.Minted(req.IdempotencyKey)
+	if !ok {
+		return result.New(result.BadKey, "the idempotency key is not a UUIDv7")
+	}
+	validity, skew := w.keyLimits()
+	return claims.CheckTime(minted, now, validity, skew)
+}
+
+// newClaim returns the claim of a task for its key.
+func (w *work) newClaim(t *task) (*claims.Record, error) {
+	id, err := newClaimID()
+	if err != nil {
+		return nil, err
+	}
+	minted, _ := claims.Minted(t.req.IdempotencyKey)
+	return &claims.Record{
+		ID: id, Key: claims.NewKey(t.req.Customer, t.req.IdempotencyKey, t.req.SubKey), Minted: minted.UnixMilli(), Digest: t.req.Digest,
+		Holder: ledger.Holder{
+			Instance: w.p.settings.Instance.ID, Address: w.p.address, Incarnation: w.p.incarnation, Attempt: t.id,
+		},
+	}, nil
+}
+
+// claimThenQueue claims the key of a task, and queues the task if the claim holds.
+func (w *work) claimThenQueue(t *task) {
+	r, err := w.newClaim(t)
+	if err != nil {
+		w.endClaim(t, ledger.Outcome{Code: result.Internal, Message: err.Error(), Ran: result.RanNo})
+		return
+	}
+	j, by, err := w.claims.claim(w.ctx, r)
+	switch {
+	case err != nil:
+		if err == errGivenUp {
+			w.log.Info("A claim was given up.", "request", t.id.Request)
+		}
+		w.endClaim(t, ledger.Outcome{
+			Code: result.ClaimUnavailable, Message: "the log cannot record the claim of the key", Ran: result.RanNo, RetryAfter: claimRetryAfter,
+		})
+		if err == errGivenUp {
+			w.release(r)
+		}
+	case j == claims.Held:
+		w.queueHeld(t, r)
+	case j == claims.Lost:
+		w.endClaim(t, w.lostTo(t, &by))
+	default:
+		w.endClaim(t, ledger.Outcome{Code: result.ClaimUnavailable, Message: "the claim is void", Ran: result.RanNo, RetryAfter: claimRetryAfter})
+	}
+}
+
+// queueHeld queues a task whose claim holds, unless it was cancelled meanwhile.
+func (w *work) queueHeld(t *task, r *claims.Record) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.claim = r
+	t.claiming = false
+	w.claiming--
+	a := w.ledger.Get(t.id)
+	if a == nil || a.State != ledger.Queued {
+		w.release(r)
+		return
+	}
+	w.push(time.Now(), t)
+}
+
+// endClaim refuses a task that got no claim.
+func (w *work) endClaim(t *task, o ledger.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.claiming = false
+	w.claiming--
+	w.refuse(time.Now(), t.id, o)
+}
+
+// lostTo is the outcome of a task whose key another claim holds.
+func (w *work) lostTo(t *task, by *claims.Record) ledger.Outcome {
+	h := by.Holder
+	switch {
+	case by.Digest != t.req.Digest:
+		return ledger.Outcome{Code: result.KeyReused, Message: "the key was used with another body or call", Ran: result.RanNo}
+	case h.Instance == w.p.settings.Instance.ID && h.Incarnation != w.p.incarnation:
+		return ledger.Outcome{Code: result.HolderGone, Message: "the process that held the key is gone", Ran: result.RanUnknown}
+	}
+	return ledger.Outcome{Code: result.ClaimLost, Message: "another attempt holds the key", Ran: result.RanNo, Holder: &h}
+}
+
+// release voids a claim whose task never runs.
+func (w *work) release(r *claims.Record) {
+	validity, _ := w.keyLimits()
+	w.claims.release(r, time.UnixMilli(r.Minted).Add(validity+forgetMargin))
+}
+
+// localHolder returns the attempt of this process that holds the key which an
+// attempt lost, if there is one.
+func (p *Process) localHolder(v view) (ledger.ID, bool) {
+	h := v.outcome.Holder
+	if v.state != ledger.NotRun || h == nil || h.Instance != p.settings.Instance.ID || h.Incarnation != p.incarnation {
+		return ledger.ID{}, false
+	}
+	return h.Attempt, true
+}
+
+func wireHolder(h *ledger.Holder) *wire.ClaimHolder {
+	if h == nil {
+		return nil
+	}
+	return &wire.ClaimHolder{Attempt: wireID(h.Attempt), Instance: h.Instance, Address: h.Address, Incarnation: h.Incarnation}
+}
--- /dev/null
+++ b/internal/agent/log_test.go
@@ -0,0 +1,88 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/platform"
+)
+
+// fakeLog is a log in memory with faults.
+type fakeLog struct {
+	mu      sync.Mutex
+	streams map[string][][]byte
+	down    bool
+	// readsDown fails reads only.
+	readsDown bool
+	// drop is how many of the next appends take effect without an answer.
+	drop int
+	// late is how many of the next appends get no answer and take effect by land.
+	late    int
+	pending []func()
+	appends int
+}
+
+func newFakeLog() *fakeLog { return &fakeLog{streams: map[string][][]byte{}} }
+
+func (l *fakeLog) set(f func(*fakeLog)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(l)
+}
+
+// land lets the late appends take effect.
+func (l *fakeLog) land() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, f := range l.pending {
+		f()
+	}
+	l.pending = nil
+}
+
+func (l *fakeLog) records() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, s := range l.streams {
+		n += len(s)
+	}
+	return n
+}
+
+func (l *fakeLog) Append(_ context.Context, stream string, records ...[]byte) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appends++
+	if l.down {
+		return 0, platform.ErrUnavailable
+	}
+	apply := func() { l.streams[stream] = append(l.streams[stream], records...) }
+	if l.late > 0 {
+		l.late--
+		l.pending = append(l.pending, apply)
+		return 0, platform.ErrOutcomeUnknown
+	}
+	first := uint64(len(l.streams[stream]) + 1)
+	apply()
+	if l.drop > 0 {
+		l.drop--
+		return 0, platform.ErrOutcomeUnknown
+	}
+	return first, nil
+}
+
+func (l *fakeLog) Read(_ context.Context, stream string, from uint64, limit int, _ time.Duration) (platform.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down || l.readsDown {
+		return platform.Batch{}, platform.ErrUnavailable
+	}
+	all := l.streams[stream]
+	b := platform.Batch{First: 1, Next: uint64(len(all) + 1)}
+	for o := from; o < b.Next && len(b.Records) < limit; o++ {
+		b.Records = append(b.Records, platform.Record{Offset: o, Data: all[o-1]})
+	}
+	return b, nil
+}
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -24,6 +24,8 @@
 	count   uint64
 	chunks  []ledger.Chunk
 	task    *task
+	// claiming is set while the claim of the key is not settled.
+	claiming bool
 }
 
 // view returns the attempt with its chunks from a sequence number on.
@@ -35,6 +37,9 @@
 		return view{}
 	}
 	v := view{known: true, state: a.State, outcome: a.Outcome, count: uint64(len(a.Chunks)), task: w.tasks[id]}
+	if v.task != nil {
+		v.claiming = v.task.claiming
+	}
 	if from <= v.count {
 		v.chunks = a.Chunks[from-1:]
 	}
@@ -68,7 +73,10 @@
 	introduced := false
 	for {
 		v := p.work.view(id, next)
-		if !introduced && (v.state == ledger.Queued || v.state == ledger.Running || v.state == ledger.Finished) {
+		if holder, ok := p.localHolder(v); ok && !introduced {
+			return p.follow(stream, holder, next, true)
+		}
+		if !introduced && !v.claiming && (v.state == ledger.Queued || v.state == ledger.Running || v.state == ledger.Finished) {
 			if err := p.accepted(stream, id, attached); err != nil {
 				return err
 			}
@@ -120,7 +128,7 @@
 		return p.fail(stream, ledger.Outcome{Code: result.ResultExpired, Message: "the result was acknowledged or expired", Ran: result.RanYes})
 	case v.state == ledger.NotRun && !failed(v.outcome.Code):
 		e := &result.Error{Code: v.outcome.Code, Message: v.outcome.Message, Ran: v.outcome.Ran, RetryAfter: v.outcome.RetryAfter}
-		return p.refuse(stream, e)
+		return p.refuseFor(stream, e, v.outcome.Holder)
 	case !v.outcome.OK():
 		return p.fail(stream, v.outcome)
 	}
@@ -145,8 +153,13 @@
 }
 
 func (p *Process) refuse(stream runStream, e *result.Error) error {
+	return p.refuseFor(stream, e, nil)
+}
+
+func (p *Process) refuseFor(stream runStream, e *result.Error, h *ledger.Holder) error {
 	return stream.Send(&wire.RunEvent{Event: &wire.RunEvent_Refused{Refused: &wire.Refused{
-		Code: uint32(e.Code), Message: e.Message, Ran: wireRan(e.Ran), RetryAfterUs: uint64(e.RetryAfter.Microseconds()), Load: p.load(),
+		Code: uint32(e.Code), Message: e.Message, Ran: wireRan(e.Ran), RetryAfterUs: uint64(e.RetryAfter.Microseconds()),
+		Load: p.load(), Holder: wireHolder(h),
 	}}})
 }
 
--- a/internal/agent/task.go
+++ b/internal/agent/task.go
@@ -65,7 +65,7 @@
 	if o.Code != result.OK && o.Ran != result.RanNo {
 		w.cancelAtServer(server, t)
 	}
-	w.release(t, o)
+	w.free(t, o)
 }
 
 // begin is called immediately before the server is.
@@ -119,8 +119,8 @@
 	}
 }
 
-// release gives the place at the server free.
-func (w *work) release(t *task, o engine.Outcome) {
+// free gives the place at the server free.
+func (w *work) free(t *task, o engine.Outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
+	"github.com/magnoliawheel/magnoliawheel/core/claims"
 	"github.com/magnoliawheel/magnoliawheel/core/fairqueue"
 	"github.com/magnoliawheel/magnoliawheel/core/ledger"
 	"github.com/magnoliawheel/magnoliawheel/core/limit"
@@ -65,6 +66,10 @@
 	// cancel stops the call at the server; nil while it does not run.
 	cancel  context.CancelFunc
 	readers map[chan struct{}]struct{}
+	// claiming is set while the claim of the key is not settled; claim is the one
+	// that holds.
+	claiming bool
+	claim    *claims.Record
 
 	fetchedBytes  uint64
 	fetchedRegion string
@@ -81,13 +86,18 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	mu      sync.Mutex
-	ledger  *ledger.Ledger
-	queue   *fairqueue.Queue
-	limiter *limit.Limiter
-	tasks   map[ledger.ID]*task
-	running int
-	leaving leavingReason
+	mu     sync.Mutex
+	ledger *ledger.Ledger
+	queue  *fairqueue.Queue
+	// queueLimit bounds the queue, and the tasks that claim keys.
+	queueLimit int
+	limiter    *limit.Limiter
+	tasks      map[ledger.ID]*task
+	claims     *claimer
+	running    int
+	// claiming is the number of tasks that wait for the claim of their key.
+	claiming int
+	leaving  leavingReason
 	// timing is the smoothed time at the server.
 	timing timing
 	models []string
@@ -105,21 +115,15 @@
 			KeptBytes: p.settings.Limits.KeptBytes, Retention: defaultRetention,
 			TombstoneRetention: tombstoneRetention, ReplayRetention: replayRetention, MaxRemembered: maxRemembered,
 		}),
-		queue:   fairqueue.New(fairqueue.Policy(p.settings.Limits.Queue), defaultQueue),
-		limiter: limit.New(limit.Options{Min: 1, Max: defaultConcurrency}),
-		tasks:   map[ledger.ID]*task{},
-		changed: make(chan struct{}, 1),
+		queue:      fairqueue.New(fairqueue.Policy(p.settings.Limits.Queue), defaultQueue),
+		queueLimit: defaultQueue,
+		limiter:    limit.New(limit.Options{Min: 1, Max: defaultConcurrency}),
+		tasks:      map[ledger.ID]*task{},
+		changed:    make(chan struct{}, 1),
+		claims:     newClaimer(ctx, p.log, p.plog),
 	}
 }
 
-// pool returns the agent's pool in the schema in force, or nil.
-func (w *work) pool() *schema.Pool {
-	if s := w.p.config.Current().Schema; s != nil {
-		return s.Pool(w.p.settings.Server.Pool)
-	}
-	return nil
-}
-
 // applyConfig takes the bounds of the schema in force. The caller holds mu.
 func (w *work) applyConfig() {
 	s := w.p.config.Current().Schema
@@ -131,6 +135,7 @@
 	}
 	if pool := s.Pool(w.p.settings.Server.Pool); pool != nil {
 		w.limiter.SetMax(pool.Concurrency)
+		w.queueLimit = pool.Queue
 		w.queue.SetLimit(pool.Queue)
 	}
 }
@@ -148,25 +153,37 @@
 		w.refuse(now, id, o)
 		return false
 	}
-	job := ledger.Job{Deadline: deadline, Idempotent: req.Idempotent, Reserve: reserveOf(req), MaxBytes: schema.MaxAnswerBytes}
+	job := ledger.Job{Deadline: deadline, Idempotent: req.Idempotent, Shared: keyed(req), Reserve: reserveOf(req), MaxBytes: schema.MaxAnswerBytes}
 	if code := w.ledger.Accept(now, id, job); code != result.OK {
 		w.p.metrics.ended(code)
 		return false
 	}
 	t := &task{id: id, req: req, deadline: deadline, accepted: now, checksum: xxhash.New(), readers: map[chan struct{}]struct{}{}}
-	if !w.queue.Push(now, fairqueue.Item{
-		Key: id, Customer: req.Customer, Weight: int(req.Weight), Cost: w.timing.expect(req).Seconds(),
-		Deadline: deadline, Priority: int(req.Priority),
-	}) {
-		w.refuse(now, id, ledger.Outcome{Code: result.QueueFull, Ran: result.RanNo, RetryAfter: w.wait(req)})
-		return false
-	}
 	w.tasks[id] = t
 	w.p.metrics.accepted.Inc(1)
-	w.dispatch(now)
+	if keyed(req) {
+		t.claiming = true
+		w.claiming++
+		w.wg.Go(func() { w.claimThenQueue(t) })
+		return false
+	}
+	w.push(now, t)
 	return false
 }
 
+// push queues a task, or refuses it if the queue is full. The caller holds mu.
+func (w *work) push(now time.Time, t *task) {
+	it := fairqueue.Item{
+		Key: t.id, Customer: t.req.Customer, Weight: int(t.req.Weight), Cost: w.timing.expect(t.req).Seconds(),
+		Deadline: t.deadline, Priority: int(t.req.Priority),
+	}
+	if !w.queue.Push(now, it) {
+		w.refuse(now, t.id, ledger.Outcome{Code: result.QueueFull, Ran: result.RanNo, RetryAfter: w.wait(t.req)})
+		return
+	}
+	w.dispatch(now)
+}
+
 func reserveOf(req *wire.RunRequest) int64 {
 	return reserveBytes + tokenBytes*int64(req.MaxTokens)
 }
@@ -175,11 +192,16 @@
 func (w *work) judge(now time.Time, req *wire.RunRequest) ledger.Outcome {
 	budget := time.Duration(req.BudgetUs) * time.Microsecond
 	wait := w.wait(req)
+	if e := w.judgeKey(now, req); e != nil {
+		return ledger.Outcome{Code: e.Code, Message: e.Message, Ran: e.Ran}
+	}
 	switch {
 	case w.leaving != 0:
 		return ledger.Outcome{Code: result.ServerLeaving, Ran: result.RanNo}
 	case budget <= 0:
 		return ledger.Outcome{Code: result.BudgetSpent, Ran: result.RanNo}
+	case w.claiming >= w.queueLimit:
+		return ledger.Outcome{Code: result.QueueFull, Ran: result.RanNo, RetryAfter: wait}
 	case wait > 0 && wait+w.timing.expect(req) > budget:
 		return ledger.Outcome{Code: result.Overloaded, Ran: result.RanNo, RetryAfter: wait}
 	}
@@ -208,6 +230,9 @@
 	if t := w.tasks[id]; t != nil {
 		delete(w.tasks, id)
 		t.wake()
+		if a := w.ledger.Get(id); t.claim != nil && a != nil && a.State == ledger.NotRun {
+			w.release(t.claim)
+		}
 	}
 	w.notify()
 }
@@ -306,11 +331,12 @@
 func (w *work) waitAcknowledged(grace <-chan time.Time) int {
 	for {
 		_, results := w.counts()
-		if results == 0 {
+		if results == 0 && w.claims.waiting() == 0 {
 			return 0
 		}
 		select {
 		case <-w.changed:
+		case <-time.After(expireInterval):
 		case <-grace:
 			return results
 		}
@@ -321,6 +347,7 @@
 func (w *work) stop() {
 	w.cancel()
 	w.wg.Wait()
+	w.claims.wg.Wait()
 }
 
 func (w *work) writeCut(out io.Writer) {
