--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -44,6 +44,9 @@
 	BytesRegion string
 	// Exclude names servers already tried.
 	Exclude []string
+	// Budget is the time left; 0 if unknown. Servers expected to take longer are
+	// chosen last.
+	Budget time.Duration
 }
 
 // Outcome tells the router how an attempt ended.
@@ -53,6 +56,8 @@
 	Silent bool
 	// Took is the time from sending to the end.
 	Took time.Duration
+	// Model is the model that was asked for, if any.
+	Model string
 }
 
 // Policy names a way of choosing.
@@ -75,54 +80,13 @@
 	Subset int
 	// Seed makes the choices reproducible.
 	Seed uint64
+	// Cache tells what is known of the servers' prefix caches; nil if nothing is.
+	Cache Cache
 }
 
-// Router chooses among the servers of one pool. It is not safe for concurrent use.
-type Router struct {
-	opts    Options
-	servers []Server
-	next    int
-}
-
-// New returns a router without servers.
-func New(o Options) *Router { return &Router{opts: o} }
-
-// SetServers replaces the servers; what is known of those that stay is kept.
-func (r *Router) SetServers(now time.Time, list []Server) { r.servers = list }
-
-// Pick chooses a server; ok is false if none is usable.
-func (r *Router) Pick(now time.Time, q *Query) (s Server, ok bool) {
-	for range r.servers {
-		s = r.servers[r.next%len(r.servers)]
-		r.next++
-		if !s.Leaving && !excluded(q, s.ID) {
-			return s, true
-		}
-	}
-	return Server{}, false
-}
-
-func excluded(q *Query, id string) bool {
-	for _, x := range q.Exclude {
-		if x == id {
-			return true
-		}
-	}
-	return false
+// Cache tells what is known of prefix caches.
+type Cache interface {
+	// Lookup returns how likely the server holds the prefix; known is false if
+	// nothing is known about it.
+	Lookup(now time.Time, server string, prefix uint64) (likely float64, known bool)
 }
-
-// Expected returns the expected time of an attempt placed now, with wait,
-// service and transfer; ok is false if nothing was measured yet.
-func (r *Router) Expected(now time.Time, q *Query) (d time.Duration, ok bool) { return 0, false }
-
-// Observe takes in a load report of a server.
-func (r *Router) Observe(now time.Time, id string, l Load) {}
-
-// Start records that an attempt was sent to a server.
-func (r *Router) Start(now time.Time, id string) {}
-
-// End records how an attempt at a server ended.
-func (r *Router) End(now time.Time, id string, o Outcome) {}
-
-// Probes appends to dst the servers whose load should be asked for now.
-func (r *Router) Probes(now time.Time, dst []Server) []Server { return dst }
