--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,171 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	maxLatencyMicros   = int64(10 * time.Minute / time.Microsecond)
+	significantFigures = 3
+)
+
+// Quantiles summarizes latencies in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Report summarizes a load.
+type Report struct {
+	Requests  int `json:"requests"`
+	Complete  int `json:"complete"`
+	OnTime    int `json:"on_time"`
+	Refused   int `json:"refused"`
+	Unknown   int `json:"unknown"`
+	NoOutcome int `json:"no_outcome"`
+	Wrong     int `json:"wrong"`
+	// Attainment is the share of all requests that completed within their deadline.
+	Attainment float64           `json:"attainment"`
+	Reattached int               `json:"reattached"`
+	Codes      []CodeCount       `json:"codes"`
+	Total      Quantiles         `json:"total"`
+	FirstText  Quantiles         `json:"first_text"`
+	InterToken Quantiles         `json:"inter_token"`
+	Refusal    Quantiles         `json:"refusal"`
+	Customers  []CustomerOutcome `json:"customers"`
+}
+
+// CodeCount counts the errors of one result code.
+type CodeCount struct {
+	Code  string `json:"code"`
+	Count int    `json:"count"`
+}
+
+// CustomerOutcome is the attainment of one customer.
+type CustomerOutcome struct {
+	Customer   string  `json:"customer"`
+	Requests   int     `json:"requests"`
+	OnTime     int     `json:"on_time"`
+	Attainment float64 `json:"attainment"`
+}
+
+type histograms struct{ total, first, gap, refusal *hdrhistogram.Histogram }
+
+// Summarize makes the report. Deadline returns the deadline of a call, and applies
+// where a request carried none.
+func Summarize(requests []Request, outcomes []Outcome, deadline time.Duration) Report {
+	r := Report{Requests: len(outcomes)}
+	h := histograms{newHistogram(), newHistogram(), newHistogram(), newHistogram()}
+	codes, customers := map[string]int{}, map[string]*CustomerOutcome{}
+	for i, out := range outcomes {
+		limit := deadline
+		if requests[i].Timeout > 0 {
+			limit = requests[i].Timeout
+		}
+		onTime := out.Class == Complete && out.Wrong == "" && out.Total <= limit
+		r.count(out, onTime, h)
+		if out.Code != 0 {
+			codes[out.Code.String()]++
+		}
+		c := customers[out.Customer]
+		if c == nil {
+			c = &CustomerOutcome{Customer: out.Customer}
+			customers[out.Customer] = c
+		}
+		c.Requests++
+		if onTime {
+			c.OnTime++
+		}
+		c.Attainment = share(c.OnTime, c.Requests)
+	}
+	r.Attainment = share(r.OnTime, r.Requests)
+	r.Total, r.FirstText = quantiles(h.total), quantiles(h.first)
+	r.InterToken, r.Refusal = quantiles(h.gap), quantiles(h.refusal)
+	for _, code := range sortedKeys(codes) {
+		r.Codes = append(r.Codes, CodeCount{code, codes[code]})
+	}
+	for _, name := range sortedKeys(customers) {
+		r.Customers = append(r.Customers, *customers[name])
+	}
+	return r
+}
+
+func (r *Report) count(out Outcome, onTime bool, h histograms) {
+	r.Reattached += out.Reattached
+	if out.Wrong != "" {
+		r.Wrong++
+	}
+	if onTime {
+		r.OnTime++
+	}
+	switch out.Class {
+	case Complete:
+		r.Complete++
+		record(h.total, out.Total)
+		record(h.first, out.FirstText)
+		for _, gap := range out.Gaps {
+			record(h.gap, gap)
+		}
+	case Refused:
+		r.Refused++
+		record(h.refusal, out.Total)
+	case Unknown:
+		r.Unknown++
+	case NoOutcome:
+		r.NoOutcome++
+	}
+}
+
+// WriteText writes the report for people.
+func (r Report) WriteText(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "requests=%d complete=%d on_time=%d refused=%d unknown=%d no_outcome=%d wrong=%d reattached=%d\n",
+		r.Requests, r.Complete, r.OnTime, r.Refused, r.Unknown, r.NoOutcome, r.Wrong, r.Reattached)
+	_, _ = fmt.Fprintf(w, "attainment %.4f\n", r.Attainment)
+	_, _ = fmt.Fprintf(w, "%-12s %8s %9s %9s %9s %9s\n", "latency, ms", "count", "p50", "p95", "p99", "max")
+	for _, row := range []struct {
+		name string
+		q    Quantiles
+	}{{"total", r.Total}, {"first text", r.FirstText}, {"inter-token", r.InterToken}, {"refusal", r.Refusal}} {
+		_, _ = fmt.Fprintf(w, "%-12s %8d %9.1f %9.1f %9.1f %9.1f\n", row.name, row.q.Count, row.q.P50, row.q.P95, row.q.P99, row.q.Max)
+	}
+	for _, c := range r.Customers {
+		_, _ = fmt.Fprintf(w, "customer %-20s requests=%d attainment=%.4f\n", c.Customer, c.Requests, c.Attainment)
+	}
+	for _, c := range r.Codes {
+		_, _ = fmt.Fprintf(w, "code %s: %d\n", c.Code, c.Count)
+	}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatencyMicros, significantFigures)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(1, d.Microseconds()), maxLatencyMicros))
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Quantiles{
+		Count: h.TotalCount(), P50: ms(h.ValueAtQuantile(50)), P95: ms(h.ValueAtQuantile(95)),
+		P99: ms(h.ValueAtQuantile(99)), Max: ms(h.Max()),
+	}
+}
+
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
