--- /dev/null
+++ b/test/harness/ledger_test.go
@@ -0,0 +1,63 @@
+package harness
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/schema"
+	"github.com/magnoliawheel/magnoliawheel/internal/load"
+	"github.com/magnoliawheel/magnoliawheel/test/standin"
+)
+
+var testSchema = &schema.Schema{
+	Pipelines: []schema.Pipeline{{Name: "p", Stages: []schema.Stage{
+		{Name: "encode", Call: "encode", Idempotent: true},
+		{Name: "file", Call: "file", Answer: true},
+	}}},
+	Calls: []schema.Call{{Name: "c", Pipeline: "p"}},
+}
+
+func execution(call string, outcome standin.Outcome) standin.Execution {
+	return standin.Execution{ID: "q/1/1", Call: call, Nonce: "run-1", Outcome: outcome}
+}
+
+func TestLedger(t *testing.T) {
+	body := []byte(`{"nonce":"run-1"}`)
+	right := Expected(testSchema.Pipeline("p"), body)
+	foreign := Expected(testSchema.Pipeline("p"), []byte(`{"nonce":"run-2"}`))
+	filed := execution("file", standin.Completed)
+	for _, tc := range []struct {
+		name       string
+		outcome    load.Outcome
+		executions []standin.Execution
+		want       Ledger
+	}{
+		{"complete", load.Outcome{Class: load.Complete, Texts: right}, []standin.Execution{filed}, Ledger{Complete: 1}},
+		{"failed executions have no effect", load.Outcome{Class: load.Complete, Texts: right},
+			[]standin.Execution{execution("file", standin.Failed), filed}, Ledger{Complete: 1}},
+		{"doubled", load.Outcome{Class: load.Complete, Texts: right}, []standin.Execution{filed, filed}, Ledger{Complete: 1, Doubled: 1}},
+		{"doubled by a server that died", load.Outcome{Class: load.Unknown, Ran: "unknown", Effects: "unknown"},
+			[]standin.Execution{execution("file", standin.Started), filed}, Ledger{Unknown: 1, Doubled: 1}},
+		{"work lost", load.Outcome{Class: load.Complete, Texts: right}, nil, Ledger{Complete: 1, Lost: 1}},
+		{"answer cut short", load.Outcome{Class: load.Complete, Texts: map[string]string{"file": right["file"][:9]}},
+			[]standin.Execution{filed}, Ledger{Complete: 1, Lost: 1}},
+		{"wrong checksum", load.Outcome{Class: load.Complete, Wrong: "checksum"}, []standin.Execution{filed}, Ledger{Complete: 1, Lost: 1}},
+		{"misdelivered", load.Outcome{Class: load.Complete, Texts: foreign}, []standin.Execution{filed}, Ledger{Complete: 1, Misdelivered: 1}},
+		{"no outcome", load.Outcome{Class: load.NoOutcome}, nil, Ledger{Unknown: 1, Lost: 1}},
+		{"refused", load.Outcome{Class: load.Refused, Ran: "no", Effects: "no"}, nil, Ledger{Refused: 1}},
+		{"false not run", load.Outcome{Class: load.Refused, RequestID: "q", Ran: "no", Effects: "no"},
+			[]standin.Execution{execution("encode", standin.Cancelled)}, Ledger{Refused: 1, FalseNotRun: 1}},
+		{"false no effects", load.Outcome{Class: load.Refused, RequestID: "q", Ran: "yes", Effects: "no"},
+			[]standin.Execution{execution("file", standin.Started)}, Ledger{Refused: 1, FalseNotRun: 1}},
+		{"true no effects", load.Outcome{Class: load.Refused, RequestID: "q", Ran: "yes", Effects: "no"},
+			[]standin.Execution{execution("encode", standin.Completed)}, Ledger{Refused: 1}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			sent := []Sent{{Request: load.Request{Nonce: "run-1", Call: "c", Body: body}, Outcome: tc.outcome}}
+			got := Check(testSchema, sent, tc.executions)
+			tc.want.Requests = 1
+			assert.Equal(t, got.String(), tc.want.String())
+		})
+	}
+}
