--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -116,3 +117,14 @@
 		})
 	}
 }
+
+func TestExampleTraces(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/lunch.toml")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		tr, err := LoadTrace(file)
+		assert.NilError(t, err, file)
+		assert.Assert(t, len(tr.Requests("r")) > 0)
+	}
+}
--- a/test/standin/server.go
+++ b/test/standin/server.go
@@ -50,7 +50,11 @@
 func (s *Server) Addr() string { return s.lis.Addr().String() }
 
 // Close stops the stand-in and cuts its connections.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Close() error {
+	err := s.http.Close()
+	_ = s.lis.Close()
+	return err
+}
 
 type connKey struct{}
 
