--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -25,6 +27,9 @@
 	defaultDeadline = 3 * time.Second
 	// deadlineGrace is how long after its deadline a caller still waits to be told.
 	deadlineGrace = 5 * time.Second
+	// answerGrace is how long after its deadline one answer may stay away before
+	// the connection is presumed lost.
+	answerGrace   = time.Second
 	reattachPause = 50 * time.Millisecond
 	maxEventBytes = 16 << 20
 	idlePerEntry  = 256
@@ -65,11 +70,7 @@
 	x := &exchange{req: req, due: due, sum: xxhash.New(), out: Outcome{
 		Nonce: req.Nonce, Call: req.Call, Customer: req.Customer, Due: req.At, Texts: map[string]string{},
 	}}
-	timeout := req.Timeout
-	if timeout <= 0 {
-		timeout = defaultDeadline
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout+deadlineGrace)
+	ctx, cancel := context.WithTimeout(ctx, x.timeout()+deadlineGrace)
 	defer cancel()
 	err := c.attempt(ctx, x, http.MethodPost, c.Entries[entry%len(c.Entries)]+"/v1/calls/"+req.Call)
 	for i := entry; !x.settled && x.out.RequestID != "" && ctx.Err() == nil; i++ {
@@ -105,7 +106,7 @@
 	if method == http.MethodPost {
 		body = bytes.NewReader(x.req.Body)
 	}
-	httpReq, err := http.NewRequestWithContext(ctx, method, url, body)
+	httpReq, err := http.NewRequestWithContext(x.traceID(ctx), method, url, body)
 	if err != nil {
 		return err
 	}
@@ -128,12 +129,32 @@
 	return x.readAnswer(resp.StatusCode, reader)
 }
 
-// patience is how long the exchange may be silent.
+// traceID takes the request id from the early hints, which come before any work.
+func (x *exchange) traceID(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+			if id := header.Get("Request-Id"); id != "" {
+				x.out.RequestID = id
+			}
+			return nil
+		},
+	})
+}
+
+// patience is how long the exchange may be silent. One answer is silent until the
+// request's deadline.
 func (x *exchange) patience() time.Duration {
 	if x.req.Stream {
 		return silenceTimeout
 	}
-	return max(x.req.Timeout, defaultDeadline) + deadlineGrace
+	return x.timeout() + answerGrace
+}
+
+func (x *exchange) timeout() time.Duration {
+	if x.req.Timeout > 0 {
+		return x.req.Timeout
+	}
+	return defaultDeadline
 }
 
 func (x *exchange) setHeaders(r *http.Request) {
