Serve callers through the stages of a pipeline

The entry takes requests over HTTP, runs each as a state machine without I/O (core/pipeline) and talks to agents over drpc. Silent streams are closed after three heartbeats and attached to again; attempts in flight are cancelled when a request is given up, and an error says that nothing ran only when each agent asked said so. The configuration source and the membership view are not wired yet.

--- /dev/null
+++ b/core/pipeline/stream.go
@@ -0,0 +1,191 @@
+package pipeline
+
+import (
+	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+)
+
+func (m *Machine) onAccepted(ev Accepted) {
+	a := m.live(ev.Attempt)
+	if a == nil {
+		return
+	}
+	a.attached = a.attached || ev.Attached
+	a.attachTries, a.goneTries = 0, 0
+}
+
+func (m *Machine) onRefused(now time.Time, ev Refused) {
+	a := m.live(ev.Attempt)
+	if a == nil {
+		return
+	}
+	a.settle(ev.Ran)
+	if ev.Code == result.ClaimLost {
+		// The attempt did not run, but the work of its key belongs to another.
+		a.ran = result.RanUnknown
+	}
+	m.failed(now, a, &result.Error{Code: lostCode(ev.Code, ev.Ran), Message: ev.Message, RetryAfter: ev.RetryAfter}, ev.Ran)
+}
+
+// lostCode returns the code towards the caller: a wrong incarnation on attaching
+// means that the one that had the work is gone.
+func lostCode(c result.Code, ran result.Ran) result.Code {
+	if c == result.WrongIncarnation && ran != result.RanNo {
+		return result.AgentLost
+	}
+	return c
+}
+
+func (m *Machine) onFailed(now time.Time, ev Failed) {
+	a := m.live(ev.Attempt)
+	if a == nil {
+		return
+	}
+	a.settle(ev.Ran)
+	m.failed(now, a, &result.Error{Code: ev.Code, Message: ev.Message}, a.ran)
+}
+
+func (m *Machine) onChunk(now time.Time, ev Chunk) {
+	a := m.live(ev.Attempt)
+	if a == nil || ev.Seq < a.next {
+		return
+	}
+	if ev.Seq > a.next {
+		m.reattach(now, a)
+		return
+	}
+	a.next++
+	a.attachTries, a.goneTries = 0, 0
+	a.ran = result.RanYes
+	a.tokens += ev.Tokens
+	_, _ = a.hash.Write(ev.Data)
+	direct := m.opts.Live && m.current().Answer
+	if !direct || m.stage < len(m.results)-1 {
+		a.data = append(a.data, ev.Data...)
+	}
+	if len(a.data) > MaxResultBytes {
+		m.giveUp(now, &result.Error{Code: result.StreamTooLong, Message: "the result of stage " + m.Stage() + " is too long"})
+		return
+	}
+	if direct {
+		m.claim(a)
+		m.text(now, ev.Data, false)
+	}
+}
+
+// claim makes the attempt the only one whose chunks of the stage are emitted.
+func (m *Machine) claim(a *attempt) {
+	if m.source == nil {
+		m.source = a
+		m.hedgeAt = time.Time{}
+		m.abandon(a)
+	}
+}
+
+func (m *Machine) onDone(now time.Time, ev Done) {
+	a := m.live(ev.Attempt)
+	if a == nil {
+		return
+	}
+	if ev.Ref == nil && ev.Count >= a.next {
+		m.reattach(now, a)
+		return
+	}
+	a.ran = result.RanYes
+	if ev.Ref == nil && (ev.Count != a.next-1 || ev.Checksum != a.hash.Sum64()) {
+		m.failed(now, a, &result.Error{Code: result.ChecksumMismatch, Message: "the result of stage " + m.Stage() + " does not match its checksum"}, result.RanYes)
+		return
+	}
+	a.ended, a.done = true, true
+	m.hedgeAt = time.Time{}
+	m.abandon(a)
+	m.account(a, ev)
+	m.results[m.stage] = Payload{Data: a.data, Ref: ev.Ref}
+	if m.current().Answer {
+		if !m.emitResult(now, a) {
+			return
+		}
+	}
+	a.data = nil
+	m.advance(now)
+}
+
+func (m *Machine) account(a *attempt, ev Done) {
+	use := &m.use[m.stage]
+	use.Queue, use.Service, use.Server = ev.Queue, ev.Service, a.server.ID
+	use.Tokens = max(ev.Tokens, a.tokens)
+	use.FetchedBytes += ev.FetchedBytes
+	use.FetchedRegion = ev.FetchedRegion
+}
+
+// emitResult emits what is left of an answer stage; false if the request ended.
+func (m *Machine) emitResult(now time.Time, a *attempt) bool {
+	if !m.opts.Live {
+		m.source = a
+		return m.text(now, a.data, true)
+	}
+	return m.text(now, nil, true)
+}
+
+// onLost attaches again to an attempt whose stream broke or fell silent.
+func (m *Machine) onLost(now time.Time, ev Lost) {
+	a := m.live(ev.Attempt)
+	if a == nil {
+		return
+	}
+	switch ev.Cause {
+	case NotSent:
+		a.settle(result.RanNo)
+		m.failed(now, a, &result.Error{Code: result.AgentLost, Message: "the agent cannot be reached", RetryAfter: ComeBack}, result.RanNo)
+		return
+	case Gone:
+		a.goneTries++
+	case Silent:
+		a.goneTries = 0
+		if a.attachTries == 0 {
+			m.hedge(now)
+		}
+	}
+	if a.goneTries >= GoneTries {
+		m.failed(now, a, &result.Error{Code: result.AgentLost, Message: "the agent that took the work is gone"}, result.RanUnknown)
+		return
+	}
+	if ev.Cause == Silent && a.attachTries >= SilentTries && m.moveOn(now, a) {
+		return
+	}
+	m.reattach(now, a)
+}
+
+// moveOn runs an idempotent stage elsewhere when its agent cannot be reached.
+func (m *Machine) moveOn(now time.Time, a *attempt) bool {
+	if !m.current().Idempotent || m.source != nil || m.openAtStage() > 1 {
+		return false
+	}
+	wait, ok := m.mayRetry(now, result.AgentLost, result.RanUnknown)
+	if !ok {
+		return false
+	}
+	a.ended = true
+	m.emitAction(Drop{Attempt: a.id})
+	m.emitAction(Cancel{Attempt: a.id, Server: a.server})
+	m.retryAt = now.Add(wait)
+	if wait <= 0 {
+		m.retryAt = time.Time{}
+		m.send(now, false)
+	}
+	return true
+}
+
+// reattach plans the next attempt to attach.
+func (m *Machine) reattach(now time.Time, a *attempt) {
+	m.emitAction(Drop{Attempt: a.id})
+	wait := a.backoff()
+	a.attachTries++
+	if wait == 0 {
+		a.attachAt = time.Time{}
+		m.emitAction(Attach{Attempt: a.id, Server: a.server, FromSeq: a.next})
+		return
+	}
+	a.attachAt = now.Add(wait)
+}
--- /dev/null
+++ b/internal/entry/agents.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliawheel/magnoliawheel/core/routing"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+)
+
+// probeInterval is the time between two rounds of load probes.
+const probeInterval = 100 * time.Millisecond
+
+// maxProbes bounds the probes of one round.
+const maxProbes = 64
+
+// errReplaced means that another instance answered at an agent's address.
+var errReplaced = errors.New("entry: another instance answered at the address")
+
+// agents keeps the incarnation of each agent as last seen.
+type agents struct {
+	p *Process
+
+	mu   sync.Mutex
+	byID map[string]uint64
+}
+
+func newAgents(p *Process) *agents { return &agents{p: p, byID: map[string]uint64{}} }
+
+// incarnation returns the incarnation of an agent, asking it if it is not known.
+func (a *agents) incarnation(ctx context.Context, pool, id, addr string) (uint64, error) {
+	a.mu.Lock()
+	inc := a.byID[id]
+	a.mu.Unlock()
+	if inc != 0 {
+		return inc, nil
+	}
+	return a.ask(ctx, pool, id, addr)
+}
+
+// ask probes an agent for its load and incarnation.
+func (a *agents) ask(ctx context.Context, pool, id, addr string) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, rpc.SilenceTimeout)
+	defer cancel()
+	client := wire.NewDRPCAgentClient(a.p.pool.Conn(ctx, addr))
+	reply, err := client.Probe(ctx, &wire.ProbeRequest{ConfigOffset: a.p.source.Current().Offset})
+	if err != nil {
+		a.p.pool.Forget(addr)
+		return 0, err
+	}
+	if reply.GetLoad().GetInstance() != id {
+		return 0, errReplaced
+	}
+	a.saw(pool, id, addr, reply.Load)
+	return reply.Load.Incarnation, nil
+}
+
+// saw takes in what an agent says of itself.
+func (a *agents) saw(pool, id, addr string, l *wire.Load) {
+	if l == nil || l.Instance != id {
+		return
+	}
+	if l.Incarnation != 0 {
+		a.mu.Lock()
+		a.byID[id] = l.Incarnation
+		a.mu.Unlock()
+	}
+	a.p.source.Learn(addr, l.ConfigOffset)
+	if l.Leaving {
+		a.p.view.Leaving(id, l.Incarnation)
+	}
+	a.p.decider.observe(time.Now(), pool, id, routing.Load{
+		Running: int(l.Running), Queued: int(l.Queued), Limit: int(l.Limit),
+		Wait:    time.Duration(l.WaitUs) * time.Microsecond,
+		Service: time.Duration(l.ServiceUs) * time.Microsecond,
+		Leaving: l.Leaving, Models: l.Models,
+	})
+}
+
+// forget drops the incarnation of an agent, so that it is asked again.
+func (a *agents) forget(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.byID, id)
+}
+
+// probe asks agents for their load when the routers want it.
+func (p *Process) probe(ctx context.Context) {
+	tick := time.NewTicker(probeInterval)
+	defer tick.Stop()
+	var inFlight sync.Map
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		for _, t := range p.decider.probes(time.Now()) {
+			if _, busy := inFlight.LoadOrStore(t.server.ID, true); busy {
+				continue
+			}
+			wg.Go(func() {
+				defer inFlight.Delete(t.server.ID)
+				if _, err := p.agents.ask(ctx, t.pool, t.server.ID, t.server.Addr); err != nil && ctx.Err() == nil {
+					p.log.V(1).Info("A probe failed.", "agent", t.server.ID, "error", err.Error())
+				}
+			})
+		}
+	}
+}
+
+type probeTarget struct {
+	pool   string
+	server routing.Server
+}
+
+// probes lists the servers whose load is wanted, pool by pool in schema order.
+func (d *decider) probes(now time.Time) []probeTarget {
+	snap := d.p.source.Current()
+	if snap.Schema == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []probeTarget
+	var servers []routing.Server
+	for i := range snap.Schema.Pools {
+		pool := snap.Schema.Pools[i].Name
+		servers = d.router(now, pool).Probes(now, servers[:0])
+		for _, s := range servers {
+			if len(out) < maxProbes {
+				out = append(out, probeTarget{pool: pool, server: s})
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/decider.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnoliawheel/magnoliawheel/core/admission"
+	"github.com/magnoliawheel/magnoliawheel/core/pipeline"
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/core/retry"
+	"github.com/magnoliawheel/magnoliawheel/core/routing"
+	"github.com/magnoliawheel/magnoliawheel/core/schema"
+	"github.com/magnoliawheel/magnoliawheel/internal/callerapi"
+	"github.com/magnoliawheel/magnoliawheel/internal/settings"
+)
+
+// hedgeOff is the setting that switches hedges off.
+const hedgeOff = "off"
+
+// decider guards the state machines that decide for all requests of the entry.
+type decider struct {
+	p        *Process
+	settings *settings.Entry
+	seed     uint64
+
+	mu        sync.Mutex
+	routers   map[string]*poolRouter
+	admission *admission.Controller
+	budget    *retry.Budget
+	entries   int
+}
+
+type poolRouter struct {
+	*routing.Router
+	// version is that of the membership view which the servers were taken from.
+	version uint64
+	loaded  bool
+}
+
+func newDecider(p *Process) *decider {
+	s := p.opts.Settings
+	d := &decider{p: p, settings: s, seed: xxhash.Sum64String(s.Instance.ID), routers: map[string]*poolRouter{}}
+	d.admission = admission.New(admission.Options{Policy: s.Policy.Admission, Seed: d.seed})
+	d.budget = retry.New(retry.Options{
+		Policy: s.Policy.Retry, Share: defaultRetryShare, Hedge: s.Policy.Hedge != hedgeOff,
+	})
+	return d
+}
+
+// defaultRetryShare is the share of added load that retries and hedges may make.
+const defaultRetryShare = 0.1
+
+// router returns the router of a pool with the servers now known. The caller
+// holds the lock.
+func (d *decider) router(now time.Time, pool string) *poolRouter {
+	r := d.routers[pool]
+	if r == nil {
+		s := d.settings
+		r = &poolRouter{Router: routing.New(routing.Options{
+			Policy: s.Policy.Routing, Zone: s.Instance.Zone, Region: s.Instance.Region,
+			Subset: s.Limits.SubsetServers, Seed: d.seed,
+		})}
+		d.routers[pool] = r
+	}
+	if v := d.p.view.Version(); v != r.version || !r.loaded {
+		r.SetServers(now, d.p.view.Servers(pool))
+		r.version, r.loaded = v, true
+	}
+	return r
+}
+
+func (d *decider) query(st *schema.Stage, prefix uint64) routing.Query {
+	return routing.Query{Zone: d.settings.Instance.Zone, Region: d.settings.Instance.Region, Model: st.Model, Prefix: prefix}
+}
+
+// admit decides on a request from what its stages are expected to take now.
+func (d *decider) admit(now time.Time, r *callerapi.Request) admission.Decision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ask := admission.Ask{
+		Customer: r.Customer.Name, Weight: r.Customer.Weight, Rate: r.Customer.RatePerSecond,
+		Pipeline: r.Pipeline.Name, Budget: r.Timeout - now.Sub(r.Received),
+	}
+	for i := range r.Pipeline.Stages {
+		st := &r.Pipeline.Stages[i]
+		q := d.query(st, r.Prefix)
+		expected, ok := d.router(now, st.Pool).Expected(now, &q)
+		if !ok {
+			expected = st.Typical.Std()
+		}
+		ask.Expected += expected
+		ask.Least += st.Typical.Std()
+	}
+	return d.admission.Admit(now, &ask)
+}
+
+func (d *decider) finish(now time.Time, customer string, code result.Code, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.admission.Finish(now, customer, code, took)
+}
+
+func (d *decider) start(now time.Time, pool, id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router(now, pool).Start(now, id)
+}
+
+func (d *decider) end(now time.Time, pool, id string, o routing.Outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router(now, pool).End(now, id, o)
+}
+
+func (d *decider) observe(now time.Time, pool, id string, l routing.Load) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router(now, pool).Observe(now, id, l)
+}
+
+func (d *decider) took(stage string, t time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget.Took(stage, t)
+}
+
+// chooser is the decider as one request sees it.
+type chooser struct {
+	*decider
+	req *callerapi.Request
+}
+
+// Place chooses a server. A keyed stage that is not idempotent goes to the home
+// of its key, so that copies of the request meet at one agent.
+func (c chooser) Place(now time.Time, q *pipeline.Query) (pipeline.Server, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	router := c.router(now, q.Stage.Pool)
+	if c.req.Key != "" && !q.Stage.Idempotent {
+		s, ok := home(c.p.view.Servers(q.Stage.Pool), c.req.Key, q.Exclude)
+		return place(s), ok
+	}
+	rq := c.query(q.Stage, c.req.Prefix)
+	rq.Exclude = q.Exclude
+	rq.Bytes, rq.BytesRegion = q.Input.Bytes()
+	s, ok := router.Pick(now, &rq)
+	return place(s), ok
+}
+
+func place(s routing.Server) pipeline.Server {
+	return pipeline.Server{ID: s.ID, Addr: s.Addr, Zone: s.Zone, Region: s.Region}
+}
+
+// home returns the server with the highest rendezvous score for the key.
+func home(servers []routing.Server, key string, exclude []string) (best routing.Server, ok bool) {
+	var most uint64
+	for _, s := range servers {
+		if s.Leaving || contains(exclude, s.ID) {
+			continue
+		}
+		score := xxhash.Sum64String(key + "/" + s.ID)
+		if !ok || score > most || (score == most && s.ID < best.ID) {
+			best, most, ok = s, score, true
+		}
+	}
+	return best, ok
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// Request records the first attempt at a stage.
+func (c chooser) Request(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.budget.Request(now)
+}
+
+// Retry decides whether an attempt may be repeated.
+func (c chooser) Retry(now time.Time, a *retry.Ask) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.budget.Retry(now, a)
+}
+
+// HedgeAfter returns when a second attempt may start.
+func (c chooser) HedgeAfter(now time.Time, st *schema.Stage, remaining time.Duration) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.budget.HedgeAfter(now, stageKey(c.req.Pipeline, st.Name), remaining)
+}
+
+// HedgeSent takes a hedge out of the budget.
+func (c chooser) HedgeSent(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.budget.HedgeSent(now)
+}
+
+func stageKey(p *schema.Pipeline, stage string) string { return p.Name + "/" + stage }
--- /dev/null
+++ b/internal/entry/stream.go
@@ -0,0 +1,324 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliawheel/magnoliawheel/core/pipeline"
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/core/routing"
+	"github.com/magnoliawheel/magnoliawheel/core/schema"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+)
+
+// cancelTries is how often a cancellation is sent before it is given up.
+const cancelTries = 2
+
+// stream is one attempt at an agent. Its fields are guarded by the request's
+// lock, but for those set before the first use.
+type stream struct {
+	r      *request
+	id     pipeline.Attempt
+	server pipeline.Server
+	stage  *schema.Stage
+	sent   time.Time
+
+	// incarnation is that of the agent asked; 0 until it is known.
+	incarnation atomic.Uint64
+	// stop closes the connection in use.
+	stop context.CancelFunc
+	// generation tells the connection in use from those closed.
+	generation int
+	settled    bool
+}
+
+type receiver interface {
+	Recv() (*wire.RunEvent, error)
+}
+
+func (s *stream) attemptID() *wire.AttemptID {
+	return &wire.AttemptID{RequestId: s.r.id, Stage: s.id.Stage, Attempt: s.id.Number}
+}
+
+// run sends the attempt on a connection of its own.
+func (s *stream) run(a pipeline.Send) {
+	s.start(func(ctx context.Context) (receiver, error) {
+		inc, err := s.r.p.agents.incarnation(ctx, s.stage.Pool, s.server.ID, s.server.Addr)
+		if err != nil {
+			return nil, errors.Mark(err, rpc.ErrNotConnected)
+		}
+		s.incarnation.Store(inc)
+		client := wire.NewDRPCAgentClient(s.r.p.pool.Conn(ctx, s.server.Addr))
+		req := s.request(a, inc)
+		if req.BudgetUs == 0 {
+			return nil, errors.Mark(context.DeadlineExceeded, rpc.ErrNotConnected)
+		}
+		return client.Run(ctx, req)
+	})
+}
+
+func (s *stream) request(a pipeline.Send, incarnation uint64) *wire.RunRequest {
+	r := s.r
+	budget := time.Until(r.req.Received.Add(r.req.Timeout))
+	req := &wire.RunRequest{
+		Attempt: s.attemptID(), Incarnation: incarnation, BudgetUs: uint64(max(budget, 0) / time.Microsecond),
+		ConfigOffset: r.req.Snapshot.Offset, Customer: r.req.Customer.Name, Weight: uint32(r.req.Customer.Weight),
+		Pipeline: r.req.Pipeline.Name, Stage: s.stage.Name, Pool: s.stage.Pool, Call: s.stage.Call,
+		Idempotent: s.stage.Idempotent, Digest: r.digest, Model: s.stage.Model, MaxTokens: uint32(s.stage.MaxTokens),
+		Prefix: r.req.Prefix, Payload: a.Input.Data, KeepOverBytes: uint64(a.KeepOver),
+		OriginRegion: r.p.opts.Settings.Instance.Region,
+	}
+	if !s.stage.Idempotent && r.req.Key != "" {
+		req.IdempotencyKey, req.SubKey = r.req.Key, s.stage.Name
+	}
+	if ref := a.Input.Ref; ref != nil {
+		req.Ref = wireRef(ref)
+	}
+	return req
+}
+
+func wireRef(ref *pipeline.Ref) *wire.PayloadRef {
+	return &wire.PayloadRef{
+		Attempt:  &wire.AttemptID{RequestId: ref.RequestID, Stage: ref.Attempt.Stage, Attempt: ref.Attempt.Number},
+		Instance: ref.Instance, Address: ref.Address, Incarnation: ref.Incarnation,
+		SizeBytes: uint64(ref.Size), Checksum: ref.Checksum, Zone: ref.Zone, Region: ref.Region,
+	}
+}
+
+func coreRef(ref *wire.PayloadRef) *pipeline.Ref {
+	if ref == nil {
+		return nil
+	}
+	return &pipeline.Ref{
+		RequestID: ref.GetAttempt().GetRequestId(),
+		Attempt:   pipeline.Attempt{Stage: ref.GetAttempt().GetStage(), Number: ref.GetAttempt().GetAttempt()},
+		Instance:  ref.Instance, Address: ref.Address, Incarnation: ref.Incarnation,
+		Size: int64(ref.SizeBytes), Checksum: ref.Checksum, Zone: ref.Zone, Region: ref.Region,
+	}
+}
+
+// attach asks for the attempt's chunks again on another connection.
+func (s *stream) attach(from uint64) {
+	s.start(func(ctx context.Context) (receiver, error) {
+		client := wire.NewDRPCAgentClient(s.r.p.pool.Conn(ctx, s.server.Addr))
+		return client.Attach(ctx, &wire.AttachRequest{Attempt: s.attemptID(), Incarnation: s.incarnation.Load(), FromSeq: from})
+	})
+}
+
+// start reads a stream until its last event, with a watchdog that closes the
+// connection when it is silent. The caller holds the request's lock.
+func (s *stream) start(open func(context.Context) (receiver, error)) {
+	s.close()
+	ctx, cancel := context.WithCancel(s.r.ctx)
+	s.stop = cancel
+	generation := s.generation
+	go func() {
+		defer cancel()
+		var silent atomic.Bool
+		watchdog := time.AfterFunc(rpc.SilenceTimeout, func() {
+			silent.Store(true)
+			cancel()
+		})
+		defer watchdog.Stop()
+		err := s.read(ctx, watchdog, generation, open)
+		if err == nil {
+			return
+		}
+		if silent.Load() {
+			s.r.p.pool.Forget(s.server.Addr)
+		}
+		s.lost(generation, err, silent.Load())
+	}()
+}
+
+func (s *stream) read(ctx context.Context, watchdog *time.Timer, generation int, open func(context.Context) (receiver, error)) error {
+	in, err := open(ctx)
+	if err != nil {
+		return err
+	}
+	for {
+		ev, err := in.Recv()
+		if err != nil {
+			return err
+		}
+		watchdog.Reset(rpc.SilenceTimeout)
+		if s.take(generation, ev) {
+			return nil
+		}
+	}
+}
+
+// take gives an event of the connection in use to the machine; true after the last.
+func (s *stream) take(generation int, ev *wire.RunEvent) bool {
+	s.r.mu.Lock()
+	current := s.generation == generation
+	s.r.mu.Unlock()
+	if !current {
+		return true
+	}
+	p := s.r.p
+	switch e := ev.GetEvent().(type) {
+	case *wire.RunEvent_Heartbeat:
+		p.agents.saw(s.stage.Pool, s.server.ID, s.server.Addr, e.Heartbeat.Load)
+	case *wire.RunEvent_Accepted:
+		p.agents.saw(s.stage.Pool, s.server.ID, s.server.Addr, e.Accepted.Load)
+		s.r.step(pipeline.Accepted{Attempt: s.id, Attached: s.foreign(e.Accepted)})
+	case *wire.RunEvent_Chunk:
+		s.r.step(pipeline.Chunk{Attempt: s.id, Seq: e.Chunk.Seq, Data: e.Chunk.Data, Tokens: int(e.Chunk.Tokens)})
+	case *wire.RunEvent_Refused:
+		s.refused(e.Refused)
+		return true
+	case *wire.RunEvent_Failed:
+		p.agents.saw(s.stage.Pool, s.server.ID, s.server.Addr, e.Failed.Load)
+		s.end(result.Code(e.Failed.Code), false)
+		s.r.step(pipeline.Failed{Attempt: s.id, Code: result.Code(e.Failed.Code), Message: e.Failed.Message, Ran: ranOf(e.Failed.Ran)})
+		return true
+	case *wire.RunEvent_Done:
+		s.done(e.Done)
+		return true
+	}
+	return false
+}
+
+// foreign tells whether the accepted work belongs to another attempt.
+func (s *stream) foreign(a *wire.Accepted) bool {
+	h := a.GetHolder()
+	return h != nil && (h.RequestId != s.r.id || h.Stage != s.id.Stage || h.Attempt != s.id.Number)
+}
+
+func (s *stream) refused(e *wire.Refused) {
+	if result.Code(e.Code) == result.WrongIncarnation {
+		s.r.p.agents.forget(s.server.ID)
+	}
+	s.r.p.agents.saw(s.stage.Pool, s.server.ID, s.server.Addr, e.Load)
+	s.end(result.Code(e.Code), false)
+	s.r.step(pipeline.Refused{
+		Attempt: s.id, Code: result.Code(e.Code), Message: e.Message, Ran: ranOf(e.Ran),
+		RetryAfter: time.Duration(e.RetryAfterUs) * time.Microsecond,
+	})
+}
+
+func (s *stream) done(e *wire.Done) {
+	s.r.p.agents.saw(s.stage.Pool, s.server.ID, s.server.Addr, e.Load)
+	s.end(result.OK, false)
+	s.r.p.decider.took(stageKey(s.r.req.Pipeline, s.stage.Name), time.Since(s.sent))
+	s.r.step(pipeline.Done{
+		Attempt: s.id, Count: e.Count, Checksum: e.Checksum, Ref: coreRef(e.Ref),
+		Queue: time.Duration(e.QueueUs) * time.Microsecond, Service: time.Duration(e.ServiceUs) * time.Microsecond,
+		Tokens: int(e.Tokens), FetchedBytes: int64(e.FetchedBytes), FetchedRegion: e.FetchedRegion,
+	})
+}
+
+// lost tells the machine that a connection ended without a last event.
+func (s *stream) lost(generation int, err error, silent bool) {
+	s.r.mu.Lock()
+	current := s.generation == generation && !s.r.ended
+	s.r.mu.Unlock()
+	if !current {
+		return
+	}
+	cause := pipeline.Broken
+	attached := generation > 1
+	switch {
+	case !attached && errors.Is(err, rpc.ErrNotConnected):
+		cause = pipeline.NotSent
+	case errors.Is(err, syscall.ECONNREFUSED):
+		cause = pipeline.Gone
+	case silent:
+		cause = pipeline.Silent
+	}
+	if cause == pipeline.NotSent {
+		s.r.p.agents.forget(s.server.ID)
+		s.end(result.AgentLost, silent)
+	}
+	if silent {
+		s.end(result.AgentLost, true)
+	}
+	s.r.log.V(1).Info("A stream to an agent was lost.", "agent", s.server.ID, "silent", silent, "error", err.Error())
+	s.r.step(pipeline.Lost{Attempt: s.id, Cause: cause})
+}
+
+// end tells the router how the attempt ended; the first end counts.
+func (s *stream) end(code result.Code, silent bool) {
+	s.r.mu.Lock()
+	defer s.r.mu.Unlock()
+	s.settle(routing.Outcome{Code: code, Silent: silent, Took: time.Since(s.sent)})
+}
+
+// settle is end for a caller that holds the request's lock.
+func (s *stream) settle(o routing.Outcome) {
+	if s.settled {
+		return
+	}
+	s.settled = true
+	s.r.p.decider.end(time.Now(), s.stage.Pool, s.server.ID, o)
+}
+
+// close drops the connection in use. The caller holds the request's lock.
+func (s *stream) close() {
+	s.generation++
+	if s.stop != nil {
+		s.stop()
+		s.stop = nil
+	}
+}
+
+func ranOf(r wire.Ran) result.Ran {
+	switch r {
+	case wire.Ran_RAN_NO:
+		return result.RanNo
+	case wire.Ran_RAN_YES:
+		return result.RanYes
+	}
+	return result.RanUnknown
+}
+
+// cancelAttempt asks the agent to cancel; the answer goes to the machine.
+func (r *request) cancelAttempt(a pipeline.Cancel) {
+	s := r.streams[a.Attempt]
+	if s == nil {
+		return
+	}
+	s.settle(routing.Outcome{Code: result.Cancelled, Took: time.Since(s.sent)})
+	go func() {
+		state := pipeline.CancelUnknown
+		for range cancelTries {
+			var err error
+			if state, err = s.cancel(); err == nil {
+				break
+			}
+			r.p.pool.Forget(s.server.Addr)
+		}
+		r.step(pipeline.CancelReply{Attempt: s.id, State: state})
+	}()
+}
+
+// cancel asks once. An attempt whose agent was never asked has no incarnation
+// and is answered as unknown.
+func (s *stream) cancel() (pipeline.CancelState, error) {
+	inc := s.incarnation.Load()
+	if inc == 0 {
+		return pipeline.CancelNotRun, nil
+	}
+	ctx, cancel := context.WithTimeout(s.r.p.ctx, rpc.SilenceTimeout)
+	defer cancel()
+	client := wire.NewDRPCAgentClient(s.r.p.pool.Conn(ctx, s.server.Addr))
+	reply, err := client.Cancel(ctx, &wire.CancelRequest{Attempt: s.attemptID(), Incarnation: inc})
+	if err != nil {
+		return pipeline.CancelUnknown, err
+	}
+	switch reply.State {
+	case wire.AttemptState_ATTEMPT_STATE_NOT_RUN:
+		return pipeline.CancelNotRun, nil
+	case wire.AttemptState_ATTEMPT_STATE_RUNNING:
+		return pipeline.CancelRunning, nil
+	case wire.AttemptState_ATTEMPT_STATE_FINISHED:
+		return pipeline.CancelFinished, nil
+	}
+	return pipeline.CancelUnknown, nil
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -38,6 +38,10 @@
 	SilenceTimeout = 3 * HeartbeatInterval
 )
 
+// ErrNotConnected marks errors of calls for which no connection could be made,
+// so that nothing was sent.
+var ErrNotConnected = errors.New("rpc: not connected")
+
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes}}
 }
@@ -116,12 +120,12 @@
 	defer cancel()
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, errors.Wrapf(err, "dial %s", addr)
+		return nil, errors.Mark(errors.Wrapf(err, "dial %s", addr), ErrNotConnected)
 	}
 	conn := tls.Client(&countingConn{Conn: raw, pool: p}, p.conf)
 	if err := conn.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
-		return nil, errors.Wrapf(err, "handshake with %s", addr)
+		return nil, errors.Mark(errors.Wrapf(err, "handshake with %s", addr), ErrNotConnected)
 	}
 	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
 }
