--- /dev/null
+++ b/test/capacity/main.go
@@ -0,0 +1,326 @@
+// Command capacity measures what control costs one entry among many instances:
+// it runs a real entry against a fleet of peers that answer probes and exchanges,
+// and writes processor time, memory and bytes a second for each size.
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/magnoliawheel/magnoliawheel/test/harness"
+	"github.com/magnoliawheel/magnoliawheel/test/standin"
+	"github.com/magnoliawheel/magnoliawheel/test/standin/instancelist"
+	"github.com/magnoliawheel/magnoliawheel/test/standin/platformlog"
+)
+
+const (
+	secret = "capacity-secret-0123456789"
+	// ticksPerSecond is the unit of processor time in /proc on Linux.
+	ticksPerSecond = 100
+	startTimeout   = 60 * time.Second
+)
+
+type options struct {
+	Servers  []int         `long:"servers" default:"270" default:"900" default:"2700" description:"Numbers of servers to measure"`
+	Duration time.Duration `long:"duration" default:"30s" description:"Time of one measurement"`
+	Settle   time.Duration `long:"settle" default:"15s" description:"Time before a measurement"`
+	Out      string        `long:"out" description:"CSV file to write; standard output if empty"`
+}
+
+// sample is one measurement.
+type sample struct {
+	size
+	cpuPercent, rssMB                   float64
+	peerBytes, listBytes, logBytes      float64
+	probesPerSecond, exchangesPerSecond float64
+	schemaBytes                         int
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	dir, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	ctx := context.Background()
+	bin, err := harness.Build(ctx, dir)
+	if err != nil {
+		return err
+	}
+	var samples []sample
+	for _, n := range o.Servers {
+		s, err := measure(ctx, o, bin, dir, target(n))
+		if err != nil {
+			return fmt.Errorf("%d servers: %w", n, err)
+		}
+		samples = append(samples, s)
+	}
+	out := io.Writer(os.Stdout)
+	if o.Out != "" {
+		f, err := os.Create(o.Out)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = f.Close() }()
+		out = io.MultiWriter(os.Stdout, f)
+	}
+	return write(out, samples)
+}
+
+// target scales the deployment of the target to a number of servers.
+func target(servers int) size {
+	return size{
+		servers: servers, entries: max(servers*360/2700, 2), customers: 640, models: 35,
+		pipelines: 11, regions: 5, zones: 16,
+	}
+}
+
+// platform is the stand-ins of the platform with their bytes counted.
+type platform struct {
+	log, list           *standin.Server
+	logAddr, listAddr   string
+	logBytes, listBytes atomic.Uint64
+	relays              []*meter
+}
+
+func startPlatform() (*platform, error) {
+	p := &platform{logAddr: harness.FreeAddr(), listAddr: harness.FreeAddr()}
+	var err error
+	if p.log, err = platformlog.Start(p.logAddr, platformlog.Config{}); err != nil {
+		return nil, err
+	}
+	if p.list, err = instancelist.Start(p.listAddr, standin.Faults{}); err != nil {
+		return nil, err
+	}
+	for _, m := range []struct {
+		addr  *string
+		bytes *atomic.Uint64
+	}{{&p.logAddr, &p.logBytes}, {&p.listAddr, &p.listBytes}} {
+		relay, err := startMeter(*m.addr, m.bytes)
+		if err != nil {
+			return nil, err
+		}
+		p.relays = append(p.relays, relay)
+		*m.addr = relay.addr()
+	}
+	return p, nil
+}
+
+func (p *platform) close() {
+	for _, r := range p.relays {
+		r.close()
+	}
+	p.log.Close()
+	p.list.Close()
+}
+
+func measure(ctx context.Context, o options, bin harness.Binaries, dir string, s size) (sample, error) {
+	out := sample{size: s, schemaBytes: len(s.schema())}
+	plat, err := startPlatform()
+	if err != nil {
+		return out, err
+	}
+	defer plat.close()
+	f, err := newFleet([]byte(secret), s.modelNames())
+	if err != nil {
+		return out, err
+	}
+	defer f.close()
+	admin := harness.FreeAddr()
+	if err := publish(ctx, f, plat, s, admin); err != nil {
+		return out, err
+	}
+	proc, err := startEntry(ctx, bin, dir, plat, s, admin)
+	if err != nil {
+		return out, err
+	}
+	defer proc.Kill()
+	time.Sleep(o.Settle)
+	return out, out.take(o.Duration, proc.Pid(), f, plat)
+}
+
+// take measures over a duration.
+func (s *sample) take(d time.Duration, pid int, f *fleet, plat *platform) error {
+	cpu0, err := processorSeconds(pid)
+	if err != nil {
+		return err
+	}
+	peer0, list0, log0 := f.bytes.Load(), plat.listBytes.Load(), plat.logBytes.Load()
+	probes0, exchanges0 := f.probes.Load(), f.exchanges.Load()
+	time.Sleep(d)
+	cpu1, err := processorSeconds(pid)
+	if err != nil {
+		return err
+	}
+	per := func(now, before uint64) float64 { return float64(now-before) / d.Seconds() }
+	s.cpuPercent = 100 * (cpu1 - cpu0) / d.Seconds()
+	s.peerBytes, s.listBytes, s.logBytes = per(f.bytes.Load(), peer0), per(plat.listBytes.Load(), list0), per(plat.logBytes.Load(), log0)
+	s.probesPerSecond, s.exchangesPerSecond = per(f.probes.Load(), probes0), per(f.exchanges.Load(), exchanges0)
+	s.rssMB, err = residentMB(pid)
+	return err
+}
+
+// publish starts the fleet and fills the instance list.
+func publish(ctx context.Context, f *fleet, plat *platform, s size, admin string) error {
+	var rows []instancelist.Instance
+	for i := range s.servers + s.entries {
+		row := instancelist.Instance{ID: fmt.Sprintf("agent-%d", i), Role: "agent", Pool: s.pool(i), Admin: "127.0.0.1:1"}
+		if i >= s.servers {
+			row.ID, row.Role, row.Pool = fmt.Sprintf("entry-%d", i-s.servers), "entry", ""
+		}
+		row.Zone, row.Region = s.place(i)
+		addr, err := f.start(row.ID, uint64(i+1))
+		if err != nil {
+			return err
+		}
+		row.Addr = addr
+		rows = append(rows, row)
+	}
+	body, err := json.Marshal(map[string]any{"instances": rows})
+	if err != nil {
+		return err
+	}
+	resp, err := http.Post("http://"+plat.listAddr+"/control", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("instance list: %s", resp.Status)
+	}
+	return nil
+}
+
+const settingsText = `[instance]
+id = "entry-measured"
+zone = "zone-0"
+region = "region-0"
+[listen]
+callers = "%s"
+peers = "%s"
+admin = "%s"
+[platform]
+log_url = "http://%s"
+list_url = "http://%s"
+[security]
+peer_secret_file = "peer.secret"
+admin_keys_file = "admin.keys"
+`
+
+func startEntry(ctx context.Context, bin harness.Binaries, dir string, plat *platform, s size, admin string) (*harness.Process, error) {
+	files := map[string]string{
+		"entry.toml":  fmt.Sprintf(settingsText, harness.FreeAddr(), harness.FreeAddr(), admin, plat.logAddr, plat.listAddr),
+		"peer.secret": secret,
+		"admin.keys":  "write capacity " + harness.AdminKey + "\n",
+		"schema.toml": s.schema(),
+	}
+	for name, text := range files {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			return nil, err
+		}
+	}
+	proc, err := harness.StartProcess(dir, fmt.Sprintf("entry-%d", s.servers), nil, bin.Magnoliawheel, "entry", "-s", filepath.Join(dir, "entry.toml"))
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := prepare(ctx, bin, dir, admin); err != nil {
+		proc.Kill()
+		log, _ := os.ReadFile(proc.LogFile)
+		return nil, fmt.Errorf("%w\n%s", err, log)
+	}
+	return proc, nil
+}
+
+// prepare applies the schema and waits until the entry is ready.
+func prepare(ctx context.Context, bin harness.Binaries, dir, admin string) error {
+	if err := harness.WaitStatus(ctx, "http://"+admin+"/healthz", http.StatusOK); err != nil {
+		return err
+	}
+	for {
+		cmd := exec.CommandContext(ctx, bin.Mwctl, "config", "apply", filepath.Join(dir, "schema.toml"), "--admin", "http://"+admin, "--key", harness.AdminKey)
+		out, err := cmd.CombinedOutput()
+		if err == nil {
+			break
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("apply schema: %w: %s", err, out)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return harness.WaitStatus(ctx, "http://"+admin+"/readyz", http.StatusOK)
+}
+
+// processorSeconds returns the user and system time of a process.
+func processorSeconds(pid int) (float64, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	// The second field is in parentheses and may hold spaces.
+	f := strings.Fields(string(b[bytes.LastIndexByte(b, ')')+1:]))
+	const user, system = 11, 12
+	var total float64
+	for _, i := range []int{user, system} {
+		n, err := strconv.ParseFloat(f[i], 64)
+		if err != nil {
+			return 0, err
+		}
+		total += n
+	}
+	return total / ticksPerSecond, nil
+}
+
+func residentMB(pid int) (float64, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(b)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, err := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			return kb / 1024, err
+		}
+	}
+	return 0, fmt.Errorf("no VmRSS for process %d", pid)
+}
+
+func write(w io.Writer, samples []sample) error {
+	out := csv.NewWriter(w)
+	rows := [][]string{{"servers", "entries", "customers", "models", "cpu_percent", "rss_mb", "peer_bytes_per_s", "list_bytes_per_s", "log_bytes_per_s",
+		"probes_per_s", "exchanges_per_s", "schema_bytes"}}
+	for _, s := range samples {
+		row := []string{strconv.Itoa(s.servers), strconv.Itoa(s.entries), strconv.Itoa(s.customers), strconv.Itoa(s.models)}
+		for _, v := range []float64{s.cpuPercent, s.rssMB, s.peerBytes, s.listBytes, s.logBytes, s.probesPerSecond, s.exchangesPerSecond} {
+			row = append(row, strconv.FormatFloat(v, 'f', 2, 64))
+		}
+		rows = append(rows, append(row, strconv.Itoa(s.schemaBytes)))
+	}
+	return out.WriteAll(rows)
+}
