--- /dev/null
+++ b/internal/report/recorder.go
@@ -0,0 +1,59 @@
+package report
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/burn"
+)
+
+// Path is the route of the report on an entry's admin listener.
+const Path = "/admin/v1/burn"
+
+// Recorder keeps an entry's figures and serves them. It is safe for concurrent use.
+type Recorder struct {
+	mu      sync.Mutex
+	tracker *burn.Tracker
+}
+
+// NewRecorder returns a recorder for the named entry.
+func NewRecorder(entry string) *Recorder {
+	return &Recorder{tracker: burn.NewTracker(entry)}
+}
+
+// Record takes in a request that ended or was refused.
+func (r *Recorder) Record(now time.Time, req *burn.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.Record(now, req)
+}
+
+// Report returns the figures as of now.
+func (r *Recorder) Report(now time.Time) *burn.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.Report(now)
+}
+
+// ServeHTTP answers with JSON, or with the page or text as Accept asks.
+func (r *Recorder) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	now := time.Now()
+	accept := req.Header.Get("Accept")
+	rep := r.Report(now)
+	var err error
+	switch {
+	case strings.Contains(accept, "text/html"):
+		w.Header().Set("Content-Type", "text/html; charset=utf-8")
+		err = HTML(w, rep)
+	case strings.Contains(accept, "text/plain"):
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		err = Text(w, rep)
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		err = JSON(w, rep)
+	}
+	// The only errors are those of a caller that went away.
+	_ = err
+}
