--- a/core/pipeline/action.go
+++ b/core/pipeline/action.go
@@ -24,6 +24,8 @@
 	Attempt Attempt
 	Server  Server
 	FromSeq uint64
+	// Holder is set when the work belongs to another request's attempt.
+	Holder *Holder
 }
 
 // Cancel asks the agent to cancel an attempt; a CancelReply answers it.
--- a/core/pipeline/attempt.go
+++ b/core/pipeline/attempt.go
@@ -17,13 +17,19 @@
 	ended bool
 	// cancelling is set while the answer to a cancellation is awaited.
 	cancelling bool
+	// settling is set while a cancellation asks whether a lost attempt ever arrived.
+	settling bool
 	// attached is set when the work belongs to an earlier attempt under the same key.
 	attached bool
+	// holder is set when that attempt is at another agent.
+	holder *Holder
 	// ran is what is known of the attempt's work.
 	ran result.Ran
 	// next is the first sequence number that is missing.
-	next   uint64
-	data   []byte
+	next uint64
+	data []byte
+	// ends holds the end of each chunk in data, if the chunks are emitted later.
+	ends   []int
 	hash   xxhash.Digest
 	tokens int
 	done   bool
@@ -82,6 +88,13 @@
 // truth returns what is known of all stages and of those that are not idempotent.
 func (m *Machine) truth() (ran, effects result.Ran) {
 	ran, effects = result.RanNo, result.RanNo
+	if m.opts.Adopted != nil {
+		// The entry that is gone may have sent what no agent that was asked knows.
+		ran = result.RanUnknown
+		if m.opts.Pipeline.HasEffects() {
+			effects = result.RanUnknown
+		}
+	}
 	for _, a := range m.all {
 		ran = worse(ran, a.ran)
 		if !m.opts.Pipeline.Stages[a.id.Stage].Idempotent {
--- a/core/pipeline/event.go
+++ b/core/pipeline/event.go
@@ -37,6 +37,16 @@
 	Message    string
 	Ran        result.Ran
 	RetryAfter time.Duration
+	// Holder is set when the work belongs to another attempt under the same key.
+	Holder *Holder
+}
+
+// Holder names the attempt that holds an idempotency key.
+type Holder struct {
+	RequestID   string
+	Attempt     Attempt
+	Server      Server
+	Incarnation uint64
 }
 
 // Chunk is a part of a stage's result.
--- a/core/pipeline/finish.go
+++ b/core/pipeline/finish.go
@@ -74,18 +74,22 @@
 		if !a.open() {
 			continue
 		}
-		a.cancelling = true
 		m.emitAction(Drop{Attempt: a.id})
+		if a.holder != nil {
+			// The work belongs to another request.
+			continue
+		}
+		a.cancelling = true
 		m.emitAction(Cancel{Attempt: a.id, Server: a.server})
 		useful := ran != result.RanYes || !m.opts.Pipeline.Stages[a.id.Stage].Idempotent
-		wait = wait || (useful && a.ran == result.RanUnknown)
+		wait = wait || (useful && a.ran == result.RanUnknown && !a.attached)
 	}
 	if !wait {
 		m.finish()
 	}
 }
 
-func (m *Machine) onCancelReply(ev CancelReply) {
+func (m *Machine) onCancelReply(now time.Time, ev CancelReply) {
 	a := m.find(ev.Attempt)
 	if a == nil {
 		return
@@ -96,12 +100,16 @@
 	case CancelFinished:
 		a.settle(result.RanYes)
 	}
+	if m.phase == phaseRunning && a.settling && a.open() {
+		m.settled(now, a, ev.State)
+		return
+	}
 	if m.phase != phaseClosing || !a.cancelling {
 		return
 	}
 	a.cancelling, a.ended = false, true
 	for _, b := range m.all {
-		if b.cancelling && b.ran == result.RanUnknown {
+		if b.cancelling && b.ran == result.RanUnknown && !b.attached {
 			return
 		}
 	}
@@ -114,6 +122,9 @@
 	if m.failure != nil {
 		f.Err = m.failure
 		f.Err.Ran, f.Err.Effects = m.truth()
+		if f.Err.RetryAfter == 0 && f.Err.Effects == result.RanNo && comingBackHelps(f.Err.Code) {
+			f.Err.RetryAfter = ComeBack
+		}
 	}
 	for _, a := range m.all {
 		a.ended, a.cancelling = true, false
@@ -136,3 +147,12 @@
 		m.emitAction(Ack{Attempt: a.id, Server: a.server})
 	}
 }
+
+// comingBackHelps tells whether the same request may succeed later.
+func comingBackHelps(c result.Code) bool {
+	switch c {
+	case result.DeadlineExceeded, result.ServerFailed, result.AgentLost, result.PayloadLost, result.ClaimUnavailable:
+		return true
+	}
+	return c >= result.Overloaded && c <= result.RetryBudgetSpent && c != result.DeadlineTooShort
+}
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -15,6 +15,7 @@
 package pipeline
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,7 +39,7 @@
 	GoneTries = 2
 	// SilentTries is how many attempts to attach may be silent before an idempotent
 	// stage is run elsewhere.
-	SilentTries = 2
+	SilentTries = 1
 	// MaxResultBytes bounds the result of one stage.
 	MaxResultBytes = schema.MaxBodyBytes
 	// ComeBack is the Retry-After of refusals that carry none.
@@ -116,7 +117,17 @@
 	ReferenceBytes int64
 	// FirstAttempt is the number of the first attempt at each stage.
 	FirstAttempt uint32
-	Decider      Decider
+	// Adopted is set for a request whose entry is gone: the attempts that agents
+	// still know. Body is not known then. Stages that are not idempotent are not
+	// sent, since the entry that is gone may have sent them.
+	Adopted []Adopted
+	Decider Decider
+}
+
+// Adopted is an attempt of an entry that is gone.
+type Adopted struct {
+	Attempt Attempt
+	Server  Server
 }
 
 type phase uint8
@@ -194,7 +205,7 @@
 	case Lost:
 		m.onLost(now, ev)
 	case CancelReply:
-		m.onCancelReply(ev)
+		m.onCancelReply(now, ev)
 	}
 	return m.out
 }
@@ -240,6 +251,9 @@
 		return
 	}
 	m.phase = phaseRunning
+	if m.opts.Adopted != nil {
+		m.stage = m.firstNeeded(0)
+	}
 	m.begin(now)
 }
 
@@ -267,7 +281,7 @@
 	for _, a := range m.all {
 		if a.open() && due(now, a.attachAt) {
 			a.attachAt = time.Time{}
-			m.emitAction(Attach{Attempt: a.id, Server: a.server, FromSeq: a.next})
+			m.emitAction(Attach{Attempt: a.id, Server: a.server, FromSeq: a.next, Holder: a.holder})
 		}
 	}
 }
@@ -284,3 +298,6 @@
 	}
 	return m.results[m.stage-1]
 }
+
+// String returns the stage and the number.
+func (a Attempt) String() string { return fmt.Sprintf("%d/%d", a.Stage, a.Number) }
--- a/core/pipeline/stage.go
+++ b/core/pipeline/stage.go
@@ -15,6 +15,9 @@
 	if m.started[m.stage].IsZero() {
 		m.started[m.stage] = now
 	}
+	if m.adopt(now) {
+		return
+	}
 	m.opts.Decider.Request(now)
 	m.send(now, false)
 }
@@ -35,7 +38,7 @@
 		return
 	}
 	use := &m.use[m.stage]
-	id := Attempt{Stage: uint32(m.stage), Number: m.opts.FirstAttempt + uint32(use.Attempts)}
+	id := Attempt{Stage: uint32(m.stage), Number: m.firstNumber() + uint32(use.Attempts)}
 	use.Attempts++
 	if hedge {
 		use.Hedges++
@@ -104,7 +107,7 @@
 func (m *Machine) failed(now time.Time, a *attempt, err *result.Error, ran result.Ran) {
 	a.ended = true
 	m.last = err
-	if a == m.source {
+	if a == m.source || m.orphaned() {
 		m.giveUp(now, err)
 		return
 	}
@@ -196,5 +199,17 @@
 		return
 	}
 	m.stage++
+	if m.opts.Adopted != nil {
+		m.stage = m.firstNeeded(m.stage)
+	}
 	m.begin(now)
 }
+
+// orphaned tells whether the present stage cannot be sent again for want of its
+// input or of knowledge about an entry that is gone.
+func (m *Machine) orphaned() bool {
+	if m.opts.Adopted == nil {
+		return false
+	}
+	return !m.current().Idempotent || m.stage == 0 || (m.results[m.stage-1].Data == nil && m.results[m.stage-1].Ref == nil)
+}
--- a/core/pipeline/stream.go
+++ b/core/pipeline/stream.go
@@ -20,23 +20,59 @@
 	if a == nil {
 		return
 	}
-	a.settle(ev.Ran)
-	if ev.Code == result.ClaimLost {
+	switch {
+	case ev.Code == result.ClaimLost && ev.Holder != nil && a.holder == nil:
+		m.follow(a, ev.Holder)
+		return
+	case ev.Code == result.ClaimLost:
 		// The attempt did not run, but the work of its key belongs to another.
-		a.ran = result.RanUnknown
+		a.attached = true
+	case ev.Code == result.Tombstoned && ev.Ran != result.RanNo && a.holder == nil:
+		// The incarnation asked never got the attempt. A tombstone keeps a copy that
+		// is still on its way from running.
+		a.settling = true
+		m.emitAction(Cancel{Attempt: a.id, Server: a.server})
+		return
 	}
-	m.failed(now, a, &result.Error{Code: lostCode(ev.Code, ev.Ran), Message: ev.Message, RetryAfter: ev.RetryAfter}, ev.Ran)
+	a.settle(ev.Ran)
+	ran := ev.Ran
+	if a.holder != nil {
+		ran = result.RanUnknown
+	}
+	m.failed(now, a, &result.Error{Code: lostCode(a, ev.Code, ran), Message: ev.Message, RetryAfter: ev.RetryAfter}, ran)
+}
+
+// follow attaches to the attempt that holds the key.
+func (m *Machine) follow(a *attempt, h *Holder) {
+	a.attached, a.holder, a.server = true, h, h.Server
+	m.emitAction(Attach{Attempt: a.id, Server: a.server, FromSeq: a.next, Holder: h})
 }
 
 // lostCode returns the code towards the caller: a wrong incarnation on attaching
 // means that the one that had the work is gone.
-func lostCode(c result.Code, ran result.Ran) result.Code {
-	if c == result.WrongIncarnation && ran != result.RanNo {
+func lostCode(a *attempt, c result.Code, ran result.Ran) result.Code {
+	switch {
+	case a.holder != nil && (c == result.WrongIncarnation || c == result.Tombstoned || c == result.AgentLost):
+		return result.HolderGone
+	case c == result.WrongIncarnation && ran != result.RanNo:
 		return result.AgentLost
 	}
 	return c
 }
 
+// settled goes on after the answer whether a lost attempt ever arrived.
+func (m *Machine) settled(now time.Time, a *attempt, state CancelState) {
+	a.settling = false
+	switch state {
+	case CancelNotRun:
+		m.failed(now, a, &result.Error{Code: result.AgentLost, Message: "the attempt was lost on its way", RetryAfter: ComeBack}, result.RanNo)
+	case CancelUnknown:
+		m.failed(now, a, &result.Error{Code: result.AgentLost, Message: "the agent does not know the attempt"}, result.RanUnknown)
+	default:
+		m.reattach(now, a)
+	}
+}
+
 func (m *Machine) onFailed(now time.Time, ev Failed) {
 	a := m.live(ev.Attempt)
 	if a == nil {
@@ -64,6 +100,9 @@
 	if !direct || m.stage < len(m.results)-1 {
 		a.data = append(a.data, ev.Data...)
 	}
+	if !direct && m.current().Answer {
+		a.ends = append(a.ends, len(a.data))
+	}
 	if len(a.data) > MaxResultBytes {
 		m.giveUp(now, &result.Error{Code: result.StreamTooLong, Message: "the result of stage " + m.Stage() + " is too long"})
 		return
@@ -107,7 +146,7 @@
 			return
 		}
 	}
-	a.data = nil
+	a.data, a.ends = nil, nil
 	m.advance(now)
 }
 
@@ -120,10 +159,16 @@
 }
 
 // emitResult emits what is left of an answer stage; false if the request ended.
+// The chunks are the same as those of a live stream, so that a caller may go on
+// reading at any entry.
 func (m *Machine) emitResult(now time.Time, a *attempt) bool {
-	if !m.opts.Live {
-		m.source = a
-		return m.text(now, a.data, true)
+	m.source = a
+	from := 0
+	for _, end := range a.ends {
+		if !m.text(now, a.data[from:end], false) {
+			return false
+		}
+		from = end
 	}
 	return m.text(now, nil, true)
 }
@@ -148,7 +193,7 @@
 		}
 	}
 	if a.goneTries >= GoneTries {
-		m.failed(now, a, &result.Error{Code: result.AgentLost, Message: "the agent that took the work is gone"}, result.RanUnknown)
+		m.failed(now, a, &result.Error{Code: lostCode(a, result.AgentLost, result.RanUnknown), Message: "the agent that took the work is gone"}, result.RanUnknown)
 		return
 	}
 	if ev.Cause == Silent && a.attachTries >= SilentTries && m.moveOn(now, a) {
@@ -184,7 +229,7 @@
 	a.attachTries++
 	if wait == 0 {
 		a.attachAt = time.Time{}
-		m.emitAction(Attach{Attempt: a.id, Server: a.server, FromSeq: a.next})
+		m.emitAction(Attach{Attempt: a.id, Server: a.server, FromSeq: a.next, Holder: a.holder})
 		return
 	}
 	a.attachAt = now.Add(wait)
