Count requests and refusals of an entry in the burn report

Cause: the report had no source of figures. Change: an observer records each request that ended, and each refusal at admission; the pipeline tells the bytes sent and received per stage and the region of the server, so that bytes billed between regions are counted for inputs, results and fetched references.

--- a/core/pipeline/action.go
+++ b/core/pipeline/action.go
@@ -77,6 +77,8 @@
 	Tokens        int
 	FetchedBytes  int64
 	FetchedRegion string
-	// Server names the server whose result was used.
-	Server string
+	// Server names the server whose result was used, Region where it is.
+	Server, Region string
+	// SentBytes and ReceivedBytes passed between the entry and the servers.
+	SentBytes, ReceivedBytes int64
 }
--- a/core/pipeline/stage.go
+++ b/core/pipeline/stage.go
@@ -37,6 +37,7 @@
 	use := &m.use[m.stage]
 	id := Attempt{Stage: uint32(m.stage), Number: m.opts.FirstAttempt + uint32(use.Attempts)}
 	use.Attempts++
+	use.SentBytes += int64(len(q.Input.Data))
 	if hedge {
 		use.Hedges++
 	}
--- a/core/pipeline/stream.go
+++ b/core/pipeline/stream.go
@@ -113,7 +113,9 @@
 
 func (m *Machine) account(a *attempt, ev Done) {
 	use := &m.use[m.stage]
-	use.Queue, use.Service, use.Server = ev.Queue, ev.Service, a.server.ID
+	use.Queue, use.Service = ev.Queue, ev.Service
+	use.Server, use.Region = a.server.ID, a.server.Region
+	use.ReceivedBytes += int64(len(a.data))
 	use.Tokens = max(ev.Tokens, a.tokens)
 	use.FetchedBytes += ev.FetchedBytes
 	use.FetchedRegion = ev.FetchedRegion
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/internal/confsync"
 	"github.com/magnoliawheel/magnoliawheel/internal/members"
+	"github.com/magnoliawheel/magnoliawheel/internal/report"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
 	"github.com/magnoliawheel/magnoliawheel/internal/settings"
@@ -44,6 +46,7 @@
 	table   *table
 	acks    *acker
 	metrics metrics
+	burn    *report.Recorder
 
 	// source and view are set before any listener opens.
 	source confsync.Source
@@ -79,6 +82,8 @@
 	p := &Process{opts: o, log: o.Log, tls: conf, pool: rpc.NewPool(conf), drainAsked: make(chan struct{})}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.metrics = newMetrics(o.Scope)
+	p.burn = report.NewRecorder(o.Settings.Instance.ID)
+	p.opts.Observers = append(slices.Clone(o.Observers), burnObserver{p.burn, o.Settings.Instance.Region})
 	p.agents = newAgents(p)
 	p.table = newTable(p, o.Settings.Limits)
 	p.decider = newDecider(p)
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -16,6 +16,8 @@
 type Finished struct {
 	ID, Call, Customer, Pipeline string
 	Started                      time.Time
+	// Objective is the attainment objective of the call.
+	Objective float64
 	// Deadline is the time the caller gave; Took the time used.
 	Deadline, Took time.Duration
 	Code           result.Code
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -58,7 +58,10 @@
 		Live: req.Live, MaxAnswer: req.Call.MaxAnswer, ReferenceBytes: reference,
 		Decider: chooser{decider: p.decider, req: req},
 	})
-	r.event = Finished{ID: id, Call: req.Call.Name, Customer: req.Customer.Name, Pipeline: req.Pipeline.Name, Started: req.Received}
+	r.event = Finished{
+		ID: id, Call: req.Call.Name, Customer: req.Customer.Name, Pipeline: req.Pipeline.Name,
+		Started: req.Received, Objective: req.Call.Objective,
+	}
 	return r
 }
 
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -145,14 +145,14 @@
 	if d := p.decider.admit(now, req); d.Code != result.OK {
 		e := result.New(d.Code, "the request was not admitted")
 		e.RetryAfter = d.RetryAfter
-		p.metrics.refused(d.Code)
+		p.refused(req, d.Code)
 		return nil, e
 	}
 	r := p.newRequest(newID(p.opts.Settings.Instance.ID), req)
 	if bad := p.table.add(r); bad != nil {
 		r.cancel()
 		p.decider.finish(now, req.Customer.Name, bad.Code, 0)
-		p.metrics.refused(bad.Code)
+		p.refused(req, bad.Code)
 		p.table.grew(-r.record.Bytes())
 		return nil, bad
 	}
