--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -43,6 +43,8 @@
 	Log spec.Service
 	// EntrySettings and AgentSettings are added to the settings files.
 	EntrySettings, AgentSettings string
+	// EntrySettingsOf returns more settings for the entry of an index; it may be nil.
+	EntrySettingsOf func(i int) string
 }
 
 // Server describes a backend server and the agent beside it.
@@ -200,6 +202,9 @@
 peers = %q
 admin = %q
 %s`, callers, e.Peers, admin, d.conf.EntrySettings)
+	if d.conf.EntrySettingsOf != nil {
+		text += d.conf.EntrySettingsOf(i)
+	}
 	d.Entries = append(d.Entries, e)
 	d.rows = append(d.rows, instancelist.Instance{
 		ID: e.ID, Role: "entry", Addr: e.Peers, Admin: admin, Zone: zone.Name, Region: zone.Region,
