--- a/core/burn/burn.go
+++ b/core/burn/burn.go
@@ -62,6 +62,12 @@
 	return failed
 }
 
+// Counts tells whether the request counts for the objective.
+func (r *Request) Counts() bool { return r.class() != ignored }
+
+// Attained tells whether the request was answered completely within its deadline.
+func (r *Request) Attained() bool { return r.class() == good }
+
 // Tracker takes in the requests of one entry. It is not safe for concurrent use.
 type Tracker struct {
 	entry     string
--- a/internal/entry/burn.go
+++ b/internal/entry/burn.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/magnoliawheel/magnoliawheel/core/burn"
 	"github.com/magnoliawheel/magnoliawheel/core/pipeline"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
@@ -14,6 +17,48 @@
 type burnObserver struct {
 	recorder *report.Recorder
 	region   string
+	calls    *callMetrics
+}
+
+func newBurnObserver(entry, region string, scope tally.Scope) burnObserver {
+	return burnObserver{recorder: report.NewRecorder(entry), region: region, calls: newCallMetrics(scope)}
+}
+
+// callMetrics counts the requests of each call for alert rules.
+type callMetrics struct {
+	scope tally.Scope
+
+	mu     sync.Mutex
+	byCall map[string]callCounters
+}
+
+type callCounters struct{ offered, attained tally.Counter }
+
+func newCallMetrics(scope tally.Scope) *callMetrics {
+	return &callMetrics{scope: scope, byCall: map[string]callCounters{}}
+}
+
+func (m *callMetrics) count(r *burn.Request) {
+	if !r.Counts() {
+		return
+	}
+	m.mu.Lock()
+	c, ok := m.byCall[r.Call]
+	if !ok {
+		s := m.scope.Tagged(map[string]string{"call": r.Call})
+		c = callCounters{offered: s.Counter("call_requests_offered"), attained: s.Counter("call_requests_attained")}
+		m.byCall[r.Call] = c
+	}
+	m.mu.Unlock()
+	c.offered.Inc(1)
+	if r.Attained() {
+		c.attained.Inc(1)
+	}
+}
+
+func (b burnObserver) record(r *burn.Request) {
+	b.recorder.Record(time.Now(), r)
+	b.calls.count(r)
 }
 
 // Finished takes in a request that ended.
@@ -27,7 +72,7 @@
 			r.Stages = append(r.Stages, b.stage(&f.Stages[i]))
 		}
 	}
-	b.recorder.Record(time.Now(), &r)
+	b.record(&r)
 }
 
 func (b burnObserver) stage(s *pipeline.StageUse) burn.Stage {
@@ -47,7 +92,7 @@
 // refused counts a request that was not admitted.
 func (p *Process) refused(req *callerapi.Request, code result.Code) {
 	p.metrics.refused(code)
-	p.burn.Record(time.Now(), &burn.Request{
+	p.burn.record(&burn.Request{
 		Call: req.Call.Name, Customer: req.Customer.Name, Objective: req.Call.Objective, Code: code, Deadline: req.Timeout,
 	})
 }
--- a/internal/entry/burn_test.go
+++ b/internal/entry/burn_test.go
@@ -4,16 +4,17 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawheel/magnoliawheel/core/pipeline"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
-	"github.com/magnoliawheel/magnoliawheel/internal/report"
 )
 
 // TestBurnObserver checks which bytes count as billed between regions.
 func TestBurnObserver(t *testing.T) {
-	b := burnObserver{recorder: report.NewRecorder("entry-1"), region: "amman"}
+	scope := tally.NewTestScope("", nil)
+	b := newBurnObserver("entry-1", "amman", scope)
 	b.Finished(&Finished{
 		Call: "draft", Customer: "petra", Objective: 0.99, Code: result.OK, Took: time.Second, Deadline: 3 * time.Second,
 		Stages: []pipeline.StageUse{
@@ -24,6 +25,11 @@
 			{Stage: "file"},
 		},
 	})
+	b.Finished(&Finished{Call: "draft", Code: result.Overloaded, Deadline: 3 * time.Second})
+	b.Finished(&Finished{Call: "draft", Code: result.BadBody, Deadline: 3 * time.Second})
+	counters := scope.Snapshot().Counters()
+	assert.Equal(t, counters["call_requests_offered+call=draft"].Value(), int64(2))
+	assert.Equal(t, counters["call_requests_attained+call=draft"].Value(), int64(1))
 	got := b.recorder.Report(time.Now())
 	assert.Equal(t, got.Calls[0].Windows[0].Good, uint64(1))
 	assert.Equal(t, got.Calls[0].Objective, 0.99)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,7 +18,6 @@
 
 	"github.com/magnoliawheel/magnoliawheel/internal/confsync"
 	"github.com/magnoliawheel/magnoliawheel/internal/members"
-	"github.com/magnoliawheel/magnoliawheel/internal/report"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
 	"github.com/magnoliawheel/magnoliawheel/internal/settings"
@@ -46,7 +45,7 @@
 	table   *table
 	acks    *acker
 	metrics metrics
-	burn    *report.Recorder
+	burn    burnObserver
 
 	// source and view are set before any listener opens.
 	source confsync.Source
@@ -82,8 +81,8 @@
 	p := &Process{opts: o, log: o.Log, tls: conf, pool: rpc.NewPool(conf), drainAsked: make(chan struct{})}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.metrics = newMetrics(o.Scope)
-	p.burn = report.NewRecorder(o.Settings.Instance.ID)
-	p.opts.Observers = append(slices.Clone(o.Observers), burnObserver{p.burn, o.Settings.Instance.Region})
+	p.burn = newBurnObserver(o.Settings.Instance.ID, o.Settings.Instance.Region, o.Scope)
+	p.opts.Observers = append(slices.Clone(o.Observers), p.burn)
 	p.agents = newAgents(p)
 	p.table = newTable(p, o.Settings.Limits)
 	p.decider = newDecider(p)
