--- a/core/pipeline/action.go
+++ b/core/pipeline/action.go
@@ -24,6 +24,8 @@
 	Attempt Attempt
 	Server  Server
 	FromSeq uint64
+	// Holder is set when the work belongs to another request's attempt.
+	Holder *Holder
 }
 
 // Cancel asks the agent to cancel an attempt; a CancelReply answers it.
@@ -77,6 +79,8 @@
 	Tokens        int
 	FetchedBytes  int64
 	FetchedRegion string
-	// Server names the server whose result was used.
-	Server string
+	// Server names the server whose result was used, Region where it is.
+	Server, Region string
+	// SentBytes and ReceivedBytes passed between the entry and the servers.
+	SentBytes, ReceivedBytes int64
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,7 @@
 	table   *table
 	acks    *acker
 	metrics metrics
+	burn    burnObserver
 
 	// source and view are set before any listener opens.
 	source confsync.Source
@@ -79,6 +81,8 @@
 	p := &Process{opts: o, log: o.Log, tls: conf, pool: rpc.NewPool(conf), drainAsked: make(chan struct{})}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.metrics = newMetrics(o.Scope)
+	p.burn = newBurnObserver(o.Settings.Instance.ID, o.Settings.Instance.Region, o.Scope)
+	p.opts.Observers = append(slices.Clone(o.Observers), p.burn)
 	p.agents = newAgents(p)
 	p.table = newTable(p, o.Settings.Limits)
 	p.decider = newDecider(p)
