--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -78,6 +78,8 @@
 	Shared bool
 	// Reserve is the memory that the result is expected to take, in bytes.
 	Reserve int64
+	// Input is the memory that the input takes until the end, in bytes.
+	Input int64
 	// MaxBytes bounds the result; 0 is no bound of its own.
 	MaxBytes int64
 }
@@ -165,8 +167,8 @@
 		l.Refuse(now, id, Outcome{Code: code, Ran: result.RanNo})
 		return code
 	}
-	l.attempts[id] = &Attempt{ID: id, State: Queued, job: job, reserved: job.Reserve}
-	l.kept += job.Reserve
+	l.attempts[id] = &Attempt{ID: id, State: Queued, job: job, reserved: job.Reserve + job.Input}
+	l.kept += job.Reserve + job.Input
 	return result.OK
 }
 
@@ -174,7 +176,7 @@
 	if !now.Before(job.Deadline) {
 		return result.BudgetSpent
 	}
-	if !l.room(now, job.Reserve) {
+	if !l.room(now, job.Reserve+job.Input) {
 		return result.ResultsFull
 	}
 	if l.remembered >= l.opts.MaxRemembered && !l.evict() {
@@ -258,7 +260,7 @@
 	if a.job.MaxBytes > 0 && a.Bytes+size > a.job.MaxBytes {
 		return result.StreamTooLong
 	}
-	grow := max(0, a.Bytes+size-a.reserved)
+	grow := max(0, a.Bytes+size+a.job.Input-a.reserved)
 	if !l.room(now, grow) && a.job.Idempotent {
 		return result.ResultsFull
 	}
--- a/internal/agent/keyed.go
+++ b/internal/agent/keyed.go
@@ -70,11 +70,12 @@
 	}, nil
 }
 
-// claimThenQueue claims the key of a task, and queues the task if the claim holds.
+// claimThenQueue claims the key of a task, and queues the task if
+// the claim holds.
 func (w *work) claimThenQueue(t *task) {
 	r, err := w.newClaim(t)
 	if err != nil {
-		w.endClaim(t, ledger.Outcome{Code: result.Internal, Message: err.Error(), Ran: result.RanNo})
+		w.endPreparing(t, ledger.Outcome{Code: result.Internal, Message: err.Error(), Ran: result.RanNo})
 		return
 	}
 	j, by, err := w.claims.claim(w.ctx, r)
@@ -83,45 +84,21 @@
 		if err == errGivenUp {
 			w.log.Info("A claim was given up.", "request", t.id.Request)
 		}
-		w.endClaim(t, ledger.Outcome{
+		w.endPreparing(t, ledger.Outcome{
 			Code: result.ClaimUnavailable, Message: "the log cannot record the claim of the key", Ran: result.RanNo, RetryAfter: claimRetryAfter,
 		})
 		if err == errGivenUp {
 			w.release(r)
 		}
 	case j == claims.Held:
-		w.queueHeld(t, r)
+		w.queuePrepared(t, r)
 	case j == claims.Lost:
-		w.endClaim(t, w.lostTo(t, &by))
+		w.endPreparing(t, w.lostTo(t, &by))
 	default:
-		w.endClaim(t, ledger.Outcome{Code: result.ClaimUnavailable, Message: "the claim is void", Ran: result.RanNo, RetryAfter: claimRetryAfter})
+		w.endPreparing(t, ledger.Outcome{Code: result.ClaimUnavailable, Message: "the claim is void", Ran: result.RanNo, RetryAfter: claimRetryAfter})
 	}
 }
 
-// queueHeld queues a task whose claim holds, unless it was cancelled meanwhile.
-func (w *work) queueHeld(t *task, r *claims.Record) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	t.claim = r
-	t.claiming = false
-	w.claiming--
-	a := w.ledger.Get(t.id)
-	if a == nil || a.State != ledger.Queued {
-		w.release(r)
-		return
-	}
-	w.push(time.Now(), t)
-}
-
-// endClaim refuses a task that got no claim.
-func (w *work) endClaim(t *task, o ledger.Outcome) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	t.claiming = false
-	w.claiming--
-	w.refuse(time.Now(), t.id, o)
-}
-
 // lostTo is the outcome of a task whose key another claim holds.
 func (w *work) lostTo(t *task, by *claims.Record) ledger.Outcome {
 	h := by.Holder
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -24,8 +24,21 @@
 	count   uint64
 	chunks  []ledger.Chunk
 	task    *task
+	// bytes is the size of the result so far.
+	bytes int64
 	// claiming is set while the claim of the key is not settled.
 	claiming bool
+	// keepOver is the size over which the result is answered by a reference, in
+	// bytes; 0 if never.
+	keepOver int64
+}
+
+// working tells whether the attempt has not ended.
+func (v *view) working() bool { return v.state == ledger.Queued || v.state == ledger.Running }
+
+// referenced tells whether the reader gets a reference instead of chunks.
+func (v *view) referenced() bool {
+	return v.keepOver > 0 && (v.working() || v.outcome.OK() && v.bytes > v.keepOver)
 }
 
 // view returns the attempt with its chunks from a sequence number on.
@@ -36,9 +49,10 @@
 	if a == nil {
 		return view{}
 	}
-	v := view{known: true, state: a.State, outcome: a.Outcome, count: uint64(len(a.Chunks)), task: w.tasks[id]}
+	v := view{known: true, state: a.State, outcome: a.Outcome, count: uint64(len(a.Chunks)), bytes: a.Bytes, task: w.tasks[id]}
 	if v.task != nil {
 		v.claiming = v.task.claiming
+		v.keepOver = int64(v.task.req.KeepOverBytes)
 	}
 	if from <= v.count {
 		v.chunks = a.Chunks[from-1:]
@@ -76,18 +90,20 @@
 		if holder, ok := p.localHolder(v); ok && !introduced {
 			return p.follow(stream, holder, next, true)
 		}
-		if !introduced && !v.claiming && (v.state == ledger.Queued || v.state == ledger.Running || v.state == ledger.Finished) {
+		if !introduced && !v.claiming && (v.working() || v.state == ledger.Finished) {
 			if err := p.accepted(stream, id, attached); err != nil {
 				return err
 			}
 			introduced = true
 		}
-		if err := sendChunks(stream, v.chunks, next); err != nil {
-			return err
+		if !v.referenced() {
+			if err := sendChunks(stream, v.chunks, next); err != nil {
+				return err
+			}
+			next += uint64(len(v.chunks))
 		}
-		next += uint64(len(v.chunks))
-		if v.state != ledger.Queued && v.state != ledger.Running {
-			return p.last(stream, id, v)
+		if !v.working() {
+			return p.last(stream, v)
 		}
 		heartbeat.Reset(rpc.HeartbeatInterval)
 		select {
@@ -120,7 +136,7 @@
 }
 
 // last sends the last event of an attempt that is not queued or running.
-func (p *Process) last(stream runStream, id ledger.ID, v view) error {
+func (p *Process) last(stream runStream, v view) error {
 	switch {
 	case !v.known:
 		return p.refuse(stream, &result.Error{Code: result.Tombstoned, Message: "the attempt is not known here", Ran: result.RanUnknown})
@@ -149,6 +165,12 @@
 	d.ServiceUs = uint64(t.ended.Sub(t.began).Microseconds())
 	d.Tokens = t.tokens
 	d.FetchedBytes, d.FetchedRegion = t.fetchedBytes, t.fetchedRegion
+	if v.referenced() {
+		d.Ref = &wire.PayloadRef{
+			Attempt: wireID(t.id), Instance: p.settings.Instance.ID, Address: p.address, Incarnation: p.incarnation,
+			SizeBytes: uint64(v.bytes), Checksum: d.Checksum, Zone: p.settings.Instance.Zone, Region: p.settings.Instance.Region,
+		}
+	}
 	return d
 }
 
--- a/internal/agent/task.go
+++ b/internal/agent/task.go
@@ -101,6 +101,7 @@
 	now := time.Now()
 	out := ledger.Outcome{Code: o.Code, Message: o.Message, Ran: o.Ran}
 	t.ended = now
+	t.req.Payload = nil
 	t.cancel = nil
 	switch a := w.ledger.Get(t.id); {
 	case a == nil || a.State == ledger.NotRun:
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -66,10 +66,10 @@
 	// cancel stops the call at the server; nil while it does not run.
 	cancel  context.CancelFunc
 	readers map[chan struct{}]struct{}
-	// claiming is set while the claim of the key is not settled; claim is the one
-	// that holds.
-	claiming bool
-	claim    *claims.Record
+	// preparing is set before the task is queued, claiming while the claim of its
+	// key is not settled; claim is the one that holds.
+	preparing, claiming bool
+	claim               *claims.Record
 
 	fetchedBytes  uint64
 	fetchedRegion string
@@ -89,15 +89,15 @@
 	mu     sync.Mutex
 	ledger *ledger.Ledger
 	queue  *fairqueue.Queue
-	// queueLimit bounds the queue, and the tasks that claim keys.
+	// queueLimit bounds the queue, and the tasks that are being prepared.
 	queueLimit int
 	limiter    *limit.Limiter
 	tasks      map[ledger.ID]*task
 	claims     *claimer
 	running    int
-	// claiming is the number of tasks that wait for the claim of their key.
-	claiming int
-	leaving  leavingReason
+	// preparing is the number of tasks that wait for their input or their claim.
+	preparing int
+	leaving   leavingReason
 	// timing is the smoothed time at the server.
 	timing timing
 	models []string
@@ -153,7 +153,7 @@
 		w.refuse(now, id, o)
 		return false
 	}
-	job := ledger.Job{Deadline: deadline, Idempotent: req.Idempotent, Shared: keyed(req), Reserve: reserveOf(req), MaxBytes: schema.MaxAnswerBytes}
+	job := ledger.Job{Deadline: deadline, Idempotent: req.Idempotent, Shared: keyed(req), Reserve: reserveOf(req), Input: inputOf(req), MaxBytes: schema.MaxAnswerBytes}
 	if code := w.ledger.Accept(now, id, job); code != result.OK {
 		w.p.metrics.ended(code)
 		return false
@@ -161,16 +161,55 @@
 	t := &task{id: id, req: req, deadline: deadline, accepted: now, checksum: xxhash.New(), readers: map[chan struct{}]struct{}{}}
 	w.tasks[id] = t
 	w.p.metrics.accepted.Inc(1)
-	if keyed(req) {
-		t.claiming = true
-		w.claiming++
-		w.wg.Go(func() { w.claimThenQueue(t) })
+	if req.Ref == nil && !keyed(req) {
+		w.push(now, t)
 		return false
 	}
-	w.push(now, t)
+	t.preparing, t.claiming = true, keyed(req)
+	w.preparing++
+	w.wg.Go(func() { w.prepare(t) })
 	return false
 }
 
+// prepare pulls the input and claims the key of a task, and queues it.
+func (w *work) prepare(t *task) {
+	if o := w.pull(t); o.Code != result.OK {
+		w.endPreparing(t, o)
+		return
+	}
+	if keyed(t.req) {
+		w.claimThenQueue(t)
+		return
+	}
+	w.queuePrepared(t, nil)
+}
+
+// queuePrepared queues a task unless it was cancelled meanwhile. The claim is the
+// one that holds its key, or nil.
+func (w *work) queuePrepared(t *task, claim *claims.Record) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.claim = claim
+	t.preparing, t.claiming = false, false
+	w.preparing--
+	if a := w.ledger.Get(t.id); a != nil && a.State == ledger.Queued {
+		w.push(time.Now(), t)
+		return
+	}
+	if claim != nil {
+		w.release(claim)
+	}
+}
+
+// endPreparing refuses a task.
+func (w *work) endPreparing(t *task, o ledger.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.preparing, t.claiming = false, false
+	w.preparing--
+	w.refuse(time.Now(), t.id, o)
+}
+
 // push queues a task, or refuses it if the queue is full. The caller holds mu.
 func (w *work) push(now time.Time, t *task) {
 	it := fairqueue.Item{
@@ -184,6 +223,11 @@
 	w.dispatch(now)
 }
 
+// inputOf returns the memory that the input takes, in bytes.
+func inputOf(req *wire.RunRequest) int64 {
+	return int64(len(req.Payload)) + int64(req.GetRef().GetSizeBytes())
+}
+
 func reserveOf(req *wire.RunRequest) int64 {
 	return reserveBytes + tokenBytes*int64(req.MaxTokens)
 }
@@ -198,9 +242,11 @@
 	switch {
 	case w.leaving != 0:
 		return ledger.Outcome{Code: result.ServerLeaving, Ran: result.RanNo}
+	case req.GetRef().GetSizeBytes() > schema.MaxAnswerBytes || len(req.Payload) > schema.MaxBodyBytes:
+		return ledger.Outcome{Code: result.BodyTooLarge, Message: "the input is too large", Ran: result.RanNo}
 	case budget <= 0:
 		return ledger.Outcome{Code: result.BudgetSpent, Ran: result.RanNo}
-	case w.claiming >= w.queueLimit:
+	case w.preparing >= w.queueLimit:
 		return ledger.Outcome{Code: result.QueueFull, Ran: result.RanNo, RetryAfter: wait}
 	case wait > 0 && wait+w.timing.expect(req) > budget:
 		return ledger.Outcome{Code: result.Overloaded, Ran: result.RanNo, RetryAfter: wait}
