Prove re-attachment, heartbeats, cancellation and foreign incarnations

A cut by the caller is no cancellation; a cancelled generation is cancelled at the engine at once, a call that must not be repeated is left to end.

--- /dev/null
+++ b/internal/agent/stream_test.go
@@ -0,0 +1,152 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+	"github.com/magnoliawheel/magnoliawheel/test/standin"
+	"github.com/magnoliawheel/magnoliawheel/test/standin/engine"
+	"github.com/magnoliawheel/magnoliawheel/test/standin/service"
+)
+
+// TestAttachAfterCut checks that a cut by the caller is no cancellation, and that
+// readers that come later miss nothing.
+func TestAttachAfterCut(t *testing.T) {
+	model := startEngine(t, engine.Config{Prefill: time.Millisecond})
+	f := start(t, testSettings(t, "a", "http://"+model.Addr()))
+	req := f.generateRequest("e~1", 60)
+	stream, err := f.client.Run(context.Background(), req)
+	assert.NilError(t, err)
+	a := &answer{}
+	a.receive(t, stream, func(a *answer) bool { return a.next == 6 })
+	assert.NilError(t, stream.Close())
+
+	texts := make([]string, 3)
+	var wg sync.WaitGroup
+	for i := range texts {
+		wg.Go(func() { texts[i] = a.text + f.attach(t, req.Attempt, a.next).text })
+	}
+	wg.Wait()
+	whole := f.attach(t, req.Attempt, 1)
+	assert.Equal(t, whole.done.Count, uint64(60))
+	for _, text := range texts {
+		assert.Equal(t, text, whole.text)
+	}
+	executions := model.Recorder.All()
+	assert.Equal(t, len(executions), 1)
+	assert.Equal(t, executions[0].Outcome, standin.Completed)
+}
+
+func TestHeartbeatsCarryLoad(t *testing.T) {
+	srv := startService(t, service.Config{Time: 600 * time.Millisecond})
+	f := start(t, testSettings(t, "a", "http://"+srv.Addr()))
+	stream, err := f.client.Run(context.Background(), f.runRequest("e~1"))
+	assert.NilError(t, err)
+	defer func() { _ = stream.Close() }()
+	for {
+		ev, err := stream.Recv()
+		assert.NilError(t, err)
+		if h := ev.GetHeartbeat(); h != nil {
+			assert.Equal(t, h.Load.Running, uint32(1))
+			assert.Equal(t, h.Load.Incarnation, f.incarnation)
+			return
+		}
+		assert.Assert(t, ev.GetDone() == nil, "no heartbeat came")
+	}
+}
+
+func TestCancel(t *testing.T) {
+	t.Run("running generation", func(t *testing.T) {
+		model := startEngine(t, engine.Config{Prefill: time.Millisecond})
+		f := start(t, testSettings(t, "a", "http://"+model.Addr()))
+		req := f.generateRequest("e~1", 1000)
+		stream, err := f.client.Run(context.Background(), req)
+		assert.NilError(t, err)
+		defer func() { _ = stream.Close() }()
+		a := &answer{}
+		a.receive(t, stream, func(a *answer) bool { return a.next > 1 })
+		assert.Equal(t, f.cancel(t, req.Attempt), wire.AttemptState_ATTEMPT_STATE_RUNNING)
+		a.receive(t, stream, nil)
+		assert.Equal(t, result.Code(a.failed.Code), result.Cancelled)
+		assert.Equal(t, a.failed.Ran, wire.Ran_RAN_YES)
+		eventually(t, func() bool { return model.Recorder.All()[0].Outcome == standin.Cancelled })
+	})
+	t.Run("unknown attempt", func(t *testing.T) {
+		srv := startService(t, service.Config{})
+		f := start(t, testSettings(t, "a", "http://"+srv.Addr()))
+		req := f.runRequest("e~1")
+		assert.Equal(t, f.cancel(t, req.Attempt), wire.AttemptState_ATTEMPT_STATE_NOT_RUN)
+		late := f.run(t, req)
+		assert.DeepEqual(t, late.events, []string{"refused 2011 RAN_NO"})
+		assert.Equal(t, len(srv.Recorder.All()), 0)
+	})
+	t.Run("queued attempt", func(t *testing.T) {
+		srv := startService(t, service.Config{Time: 300 * time.Millisecond})
+		f := start(t, testSettings(t, "a", "http://"+srv.Addr()))
+		f.work.limiter.SetMax(1)
+		first := f.startRun(t, f.runRequest("e~1"))
+		second := f.startRun(t, f.runRequest("e~2"))
+		assert.Equal(t, f.cancel(t, f.runRequest("e~2").Attempt), wire.AttemptState_ATTEMPT_STATE_NOT_RUN)
+		assert.DeepEqual(t, second.finish(t), []string{"accepted attached=false", "refused 2011 RAN_NO"})
+		assert.DeepEqual(t, first.finish(t), []string{"accepted attached=false", "done 1"})
+		assert.Equal(t, len(srv.Recorder.All()), 1)
+	})
+	t.Run("running call that must not be repeated", func(t *testing.T) {
+		srv := startService(t, service.Config{Time: 200 * time.Millisecond})
+		f := start(t, testSettings(t, "a", "http://"+srv.Addr()))
+		req := f.runRequest("e~1")
+		req.Idempotent = false
+		run := f.startRun(t, req)
+		eventually(t, func() bool { return len(srv.Recorder.All()) == 1 })
+		assert.Equal(t, f.cancel(t, req.Attempt), wire.AttemptState_ATTEMPT_STATE_RUNNING)
+		assert.DeepEqual(t, run.finish(t), []string{"accepted attached=false", "done 1"})
+	})
+}
+
+// TestOtherIncarnation checks what a process says of attempts that another one
+// was asked for.
+func TestOtherIncarnation(t *testing.T) {
+	srv := startService(t, service.Config{})
+	f := start(t, testSettings(t, "a", "http://"+srv.Addr()))
+	req := f.runRequest("e~1")
+	req.Incarnation++
+	assert.DeepEqual(t, f.run(t, req).events, []string{"refused 2007 RAN_NO"})
+	req.Incarnation = 0
+	assert.DeepEqual(t, f.run(t, req).events, []string{"refused 2007 RAN_NO"})
+	stream, err := f.client.Attach(context.Background(), &wire.AttachRequest{Attempt: req.Attempt, Incarnation: f.incarnation + 1, FromSeq: 1})
+	assert.NilError(t, err)
+	a := &answer{}
+	a.receive(t, stream, nil)
+	assert.DeepEqual(t, a.events, []string{"refused 2007 RAN_UNKNOWN"})
+	assert.DeepEqual(t, f.attach(t, req.Attempt, 1).events, []string{"refused 2011 RAN_UNKNOWN"})
+	reply, err := f.client.Cancel(context.Background(), &wire.CancelRequest{Attempt: req.Attempt, Incarnation: f.incarnation + 1})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.State, wire.AttemptState_ATTEMPT_STATE_UNKNOWN_HERE)
+	assert.Equal(t, len(srv.Recorder.All()), 0)
+}
+
+// inFlight is a run whose first event has come.
+type inFlight struct {
+	answer
+	stream wire.DRPCAgent_RunClient
+}
+
+func (f *fixture) startRun(t testing.TB, req *wire.RunRequest) *inFlight {
+	stream, err := f.client.Run(context.Background(), req)
+	assert.NilError(t, err)
+	r := &inFlight{stream: stream}
+	r.receive(t, stream, func(a *answer) bool { return len(a.events) > 0 })
+	return r
+}
+
+func (r *inFlight) finish(t testing.TB) []string {
+	r.receive(t, r.stream, nil)
+	_ = r.stream.Close()
+	return r.events
+}
