Bound handshakes, writes and idle time of served connections

A peer that does not finish its handshake is dropped after 5 s, one that does not read after 10 s. The idle bound of 11 min is under the 15 min for which agents keep tombstones, so no copy of a Run can arrive on an old connection after its tombstone is gone.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -49,7 +49,7 @@
 // Serve accepts connections until ctx ends. It returns nil after ctx ended.
 func Serve(ctx context.Context, lis net.Listener, conf *tls.Config, mux *drpcmux.Mux) error {
 	srv := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
-	err := srv.Serve(ctx, tls.NewListener(lis, conf))
+	err := srv.Serve(ctx, &serverListener{lis, conf})
 	if ctx.Err() != nil {
 		return nil
 	}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -130,3 +131,13 @@
 		_ = conn.Close()
 	}
 }
+
+// TestSilentClientIsDropped checks that a connection without a handshake ends.
+func TestSilentClientIsDropped(t *testing.T) {
+	addr := serve(t, "0123456789abcdef")
+	conn, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
