Give orders to engines under a lease on the slot

Only the instances named in the settings may give orders. The lease is a record in the log whose offset is the fencing number; it is taken for an order and renewed while orders come, and its validity is checked immediately before the first byte is sent. Where servers ignore fencing numbers a new holder waits out the old lease.

Proved failing first: without the check before sending, a holder that was stopped while it renewed gives its order late; without the wait, a new holder gives orders beside the former; restored, both kinds of engine pass.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -46,6 +46,7 @@
 	config  confsync.Source
 	plog    platform.Log
 	work    *work
+	orders  *orders
 	pool    *rpc.Pool
 	metrics metrics
 }
@@ -73,6 +74,7 @@
 		incarnation: incarnation, config: config, plog: plog, pool: rpc.NewPool(conf), metrics: newMetrics(o.Scope),
 	}
 	p.work = newWork(p)
+	p.orders = newOrders(p)
 	return p, nil
 }
 
--- a/internal/agent/log_test.go
+++ b/internal/agent/log_test.go
@@ -11,7 +11,7 @@
 // fakeLog is a log in memory with faults.
 type fakeLog struct {
 	mu      sync.Mutex
-	streams map[string][][]byte
+	streams map[string][]platform.Record
 	down    bool
 	// readsDown fails reads only.
 	readsDown bool
@@ -21,9 +21,12 @@
 	late    int
 	pending []func()
 	appends int
+	// now is the log's clock; beforeAppend is called at each append.
+	now          func() time.Time
+	beforeAppend func()
 }
 
-func newFakeLog() *fakeLog { return &fakeLog{streams: map[string][][]byte{}} }
+func newFakeLog() *fakeLog { return &fakeLog{streams: map[string][]platform.Record{}, now: time.Now} }
 
 func (l *fakeLog) set(f func(*fakeLog)) {
 	l.mu.Lock()
@@ -52,13 +55,25 @@
 }
 
 func (l *fakeLog) Append(_ context.Context, stream string, records ...[]byte) (uint64, error) {
+	l.mu.Lock()
+	hook := l.beforeAppend
+	l.beforeAppend = nil
+	l.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.appends++
 	if l.down {
 		return 0, platform.ErrUnavailable
 	}
-	apply := func() { l.streams[stream] = append(l.streams[stream], records...) }
+	apply := func() {
+		for _, data := range records {
+			r := platform.Record{Offset: uint64(len(l.streams[stream]) + 1), Time: l.now(), Data: data}
+			l.streams[stream] = append(l.streams[stream], r)
+		}
+	}
 	if l.late > 0 {
 		l.late--
 		l.pending = append(l.pending, apply)
@@ -82,7 +97,7 @@
 	all := l.streams[stream]
 	b := platform.Batch{First: 1, Next: uint64(len(all) + 1)}
 	for o := from; o < b.Next && len(b.Records) < limit; o++ {
-		b.Records = append(b.Records, platform.Record{Offset: o, Data: all[o-1]})
+		b.Records = append(b.Records, all[o-1])
 	}
 	return b, nil
 }
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -74,11 +74,6 @@
 	return &wire.FindReply{Attempts: s.p.work.find(req.RequestId, s.p.incarnation), Load: s.p.load()}, nil
 }
 
-// Order changes the server.
-func (s *rpcServer) Order(_ context.Context, req *wire.OrderRequest) (*wire.OrderReply, error) {
-	return &wire.OrderReply{Code: uint32(result.OrderRefused), Message: "orders are not allowed", Load: s.p.load()}, nil
-}
-
 func (w *work) find(request string, incarnation uint64) []*wire.FoundAttempt {
 	w.mu.Lock()
 	defer w.mu.Unlock()
