Add the configuration fold, its spread, the clients of the platform and the admin API

Changes hold several objects and are accepted as a whole if every base is current and the schema that results is valid. Versions of objects are the offsets of the changes that wrote them and only grow, so a second copy of a change conflicts with itself; a record that lands more than 512 offsets after what its writer had seen is void, so that outcomes and tombstones may be forgotten after as many offsets.

Wire: ExchangeRequest gains address, records and config_digest, ExchangeReply config_digest. members.View gains Seen. google/uuid becomes a direct dependency.

--- /dev/null
+++ b/cmd/mwctl/config_check.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliawheel/magnoliawheel/core/schema"
+)
+
+// configCheck is mwctl config check.
+type configCheck struct {
+	JSON bool `long:"json" description:"Print the mistakes as JSON"`
+	Args struct {
+		File string `positional-arg-name:"FILE" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute checks the file.
+func (c *configCheck) Execute([]string) error {
+	_, err := readSchema(c.Args.File)
+	var mistakes schema.Mistakes
+	if err != nil && !errors.As(err, &mistakes) {
+		return err
+	}
+	if c.JSON {
+		if perr := printJSON(append([]schema.Mistake{}, mistakes...)); perr != nil {
+			return perr
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if !c.JSON {
+		fmt.Println(c.Args.File, "is valid")
+	}
+	return nil
+}
+
+// readSchema reads and validates a schema file. Mistakes exit with exitInvalid.
+func readSchema(path string) (*schema.Schema, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read schema")
+	}
+	s, err := schema.Parse(text)
+	if err != nil {
+		return nil, exitError{err, exitInvalid}
+	}
+	return s, nil
+}
--- a/cmd/mwctl/main.go
+++ b/cmd/mwctl/main.go
@@ -30,6 +30,7 @@
 		os.Exit(0)
 	}}
 	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
+	addConfig(parser)
 	if _, err := parser.Parse(); err != nil {
 		exit(err)
 	}
--- a/core/configlog/configlog.go
+++ b/core/configlog/configlog.go
@@ -12,4 +12,62 @@
 	Offset uint64
 	// Schema is nil until a first schema was accepted.
 	Schema *schema.Schema
+
+	// objects is sorted by name and holds tombstones of deleted objects.
+	objects []Object
+	// outcomes is sorted by offset and holds those of the last Window offsets.
+	outcomes []Outcome
+	// digest covers objects.
+	digest uint64
+}
+
+// Empty returns the snapshot before the first record.
+func Empty() *Snapshot {
+	s := &Snapshot{}
+	s.digest = digestOf(s.objects)
+	return s
+}
+
+// Digest identifies the content of the objects and their versions. Two
+// processes at one offset have the same digest.
+func (s *Snapshot) Digest() uint64 { return s.digest }
+
+// Objects returns the objects that exist, sorted by name.
+func (s *Snapshot) Objects() []Object {
+	list := make([]Object, 0, len(s.objects))
+	for i := range s.objects {
+		if !s.objects[i].Deleted {
+			list = append(list, s.objects[i])
+		}
+	}
+	return list
 }
+
+// AllObjects returns the objects with tombstones, sorted by name. The slice is
+// shared and must not be changed.
+func (s *Snapshot) AllObjects() []Object { return s.objects }
+
+// Object returns the object of that name; a tombstone is returned too, as its
+// version is the base of a change that creates the object again.
+func (s *Snapshot) Object(name string) (Object, bool) {
+	i, ok := search(s.objects, name)
+	if !ok {
+		return Object{}, false
+	}
+	return s.objects[i], true
+}
+
+// Outcome returns what became of the change with that id, if it was folded
+// within the last Window offsets.
+func (s *Snapshot) Outcome(id string) (Outcome, bool) {
+	for i := len(s.outcomes) - 1; i >= 0; i-- {
+		if s.outcomes[i].ID == id {
+			return s.outcomes[i], true
+		}
+	}
+	return Outcome{}, false
+}
+
+// Outcomes returns the outcomes of the last Window offsets, oldest first. The
+// slice is shared and must not be changed.
+func (s *Snapshot) Outcomes() []Outcome { return s.outcomes }
--- a/core/schema/validate.go
+++ b/core/schema/validate.go
@@ -30,11 +30,11 @@
 // Mistake is one fault of a schema or settings file.
 type Mistake struct {
 	// Line is 1-based; 0 if it is not known.
-	Line int
+	Line int `json:"line,omitempty"`
 	// Place is the path of the key, such as pool.encoders.concurrency.
-	Place string
+	Place string `json:"place"`
 	// Reason says what is wrong and what is allowed.
-	Reason string
+	Reason string `json:"reason"`
 }
 
 // String formats the mistake on one line.
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -18,4 +18,7 @@
 	Instances() []membership.Instance
 	// Leaving records that an agent said that its server is leaving.
 	Leaving(id string, incarnation uint64)
+	// Seen records that an instance answered under an incarnation, which ends the
+	// leaving mark of an older one. Incarnations of one id grow.
+	Seen(id string, incarnation uint64)
 }
--- /dev/null
+++ b/internal/platform/log.go
@@ -0,0 +1,115 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// httpLog is the HTTP client of the log.
+type httpLog struct {
+	base   string
+	client *http.Client
+}
+
+// NewHTTPLog returns a client of the log at the base URL.
+func NewHTTPLog(baseURL string) Log {
+	return &httpLog{base: strings.TrimRight(baseURL, "/"), client: newClient()}
+}
+
+type appendRequest struct {
+	Records [][]byte `json:"records"`
+}
+
+type appendReply struct {
+	First uint64 `json:"first"`
+}
+
+func (l *httpLog) url(stream string) string {
+	return l.base + "/v1/streams/" + url.PathEscape(stream) + "/records"
+}
+
+// Append implements Log. Only a refused connection and status 503 mean that
+// nothing took effect.
+func (l *httpLog) Append(ctx context.Context, stream string, records ...[]byte) (uint64, error) {
+	body, err := json.Marshal(appendRequest{Records: records})
+	if err != nil {
+		return 0, errors.Wrap(err, "encode records")
+	}
+	ctx, cancel := withTimeout(ctx, 0)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, l.url(stream), bytes.NewReader(body))
+	if err != nil {
+		return 0, errors.Wrap(err, "append")
+	}
+	// The transport must not send an append a second time on its own.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	sent, req := traceSent(req)
+	res, err := l.client.Do(req)
+	if err != nil {
+		if !sent.Load() {
+			return 0, errors.Mark(errors.Wrap(err, "append"), ErrUnavailable)
+		}
+		return 0, errors.Mark(errors.Wrap(err, "append"), ErrOutcomeUnknown)
+	}
+	defer closeBody(res.Body)
+	switch res.StatusCode {
+	case http.StatusOK:
+		var reply appendReply
+		if err := readJSON(res.Body, &reply); err != nil || reply.First == 0 {
+			return 0, errors.Mark(errors.CombineErrors(err, errors.New("append: unreadable answer")), ErrOutcomeUnknown)
+		}
+		return reply.First, nil
+	case http.StatusServiceUnavailable:
+		return 0, errors.Wrap(ErrUnavailable, "append")
+	}
+	return 0, errors.Wrapf(ErrOutcomeUnknown, "append: status %d", res.StatusCode)
+}
+
+// Read implements Log.
+func (l *httpLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Batch, error) {
+	ctx, cancel := withTimeout(ctx, wait)
+	defer cancel()
+	target := fmt.Sprintf("%s?from=%d&limit=%d&wait_ms=%d", l.url(stream), from, limit, wait.Milliseconds())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return Batch{}, errors.Wrap(err, "read")
+	}
+	res, err := l.client.Do(req)
+	if err != nil {
+		return Batch{}, errors.Mark(errors.Wrap(err, "read"), ErrUnavailable)
+	}
+	defer closeBody(res.Body)
+	var batch Batch
+	switch res.StatusCode {
+	case http.StatusOK:
+		if err := readJSON(res.Body, &batch); err != nil {
+			return Batch{}, errors.Mark(err, ErrUnavailable)
+		}
+		return batch, checkBatch(&batch, from)
+	case http.StatusGone:
+		if err := readJSON(res.Body, &batch); err != nil {
+			return Batch{}, errors.Mark(err, ErrUnavailable)
+		}
+		return batch, errors.Wrapf(ErrTruncated, "read from %d, first is %d", from, batch.First)
+	}
+	return Batch{}, errors.Wrapf(ErrUnavailable, "read: status %d", res.StatusCode)
+}
+
+// checkBatch refuses records that do not follow on each other.
+func checkBatch(b *Batch, from uint64) error {
+	for i := range b.Records {
+		if b.Records[i].Offset != from+uint64(i) {
+			return errors.Mark(errors.Newf("read: offset %d in place of %d", b.Records[i].Offset, from+uint64(i)), ErrUnavailable)
+		}
+	}
+	return nil
+}
