--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -184,6 +184,9 @@
 	return v.entries
 }
 
+// Seen does nothing: the instances do not change.
+func (v *staticView) Seen(string, uint64) {}
+
 func (v *staticView) Leaving(id string, _ uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
