--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -13,7 +13,7 @@
 )
 
 // probeInterval is the time between two rounds of load probes.
-const probeInterval = 100 * time.Millisecond
+const probeInterval = 250 * time.Millisecond
 
 // maxProbes bounds the probes of one round.
 const maxProbes = 64
@@ -101,6 +101,7 @@
 		case <-ctx.Done():
 			return
 		}
+		p.decider.countEntries(p.view.Instances())
 		for _, t := range p.decider.probes(time.Now()) {
 			if _, busy := inFlight.LoadOrStore(t.server.ID, true); busy {
 				continue
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/magnoliawheel/magnoliawheel/core/admission"
+	"github.com/magnoliawheel/magnoliawheel/core/membership"
 	"github.com/magnoliawheel/magnoliawheel/core/pipeline"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/retry"
@@ -29,7 +30,9 @@
 	routers   map[string]*poolRouter
 	admission *admission.Controller
 	budget    *retry.Budget
-	entries   int
+	// retryShare is that of the budget.
+	retryShare float64
+	entries    int
 }
 
 type poolRouter struct {
@@ -43,15 +46,41 @@
 	s := p.opts.Settings
 	d := &decider{p: p, settings: s, seed: xxhash.Sum64String(s.Instance.ID), routers: map[string]*poolRouter{}}
 	d.admission = admission.New(admission.Options{Policy: s.Policy.Admission, Seed: d.seed})
-	d.budget = retry.New(retry.Options{
-		Policy: s.Policy.Retry, Share: defaultRetryShare, Hedge: s.Policy.Hedge != hedgeOff,
-	})
+	d.setRetryShare(defaultRetryShare)
 	return d
 }
 
-// defaultRetryShare is the share of added load that retries and hedges may make.
+// defaultRetryShare holds until a schema says otherwise.
 const defaultRetryShare = 0.1
 
+// setRetryShare begins a new budget when the schema's share changed. The caller
+// holds the lock.
+func (d *decider) setRetryShare(share float64) {
+	if d.budget != nil && share == d.retryShare {
+		return
+	}
+	d.retryShare = share
+	d.budget = retry.New(retry.Options{
+		Policy: d.settings.Policy.Retry, Share: share, Hedge: d.settings.Policy.Hedge != hedgeOff,
+	})
+}
+
+// countEntries tells the admission how many entries share the customers' rates.
+func (d *decider) countEntries(list []membership.Instance) {
+	n := 0
+	for i := range list {
+		if list[i].Role == membership.RoleEntry && !list[i].Leaving {
+			n++
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n > 0 && n != d.entries {
+		d.entries = n
+		d.admission.SetEntries(n)
+	}
+}
+
 // router returns the router of a pool with the servers now known. The caller
 // holds the lock.
 func (d *decider) router(now time.Time, pool string) *poolRouter {
@@ -79,6 +108,7 @@
 func (d *decider) admit(now time.Time, r *callerapi.Request) admission.Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.setRetryShare(r.Snapshot.Schema.Limits.RetryShare)
 	ask := admission.Ask{
 		Customer: r.Customer.Name, Weight: r.Customer.Weight, Rate: r.Customer.RatePerSecond,
 		Pipeline: r.Pipeline.Name, Budget: r.Timeout - now.Sub(r.Received),
@@ -145,6 +175,7 @@
 	rq := c.query(q.Stage, c.req.Prefix)
 	rq.Exclude = q.Exclude
 	rq.Bytes, rq.BytesRegion = q.Input.Bytes()
+	rq.Budget = c.req.Received.Add(c.req.Timeout).Sub(now)
 	s, ok := router.Pick(now, &rq)
 	return place(s), ok
 }
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -534,3 +534,31 @@
 	assert.NilError(t, json.Unmarshal([]byte(r.body), &a), r.body)
 	return a.Answer
 }
+
+// heartbeatUntil keeps a stream alive until opened is closed.
+func (a *fakeAgent) heartbeatUntil(out wire.DRPCAgent_RunStream, opened <-chan struct{}) error {
+	tick := time.NewTicker(rpc.HeartbeatInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-opened:
+			return nil
+		case <-out.Context().Done():
+			return out.Context().Err()
+		case <-tick.C:
+		}
+		if err := out.Send(&wire.RunEvent{Event: &wire.RunEvent_Heartbeat{Heartbeat: &wire.Heartbeat{Load: a.load()}}}); err != nil {
+			return err
+		}
+	}
+}
+
+func waitFor(t testing.TB, done func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !done() {
+			return poll.Continue("not yet")
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond))
+}
--- /dev/null
+++ b/internal/entry/fault_test.go
@@ -0,0 +1,295 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/core/routing"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+)
+
+// hang keeps a stream open without a word until its connection is closed.
+func hang(out interface{ Done() <-chan struct{} }) error {
+	<-out.Done()
+	return nil
+}
+
+// acceptThen accepts, sends the first chunks and goes on with next.
+func (a *fakeAgent) acceptThen(chunks int, next func(out wire.DRPCAgent_RunStream) error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.run = func(req *wire.RunRequest, out wire.DRPCAgent_RunStream) error {
+		if err := a.accept(out); err != nil {
+			return err
+		}
+		for i, c := range chunksOf(req.Stage)[:chunks] {
+			if err := sendChunk(out, uint64(i+1), c); err != nil {
+				return err
+			}
+		}
+		return next(out)
+	}
+}
+
+func (a *fakeAgent) resume(stage string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.attach = func(req *wire.AttachRequest, out wire.DRPCAgent_AttachStream) error {
+		if err := a.accept(out); err != nil {
+			return err
+		}
+		return a.sendFrom(out, int(req.FromSeq), chunksOf(stage))
+	}
+}
+
+func (a *fakeAgent) onCancel(state wire.AttemptState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cancel = func(*wire.CancelRequest) (*wire.CancelReply, error) { return &wire.CancelReply{State: state}, nil }
+}
+
+func silence(out wire.DRPCAgent_RunStream) error { return hang(out.Context()) }
+
+func (b *bench) addServer(pool, id string) *fakeAgent {
+	b.t.Helper()
+	a := startAgent(b.t, id)
+	b.view.mu.Lock()
+	defer b.view.mu.Unlock()
+	b.view.servers[pool] = append(append([]routing.Server(nil), b.view.servers[pool]...), a.server())
+	b.view.version++
+	return a
+}
+
+// TestStageFaults is the table of what may go wrong between the entry and the
+// agent of the stage that must not be repeated.
+func TestStageFaults(t *testing.T) {
+	type want struct {
+		code         result.Code
+		ran, effects string
+		// runs counts the attempts at both filers.
+		runs int
+	}
+	cases := []struct {
+		name  string
+		fault func(b *bench)
+		want  want
+	}{
+		{"dies after accepting", func(b *bench) {
+			b.filer.acceptThen(0, func(wire.DRPCAgent_RunStream) error {
+				go b.filer.kill()
+				return nil
+			})
+		}, want{result.AgentLost, "yes", "unknown", 1}},
+		{"is replaced after accepting", func(b *bench) {
+			b.filer.acceptThen(0, func(wire.DRPCAgent_RunStream) error { return net.ErrClosed })
+		}, want{result.AgentLost, "yes", "unknown", 1}},
+		{"falls silent and is attached to", func(b *bench) {
+			b.filer.acceptThen(1, silence)
+			b.filer.resume("file")
+		}, want{result.OK, "", "", 1}},
+		{"breaks and is attached to", func(b *bench) {
+			b.filer.acceptThen(2, func(wire.DRPCAgent_RunStream) error { return net.ErrClosed })
+			b.filer.resume("file")
+		}, want{result.OK, "", "", 1}},
+		{"refuses as not run", func(b *bench) {
+			b.filer.run = func(_ *wire.RunRequest, out wire.DRPCAgent_RunStream) error {
+				return sendRefused(out, result.QueueFull, wire.Ran_RAN_NO)
+			}
+		}, want{result.OK, "", "", 2}},
+		{"refuses without saying whether it ran", func(b *bench) {
+			b.filer.run = func(_ *wire.RunRequest, out wire.DRPCAgent_RunStream) error {
+				return sendRefused(out, result.QueueFull, wire.Ran_RAN_UNKNOWN)
+			}
+		}, want{result.QueueFull, "yes", "unknown", 1}},
+		{"never got the attempt", func(b *bench) {
+			b.filer.run = func(_ *wire.RunRequest, out wire.DRPCAgent_RunStream) error { return silence(out) }
+			b.filer.attach = func(_ *wire.AttachRequest, out wire.DRPCAgent_AttachStream) error {
+				return sendRefused(out, result.Tombstoned, wire.Ran_RAN_UNKNOWN)
+			}
+			b.filer.onCancel(wire.AttemptState_ATTEMPT_STATE_NOT_RUN)
+		}, want{result.OK, "", "", 2}},
+		{"never got the attempt but may get it yet", func(b *bench) {
+			b.filer.run = func(_ *wire.RunRequest, out wire.DRPCAgent_RunStream) error { return silence(out) }
+			b.filer.attach = func(_ *wire.AttachRequest, out wire.DRPCAgent_AttachStream) error {
+				return sendRefused(out, result.Tombstoned, wire.Ran_RAN_UNKNOWN)
+			}
+			b.filer.onCancel(wire.AttemptState_ATTEMPT_STATE_UNKNOWN_HERE)
+		}, want{result.AgentLost, "yes", "unknown", 1}},
+		{"was replaced before the attempt", func(b *bench) {
+			b.filer.run = func(_ *wire.RunRequest, out wire.DRPCAgent_RunStream) error {
+				return sendRefused(out, result.WrongIncarnation, wire.Ran_RAN_NO)
+			}
+		}, want{result.OK, "", "", 2}},
+		{"sends a result that does not match", func(b *bench) {
+			b.filer.acceptThen(1, func(out wire.DRPCAgent_RunStream) error {
+				return out.Send(&wire.RunEvent{Event: &wire.RunEvent_Done{Done: &wire.Done{Count: 1, Checksum: 1}}})
+			})
+		}, want{result.ChecksumMismatch, "yes", "yes", 1}},
+		{"fails as not run", func(b *bench) {
+			b.filer.acceptThen(0, func(out wire.DRPCAgent_RunStream) error {
+				return out.Send(&wire.RunEvent{Event: &wire.RunEvent_Failed{Failed: &wire.Failed{Code: uint32(result.ServerFailed), Ran: wire.Ran_RAN_NO}}})
+			})
+		}, want{result.OK, "", "", 2}},
+		{"fails and may have run", func(b *bench) {
+			b.filer.acceptThen(0, func(out wire.DRPCAgent_RunStream) error {
+				return out.Send(&wire.RunEvent{Event: &wire.RunEvent_Failed{Failed: &wire.Failed{Code: uint32(result.ServerFailed), Ran: wire.Ran_RAN_UNKNOWN}}})
+			})
+		}, want{result.ServerFailed, "yes", "unknown", 1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := startBench(t)
+			second := b.addServer("filers", "filer-2")
+			second.mu.Lock()
+			second.run = func(req *wire.RunRequest, out wire.DRPCAgent_RunStream) error {
+				// Until the faulty one was asked, refuse.
+				if len(b.filer.runs()) == 0 {
+					return sendRefused(out, result.QueueFull, wire.Ran_RAN_NO)
+				}
+				return second.complete(req, out)
+			}
+			second.mu.Unlock()
+			c.fault(b)
+			r := b.call("draft")
+			if c.want.code == result.OK {
+				assert.DeepEqual(t, r.answer(t), wholeDraft)
+			} else {
+				e := r.err(t)
+				assert.Equal(t, result.Code(e.Code), c.want.code, r.body)
+				assert.Equal(t, e.Ran, c.want.ran)
+				assert.Equal(t, e.Effects, c.want.effects)
+				assert.Equal(t, r.status, c.want.code.HTTP())
+			}
+			accepted := len(b.filer.runs())
+			for _, run := range second.runs() {
+				if run.Attempt.Attempt > b.filer.runs()[0].Attempt.Attempt {
+					accepted++
+				}
+			}
+			assert.Equal(t, accepted, c.want.runs)
+		})
+	}
+}
+
+func TestEngineDiesAfterFirstChunks(t *testing.T) {
+	broken := func(wire.DRPCAgent_RunStream) error { return net.ErrClosed }
+	t.Run("a live stream ends with an error and does not mix outputs", func(t *testing.T) {
+		b := startBench(t)
+		b.engine.acceptThen(2, broken)
+		b.addServer("engines", "engine-2").acceptThen(2, broken)
+		r := b.call("ask", "Accept", "text/event-stream")
+		assert.Assert(t, len(r.body) > 0)
+		events := parseStream(t, r.body)
+		last := events[len(events)-1]
+		assert.Equal(t, last.kind, "error")
+		assert.Equal(t, len(events), 4)
+	})
+	t.Run("a whole answer is made again elsewhere", func(t *testing.T) {
+		b := startBench(t)
+		b.engine.acceptThen(2, broken)
+		second := b.addServer("engines", "engine-2")
+		assert.DeepEqual(t, b.call("ask").answer(t), map[string]string{"generate": wholeDraft["generate"]})
+		assert.Equal(t, len(second.runs()), 1)
+	})
+}
+
+func TestDeadlineCancelsAtAgent(t *testing.T) {
+	cases := []struct {
+		name    string
+		state   wire.AttemptState
+		effects string
+		retry   bool
+	}{
+		{"tombstoned", wire.AttemptState_ATTEMPT_STATE_NOT_RUN, "no", true},
+		{"running", wire.AttemptState_ATTEMPT_STATE_RUNNING, "unknown", false},
+		{"finished", wire.AttemptState_ATTEMPT_STATE_FINISHED, "yes", false},
+		{"another incarnation", wire.AttemptState_ATTEMPT_STATE_UNKNOWN_HERE, "unknown", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := startBench(t)
+			b.filer.acceptThen(0, silence)
+			b.filer.onCancel(c.state)
+			r := b.call("draft", "Request-Timeout", "400")
+			e := r.err(t)
+			assert.Equal(t, result.Code(e.Code), result.DeadlineExceeded)
+			assert.Equal(t, e.Effects, c.effects)
+			assert.Equal(t, r.header.Get("Retry-After") != "", c.retry)
+			assert.Equal(t, b.filer.cancels(), 1)
+		})
+	}
+}
+
+func TestCallerCancels(t *testing.T) {
+	b := startBench(t)
+	b.filer.acceptThen(0, silence)
+	b.filer.onCancel(wire.AttemptState_ATTEMPT_STATE_NOT_RUN)
+	s := b.open("draft")
+	s.until("chunk")
+	assert.Equal(t, b.do(b.request("DELETE", "/v1/requests/"+s.id, "")).status, http.StatusNoContent)
+	last := s.until("error")
+	assert.Equal(t, last.field("code"), float64(result.Cancelled))
+	assert.Equal(t, last.field("effects"), "no")
+}
+
+func TestCallerThatGoesAwayIsCancelledDownToTheAgent(t *testing.T) {
+	b := startBench(t)
+	b.engine.acceptThen(1, func(out wire.DRPCAgent_RunStream) error {
+		for {
+			select {
+			case <-out.Context().Done():
+				return nil
+			case <-time.After(100 * time.Millisecond):
+			}
+			if err := out.Send(&wire.RunEvent{Event: &wire.RunEvent_Heartbeat{Heartbeat: &wire.Heartbeat{Load: b.engine.load()}}}); err != nil {
+				return nil
+			}
+		}
+	})
+	s := b.open("ask")
+	s.until("chunk")
+	s.close()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if b.engine.cancels() == 0 {
+			return poll.Continue("not cancelled")
+		}
+		return poll.Success()
+	})
+}
+
+func TestResultsAreAcknowledged(t *testing.T) {
+	b := startBench(t)
+	b.call("draft")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if b.encoder.acks() != 1 || b.engine.acks() != 1 || b.filer.acks() != 1 {
+			return poll.Continue("not acknowledged")
+		}
+		return poll.Success()
+	})
+}
+
+func TestKeyHolderIsFollowed(t *testing.T) {
+	b := startBench(t)
+	holder := startAgent(t, "filer-9")
+	holder.resume("file")
+	b.filer.run = func(_ *wire.RunRequest, out wire.DRPCAgent_RunStream) error {
+		return out.Send(&wire.RunEvent{Event: &wire.RunEvent_Refused{Refused: &wire.Refused{
+			Code: uint32(result.ClaimLost), Ran: wire.Ran_RAN_NO,
+			Holder: &wire.ClaimHolder{
+				Attempt:  &wire.AttemptID{RequestId: "entry-2~x.y", Stage: 2, Attempt: 1},
+				Instance: holder.id, Address: holder.addr, Incarnation: 7,
+			},
+		}}})
+	}
+	assert.DeepEqual(t, b.call("draft", "Idempotency-Key", newKey(t)).answer(t), wholeDraft)
+	asked := holder.attaches()
+	assert.Equal(t, len(asked), 1)
+	assert.Equal(t, asked[0].Attempt.RequestId, "entry-2~x.y")
+	assert.Equal(t, len(holder.runs()), 0)
+}
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -7,12 +7,13 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/pipeline"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/internal/callerapi"
 )
 
 // maxGaps bounds the gaps between chunks kept for one request.
 const maxGaps = 1024
 
-// Finished describes a request that ended.
+// Finished describes a request that ended, or that was refused; then ID is empty.
 type Finished struct {
 	ID, Call, Customer, Pipeline string
 	Started                      time.Time
@@ -57,7 +58,17 @@
 	}
 }
 
-func (m *metrics) refused(result.Code) { m.refusals.Inc(1) }
+// refused tells the observers of a request that was not admitted.
+func (p *Process) refused(now time.Time, req *callerapi.Request, e *result.Error) {
+	p.metrics.refusals.Inc(1)
+	f := Finished{
+		Call: req.Call.Name, Customer: req.Customer.Name, Pipeline: req.Pipeline.Name, Started: req.Received,
+		Deadline: req.Timeout, Took: now.Sub(req.Received), Code: e.Code, Ran: e.Ran, Effects: e.Effects,
+	}
+	for _, o := range p.opts.Observers {
+		o.Finished(&f)
+	}
+}
 
 func (m *metrics) finished(f *Finished) {
 	if !f.Complete() {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -27,6 +27,8 @@
 	record *answer.Record
 	log    logr.Logger
 	digest uint64
+	// adopted is set for a request that was taken over from another entry.
+	adopted []pipeline.Adopted
 
 	mu      sync.Mutex
 	machine *pipeline.Machine
@@ -34,14 +36,14 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	streams map[pipeline.Attempt]*stream
-	// hops holds the number of calls in progress beside the streams.
-	event Finished
+	event   Finished
+	// last is the time of the newest chunk.
 	last  time.Time
 	ended bool
 }
 
-func (p *Process) newRequest(id string, req *callerapi.Request) *request {
-	r := &request{p: p, id: id, req: req, log: p.log.WithValues("request", id), streams: map[pipeline.Attempt]*stream{}}
+func (p *Process) newRequest(id string, req *callerapi.Request, adopted []pipeline.Adopted) *request {
+	r := &request{p: p, id: id, req: req, adopted: adopted, log: p.log.WithValues("request", id), streams: map[pipeline.Attempt]*stream{}}
 	r.digest = xxhash.Sum64String(req.Call.Name) ^ xxhash.Sum64(req.Body)
 	r.ctx, r.cancel = context.WithCancel(p.ctx)
 	r.record = answer.New(answer.Options{
@@ -56,12 +58,24 @@
 	r.machine = pipeline.New(pipeline.Options{
 		RequestID: id, Pipeline: req.Pipeline, Body: req.Body, Deadline: req.Received.Add(req.Timeout),
 		Live: req.Live, MaxAnswer: req.Call.MaxAnswer, ReferenceBytes: reference,
-		Decider: chooser{decider: p.decider, req: req},
+		Adopted: adopted, Decider: chooser{decider: p.decider, req: req},
 	})
 	r.event = Finished{ID: id, Call: req.Call.Name, Customer: req.Customer.Name, Pipeline: req.Pipeline.Name, Started: req.Received}
 	return r
 }
 
+// discard ends a request that never started.
+func (r *request) discard() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+	for _, s := range r.streams {
+		s.settle(routing.Outcome{Code: result.Cancelled})
+	}
+	r.cancel()
+	r.p.table.grew(-r.record.Bytes())
+}
+
 // payloadsByReference is the policy that keeps large stage results at agents.
 const payloadsByReference = "reference"
 
@@ -138,7 +152,9 @@
 	r.event.Took = now.Sub(r.req.Received)
 	r.event.Deadline = r.req.Timeout
 	r.event.Stages = append([]pipeline.StageUse(nil), r.machine.Use()...)
-	r.p.decider.finish(now, r.req.Customer.Name, r.event.Code, r.event.Took)
+	if r.adopted == nil {
+		r.p.decider.finish(now, r.req.Customer.Name, r.event.Code, r.event.Took)
+	}
 	r.p.metrics.finished(&r.event)
 	for _, o := range r.p.opts.Observers {
 		o.Finished(&r.event)
@@ -157,7 +173,7 @@
 
 func (r *request) attach(now time.Time, a pipeline.Attach) {
 	if s := r.streams[a.Attempt]; s != nil {
-		s.attach(a.FromSeq)
+		s.attach(a)
 	}
 }
 
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -30,11 +30,15 @@
 
 	// incarnation is that of the agent asked; 0 until it is known.
 	incarnation atomic.Uint64
+	// holder is set when the work belongs to another request's attempt.
+	holder *pipeline.Holder
 	// stop closes the connection in use.
 	stop context.CancelFunc
 	// generation tells the connection in use from those closed.
 	generation int
-	settled    bool
+	// attached is set once the attempt was attached to.
+	attached bool
+	settled  bool
 }
 
 type receiver interface {
@@ -103,10 +107,18 @@
 }
 
 // attach asks for the attempt's chunks again on another connection.
-func (s *stream) attach(from uint64) {
+func (s *stream) attach(a pipeline.Attach) {
+	s.attached = true
+	req := &wire.AttachRequest{Attempt: s.attemptID(), Incarnation: s.incarnation.Load(), FromSeq: a.FromSeq}
+	if h := a.Holder; h != nil {
+		s.holder, s.server = h, h.Server
+		req.Incarnation = h.Incarnation
+		req.Attempt = &wire.AttemptID{RequestId: h.RequestID, Stage: h.Attempt.Stage, Attempt: h.Attempt.Number}
+	}
+	addr := a.Server.Addr
 	s.start(func(ctx context.Context) (receiver, error) {
-		client := wire.NewDRPCAgentClient(s.r.p.pool.Conn(ctx, s.server.Addr))
-		return client.Attach(ctx, &wire.AttachRequest{Attempt: s.attemptID(), Incarnation: s.incarnation.Load(), FromSeq: from})
+		client := wire.NewDRPCAgentClient(s.r.p.pool.Conn(ctx, addr))
+		return client.Attach(ctx, req)
 	})
 }
 
@@ -199,10 +211,22 @@
 	s.end(result.Code(e.Code), false)
 	s.r.step(pipeline.Refused{
 		Attempt: s.id, Code: result.Code(e.Code), Message: e.Message, Ran: ranOf(e.Ran),
-		RetryAfter: time.Duration(e.RetryAfterUs) * time.Microsecond,
+		RetryAfter: time.Duration(e.RetryAfterUs) * time.Microsecond, Holder: holderOf(e.Holder),
 	})
 }
 
+func holderOf(h *wire.ClaimHolder) *pipeline.Holder {
+	if h == nil {
+		return nil
+	}
+	return &pipeline.Holder{
+		RequestID:   h.GetAttempt().GetRequestId(),
+		Attempt:     pipeline.Attempt{Stage: h.GetAttempt().GetStage(), Number: h.GetAttempt().GetAttempt()},
+		Server:      pipeline.Server{ID: h.Instance, Addr: h.Address},
+		Incarnation: h.Incarnation,
+	}
+}
+
 func (s *stream) done(e *wire.Done) {
 	s.r.p.agents.saw(s.stage.Pool, s.server.ID, s.server.Addr, e.Load)
 	s.end(result.OK, false)
@@ -217,13 +241,13 @@
 // lost tells the machine that a connection ended without a last event.
 func (s *stream) lost(generation int, err error, silent bool) {
 	s.r.mu.Lock()
-	current := s.generation == generation && !s.r.ended
+	current := s.generation == generation && !s.r.ended && s.r.p.ctx.Err() == nil
+	attached := s.attached
 	s.r.mu.Unlock()
 	if !current {
 		return
 	}
 	cause := pipeline.Broken
-	attached := generation > 1
 	switch {
 	case !attached && errors.Is(err, rpc.ErrNotConnected):
 		cause = pipeline.NotSent
--- /dev/null
+++ b/internal/entry/stream_test.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+)
+
+// streamEvent is one event as a caller reads it.
+type streamEvent struct {
+	id   uint64
+	kind string
+	data string
+}
+
+func (e streamEvent) field(name string) any {
+	var m map[string]any
+	_ = json.Unmarshal([]byte(e.data), &m)
+	return m[name]
+}
+
+func readEvent(r *bufio.Reader) (streamEvent, error) {
+	var e streamEvent
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return e, err
+		}
+		line = strings.TrimSuffix(line, "\n")
+		name, value, _ := strings.Cut(line, ": ")
+		switch {
+		case line == "" && e.kind != "":
+			return e, nil
+		case name == "id":
+			e.id, _ = strconv.ParseUint(value, 10, 64)
+		case name == "event":
+			e.kind = value
+		case name == "data":
+			e.data = value
+		}
+	}
+}
+
+func parseStream(t testing.TB, body string) []streamEvent {
+	t.Helper()
+	r := bufio.NewReader(strings.NewReader(body))
+	var all []streamEvent
+	for {
+		e, err := readEvent(r)
+		if err == io.EOF {
+			return all
+		}
+		assert.NilError(t, err)
+		all = append(all, e)
+	}
+}
+
+// callerStream is an open stream of a caller.
+type callerStream struct {
+	t      testing.TB
+	id     string
+	seq    uint64
+	body   io.ReadCloser
+	reader *bufio.Reader
+	cancel context.CancelFunc
+	texts  strings.Builder
+}
+
+func (b *bench) open(call string, header ...string) *callerStream {
+	b.t.Helper()
+	return b.read(b.request("POST", "/v1/calls/"+call, `{"q":1}`, header...))
+}
+
+// read opens a stream and checks that its events have no gap.
+func (b *bench) read(req *http.Request) *callerStream {
+	b.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	req.Header.Set("Accept", "text/event-stream")
+	res, err := http.DefaultClient.Do(req.WithContext(ctx))
+	assert.NilError(b.t, err)
+	s := &callerStream{t: b.t, id: res.Header.Get("Request-Id"), body: res.Body, reader: bufio.NewReader(res.Body), cancel: cancel}
+	b.t.Cleanup(s.close)
+	if res.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(res.Body)
+		b.t.Fatalf("status %d: %s", res.StatusCode, body)
+	}
+	s.seq, _ = strconv.ParseUint(req.Header.Get("Last-Event-ID"), 10, 64)
+	return s
+}
+
+func (s *callerStream) close() {
+	s.cancel()
+	_ = s.body.Close()
+}
+
+// until reads up to the first event of a kind.
+func (s *callerStream) until(kind string) streamEvent {
+	s.t.Helper()
+	for {
+		e, err := readEvent(s.reader)
+		assert.NilError(s.t, err)
+		assert.Equal(s.t, e.id, s.seq+1)
+		s.seq++
+		if e.kind == "chunk" {
+			s.texts.WriteString(e.field("text").(string))
+		}
+		if e.kind == kind {
+			return e
+		}
+		assert.Assert(s.t, e.kind != "done" && e.kind != "error", "%s %s", e.kind, e.data)
+	}
+}
+
+func newKey(t testing.TB) string {
+	t.Helper()
+	id, err := uuid.NewV7()
+	assert.NilError(t, err)
+	return id.String()
+}
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -51,6 +51,21 @@
 func (t *table) add(r *request) *result.Error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.take(r)
+}
+
+// adopt takes in a request of an entry that is gone, or returns the one that is
+// there already.
+func (t *table) adopt(r *request) (existing *request, bad *result.Error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if existing = t.byID[r.id]; existing != nil {
+		return existing, nil
+	}
+	return nil, t.take(r)
+}
+
+func (t *table) take(r *request) *result.Error {
 	t.evict(time.Now())
 	switch {
 	case t.refuse:
@@ -116,6 +131,16 @@
 	return t.active
 }
 
+// refusal tells why no request is taken now, before any work for one is done.
+func (t *table) refusal() *result.Error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.refuse {
+		return refusal(result.EntryDraining, "the entry is shutting down")
+	}
+	return nil
+}
+
 func (t *table) refuseNew() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -142,18 +167,21 @@
 // Submit starts a request.
 func (p *Process) Submit(req *callerapi.Request) (*answer.Record, *result.Error) {
 	now := time.Now()
+	if bad := p.table.refusal(); bad != nil {
+		p.refused(now, req, bad)
+		return nil, bad
+	}
 	if d := p.decider.admit(now, req); d.Code != result.OK {
 		e := result.New(d.Code, "the request was not admitted")
 		e.RetryAfter = d.RetryAfter
-		p.metrics.refused(d.Code)
+		p.refused(now, req, e)
 		return nil, e
 	}
-	r := p.newRequest(newID(p.opts.Settings.Instance.ID), req)
+	r := p.newRequest(newID(p.opts.Settings.Instance.ID), req, nil)
 	if bad := p.table.add(r); bad != nil {
-		r.cancel()
+		r.discard()
 		p.decider.finish(now, req.Customer.Name, bad.Code, 0)
-		p.metrics.refused(bad.Code)
-		p.table.grew(-r.record.Bytes())
+		p.refused(now, req, bad)
 		return nil, bad
 	}
 	r.step(pipeline.Start{})
