--- a/core/pipeline/stream.go
+++ b/core/pipeline/stream.go
@@ -95,6 +95,7 @@
 	a.attachTries, a.goneTries = 0, 0
 	a.ran = result.RanYes
 	a.tokens += ev.Tokens
+	a.received += int64(len(ev.Data))
 	_, _ = a.hash.Write(ev.Data)
 	direct := m.opts.Live && m.current().Answer
 	if !direct || m.stage < len(m.results)-1 {
@@ -152,7 +153,9 @@
 
 func (m *Machine) account(a *attempt, ev Done) {
 	use := &m.use[m.stage]
-	use.Queue, use.Service, use.Server = ev.Queue, ev.Service, a.server.ID
+	use.Queue, use.Service = ev.Queue, ev.Service
+	use.Server, use.Region = a.server.ID, a.server.Region
+	use.ReceivedBytes += a.received
 	use.Tokens = max(ev.Tokens, a.tokens)
 	use.FetchedBytes += ev.FetchedBytes
 	use.FetchedRegion = ev.FetchedRegion
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -17,6 +17,8 @@
 type Finished struct {
 	ID, Call, Customer, Pipeline string
 	Started                      time.Time
+	// Objective is the attainment objective of the call.
+	Objective float64
 	// Deadline is the time the caller gave; Took the time used.
 	Deadline, Took time.Duration
 	Code           result.Code
@@ -62,7 +64,7 @@
 func (p *Process) refused(now time.Time, req *callerapi.Request, e *result.Error) {
 	p.metrics.refusals.Inc(1)
 	f := Finished{
-		Call: req.Call.Name, Customer: req.Customer.Name, Pipeline: req.Pipeline.Name, Started: req.Received,
+		Call: req.Call.Name, Customer: req.Customer.Name, Pipeline: req.Pipeline.Name, Started: req.Received, Objective: req.Call.Objective,
 		Deadline: req.Timeout, Took: now.Sub(req.Received), Code: e.Code, Ran: e.Ran, Effects: e.Effects,
 	}
 	for _, o := range p.opts.Observers {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -60,7 +60,10 @@
 		Live: req.Live, MaxAnswer: req.Call.MaxAnswer, ReferenceBytes: reference,
 		Adopted: adopted, Decider: chooser{decider: p.decider, req: req},
 	})
-	r.event = Finished{ID: id, Call: req.Call.Name, Customer: req.Customer.Name, Pipeline: req.Pipeline.Name, Started: req.Received}
+	r.event = Finished{
+		ID: id, Call: req.Call.Name, Customer: req.Customer.Name, Pipeline: req.Pipeline.Name,
+		Started: req.Received, Objective: req.Call.Objective,
+	}
 	return r
 }
 
