--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -68,6 +68,7 @@
 		a.mu.Lock()
 		a.byID[id] = l.Incarnation
 		a.mu.Unlock()
+		a.p.view.Seen(id, l.Incarnation)
 	}
 	a.p.source.Learn(addr, l.ConfigOffset)
 	if l.Leaving {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/uber-go/tally/v4"
 
@@ -156,6 +155,3 @@
 		_, _ = io.WriteString(w, "cut request "+f.ID+" of customer "+f.Customer+" in stage "+f.Stage+"\n")
 	}
 }
-
-// errNotWired marks a part that was not given.
-var errNotWired = errors.New("entry: configuration source or membership view is missing")
