--- a/core/pipeline/attempt.go
+++ b/core/pipeline/attempt.go
@@ -32,8 +32,10 @@
 	ends   []int
 	hash   xxhash.Digest
 	tokens int
-	done   bool
-	acked  bool
+	// received counts the bytes of the chunks.
+	received int64
+	done     bool
+	acked    bool
 
 	attachAt    time.Time
 	attachTries int
@@ -121,12 +123,3 @@
 	}
 	return a
 }
-
-func (m *Machine) anyOpen() bool {
-	for _, a := range m.all {
-		if a.open() {
-			return true
-		}
-	}
-	return false
-}
