Let agents delay calls from other regions in experiments

Cause: on one machine all regions are equally near, so that the choice between them decides nothing. Change: experiment.region_delay in an agent's settings, off by default; the delay is taken from the call's budget.

--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -16,6 +16,7 @@
 // Run takes in an attempt and streams its result.
 func (s *rpcServer) Run(req *wire.RunRequest, stream wire.DRPCAgent_RunStream) error {
 	p := s.p
+	p.distance(stream.Context(), req)
 	p.config.Learn("", req.ConfigOffset)
 	if req.Incarnation != p.incarnation {
 		return p.refuse(stream, result.New(result.WrongIncarnation, "this is another process"))
@@ -31,6 +32,19 @@
 	return p.follow(stream, id, 1, attached)
 }
 
+// distance stands in for the time between regions in experiments.
+func (p *Process) distance(ctx context.Context, req *wire.RunRequest) {
+	delay := p.settings.Experiment.RegionDelay.Std()
+	if delay <= 0 || req.OriginRegion == p.settings.Instance.Region {
+		return
+	}
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+	}
+	req.BudgetUs -= min(req.BudgetUs, uint64(delay.Microseconds()))
+}
+
 // Attach streams the result of an attempt that was accepted before.
 func (s *rpcServer) Attach(req *wire.AttachRequest, stream wire.DRPCAgent_AttachStream) error {
 	if req.Incarnation != s.p.incarnation {
--- /dev/null
+++ b/internal/agent/server_test.go
@@ -0,0 +1,39 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/schema"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+	"github.com/magnoliawheel/magnoliawheel/internal/settings"
+)
+
+// TestDistance checks that only calls from other regions are delayed, and that
+// the delay is taken from the budget.
+func TestDistance(t *testing.T) {
+	cases := []struct {
+		name   string
+		delay  time.Duration
+		origin string
+		budget uint64
+	}{
+		{"none set", 0, "aqaba", 5000},
+		{"same region", time.Millisecond, "amman", 5000},
+		{"other region", time.Millisecond, "aqaba", 4000},
+		{"longer than the budget", 6 * time.Millisecond, "aqaba", 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := &Process{settings: &settings.Agent{
+				Instance:   settings.Instance{Region: "amman"},
+				Experiment: settings.Experiment{RegionDelay: schema.Duration(c.delay)},
+			}}
+			req := &wire.RunRequest{BudgetUs: 5000, OriginRegion: c.origin}
+			p.distance(t.Context(), req)
+			assert.Equal(t, req.BudgetUs, c.budget)
+		})
+	}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -76,6 +76,9 @@
 	c.positive("limits.kept_bytes", a.Limits.KeptBytes)
 	c.positive("limits.drain_grace", int64(a.Limits.DrainGrace))
 	c.oneOf("limits.queue", a.Limits.Queue, "fair", "fifo")
+	if a.Experiment.RegionDelay < 0 {
+		c.add("experiment.region_delay", "a value of at least 0 is needed")
+	}
 	return c.list
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -89,6 +89,13 @@
 	Security Security    `toml:"security"`
 	Limits   AgentLimits `toml:"limits"`
 	Log      Log         `toml:"log"`
+	// Experiment is for experiments alone.
+	Experiment Experiment `toml:"experiment"`
+}
+
+// Experiment stands in for what one machine lacks.
+type Experiment struct {
+	RegionDelay schema.Duration `toml:"region_delay" doc:"Delay added to calls from entries of other regions, which stands in for the distance in experiments. Default 0s."`
 }
 
 // AgentListen holds the addresses of an agent.
--- a/test/experiment/bench.go
+++ b/test/experiment/bench.go
@@ -87,7 +87,7 @@
 		d.Deployment, err = harness.Start(ctx, harness.Config{
 			Name: queue, Binaries: bin, Dir: d.dir, SchemaFile: filepath.Join(root, "test", "experiment", "schema.toml"),
 			Zones: zones, Entries: len(d.policies) * len(zones), Servers: servers(),
-			EntrySettingsOf: d.entrySettings, AgentSettings: fmt.Sprintf("[limits]\nqueue = %q\n", queue),
+			EntrySettingsOf: d.entrySettings, AgentSettings: fmt.Sprintf("[limits]\nqueue = %q\n[experiment]\nregion_delay = %q\n", queue, regionDelay),
 		})
 		if err != nil {
 			b.stop()
--- a/test/experiment/cells.go
+++ b/test/experiment/cells.go
@@ -17,6 +17,8 @@
 	prefill         = 60 * time.Millisecond
 	plainTime       = 10 * time.Millisecond
 	serversPerPlain = 3
+	// regionDelay is the round trip between regions.
+	regionDelay = 8 * time.Millisecond
 )
 
 // The loads.
