--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -13,7 +13,7 @@
 )
 
 // probeInterval is the time between two rounds of load probes.
-const probeInterval = 100 * time.Millisecond
+const probeInterval = 250 * time.Millisecond
 
 // maxProbes bounds the probes of one round.
 const maxProbes = 64
@@ -68,6 +68,7 @@
 		a.mu.Lock()
 		a.byID[id] = l.Incarnation
 		a.mu.Unlock()
+		a.p.view.Seen(id, l.Incarnation)
 	}
 	a.p.source.Learn(addr, l.ConfigOffset)
 	if l.Leaving {
@@ -101,6 +102,7 @@
 		case <-ctx.Done():
 			return
 		}
+		p.decider.countEntries(p.view.Instances())
 		for _, t := range p.decider.probes(time.Now()) {
 			if _, busy := inFlight.LoadOrStore(t.server.ID, true); busy {
 				continue
