--- a/internal/entry/burn.go
+++ b/internal/entry/burn.go
@@ -8,8 +8,6 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/burn"
 	"github.com/magnoliawheel/magnoliawheel/core/pipeline"
-	"github.com/magnoliawheel/magnoliawheel/core/result"
-	"github.com/magnoliawheel/magnoliawheel/internal/callerapi"
 	"github.com/magnoliawheel/magnoliawheel/internal/report"
 )
 
@@ -88,11 +86,3 @@
 	}
 	return out
 }
-
-// refused counts a request that was not admitted.
-func (p *Process) refused(req *callerapi.Request, code result.Code) {
-	p.metrics.refused(code)
-	p.burn.record(&burn.Request{
-		Call: req.Call.Name, Customer: req.Customer.Name, Objective: req.Call.Objective, Code: code, Deadline: req.Timeout,
-	})
-}
