Take the configuration and the instance list in, and prove the drain

A process that is told to stop, or whose instance is listed as leaving, refuses new work at once, finishes what it has, and keeps results until they are taken or the grace is over.

--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -31,5 +31,9 @@
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 		return
 	}
+	if p.config.Current().Schema == nil {
+		http.Error(w, "no schema is in force yet", http.StatusServiceUnavailable)
+		return
+	}
 	_, _ = fmt.Fprintln(w, "ok")
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/binary"
 	"io"
 	"net"
@@ -20,6 +21,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/configlog"
 	"github.com/magnoliawheel/magnoliawheel/internal/confsync"
+	"github.com/magnoliawheel/magnoliawheel/internal/members"
 	"github.com/magnoliawheel/magnoliawheel/internal/platform"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
@@ -43,7 +45,12 @@
 	incarnation uint64
 	// address is where entries and other agents reach the process.
 	address string
+	conf    *tls.Config
 	config  confsync.Source
+	// peer answers the exchange of configuration; nil without one.
+	peer wire.DRPCPeerServer
+	// loops run until the process has drained.
+	loops   []func(context.Context) error
 	plog    platform.Log
 	work    *work
 	orders  *orders
@@ -53,10 +60,27 @@
 
 // New returns a process that has not started.
 func New(o Options) (*Process, error) {
-	return newProcess(o, noLog{}, noConfig{})
+	p, err := newProcess(o, platform.NewHTTPLog(o.Settings.Platform.LogURL))
+	if err != nil {
+		return nil, err
+	}
+	instances := members.New(members.Options{
+		List: platform.NewHTTPList(o.Settings.Platform.ListURL), Logger: p.log, Self: o.Settings.Instance.ID,
+	})
+	sync := confsync.New(confsync.Options{
+		Log: p.plog, Peers: instances.Peers, Pool: p.pool, Self: o.Settings.Instance.ID, Incarnation: p.incarnation,
+		Address: o.Settings.Listen.Peers, Logger: p.log,
+	})
+	p.config, p.peer = sync, sync
+	p.loops = []func(context.Context) error{instances.Run, sync.Run, func(ctx context.Context) error {
+		p.watchList(ctx, instances.Instances)
+		return nil
+	}}
+	return p, nil
 }
 
-func newProcess(o Options, plog platform.Log, config confsync.Source) (*Process, error) {
+// newProcess returns a process without a configuration.
+func newProcess(o Options, plog platform.Log) (*Process, error) {
 	secret, err := o.Settings.Security.PeerSecret()
 	if err != nil {
 		return nil, err
@@ -70,8 +94,8 @@
 		return nil, err
 	}
 	p := &Process{
-		opts: o, settings: o.Settings, log: o.Log.WithValues("instance", o.Settings.Instance.ID),
-		incarnation: incarnation, config: config, plog: plog, pool: rpc.NewPool(conf), metrics: newMetrics(o.Scope),
+		opts: o, settings: o.Settings, log: o.Log.WithValues("instance", o.Settings.Instance.ID), conf: conf,
+		incarnation: incarnation, config: noConfig{}, plog: plog, pool: rpc.NewPool(conf), metrics: newMetrics(o.Scope),
 	}
 	p.work = newWork(p)
 	p.orders = newOrders(p)
@@ -105,29 +129,36 @@
 	return p.serve(ctx, peers, admin)
 }
 
-func (p *Process) serve(ctx context.Context, peers, admin net.Listener) error {
-	secret, err := p.settings.Security.PeerSecret()
-	if err != nil {
-		return err
+// mux returns the services for other processes.
+func (p *Process) mux() (*drpcmux.Mux, error) {
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterAgent(mux, &rpcServer{p: p}); err != nil {
+		return nil, errors.Wrap(err, "register agent service")
 	}
-	conf, err := rpc.TLSConfig(secret)
+	if p.peer == nil {
+		return mux, nil
+	}
+	return mux, errors.Wrap(wire.DRPCRegisterPeer(mux, p.peer), "register peer service")
+}
+
+func (p *Process) serve(ctx context.Context, peers, admin net.Listener) error {
+	mux, err := p.mux()
 	if err != nil {
 		return err
 	}
-	mux := drpcmux.New()
-	if err := wire.DRPCRegisterAgent(mux, &rpcServer{p: p}); err != nil {
-		return errors.Wrap(err, "register agent service")
-	}
 	p.address = peers.Addr().String()
 	live, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	wg.Go(func() { p.work.expireLoop(live) })
 	wg.Go(func() { p.work.claims.run(live, p.work.takesKeys, p.work.validity) })
 	wg.Go(func() {
-		if err := rpc.Serve(live, peers, conf, mux); err != nil {
+		if err := rpc.Serve(live, peers, p.conf, mux); err != nil {
 			p.log.Error(err, "Serving peers ended.")
 		}
 	})
+	for _, loop := range p.loops {
+		wg.Go(func() { _ = loop(live) })
+	}
 	srv := &http.Server{Handler: p.adminMux(), ReadHeaderTimeout: adminReadTimeout}
 	wg.Go(func() { _ = srv.Serve(admin) })
 	p.log.Info("Agent started.", "incarnation", p.incarnation, "peers", peers.Addr().String(), "pool", p.settings.Server.Pool)
@@ -137,7 +168,11 @@
 	_ = srv.Close()
 	p.work.stop()
 	wg.Wait()
-	return p.pool.Close()
+	if err := p.pool.Close(); err != nil {
+		// Peers may have gone first; nothing of theirs is open here any more.
+		p.log.V(1).Info("Closing connections failed.", "error", err.Error())
+	}
+	return nil
 }
 
 // drain refuses new work, waits for the work in hand, and keeps results until
@@ -161,14 +196,3 @@
 func (noConfig) Current() *configlog.Snapshot        { return &configlog.Snapshot{} }
 func (noConfig) Learn(string, uint64)                {}
 func (noConfig) WaitReady(ctx context.Context) error { return nil }
-
-// noLog is a log that is down.
-type noLog struct{}
-
-func (noLog) Append(context.Context, string, ...[]byte) (uint64, error) {
-	return 0, platform.ErrUnavailable
-}
-
-func (noLog) Read(context.Context, string, uint64, int, time.Duration) (platform.Batch, error) {
-	return platform.Batch{}, platform.ErrUnavailable
-}
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -50,8 +50,9 @@
 }
 
 func startWith(t testing.TB, s *settings.Agent, log platform.Log, config confsync.Source) *fixture {
-	p, err := newProcess(Options{Settings: s, Log: logr.Discard()}, log, config)
+	p, err := newProcess(Options{Settings: s, Log: logr.Discard()}, log)
 	assert.NilError(t, err)
+	p.config = config
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	admin, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/agent/log_test.go
+++ b/internal/agent/log_test.go
@@ -101,3 +101,14 @@
 	}
 	return b, nil
 }
+
+// noLog is a log that is down.
+type noLog struct{}
+
+func (noLog) Append(context.Context, string, ...[]byte) (uint64, error) {
+	return 0, platform.ErrUnavailable
+}
+
+func (noLog) Read(context.Context, string, uint64, int, time.Duration) (platform.Batch, error) {
+	return platform.Batch{}, platform.ErrUnavailable
+}
