Serve metrics: leave tally's own metrics out

Cause: with a prefix, the names of tally's cardinality metrics are invalid for the exporter, so both roles panicked at the first report. TestMetricsAreServed panicked before and passes after.

--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -35,6 +35,8 @@
 		Tags:           map[string]string{"role": role},
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
+		// The names of tally's own metrics are not valid ones for the exporter.
+		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return scope, reporter.HTTPHandler(), closer
 }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -26,6 +27,15 @@
 	assert.ErrorContains(t, err, `log level "loud"`)
 }
 
+func TestMetricsAreServed(t *testing.T) {
+	scope, handler, closer := Metrics("entry")
+	scope.Counter("requests_complete").Inc(2)
+	assert.NilError(t, closer.Close())
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	assert.Assert(t, strings.Contains(w.Body.String(), `magnoliawheel_requests_complete{role="entry"} 2`), w.Body.String())
+}
+
 func TestLimitedCountsSuppressedLines(t *testing.T) {
 	var out bytes.Buffer
 	log, err := Logger(&out, "info")
