--- a/cmd/mwctl/burn.go
+++ b/cmd/mwctl/burn.go
@@ -14,6 +14,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/magnoliawheel/magnoliawheel/core/burn"
+	"github.com/magnoliawheel/magnoliawheel/internal/adminapi"
 	"github.com/magnoliawheel/magnoliawheel/internal/report"
 )
 
@@ -30,7 +31,7 @@
 
 type burnCommand struct {
 	Admins []string `long:"admin" required:"true" description:"Admin base URL of an entry; give it once for each entry"`
-	Key    string   `long:"key" env:"MWCTL_ADMIN_KEY" description:"Administration key; taken from MWCTL_ADMIN_KEY if absent"`
+	Key    string   `long:"key" env:"MWCTL_KEY" description:"Administration key"`
 	JSON   bool     `long:"json" description:"Write the report as JSON"`
 	HTML   string   `long:"html" description:"Write the report as one HTML page to this file"`
 	Check  bool     `long:"check" description:"Fail with exit code 12 if a call or customer calls for an alert"`
@@ -116,7 +117,7 @@
 		return nil, errors.Wrap(err, "form request")
 	}
 	if key != "" {
-		req.Header.Set("Authorization", "Bearer "+key)
+		req.Header.Set(adminapi.KeyHeader, key)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
--- a/test/experiment/measure.go
+++ b/test/experiment/measure.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/burn"
+	"github.com/magnoliawheel/magnoliawheel/internal/adminapi"
 	"github.com/magnoliawheel/magnoliawheel/internal/load"
 	"github.com/magnoliawheel/magnoliawheel/internal/report"
 	"github.com/magnoliawheel/magnoliawheel/test/harness"
@@ -276,7 +277,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set("Authorization", "Bearer "+harness.AdminKey)
+	req.Header.Set(adminapi.KeyHeader, harness.AdminKey)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return nil, err
