--- a/cmd/mwctl/admin.go
+++ b/cmd/mwctl/admin.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set(adminapi.KeyHeader, key)
+	adminapi.Authorize(req, key)
 	req.Header.Set("Content-Type", "application/json")
 	return req, nil
 }
@@ -100,11 +100,7 @@
 	if err := json.NewDecoder(res.Body).Decode(body); err != nil || body.Code == 0 {
 		return exitError{errors.Newf("admin API: status %s", res.Status), exitFailed}
 	}
-	text := body.Error()
-	for _, m := range body.Mistakes {
-		text += "\n" + m.String()
-	}
-	return exitError{errors.Newf("%s", text), exitCodeOf(body.Code)}
+	return exitError{body, exitCodeOf(body.Code)}
 }
 
 func exitCodeOf(c result.Code) int {
@@ -123,6 +119,9 @@
 	return exitFailed
 }
 
+// Unwrap returns the error without the exit code.
+func (e exitError) Unwrap() error { return e.error }
+
 // printJSON prints v indented.
 func printJSON(v any) error {
 	enc := json.NewEncoder(os.Stdout)
--- a/cmd/mwctl/config_apply.go
+++ b/cmd/mwctl/config_apply.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/url"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"github.com/magnoliawheel/magnoliawheel/core/configlog"
+	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/internal/adminapi"
 )
 
@@ -29,43 +32,61 @@
 // Execute applies the file.
 func (c *configApply) Execute([]string) error {
 	ctx := context.Background()
-	edits, err := c.diff(ctx, c.Args.File)
+	if c.ID != "" {
+		done, err := c.settled(ctx)
+		if done || err != nil {
+			return err
+		}
+	}
+	s, err := readSchema(c.Args.File)
 	if err != nil {
 		return err
 	}
-	if len(edits) == 0 {
-		fmt.Println("nothing to change")
-		return nil
+	want, err := configlog.FromSchema(s)
+	if err != nil {
+		return err
+	}
+	current, err := c.objects(ctx, 0)
+	if err != nil {
+		return err
 	}
-	return c.submit(ctx, adminapi.ChangeRequest{ID: c.ID, Note: c.Note, Edits: edits})
+	return c.submit(ctx, current.Offset, adminapi.ChangeRequest{ID: c.ID, Note: c.Note, Edits: configlog.Diff(current.Objects, want)})
 }
 
-// diff returns the edits from the configuration in force to a schema file.
-func (f *adminFlags) diff(ctx context.Context, file string) ([]configlog.Edit, error) {
-	s, err := readSchema(file)
-	if err != nil {
-		return nil, err
+// settled prints the outcome of a change that was applied before under the same
+// id; done is false if there is none.
+func (c *configApply) settled(ctx context.Context) (done bool, err error) {
+	var o configlog.Outcome
+	err = c.call(ctx, http.MethodGet, pathChanges+"/"+url.PathEscape(c.ID), nil, &o)
+	var api *adminapi.ErrorBody
+	if errors.As(err, &api) && api.Code == result.ConfigNoObject {
+		return false, nil
 	}
-	want, err := configlog.FromSchema(s)
 	if err != nil {
-		return nil, err
+		return false, withChange(err, c.ID)
 	}
-	var current adminapi.ObjectsReply
-	if err := f.call(ctx, http.MethodGet, pathObjects+"?deleted=true", nil, &current); err != nil {
-		return nil, err
-	}
-	return configlog.Diff(current.Objects, want), nil
+	return true, c.print(&o)
 }
 
-// submit sends a change and prints what became of it.
-func (f *adminFlags) submit(ctx context.Context, req adminapi.ChangeRequest) error {
+// submit sends a change made from the configuration as of an offset, and prints
+// what became of it.
+func (f *adminFlags) submit(ctx context.Context, after uint64, req adminapi.ChangeRequest) error {
+	if len(req.Edits) == 0 {
+		fmt.Println("nothing to change")
+		return nil
+	}
 	if req.ID == "" {
 		req.ID = uuid.Must(uuid.NewV7()).String()
 	}
 	var o configlog.Outcome
 	if err := f.call(ctx, http.MethodPost, pathChanges, req, &o); err != nil {
-		return withChange(err, req.ID)
+		return withChange(err, fmt.Sprintf("%s (after %d)", req.ID, after))
 	}
+	return f.print(&o)
+}
+
+// print prints the outcome of a change in force.
+func (f *adminFlags) print(o *configlog.Outcome) error {
 	if f.JSON {
 		return printJSON(o)
 	}
--- /dev/null
+++ b/cmd/mwctl/config_get.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/magnoliawheel/magnoliawheel/core/configlog"
+	"github.com/magnoliawheel/magnoliawheel/internal/adminapi"
+)
+
+// configGet is mwctl config get.
+type configGet struct {
+	adminFlags
+	At   uint64 `long:"at" description:"Offset as of which to show the configuration; the newest by default"`
+	Args struct {
+		Object string `positional-arg-name:"OBJECT"`
+	} `positional-args:"true"`
+}
+
+// Execute prints the configuration as a schema file, or one object as JSON.
+func (c *configGet) Execute([]string) error {
+	ctx := context.Background()
+	if c.Args.Object != "" {
+		return c.object(ctx)
+	}
+	reply, err := c.objects(ctx, c.At)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(reply)
+	}
+	s, err := configlog.ToSchema(reply.Objects)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("# In force at offset %d.\n", reply.Offset)
+	return toml.NewEncoder(os.Stdout).Encode(s)
+}
+
+func (c *configGet) object(ctx context.Context) error {
+	var o configlog.Object
+	if err := c.call(ctx, http.MethodGet, pathObjects+"/"+c.Args.Object+atQuery(c.At), nil, &o); err != nil {
+		return err
+	}
+	return printJSON(o)
+}
+
+// objects returns the objects with tombstones as of an offset; 0 is the newest.
+func (f *adminFlags) objects(ctx context.Context, at uint64) (adminapi.ObjectsReply, error) {
+	var reply adminapi.ObjectsReply
+	query := "?deleted=true"
+	if at > 0 {
+		query += "&at=" + strconv.FormatUint(at, 10)
+	}
+	err := f.call(ctx, http.MethodGet, pathObjects+query, nil, &reply)
+	return reply, err
+}
+
+func atQuery(at uint64) string {
+	if at == 0 {
+		return ""
+	}
+	return "?at=" + strconv.FormatUint(at, 10)
+}
--- /dev/null
+++ b/cmd/mwctl/config_history.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/magnoliawheel/magnoliawheel/core/configlog"
+)
+
+// configHistory is mwctl config history.
+type configHistory struct {
+	adminFlags
+	Args struct {
+		Object string `positional-arg-name:"OBJECT"`
+	} `positional-args:"true"`
+}
+
+// Execute lists the newest changes and what became of them.
+func (c *configHistory) Execute([]string) error {
+	path := "/admin/v1/config/history"
+	if c.Args.Object != "" {
+		path += "?object=" + url.QueryEscape(c.Args.Object)
+	}
+	var list []configlog.Outcome
+	if err := c.call(context.Background(), http.MethodGet, path, nil, &list); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(list)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "OFFSET\tSTATUS\tTIME\tAUTHOR\tCHANGE\tOBJECTS\tNOTE")
+	for i := range list {
+		o := &list[i]
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\t%s\n", o.Offset, o.Status, o.Time, o.Author, o.ID, objectNames(o.Objects), o.Note)
+	}
+	return w.Flush()
+}
+
+// objectNames shortens a long list.
+func objectNames(list []string) string {
+	const most = 3
+	if len(list) <= most {
+		return strings.Join(list, " ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(list[:most], " "), len(list)-most)
+}
--- /dev/null
+++ b/cmd/mwctl/config_rollback.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliawheel/magnoliawheel/core/configlog"
+	"github.com/magnoliawheel/magnoliawheel/internal/adminapi"
+)
+
+// configRollback is mwctl config rollback.
+type configRollback struct {
+	adminFlags
+	ID   string `long:"id" description:"Id of the change"`
+	Note string `long:"note" description:"Why the change is made"`
+	Args struct {
+		Offset  uint64   `positional-arg-name:"OFFSET" required:"true"`
+		Objects []string `positional-arg-name:"OBJECT"`
+	} `positional-args:"true"`
+}
+
+// Execute writes new versions with the content as of an offset.
+func (c *configRollback) Execute([]string) error {
+	ctx := context.Background()
+	if c.Args.Offset == 0 {
+		return exitError{errors.New("the offset is over 0"), exitUsage}
+	}
+	old, err := c.objects(ctx, c.Args.Offset)
+	if err != nil {
+		return err
+	}
+	current, err := c.objects(ctx, 0)
+	if err != nil {
+		return err
+	}
+	edits := configlog.Diff(current.Objects, configlog.Existing(old.Objects))
+	if len(c.Args.Objects) > 0 {
+		edits = slices.DeleteFunc(edits, func(e configlog.Edit) bool { return !slices.Contains(c.Args.Objects, e.Object) })
+	}
+	if c.Note == "" {
+		c.Note = fmt.Sprintf("rollback to offset %d", c.Args.Offset)
+	}
+	return c.submit(ctx, current.Offset, adminapi.ChangeRequest{ID: c.ID, Note: c.Note, Edits: edits})
+}
--- /dev/null
+++ b/cmd/mwctl/config_status.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/magnoliawheel/magnoliawheel/core/configlog"
+)
+
+// configStatus is mwctl config status.
+type configStatus struct {
+	adminFlags
+	Args struct {
+		ID string `positional-arg-name:"CHANGE" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute tells what became of a change.
+func (c *configStatus) Execute([]string) error {
+	var o configlog.Outcome
+	if err := c.call(context.Background(), http.MethodGet, pathChanges+"/"+url.PathEscape(c.Args.ID), nil, &o); err != nil {
+		return withChange(err, c.Args.ID)
+	}
+	return c.print(&o)
+}
--- /dev/null
+++ b/cmd/mwctl/config_withdraw.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/magnoliawheel/magnoliawheel/core/configlog"
+)
+
+// configWithdraw is mwctl config withdraw.
+type configWithdraw struct {
+	adminFlags
+	After uint64 `long:"after" required:"true" description:"Offset that apply printed with the id"`
+	Args  struct {
+		ID string `positional-arg-name:"CHANGE" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute makes the change void, or prints that it is in force.
+func (c *configWithdraw) Execute([]string) error {
+	var o configlog.Outcome
+	path := pathChanges + "/" + url.PathEscape(c.Args.ID) + "?after=" + strconv.FormatUint(c.After, 10)
+	if err := c.call(context.Background(), http.MethodDelete, path, nil, &o); err != nil {
+		return withChange(err, c.Args.ID)
+	}
+	if o.Status == configlog.Accepted || c.JSON {
+		return c.print(&o)
+	}
+	fmt.Printf("change %s is void\n", o.ID)
+	return nil
+}
--- a/core/configlog/configlog.go
+++ b/core/configlog/configlog.go
@@ -33,15 +33,7 @@
 func (s *Snapshot) Digest() uint64 { return s.digest }
 
 // Objects returns the objects that exist, sorted by name.
-func (s *Snapshot) Objects() []Object {
-	list := make([]Object, 0, len(s.objects))
-	for i := range s.objects {
-		if !s.objects[i].Deleted {
-			list = append(list, s.objects[i])
-		}
-	}
-	return list
-}
+func (s *Snapshot) Objects() []Object { return Existing(s.objects) }
 
 // AllObjects returns the objects with tombstones, sorted by name. The slice is
 // shared and must not be changed.
--- a/core/configlog/fold.go
+++ b/core/configlog/fold.go
@@ -20,6 +20,8 @@
 	// Expired means that the record landed more than Window offsets after the
 	// offset its writer had seen.
 	Expired Status = "expired"
+	// Withdrawn means that the id was made void before a change of that id landed.
+	Withdrawn Status = "withdrawn"
 	// Duplicate means that the change id was folded before; the first outcome stands.
 	Duplicate Status = "duplicate"
 	// Checkpointed marks a checkpoint, which changes nothing.
@@ -98,6 +100,10 @@
 		o.Status = Expired
 		return o
 	}
+	if c.Withdraw {
+		o.Status = Withdrawn
+		return o
+	}
 	if object, version, ok := s.conflict(c.Edits); ok {
 		o.Status, o.ConflictObject, o.ConflictVersion = Conflict, object, version
 		return o
@@ -124,8 +130,8 @@
 		return mistake("author", fmt.Sprintf("an author has up to %d bytes", MaxIDBytes))
 	case len(c.Note) > MaxIDBytes || len(c.Time) > MaxIDBytes:
 		return mistake("note", fmt.Sprintf("a note or time has up to %d bytes", MaxIDBytes))
-	case len(c.Edits) == 0 || len(c.Edits) > MaxEdits:
-		return mistake("edits", fmt.Sprintf("a change has 1 to %d edits", MaxEdits))
+	case c.Withdraw != (len(c.Edits) == 0) || len(c.Edits) > MaxEdits:
+		return mistake("edits", fmt.Sprintf("a change has 1 to %d edits, or withdraw = true", MaxEdits))
 	case c.After >= offset:
 		return mistake("after", "the offset is in the future")
 	}
--- a/core/configlog/object.go
+++ b/core/configlog/object.go
@@ -61,6 +61,30 @@
 	return list, first
 }
 
+// ToSchema returns the schema that objects make up, without validating it.
+func ToSchema(objects []Object) (*schema.Schema, error) {
+	list := Existing(objects)
+	for i := range list {
+		value, _, err := decodeBody(list[i].Name, list[i].Body)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", list[i].Name, err)
+		}
+		list[i].value = value
+	}
+	return assemble(list), nil
+}
+
+// Existing returns the objects without tombstones.
+func Existing(objects []Object) []Object {
+	list := make([]Object, 0, len(objects))
+	for i := range objects {
+		if !objects[i].Deleted {
+			list = append(list, objects[i])
+		}
+	}
+	return list
+}
+
 // Diff returns the edits that lead from the current objects, tombstones
 // included, to the wanted ones.
 func Diff(current, want []Object) []Edit {
--- a/core/configlog/record.go
+++ b/core/configlog/record.go
@@ -45,7 +45,10 @@
 	Note string `json:"note,omitempty"`
 	// After is the newest offset that the writer had folded.
 	After uint64 `json:"after"`
-	Edits []Edit `json:"edits"`
+	Edits []Edit `json:"edits,omitempty"`
+	// Withdraw makes the id void if no change of that id was folded yet; there are
+	// no edits then, and After is at most that of the change.
+	Withdraw bool `json:"withdraw,omitempty"`
 }
 
 // record is the content of one log record: a change or a checkpoint.
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -20,8 +20,11 @@
 type Config interface {
 	Current() *configlog.Snapshot
 	Submit(ctx context.Context, c *configlog.Change) (configlog.Outcome, error)
-	CatchUp(ctx context.Context, target uint64) error
-	// Offset asks the instance at an address for its offset in force.
+	// Find returns what became of a change.
+	Find(ctx context.Context, id string) (configlog.Outcome, error)
+	// At returns the configuration as of an offset.
+	At(ctx context.Context, offset uint64) (*configlog.Snapshot, error)
+	// OffsetOf asks the instance at an address for its offset in force.
 	OffsetOf(ctx context.Context, addr string) (uint64, error)
 }
 
--- a/internal/adminapi/config.go
+++ b/internal/adminapi/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -35,6 +36,7 @@
 func (a *API) configRoutes() {
 	a.Handle("POST /admin/v1/config/changes", RoleWrite, a.postChange)
 	a.Handle("GET /admin/v1/config/changes/{id}", RoleRead, a.getChange)
+	a.Handle("DELETE /admin/v1/config/changes/{id}", RoleWrite, a.withdrawChange)
 	a.Handle("GET /admin/v1/config/objects", RoleRead, a.getObjects)
 	a.Handle("GET /admin/v1/config/objects/{name...}", RoleRead, a.getObject)
 	a.Handle("PUT /admin/v1/config/objects/{name...}", RoleWrite, a.putObject)
@@ -49,17 +51,30 @@
 		WriteError(w, err)
 		return
 	}
-	a.submit(w, r, req)
+	if len(req.Edits) == 0 {
+		WriteError(w, result.New(result.AdminBadRequest, "a change has at least one edit"))
+		return
+	}
+	if req.ID == "" {
+		req.ID = uuid.Must(uuid.NewV7()).String()
+	}
+	a.submit(w, r, &configlog.Change{ID: req.ID, Note: req.Note, Edits: req.Edits})
 }
 
-func (a *API) submit(w http.ResponseWriter, r *http.Request, req ChangeRequest) {
-	c := &configlog.Change{
-		ID: req.ID, Author: Operator(r.Context()), Note: req.Note,
-		Time: time.Now().UTC().Format(time.RFC3339), Edits: req.Edits,
-	}
-	if c.ID == "" {
-		c.ID = uuid.Must(uuid.NewV7()).String()
+// withdrawChange makes the id of a change void unless the change was folded
+// already, which settles a change whose outcome is unknown. The offset in after
+// is one at which the change had not been written.
+func (a *API) withdrawChange(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		WriteError(w, result.New(result.AdminBadRequest, "after=OFFSET is needed"))
+		return
 	}
+	a.submit(w, r, &configlog.Change{ID: r.PathValue("id"), After: after, Withdraw: true})
+}
+
+func (a *API) submit(w http.ResponseWriter, r *http.Request, c *configlog.Change) {
+	c.Author, c.Time = Operator(r.Context()), time.Now().UTC().Format(time.RFC3339)
 	ctx, cancel := context.WithTimeout(r.Context(), settleTimeout)
 	defer cancel()
 	o, err := a.opts.Config.Submit(ctx, c)
@@ -68,7 +83,7 @@
 		writeChangeError(w, c.ID, err)
 		return
 	}
-	writeOutcome(w, &o)
+	writeOutcome(w, r, &o)
 }
 
 func writeChangeError(w http.ResponseWriter, id string, err error) {
@@ -83,7 +98,7 @@
 }
 
 // writeOutcome answers with the outcome of a change: 200 if it is in force.
-func writeOutcome(w http.ResponseWriter, o *configlog.Outcome) {
+func writeOutcome(w http.ResponseWriter, r *http.Request, o *configlog.Outcome) {
 	body := &ErrorBody{Change: o.ID, Offset: o.Offset, Mistakes: o.Mistakes}
 	switch o.Status {
 	case configlog.Accepted:
@@ -95,6 +110,12 @@
 		body.Message = o.ConflictObject + " has version " + strconv.FormatUint(o.ConflictVersion, 10)
 	case configlog.Invalid:
 		body.Code, body.Message = result.ConfigInvalid, "the configuration would have mistakes"
+	case configlog.Withdrawn:
+		if r.Method == http.MethodDelete {
+			WriteJSON(w, http.StatusOK, o)
+			return
+		}
+		body.Code, body.Message = result.ConfigUnavailable, "the change was withdrawn and is void"
 	default:
 		body.Code, body.Message = result.ConfigUnavailable, "the change was written too late and is void"
 		body.RetryAfterMS = time.Second.Milliseconds()
@@ -105,37 +126,50 @@
 // getChange tells what became of a change.
 func (a *API) getChange(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
-	readErr := a.opts.Config.CatchUp(r.Context(), 0)
-	if o, ok := a.opts.Config.Current().Outcome(id); ok {
-		writeOutcome(w, &o)
-		return
-	}
-	if readErr != nil {
-		writeErrorBody(w, &ErrorBody{
-			Code: result.ConfigUnknown, Message: "the log is down; ask again", Change: id, RetryAfterMS: retryAfterMS,
-		})
+	o, err := a.opts.Config.Find(r.Context(), id)
+	if err != nil {
+		writeChangeError(w, id, err)
 		return
 	}
-	writeErrorBody(w, &ErrorBody{Code: result.ConfigNoObject, Message: "no such change in the log", Change: id})
+	writeOutcome(w, r, &o)
 }
 
-// retryAfterMS is when asking again helps while the log is down.
-const retryAfterMS = 5000
-
+// getObjects lists the objects in force, or those as of the offset in at.
 func (a *API) getObjects(w http.ResponseWriter, r *http.Request) {
-	snap := a.opts.Config.Current()
-	if notModified(w, r, etag(snap.Offset)) {
+	snap, err := a.snapshot(r)
+	if err != nil {
+		WriteError(w, err)
 		return
 	}
-	objects := snap.Objects()
 	if r.URL.Query().Get("deleted") == "true" {
-		objects = snap.AllObjects()
+		WriteJSON(w, http.StatusOK, ObjectsReply{Offset: snap.Offset, Objects: snap.AllObjects()})
+		return
 	}
-	WriteJSON(w, http.StatusOK, ObjectsReply{Offset: snap.Offset, Objects: objects})
+	if notModified(w, r, etag(snap.Offset)) {
+		return
+	}
+	WriteJSON(w, http.StatusOK, ObjectsReply{Offset: snap.Offset, Objects: snap.Objects()})
+}
+
+func (a *API) snapshot(r *http.Request) (*configlog.Snapshot, error) {
+	at := r.URL.Query().Get("at")
+	if at == "" {
+		return a.opts.Config.Current(), nil
+	}
+	offset, err := strconv.ParseUint(at, 10, 64)
+	if err != nil {
+		return nil, result.New(result.AdminBadRequest, "at=%s is not an offset", at)
+	}
+	return a.opts.Config.At(r.Context(), offset)
 }
 
 func (a *API) getObject(w http.ResponseWriter, r *http.Request) {
-	o, ok := a.opts.Config.Current().Object(r.PathValue("name"))
+	snap, err := a.snapshot(r)
+	if err != nil {
+		WriteError(w, err)
+		return
+	}
+	o, ok := snap.Object(r.PathValue("name"))
 	if !ok || o.Deleted {
 		writeErrorBody(w, noObject(r.PathValue("name")))
 		return
@@ -184,7 +218,11 @@
 		WriteError(w, result.New(result.AdminBadRequest, "If-Match with the version, or If-None-Match: *, is needed"))
 		return
 	}
-	a.submit(w, r, ChangeRequest{ID: r.Header.Get("Change-Id"), Edits: []configlog.Edit{edit}})
+	id := r.Header.Get("Change-Id")
+	if id == "" {
+		id = uuid.Must(uuid.NewV7()).String()
+	}
+	a.submit(w, r, &configlog.Change{ID: id, Edits: []configlog.Edit{edit}})
 }
 
 func etag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
@@ -212,18 +250,9 @@
 	outcomes := a.opts.Config.Current().Outcomes()
 	list := []configlog.Outcome{}
 	for i := len(outcomes) - 1; i >= 0; i-- {
-		if object == "" || containsString(outcomes[i].Objects, object) {
+		if object == "" || slices.Contains(outcomes[i].Objects, object) {
 			list = append(list, outcomes[i])
 		}
 	}
 	WriteJSON(w, http.StatusOK, list)
 }
-
-func containsString(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/adminapi/json.go
+++ b/internal/adminapi/json.go
@@ -29,8 +29,14 @@
 	Version uint64 `json:"version,omitempty"`
 }
 
-// Error returns the code and the message.
-func (e *ErrorBody) Error() string { return e.Code.String() + ": " + e.Message }
+// Error returns the code, the message and the mistakes, one a line.
+func (e *ErrorBody) Error() string {
+	text := e.Code.String() + ": " + e.Message
+	for i := range e.Mistakes {
+		text += "\n" + e.Mistakes[i].String()
+	}
+	return text
+}
 
 // WriteJSON writes v with a status.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
--- a/internal/adminapi/keys.go
+++ b/internal/adminapi/keys.go
@@ -22,8 +22,11 @@
 	RoleWrite Role = "write"
 )
 
-// KeyHeader carries the key of the operator.
-const KeyHeader = "Admin-Key"
+// bearer precedes the key in the Authorization header (RFC 6750).
+const bearer = "Bearer "
+
+// Authorize puts an administration key on a request.
+func Authorize(r *http.Request, key string) { r.Header.Set("Authorization", bearer+key) }
 
 // Keys holds the administration keys.
 type Keys struct{ list []key }
@@ -69,9 +72,9 @@
 
 // check returns the name of the operator, or why the request is not allowed.
 func (k *Keys) check(r *http.Request, need Role) (string, *result.Error) {
-	sent := r.Header.Get(KeyHeader)
-	if sent == "" {
-		return "", result.New(result.AdminUnauthorized, "header %s is missing", KeyHeader)
+	sent, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
+	if !ok {
+		return "", result.New(result.AdminUnauthorized, "header Authorization: Bearer KEY is missing")
 	}
 	hash := sha256.Sum256([]byte(sent))
 	for i := range k.list {
--- /dev/null
+++ b/internal/confsync/history.go
@@ -0,0 +1,71 @@
+package confsync
+
+import (
+	"context"
+
+	"github.com/magnoliawheel/magnoliawheel/core/configlog"
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/internal/platform"
+)
+
+// At returns the configuration as of an offset, from the records that the log
+// keeps. The error is a *result.Error: ConfigUnavailable if the log is down,
+// ConfigNoObject if the log does not reach back to the offset or up to it.
+func (s *Sync) At(ctx context.Context, offset uint64) (*configlog.Snapshot, error) {
+	if now := s.Current(); now.Offset == offset {
+		return now, nil
+	}
+	records, err := s.readAll(ctx, 1)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	snap := startFor(records, offset)
+	for i := range records {
+		if snap != nil && snap.Offset < offset && records[i].Offset == snap.Offset+1 {
+			snap, _ = snap.Fold(records[i].Offset, records[i].Data)
+		}
+	}
+	if snap == nil || snap.Offset != offset {
+		return nil, result.New(result.ConfigNoObject, "the log does not hold the configuration at offset %d", offset)
+	}
+	return snap, nil
+}
+
+// startFor returns a state at or before an offset from which the records lead
+// on, or nil.
+func startFor(records []platform.Record, offset uint64) *configlog.Snapshot {
+	if len(records) == 0 || records[0].Offset == 1 {
+		return configlog.Empty()
+	}
+	for i := range records {
+		at, _, ok := configlog.CheckpointInfo(records[i].Data)
+		if !ok || at > offset || at+1 < records[0].Offset {
+			continue
+		}
+		if snap, err := configlog.DecodeCheckpoint(records[i].Data); err == nil {
+			return snap
+		}
+	}
+	return nil
+}
+
+// Find returns what became of a change, after reading the log. The error is a
+// *result.Error: ConfigNoObject if the change is in none of the records of the
+// last configlog.Window offsets, ConfigUnknown if the log is down.
+func (s *Sync) Find(ctx context.Context, id string) (configlog.Outcome, error) {
+	err := s.CatchUp(ctx, 0)
+	if o, ok := s.Current().Outcome(id); ok {
+		return o, nil
+	}
+	if err != nil {
+		return configlog.Outcome{}, unknown(id)
+	}
+	return configlog.Outcome{}, result.New(result.ConfigNoObject, "change %s is not in the log", id)
+}
+
+func unknown(id string) *result.Error {
+	return &result.Error{
+		Code: result.ConfigUnknown, Ran: result.RanUnknown, Effects: result.RanUnknown, RetryAfter: RetryAfter,
+		Message: "the outcome of change " + id + " is not known; ask again with this id",
+	}
+}
--- a/internal/confsync/submit.go
+++ b/internal/confsync/submit.go
@@ -21,14 +21,18 @@
 // Submit writes a change to the log and returns what became of it. The error is a
 // *result.Error: ConfigUnavailable if nothing was written, or ConfigUnknown if
 // the outcome is not known when ctx ends. A change with the same id may be
-// submitted again; it takes effect once.
+// submitted again; it takes effect once. A withdrawal keeps its After.
 func (s *Sync) Submit(ctx context.Context, c *configlog.Change) (configlog.Outcome, error) {
 	if err := s.CatchUp(ctx, 0); err != nil {
 		return configlog.Outcome{}, unavailable(err)
 	}
 	snap := s.Current()
-	c.After = snap.Offset
-	if o := snap.Try(c); o.Status != configlog.Accepted || o.Offset <= snap.Offset {
+	if !c.Withdraw {
+		c.After = snap.Offset
+	}
+	o := snap.Try(c)
+	decided := o.Offset <= snap.Offset
+	if decided || (o.Status != configlog.Accepted && o.Status != configlog.Withdrawn) {
 		return o, nil
 	}
 	data, err := configlog.EncodeChange(c)
@@ -55,10 +59,7 @@
 			return configlog.Outcome{}, result.New(result.ConfigUnavailable, "change %s was not written and is void", c.ID)
 		}
 		if !sleep(ctx, outcomePoll) {
-			return configlog.Outcome{}, &result.Error{
-				Code: result.ConfigUnknown, Ran: result.RanUnknown, Effects: result.RanUnknown, RetryAfter: RetryAfter,
-				Message: "the outcome of change " + c.ID + " is not known; ask again with this id",
-			}
+			return configlog.Outcome{}, unknown(c.ID)
 		}
 	}
 }
