--- a/test/experiment/measure.go
+++ b/test/experiment/measure.go
@@ -277,7 +277,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set(adminapi.KeyHeader, harness.AdminKey)
+	adminapi.Authorize(req, harness.AdminKey)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return nil, err
