Bound load probes per entry and send lists of models only when they changed

Cause: one entry before 2,700 servers spent 50.6 KB/s and 4.33% of a core on control, against 7 KB/s and 1.7%. 96 probes a second, one bound for each of six pools, each answered with the names of 35 models. Ruled out: the instance list (235 B/s with entity tags) and the exchange of configuration (0.27 a second). Change: one bound of 16 probes a second shared by an entry's pools; a rotating start, without which a tight bound starved the later candidates (the new test fails so); loads carry the hash of the list of models, and a probe that names another hash gets the list.

--- a/core/routing/health_test.go
+++ b/core/routing/health_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -278,6 +279,26 @@
 			r.Observe(now, s.ID, Load{Limit: 8, Service: ms, Models: []string{"m"}})
 		}
 	}
-	assert.Assert(t, asked <= 60*probesPerSecond+defaultSubset, "%d probes in a minute", asked)
+	assert.Assert(t, asked <= 60*DefaultProbesPerSecond+defaultSubset, "%d probes in a minute", asked)
 	assert.Assert(t, len(found) > defaultSubset, "found %d", len(found))
 }
+
+func TestProbesReachEveryCandidateUnderATightBound(t *testing.T) {
+	r := New(Options{Policy: LeastFinish, Subset: 24, ProbesPerSecond: 4, Seed: 1})
+	var list []Server
+	for i := range 24 {
+		list = append(list, Server{ID: fmt.Sprintf("s%d", i)})
+	}
+	now := time.Unix(0, 0)
+	r.SetServers(now, list)
+	r.Probes(now, nil)
+	seen := map[string]int{}
+	for range 40 {
+		now = now.Add(250 * time.Millisecond)
+		for _, s := range r.Probes(now, nil) {
+			seen[s.ID]++
+			r.Observe(now, s.ID, Load{Limit: 4})
+		}
+	}
+	assert.Equal(t, len(seen), len(list))
+}
--- a/core/routing/probe.go
+++ b/core/routing/probe.go
@@ -10,8 +10,6 @@
 	probeInterval = 500 * time.Millisecond
 	// probeTimeout is the time after which a probe counts as unanswered.
 	probeTimeout = time.Second
-	// probesPerSecond bounds the probes of one pool.
-	probesPerSecond = 16
 	// probesUnanswered is the number of probes without an answer that makes a
 	// server costly.
 	probesUnanswered = 2
@@ -25,26 +23,21 @@
 type probeState struct {
 	tokens float64
 	at     time.Time
-	// cursor goes through the servers that never reported.
+	// cursor goes through the servers that never reported, group through the models.
 	cursor int
+	group  int
 	models []string
 }
 
-// Probes appends to dst the servers whose load should be asked for now.
+// Probes appends to dst the servers whose load should be asked for now. When the
+// bound on probes leaves servers out, the next call goes on with them.
 func (r *Router) Probes(now time.Time, dst []Server) []Server {
 	r.refillProbes(now)
-	for _, model := range r.models() {
-		g := r.groups[model]
-		if model != "" && now.Sub(g.queried) > queriedFor {
-			continue
-		}
-		if g.dirty {
-			g.choose(r.opts.Subset)
-		}
-		for _, st := range g.candidates {
-			dst = r.probe(now, st, dst)
-		}
+	models := r.models()
+	for i := range models {
+		dst = r.probeGroup(now, models[(r.probes.group+i)%len(models)], dst)
 	}
+	r.probes.group++
 	if r.searching(now) {
 		dst = r.search(now, dst)
 	}
@@ -54,13 +47,38 @@
 	return dst
 }
 
+// probeGroup probes the candidates of a model that was asked for lately.
+func (r *Router) probeGroup(now time.Time, model string, dst []Server) []Server {
+	g := r.groups[model]
+	if model != "" && now.Sub(g.queried) > queriedFor {
+		return dst
+	}
+	if g.dirty {
+		g.choose(r.opts.Subset)
+	}
+	n := len(g.candidates)
+	start := g.probed
+	for i := range n {
+		if r.probes.tokens < 1 {
+			break
+		}
+		at := (start + i) % n
+		before := len(dst)
+		dst = r.probe(now, g.candidates[at], dst)
+		if len(dst) > before {
+			g.probed = at + 1
+		}
+	}
+	return dst
+}
+
 func (r *Router) refillProbes(now time.Time) {
 	if !r.probes.at.IsZero() {
-		r.probes.tokens += now.Sub(r.probes.at).Seconds() * probesPerSecond
+		r.probes.tokens += now.Sub(r.probes.at).Seconds() * r.opts.ProbesPerSecond
 	} else {
 		r.probes.tokens = float64(r.opts.Subset)
 	}
-	r.probes.tokens = min(r.probes.tokens, max(probesPerSecond, float64(r.opts.Subset)))
+	r.probes.tokens = min(r.probes.tokens, max(r.opts.ProbesPerSecond, float64(r.opts.Subset)))
 	r.probes.at = now
 }
 
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -40,6 +40,9 @@
 	if o.Subset <= 0 {
 		o.Subset = defaultSubset
 	}
+	if o.ProbesPerSecond <= 0 {
+		o.ProbesPerSecond = DefaultProbesPerSecond
+	}
 	return &Router{
 		opts:   o,
 		rng:    rand.New(rand.NewPCG(o.Seed, seedStream)),
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -71,6 +71,9 @@
 	RoundRobin Policy = "round-robin"
 )
 
+// DefaultProbesPerSecond bounds the probes of one pool.
+const DefaultProbesPerSecond = 16
+
 // Options sets up a Router.
 type Options struct {
 	Policy Policy
@@ -78,6 +81,8 @@
 	Zone, Region string
 	// Subset is how many servers the entry keeps in touch with.
 	Subset int
+	// ProbesPerSecond bounds the probes; 0 takes DefaultProbesPerSecond.
+	ProbesPerSecond float64
 	// Seed makes the choices reproducible.
 	Seed uint64
 	// Cache tells what is known of the servers' prefix caches; nil if nothing is.
--- a/core/routing/subset.go
+++ b/core/routing/subset.go
@@ -26,8 +26,10 @@
 	// candidates is the subset of members that the entry keeps in touch with, by
 	// tier and region.
 	candidates []*server
-	spans      []span
-	dirty      bool
+	// probed is the index after the candidate that was probed last.
+	probed int
+	spans  []span
+	dirty  bool
 	// queried is when the group was last chosen from.
 	queried time.Time
 }
--- /dev/null
+++ b/internal/agent/models.go
@@ -0,0 +1,29 @@
+package agent
+
+import "github.com/cespare/xxhash/v2"
+
+// modelList is the list of models at the server with its version.
+type modelList struct {
+	names []string
+	// version is the hash of the names; 0 if there are none.
+	version uint64
+}
+
+func newModelList(names []string) modelList {
+	if len(names) == 0 {
+		return modelList{}
+	}
+	h := xxhash.New()
+	for _, n := range names {
+		_, _ = h.WriteString(n)
+		_, _ = h.Write([]byte{0})
+	}
+	return modelList{names: names, version: h.Sum64()}
+}
+
+// modelNames returns the models at the server; the slice must not be changed.
+func (w *work) modelNames() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.models.names
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -80,7 +80,11 @@
 // Probe tells the incarnation and the load.
 func (s *rpcServer) Probe(_ context.Context, req *wire.ProbeRequest) (*wire.ProbeReply, error) {
 	s.p.config.Learn("", req.ConfigOffset)
-	return &wire.ProbeReply{Load: s.p.load()}, nil
+	load := s.p.load()
+	if load.ModelsVersion != req.ModelsVersion {
+		load.Models = s.p.work.modelNames()
+	}
+	return &wire.ProbeReply{Load: load}, nil
 }
 
 // Find lists the attempts of a request.
@@ -124,6 +128,6 @@
 		Running: uint32(w.running), Queued: uint32(w.queue.Len()), Limit: uint32(w.limiter.Limit()),
 		WaitUs: uint64(w.wait(&wire.RunRequest{}).Microseconds()), ServiceUs: uint64(w.timing.service.Microseconds()),
 		TokensPerS: w.timing.tokensPerSecond, Leaving: w.leaving != 0,
-		ConfigOffset: p.config.Current().Offset, KeptBytes: uint64(w.ledger.KeptBytes()), Models: w.models,
+		ConfigOffset: p.config.Current().Offset, KeptBytes: uint64(w.ledger.KeptBytes()), ModelsVersion: w.models.version,
 	}
 }
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -100,7 +100,7 @@
 	leaving   leavingReason
 	// timing is the smoothed time at the server.
 	timing timing
-	models []string
+	models modelList
 	// changed is signalled when work ends or a result is acknowledged.
 	changed chan struct{}
 }
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -21,15 +21,25 @@
 // errReplaced means that another instance answered at an agent's address.
 var errReplaced = errors.New("entry: another instance answered at the address")
 
-// agents keeps the incarnation of each agent as last seen.
+// agents keeps what each agent last said of its identity and its models.
 type agents struct {
 	p *Process
 
-	mu   sync.Mutex
-	byID map[string]uint64
+	mu     sync.Mutex
+	byID   map[string]uint64
+	models map[string]modelList
 }
 
-func newAgents(p *Process) *agents { return &agents{p: p, byID: map[string]uint64{}} }
+// modelList is the list of models at a server; agents send it only to those that
+// do not have its version.
+type modelList struct {
+	version uint64
+	names   []string
+}
+
+func newAgents(p *Process) *agents {
+	return &agents{p: p, byID: map[string]uint64{}, models: map[string]modelList{}}
+}
 
 // incarnation returns the incarnation of an agent, asking it if it is not known.
 func (a *agents) incarnation(ctx context.Context, pool, id, addr string) (uint64, error) {
@@ -47,7 +57,7 @@
 	ctx, cancel := context.WithTimeout(ctx, rpc.SilenceTimeout)
 	defer cancel()
 	client := wire.NewDRPCAgentClient(a.p.pool.Conn(ctx, addr))
-	reply, err := client.Probe(ctx, &wire.ProbeRequest{ConfigOffset: a.p.source.Current().Offset})
+	reply, err := client.Probe(ctx, &wire.ProbeRequest{ConfigOffset: a.p.source.Current().Offset, ModelsVersion: a.modelsOf(id).version})
 	if err != nil {
 		a.p.pool.Forget(addr)
 		return 0, err
@@ -78,10 +88,28 @@
 		Running: int(l.Running), Queued: int(l.Queued), Limit: int(l.Limit),
 		Wait:    time.Duration(l.WaitUs) * time.Microsecond,
 		Service: time.Duration(l.ServiceUs) * time.Microsecond,
-		Leaving: l.Leaving, Models: l.Models,
+		Leaving: l.Leaving, Models: a.learnModels(id, l),
 	})
 }
 
+func (a *agents) modelsOf(id string) modelList {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.models[id]
+}
+
+// learnModels returns the models at a server as far as they are known.
+func (a *agents) learnModels(id string, l *wire.Load) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	known := a.models[id]
+	if l.ModelsVersion != known.version && (len(l.Models) > 0 || l.ModelsVersion == 0) {
+		known = modelList{version: l.ModelsVersion, names: l.Models}
+		a.models[id] = known
+	}
+	return known.names
+}
+
 // forget drops the incarnation of an agent, so that it is asked again.
 func (a *agents) forget(id string) {
 	a.mu.Lock()
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -89,7 +89,7 @@
 		s := d.settings
 		r = &poolRouter{Router: routing.New(routing.Options{
 			Policy: s.Policy.Routing, Zone: s.Instance.Zone, Region: s.Instance.Region,
-			Subset: s.Limits.SubsetServers, Seed: d.seed,
+			Subset: s.Limits.SubsetServers, Seed: d.seed, ProbesPerSecond: d.probesPerPool(),
 		})}
 		d.routers[pool] = r
 	}
@@ -100,6 +100,18 @@
 	return r
 }
 
+// probesPerSecond bounds the load probes of an entry. With about 200 bytes on the
+// wire each they take under half of the 7 KB/s that a node may spend on control.
+const probesPerSecond = 16
+
+// probesPerPool shares the entry's probes among the pools.
+func (d *decider) probesPerPool() float64 {
+	if s := d.p.source.Current().Schema; s != nil && len(s.Pools) > 0 {
+		return probesPerSecond / float64(len(s.Pools))
+	}
+	return probesPerSecond
+}
+
 func (d *decider) query(st *schema.Stage, prefix uint64) routing.Query {
 	return routing.Query{Zone: d.settings.Instance.Zone, Region: d.settings.Instance.Region, Model: st.Model, Prefix: prefix}
 }
--- a/test/capacity/fleet.go
+++ b/test/capacity/fleet.go
@@ -14,6 +14,9 @@
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
 )
 
+// modelsVersion is the version of the list of models that all members have.
+const modelsVersion = 1 << 40
+
 // fleet stands in for all other processes of a deployment: each answers probes
 // and exchanges on its own address, and all bytes are counted.
 type fleet struct {
@@ -72,12 +75,16 @@
 }
 
 // Probe answers with an idle load.
-func (m *member) Probe(context.Context, *wire.ProbeRequest) (*wire.ProbeReply, error) {
+func (m *member) Probe(_ context.Context, in *wire.ProbeRequest) (*wire.ProbeReply, error) {
 	m.fleet.probes.Add(1)
-	return &wire.ProbeReply{Load: &wire.Load{
+	load := &wire.Load{
 		Instance: m.id, Incarnation: m.incarnation, Limit: 16, ServiceUs: 200_000,
-		ConfigOffset: m.fleet.offset.Load(), Models: m.fleet.models,
-	}}, nil
+		ConfigOffset: m.fleet.offset.Load(), ModelsVersion: modelsVersion,
+	}
+	if in.ModelsVersion != modelsVersion {
+		load.Models = m.fleet.models
+	}
+	return &wire.ProbeReply{Load: load}, nil
 }
 
 // Exchange answers that this process has the offset of the asker, and no records.
