--- a/internal/entry/connect.go
+++ b/internal/entry/connect.go
@@ -50,6 +50,7 @@
 
 // adminRoutes registers the routes that only an entry has.
 func (p *Process) adminRoutes(api *adminapi.API) {
+	p.operationRoutes(api)
 	api.Handle("GET "+report.Path, adminapi.RoleRead, p.burn.recorder.ServeHTTP)
 	api.Handle("GET /admin/v1/requests", adminapi.RoleRead, p.getRequests)
 	api.Handle("POST /admin/v1/drain", adminapi.RoleWrite, p.postDrain)
--- /dev/null
+++ b/internal/entry/operations.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/magnoliawheel/magnoliawheel/core/admission"
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/core/routing"
+	"github.com/magnoliawheel/magnoliawheel/internal/adminapi"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+)
+
+// orderTimeout bounds one order given through an agent.
+const orderTimeout = 10 * time.Second
+
+// ServerStatus is one server as this entry sees it.
+type ServerStatus struct {
+	ID     string        `json:"id"`
+	Pool   string        `json:"pool"`
+	Addr   string        `json:"addr"`
+	Zone   string        `json:"zone"`
+	Region string        `json:"region"`
+	State  routing.State `json:"state"`
+	Why    string        `json:"why,omitempty"`
+	// LoadAgeMS is the age of the load report; 0 if none came in.
+	LoadAgeMS int64    `json:"load_age_ms"`
+	Running   int      `json:"running"`
+	Queued    int      `json:"queued"`
+	Limit     int      `json:"limit"`
+	ServiceMS int64    `json:"service_ms"`
+	InFlight  int      `json:"in_flight_here"`
+	Failing   float64  `json:"failing_share"`
+	Models    []string `json:"models,omitempty"`
+}
+
+// PoolStatus sums up the servers of a pool.
+type PoolStatus struct {
+	Pool string `json:"pool"`
+	Kind string `json:"kind"`
+	// Servers counts them by state.
+	Servers map[routing.State]int `json:"servers"`
+	Running int                   `json:"running"`
+	Queued  int                   `json:"queued"`
+	Limit   int                   `json:"limit"`
+}
+
+// CustomerStatus is a customer with its recent use at this entry.
+type CustomerStatus struct {
+	Customer string `json:"customer"`
+	Weight   int    `json:"weight"`
+	// Share is the part of the work admitted lately, Entitled that by weight among
+	// the customers that are not idle.
+	Share    float64 `json:"share"`
+	Entitled float64 `json:"entitled"`
+	InFlight int     `json:"in_flight"`
+}
+
+// OrderRequest is the body of POST /admin/v1/servers/{id}/orders.
+type OrderRequest struct {
+	// Kind is load_model, unload_model, load_adapter, set_role, drain or undrain.
+	Kind    string `json:"kind"`
+	Model   string `json:"model,omitempty"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+// OrderReply is the answer to an order that was obeyed.
+type OrderReply struct {
+	OrderID string `json:"order_id"`
+	Server  string `json:"server"`
+	Fence   uint64 `json:"fence,omitempty"`
+}
+
+// operationRoutes registers what operators look at and do besides configuration.
+func (p *Process) operationRoutes(api *adminapi.API) {
+	api.Handle("GET /admin/v1/servers", adminapi.RoleRead, p.getServers)
+	api.Handle("GET /admin/v1/pools", adminapi.RoleRead, p.getPools)
+	api.Handle("GET /admin/v1/customers", adminapi.RoleRead, p.getCustomers)
+	api.Handle("POST /admin/v1/servers/{id}/orders", adminapi.RoleWrite, p.postOrder)
+}
+
+func (p *Process) getServers(w http.ResponseWriter, r *http.Request) {
+	pool := r.URL.Query().Get("pool")
+	list := []ServerStatus{}
+	for _, s := range p.decider.servers(time.Now()) {
+		if pool == "" || s.Pool == pool {
+			list = append(list, s)
+		}
+	}
+	adminapi.WriteJSON(w, http.StatusOK, list)
+}
+
+// servers lists the servers of all pools, pool by pool in schema order.
+func (d *decider) servers(now time.Time) []ServerStatus {
+	snap := d.p.source.Current()
+	if snap.Schema == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []ServerStatus
+	var buf []routing.Status
+	for i := range snap.Schema.Pools {
+		pool := snap.Schema.Pools[i].Name
+		buf = d.router(now, pool).Status(now, buf[:0])
+		for j := range buf {
+			out = append(out, serverStatus(pool, &buf[j]))
+		}
+	}
+	return out
+}
+
+func serverStatus(pool string, s *routing.Status) ServerStatus {
+	return ServerStatus{
+		ID: s.ID, Pool: pool, Addr: s.Addr, Zone: s.Zone, Region: s.Region, State: s.State, Why: s.Why,
+		LoadAgeMS: s.Age.Milliseconds(), Running: s.Load.Running, Queued: s.Load.Queued, Limit: s.Load.Limit,
+		ServiceMS: s.Load.Service.Milliseconds(), InFlight: s.InFlight, Failing: s.Failing, Models: s.Load.Models,
+	}
+}
+
+func (p *Process) getPools(w http.ResponseWriter, _ *http.Request) {
+	list := []PoolStatus{}
+	if s := p.source.Current().Schema; s != nil {
+		for i := range s.Pools {
+			list = append(list, PoolStatus{Pool: s.Pools[i].Name, Kind: string(s.Pools[i].Kind), Servers: map[routing.State]int{}})
+		}
+	}
+	for _, s := range p.decider.servers(time.Now()) {
+		for i := range list {
+			if list[i].Pool == s.Pool {
+				list[i].add(&s)
+			}
+		}
+	}
+	adminapi.WriteJSON(w, http.StatusOK, list)
+}
+
+func (ps *PoolStatus) add(s *ServerStatus) {
+	ps.Servers[s.State]++
+	ps.Running += s.Running
+	ps.Queued += s.Queued
+	ps.Limit += s.Limit
+}
+
+func (p *Process) getCustomers(w http.ResponseWriter, _ *http.Request) {
+	list := []CustomerStatus{}
+	s := p.source.Current().Schema
+	if s == nil {
+		adminapi.WriteJSON(w, http.StatusOK, list)
+		return
+	}
+	index := map[string]int{}
+	for i := range s.Customers {
+		index[s.Customers[i].Name] = i
+		list = append(list, CustomerStatus{Customer: s.Customers[i].Name, Weight: s.Customers[i].Weight})
+	}
+	for _, u := range p.decider.customers(time.Now()) {
+		if i, ok := index[u.Customer]; ok {
+			list[i].Share, list[i].Entitled = u.Share, u.Entitled
+		}
+	}
+	for _, f := range p.InFlight() {
+		if i, ok := index[f.Customer]; ok {
+			list[i].InFlight++
+		}
+	}
+	adminapi.WriteJSON(w, http.StatusOK, list)
+}
+
+// postOrder passes an order on to the agent of a server.
+func (p *Process) postOrder(w http.ResponseWriter, r *http.Request) {
+	var in OrderRequest
+	if err := adminapi.ReadJSON(r, &in); err != nil {
+		adminapi.WriteError(w, err)
+		return
+	}
+	addr, ok := p.agentAddr(r.PathValue("id"))
+	if !ok {
+		adminapi.WriteError(w, result.New(result.AdminNotFound, "no server %q is listed", r.PathValue("id")))
+		return
+	}
+	reply, err := p.order(r.Context(), r.PathValue("id"), addr, adminapi.Operator(r.Context()), &in)
+	if err != nil {
+		adminapi.WriteError(w, err)
+		return
+	}
+	adminapi.WriteJSON(w, http.StatusOK, reply)
+}
+
+func (p *Process) agentAddr(id string) (addr string, ok bool) {
+	for _, in := range p.view.Instances() {
+		if in.ID == id && in.Pool != "" {
+			return in.Addr, true
+		}
+	}
+	return "", false
+}
+
+func (p *Process) order(ctx context.Context, id, addr, operator string, in *OrderRequest) (*OrderReply, error) {
+	orderID, err := uuid.NewV7()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	p.log.Info("Order given.", "order", orderID.String(), "kind", in.Kind, "server", id, "operator", operator)
+	reply, err := wire.NewDRPCAgentClient(p.pool.Conn(ctx, addr)).Order(ctx, &wire.OrderRequest{
+		OrderId: orderID.String(), Kind: in.Kind, Model: in.Model, Version: in.Version, Role: in.Role, From: p.opts.Settings.Instance.ID,
+	})
+	if err != nil {
+		e := result.New(result.AgentLost, "the agent of %s does not answer: %v", id, err)
+		e.Ran = result.RanUnknown
+		return nil, e
+	}
+	if code := result.Code(reply.Code); code != result.OK {
+		return nil, result.New(code, "%s", reply.Message)
+	}
+	return &OrderReply{OrderID: orderID.String(), Server: id, Fence: reply.Fence}, nil
+}
+
+// customers returns the recent use of the customers.
+func (d *decider) customers(now time.Time) []admission.CustomerUse {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.admission.CustomerUses(now)
+}
