Bound what a Run may carry, and end claims with the budget

Names, inputs and budgets over their limits are refused with a code before anything is kept; work that waits is refused when its budget ends. A Run names the address from which the agent may fetch a newer configuration.

--- a/internal/agent/keyed.go
+++ b/internal/agent/keyed.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/claims"
@@ -78,7 +79,9 @@
 		w.endPreparing(t, ledger.Outcome{Code: result.Internal, Message: err.Error(), Ran: result.RanNo})
 		return
 	}
-	j, by, err := w.claims.claim(w.ctx, r)
+	ctx, cancel := context.WithDeadline(w.ctx, t.deadline)
+	defer cancel()
+	j, by, err := w.claims.claim(ctx, r)
 	switch {
 	case err != nil:
 		if err == errGivenUp {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -7,6 +7,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/ledger"
 	"github.com/magnoliawheel/magnoliawheel/core/reqid"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/core/schema"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
 )
 
@@ -17,14 +18,16 @@
 func (s *rpcServer) Run(req *wire.RunRequest, stream wire.DRPCAgent_RunStream) error {
 	p := s.p
 	p.distance(stream.Context(), req)
-	p.config.Learn("", req.ConfigOffset)
+	if req.OriginAddress != "" {
+		p.config.Learn(req.OriginAddress, req.ConfigOffset)
+	}
 	if req.Incarnation != p.incarnation {
 		return p.refuse(stream, result.New(result.WrongIncarnation, "this is another process"))
 	}
-	id := idOf(req.Attempt)
-	if id.Request == "" || len(id.Request) > reqid.MaxLength {
-		return p.refuse(stream, result.New(result.BadBody, "the request id is missing or too long"))
+	if e := checkRun(req); e != nil {
+		return p.refuse(stream, e)
 	}
+	id := idOf(req.Attempt)
 	attached := p.work.accept(time.Now(), id, req)
 	if attached {
 		p.metrics.attached.Inc(1)
@@ -45,6 +48,30 @@
 	req.BudgetUs -= min(req.BudgetUs, uint64(delay.Microseconds()))
 }
 
+// maxNameBytes bounds each name in a Run.
+const maxNameBytes = 256
+
+// checkRun refuses a Run that no entry sends.
+func checkRun(req *wire.RunRequest) *result.Error {
+	id := req.GetAttempt().GetRequestId()
+	if id == "" || len(id) > reqid.MaxLength {
+		return result.New(result.BadBody, "the request id is missing or too long")
+	}
+	names := []string{req.Customer, req.Pipeline, req.Stage, req.Pool, req.Call, req.Model, req.IdempotencyKey, req.SubKey}
+	for _, name := range names {
+		if len(name) > maxNameBytes {
+			return result.New(result.BadBody, "a name has more than %d bytes", maxNameBytes)
+		}
+	}
+	if req.BudgetUs > uint64(schema.MaxDeadline.Microseconds()) {
+		return result.New(result.BadDeadline, "the budget is over %s", schema.MaxDeadline)
+	}
+	if len(req.Payload) > schema.MaxBodyBytes || req.GetRef().GetSizeBytes() > schema.MaxAnswerBytes {
+		return result.New(result.BodyTooLarge, "the input is too large")
+	}
+	return nil
+}
+
 // Attach streams the result of an attempt that was accepted before.
 func (s *rpcServer) Attach(req *wire.AttachRequest, stream wire.DRPCAgent_AttachStream) error {
 	if req.Incarnation != s.p.incarnation {
@@ -79,7 +106,6 @@
 
 // Probe tells the incarnation and the load.
 func (s *rpcServer) Probe(_ context.Context, req *wire.ProbeRequest) (*wire.ProbeReply, error) {
-	s.p.config.Learn("", req.ConfigOffset)
 	load := s.p.load()
 	if load.ModelsVersion != req.ModelsVersion {
 		load.Models = s.p.work.modelNames()
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -143,7 +143,7 @@
 	case v.state == ledger.Spent:
 		return p.fail(stream, ledger.Outcome{Code: result.ResultExpired, Message: "the result was acknowledged or expired", Ran: result.RanYes})
 	case v.state == ledger.NotRun && !failed(v.outcome.Code):
-		e := &result.Error{Code: v.outcome.Code, Message: v.outcome.Message, Ran: v.outcome.Ran, RetryAfter: v.outcome.RetryAfter}
+		e := &result.Error{Code: v.outcome.Code, Message: v.outcome.Message, Ran: v.outcome.Ran, RetryAfter: retryAfter(v.outcome)}
 		return p.refuseFor(stream, e, v.outcome.Holder)
 	case !v.outcome.OK():
 		return p.fail(stream, v.outcome)
@@ -151,6 +151,17 @@
 	return stream.Send(&wire.RunEvent{Event: &wire.RunEvent_Done{Done: p.done(v)}})
 }
 
+// resultsRetryAfter is when room for results may be expected.
+const resultsRetryAfter = time.Second
+
+// retryAfter returns when coming back to this agent helps; 0 if it does not.
+func retryAfter(o ledger.Outcome) time.Duration {
+	if o.Code == result.ResultsFull {
+		return resultsRetryAfter
+	}
+	return o.RetryAfter
+}
+
 // failed tells whether a code stands for a failure rather than a refusal.
 func failed(c result.Code) bool { return c >= 3000 && c < 4000 || c >= 9000 }
 
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -150,3 +150,19 @@
 	_ = r.stream.Close()
 	return r.events
 }
+
+// TestReplacedAgentResumesStreams checks that another process at the same engine
+// takes up a generation that still runs, instead of running it again.
+func TestReplacedAgentResumesStreams(t *testing.T) {
+	model := startEngine(t, engine.Config{Prefill: time.Millisecond})
+	former := start(t, testSettings(t, "a", "http://"+model.Addr()))
+	run := former.startRun(t, former.generateRequest("e~1", 100))
+	run.receive(t, run.stream, func(a *answer) bool { return a.next > 3 })
+
+	next := start(t, testSettings(t, "a", "http://"+model.Addr()))
+	whole := next.run(t, next.generateRequest("e~1", 100))
+	assert.Equal(t, whole.done.Count, uint64(100))
+	run.finish(t)
+	assert.Equal(t, run.text, whole.text)
+	assert.Equal(t, len(model.Recorder.All()), 1)
+}
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -242,8 +242,6 @@
 	switch {
 	case w.leaving != 0:
 		return ledger.Outcome{Code: result.ServerLeaving, Ran: result.RanNo}
-	case req.GetRef().GetSizeBytes() > schema.MaxAnswerBytes || len(req.Payload) > schema.MaxBodyBytes:
-		return ledger.Outcome{Code: result.BodyTooLarge, Message: "the input is too large", Ran: result.RanNo}
 	case budget <= 0:
 		return ledger.Outcome{Code: result.BudgetSpent, Ran: result.RanNo}
 	case w.preparing >= w.queueLimit:
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync"
 
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 )
@@ -13,6 +14,9 @@
 // pieceBytes bounds one chunk of a plain result.
 const pieceBytes = 64 << 10
 
+// pieces holds buffers for the reading of results.
+var pieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
+
 // Service is an encoder, retriever, reranker or plain service. Its calls are
 // sent once and never repeated.
 type Service struct {
@@ -65,7 +69,9 @@
 // copyBody hands the body on in pieces. A body that is cut gives an error, since
 // its length or its last part is missing.
 func copyBody(ctx context.Context, body io.Reader, emit Emit) Outcome {
-	piece := make([]byte, pieceBytes)
+	buf := pieces.Get().(*[pieceBytes]byte)
+	defer pieces.Put(buf)
+	piece := buf[:]
 	for {
 		n, err := fill(body, piece)
 		if n > 0 {
