--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -98,6 +98,9 @@
 
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The deadline also bounds what net/http reads of a body after a refusal. It is
+	// lifted once a body was read.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.opts.ReadTimeout))
 	if headerBytes(r) > h.opts.HeaderBytes {
 		h.fail(w, "", result.New(result.HeaderTooLarge, "the headers are over %d bytes", h.opts.HeaderBytes))
 		return
@@ -145,6 +148,9 @@
 		return
 	}
 	id := r.PathValue("id")
+	if r.ContentLength == 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
 	if r.Method == http.MethodDelete {
 		if bad := h.opts.Backend.Cancel(r.Context(), id, customer.Name); bad != nil {
 			h.fail(w, id, bad)
--- a/internal/callerapi/parse.go
+++ b/internal/callerapi/parse.go
@@ -148,15 +148,13 @@
 	if r.ContentLength > call.MaxBody {
 		return nil, tooLarge
 	}
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(h.opts.ReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, call.MaxBody))
-	_ = rc.SetReadDeadline(time.Time{})
 	var over *http.MaxBytesError
 	switch {
 	case errors.As(err, &over):
 		return nil, tooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
 		return nil, result.New(result.SlowCaller, "the body took over %s to arrive", h.opts.ReadTimeout)
 	case err != nil:
 		return nil, result.New(result.BadBody, "the body could not be read")
@@ -165,6 +163,7 @@
 	case media == "application/json" && !json.Valid(body):
 		return nil, result.New(result.BadBody, "the body is not valid JSON")
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -22,6 +22,9 @@
 // closeWait bounds the wait for connections when the process exits.
 const closeWait = time.Second
 
+// idleTimeout is how long an unused connection of a caller is kept.
+const idleTimeout = 60 * time.Second
+
 type listenerSet struct {
 	callers, peers, admin net.Listener
 	servers               []*http.Server
@@ -83,6 +86,7 @@
 	srv := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: limits.ReadTimeout.Std(),
+		IdleTimeout:       idleTimeout,
 		// The handler refuses headers over the limit with a result code; this bound
 		// stands far enough above it for that.
 		MaxHeaderBytes: 4 * limits.HeaderBytes,
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -258,10 +258,9 @@
 	}
 	if cause == pipeline.NotSent {
 		s.r.p.agents.forget(s.server.ID)
-		s.end(result.AgentLost, silent)
 	}
-	if silent {
-		s.end(result.AgentLost, true)
+	if cause != pipeline.Broken {
+		s.end(result.AgentLost, silent)
 	}
 	s.r.log.V(1).Info("A stream to an agent was lost.", "agent", s.server.ID, "silent", silent, "error", err.Error())
 	s.r.step(pipeline.Lost{Attempt: s.id, Cause: cause})
