--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -16,6 +16,7 @@
 // Run takes in an attempt and streams its result.
 func (s *rpcServer) Run(req *wire.RunRequest, stream wire.DRPCAgent_RunStream) error {
 	p := s.p
+	p.distance(stream.Context(), req)
 	p.config.Learn("", req.ConfigOffset)
 	if req.Incarnation != p.incarnation {
 		return p.refuse(stream, result.New(result.WrongIncarnation, "this is another process"))
@@ -31,6 +32,19 @@
 	return p.follow(stream, id, 1, attached)
 }
 
+// distance stands in for the time between regions in experiments.
+func (p *Process) distance(ctx context.Context, req *wire.RunRequest) {
+	delay := p.settings.Experiment.RegionDelay.Std()
+	if delay <= 0 || req.OriginRegion == p.settings.Instance.Region {
+		return
+	}
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+	}
+	req.BudgetUs -= min(req.BudgetUs, uint64(delay.Microseconds()))
+}
+
 // Attach streams the result of an attempt that was accepted before.
 func (s *rpcServer) Attach(req *wire.AttachRequest, stream wire.DRPCAgent_AttachStream) error {
 	if req.Incarnation != s.p.incarnation {
@@ -66,7 +80,11 @@
 // Probe tells the incarnation and the load.
 func (s *rpcServer) Probe(_ context.Context, req *wire.ProbeRequest) (*wire.ProbeReply, error) {
 	s.p.config.Learn("", req.ConfigOffset)
-	return &wire.ProbeReply{Load: s.p.load()}, nil
+	load := s.p.load()
+	if load.ModelsVersion != req.ModelsVersion {
+		load.Models = s.p.work.modelNames()
+	}
+	return &wire.ProbeReply{Load: load}, nil
 }
 
 // Find lists the attempts of a request.
@@ -74,11 +92,6 @@
 	return &wire.FindReply{Attempts: s.p.work.find(req.RequestId, s.p.incarnation), Load: s.p.load()}, nil
 }
 
-// Order changes the server.
-func (s *rpcServer) Order(_ context.Context, req *wire.OrderRequest) (*wire.OrderReply, error) {
-	return &wire.OrderReply{Code: uint32(result.OrderRefused), Message: "orders are not allowed", Load: s.p.load()}, nil
-}
-
 func (w *work) find(request string, incarnation uint64) []*wire.FoundAttempt {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -115,6 +128,6 @@
 		Running: uint32(w.running), Queued: uint32(w.queue.Len()), Limit: uint32(w.limiter.Limit()),
 		WaitUs: uint64(w.wait(&wire.RunRequest{}).Microseconds()), ServiceUs: uint64(w.timing.service.Microseconds()),
 		TokensPerS: w.timing.tokensPerSecond, Leaving: w.leaving != 0,
-		ConfigOffset: p.config.Current().Offset, KeptBytes: uint64(w.ledger.KeptBytes()), Models: w.models,
+		ConfigOffset: p.config.Current().Offset, KeptBytes: uint64(w.ledger.KeptBytes()), ModelsVersion: w.models.version,
 	}
 }
