--- a/test/experiment/measure.go
+++ b/test/experiment/measure.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/burn"
+	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/internal/adminapi"
 	"github.com/magnoliawheel/magnoliawheel/internal/load"
 	"github.com/magnoliawheel/magnoliawheel/internal/report"
@@ -57,12 +58,14 @@
 	// Returned is the share of refused callers that got through by coming back.
 	Returned float64
 	Wrong    int
+	// Codes counts the requests that were not complete, by result code.
+	Codes map[result.Code]int
 }
 
 func (r row) line() string {
-	return fmt.Sprintf("%-16s %-13s seed %d: n=%d attained %.3f others %.3f goodput %.1f of %.1f first %.0f ms gap %.0f ms refused %d p99 %.0f ms wasted %.3f added %.3f retries %.3f hedges %.3f cross %.0f B after fault %.3f victim %.3f recovery %.1f returned %.2f wrong %d",
+	return fmt.Sprintf("%-16s %-13s seed %d: n=%d attained %.3f others %.3f goodput %.1f of %.1f first %.0f ms gap %.0f ms refused %d p99 %.0f ms wasted %.3f added %.3f retries %.3f hedges %.3f cross %.0f B after fault %.3f victim %.3f recovery %.1f returned %.2f wrong %d codes %v",
 		r.Cell, r.Policy, r.Seed, r.Requests, r.Attainment, r.Others, r.Goodput, r.Bound, r.FirstToken, r.InterToken,
-		r.Refused, r.Refusal, r.Wasted, r.Added, r.Retries, r.Hedges, r.CrossBytes, r.AfterFault, r.VictimShare, r.Recovery, r.Returned, r.Wrong)
+		r.Refused, r.Refusal, r.Wasted, r.Added, r.Retries, r.Hedges, r.CrossBytes, r.AfterFault, r.VictimShare, r.Recovery, r.Returned, r.Wrong, r.Codes)
 }
 
 // measure works out a row.
@@ -94,6 +97,7 @@
 func (m *measure) attainment(r *row) {
 	var all, others, after counter
 	ended := 0
+	r.Codes = map[result.Code]int{}
 	for i := range m.sent {
 		s := &m.sent[i]
 		good := s.onTime()
@@ -110,6 +114,9 @@
 		if s.Outcome.Wrong != "" {
 			r.Wrong++
 		}
+		if s.Outcome.Class != load.Complete {
+			r.Codes[s.Outcome.Code]++
+		}
 	}
 	r.Attainment, r.Others, r.AfterFault = all.share(), others.share(), after.share()
 	r.Goodput = float64(ended) / (m.span - warmUp).Seconds()
--- a/test/experiment/run.go
+++ b/test/experiment/run.go
@@ -13,13 +13,15 @@
 )
 
 const (
-	// drainTime is the time after a load in which requests end or time out.
-	drainTime = 3200 * time.Millisecond
+	// drainTime is the time after the last outcome in which servers end their work.
+	drainTime = 500 * time.Millisecond
 	// settleTime is the further time after a fault was taken back.
 	settleTime = 500 * time.Millisecond
 	// returnsMost bounds how often a refused caller comes back.
 	returnsMost = 10
 	slowFactor  = 10
+	// refusals is the first of the result codes of refusals.
+	refusals = 2000
 )
 
 // sent is one request with its last outcome.
@@ -55,13 +57,15 @@
 	caller := load.NewCaller(callers(entries))
 	defer caller.Close()
 	started := time.Now()
+	ended := make(chan struct{})
 	faults := make(chan error, 1)
-	go func() { faults <- d.breakServer(ctx, c.fault, victim, span) }()
+	go func() { faults <- d.breakServer(ctx, c.fault, victim, ended) }()
 	out := send(ctx, caller, requests, c.burst)
+	close(ended)
 	if err := <-faults; err != nil {
 		return row{}, err
 	}
-	if err := sleep(ctx, time.Until(started.Add(requests[len(requests)-1].At+drainTime))); err != nil {
+	if err := sleep(ctx, drainTime); err != nil {
 		return row{}, err
 	}
 	after, err := burnOf(ctx, entries)
@@ -92,9 +96,9 @@
 	return urls
 }
 
-// breakServer makes a server faulty from shortly after the start to the end of
-// the load.
-func (d *deployment) breakServer(ctx context.Context, f fault, victim string, span time.Duration) error {
+// breakServer makes a server faulty from shortly after the start until all
+// requests ended.
+func (d *deployment) breakServer(ctx context.Context, f fault, victim string, ended <-chan struct{}) error {
 	if f == "" || f == noFault {
 		return nil
 	}
@@ -116,14 +120,11 @@
 			return err
 		}
 	}
-	waited := sleep(ctx, span-faultAfter+drainTime/2)
+	<-ended
 	if f == silent {
 		return agent.Thaw()
 	}
-	if err := d.Control(victim, map[string]any{"reset": true}); err != nil {
-		return err
-	}
-	return waited
+	return d.Control(victim, map[string]any{"reset": true})
 }
 
 // send sends each request when it is due. With returns, refused callers come
@@ -150,7 +151,7 @@
 		s.tries++
 		s.last = due.Sub(start)
 		s.Outcome = caller.Do(ctx, req, i, due)
-		if s.Outcome.Class != load.Refused {
+		if s.Outcome.Class != load.Refused || s.Outcome.Code < refusals || s.Outcome.Code >= refusals+1000 {
 			return s
 		}
 		s.refusals = append(s.refusals, s.Outcome.Total)
