Stop hedges while a stage is queueing

Cause: in a trial at 1.5 times the capacity 8% of all stage runs were hedged and 4.4% of the server time went into second attempts: when queues are long most calls pass the late quantile that was learned before. Ruled out: a lower share for hedges (it would also bind where a slow server is the cause, which is what hedges are for). Change: no hedge while the median of a stage is over 1.5 times its least median of the last one to two thousand calls.

--- a/core/retry/quantile.go
+++ b/core/retry/quantile.go
@@ -12,6 +12,12 @@
 	samplesNeeded = 32
 	// samplesBetween is the number of times between two computations.
 	samplesBetween = 16
+	// medianKept is the number of computations after which the least median begins
+	// anew; two adjoining periods count.
+	medianKept = 64
+	// queueingFactor is the median, relative to the least one, from which the stage
+	// is taken to be queueing rather than to have a slow server.
+	queueingFactor = 1.5
 	// hedgeQuantile is the quantile of the times at which a hedge starts.
 	hedgeQuantile = 0.95
 )
@@ -21,6 +27,9 @@
 	ring         [samplesKept]time.Duration
 	count        int
 	median, late time.Duration
+	// least and older are the least medians of two adjoining periods.
+	least, older time.Duration
+	computed     int
 	scratch      [samplesKept]time.Duration
 }
 
@@ -39,4 +48,26 @@
 	slices.Sort(s)
 	t.median = s[n/2]
 	t.late = s[int(hedgeQuantile*float64(n-1))]
+	t.track()
+}
+
+// track keeps the least median.
+func (t *times) track() {
+	if t.computed%medianKept == 0 {
+		t.older, t.least = t.least, 0
+	}
+	t.computed++
+	if t.least == 0 || t.median < t.least {
+		t.least = t.median
+	}
+}
+
+// queueing tells whether most calls take much longer than they did lately, which
+// more calls would make worse.
+func (t *times) queueing() bool {
+	least := t.least
+	if t.older > 0 {
+		least = min(least, t.older)
+	}
+	return float64(t.median) > queueingFactor*float64(least)
 }
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -86,13 +86,13 @@
 }
 
 // HedgeAfter returns when a second attempt at an idempotent stage may start; ok
-// is false if none may.
+// is false if none may, as while the stage's queues are long.
 func (b *Budget) HedgeAfter(now time.Time, stage string, remaining time.Duration) (after time.Duration, ok bool) {
 	t := b.stages[stage]
 	if !b.opts.Hedge || t == nil || t.count < samplesNeeded {
 		return 0, false
 	}
-	if remaining < t.late+t.median {
+	if remaining < t.late+t.median || t.queueing() {
 		return 0, false
 	}
 	return t.late, true
