Give each agent few partitions of the claim stream

Cause: keyed calls were spread over the agents by key, so each agent read all partitions up to its claims. At 570 keyed calls a second, one record being about 350 bytes, that is some 200 KB/s for every agent of the pool, against 7 KB/s. Ruled out: fewer records, since each keyed call needs its claim. Change: the entry places keyed calls by the key's partition, there are 256 partitions in place of 16, and an agent reads ahead only those at home with it. Safety rests on the log's order as before, not on where a key is at home.

--- a/core/claims/claims.go
+++ b/core/claims/claims.go
@@ -13,8 +13,10 @@
 	"github.com/magnoliawheel/magnoliawheel/core/ledger"
 )
 
-// Partitions is the number of claim streams.
-const Partitions = 16
+// Partitions is the number of claim streams. Each is the home of one agent of a
+// pool at a time, so it must be of the order of the servers of the largest pool
+// with keyed calls.
+const Partitions = 256
 
 // ID names a claim. It is the same in all copies of the claim's record.
 type ID [16]byte
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/magnoliawheel/magnoliawheel/core/configlog"
+	"github.com/magnoliawheel/magnoliawheel/core/routing"
 	"github.com/magnoliawheel/magnoliawheel/internal/confsync"
 	"github.com/magnoliawheel/magnoliawheel/internal/members"
 	"github.com/magnoliawheel/magnoliawheel/internal/platform"
@@ -50,11 +51,13 @@
 	// peer answers the exchange of configuration; nil without one.
 	peer wire.DRPCPeerServer
 	// loops run until the process has drained.
-	loops   []func(context.Context) error
-	plog    platform.Log
-	work    *work
-	orders  *orders
-	pool    *rpc.Pool
+	loops  []func(context.Context) error
+	plog   platform.Log
+	work   *work
+	orders *orders
+	pool   *rpc.Pool
+	// servers lists the servers of a pool; nil if the membership is not known.
+	servers func(pool string) []routing.Server
 	metrics metrics
 }
 
@@ -71,7 +74,7 @@
 		Log: p.plog, Peers: instances.Peers, Pool: p.pool, Self: o.Settings.Instance.ID, Incarnation: p.incarnation,
 		Address: o.Settings.Listen.Peers, Logger: p.log,
 	})
-	p.config, p.peer = sync, sync
+	p.config, p.peer, p.servers = sync, sync, instances.Servers
 	p.loops = []func(context.Context) error{instances.Run, sync.Run, func(ctx context.Context) error {
 		p.watchList(ctx, instances.Instances)
 		return nil
@@ -150,7 +153,7 @@
 	live, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	wg.Go(func() { p.work.expireLoop(live) })
-	wg.Go(func() { p.work.claims.run(live, p.work.takesKeys, p.work.validity) })
+	wg.Go(func() { p.work.claims.run(live, p.work.homeOf, p.work.validity) })
 	wg.Go(func() {
 		if err := rpc.Serve(live, peers, p.conf, mux); err != nil {
 			p.log.Error(err, "Serving peers ended.")
--- a/internal/agent/claimer.go
+++ b/internal/agent/claimer.go
@@ -141,18 +141,16 @@
 	return c.releasing
 }
 
-// run keeps the folds near the ends of their streams until ctx ends, as long as
-// keyed calls may come to this agent.
-func (c *claimer) run(ctx context.Context, used func() bool, validity func() time.Duration) {
-	for ; ; wait(ctx, catchUpInterval) {
-		if ctx.Err() != nil {
-			return
-		}
-		if !used() {
-			continue
-		}
+// run keeps the folds of the partitions at home here near the ends of their
+// streams until ctx ends.
+func (c *claimer) run(ctx context.Context, home func(partition int) bool, validity func() time.Duration) {
+	for ; ctx.Err() == nil; wait(ctx, catchUpInterval) {
 		forget := time.Now().Add(-validity() - forgetMargin)
-		for _, p := range c.partitions {
+		for i, p := range c.partitions {
+			if !home(i) {
+				p.expire(forget)
+				continue
+			}
 			if err := p.catchUp(ctx, forget); err != nil && ctx.Err() == nil {
 				c.log.V(1).Info("Reading claims failed.", "stream", p.stream, "error", err.Error())
 				break
--- a/internal/agent/keyed.go
+++ b/internal/agent/keyed.go
@@ -7,6 +7,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/claims"
 	"github.com/magnoliawheel/magnoliawheel/core/ledger"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/core/routing"
 	"github.com/magnoliawheel/magnoliawheel/core/schema"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
 )
@@ -33,6 +34,16 @@
 	return v
 }
 
+// homeOf tells whether the keys of a partition come to this agent, by the servers
+// as this agent knows them. It decides only which streams are read ahead.
+func (w *work) homeOf(partition int) bool {
+	if w.p.servers == nil || !w.takesKeys() {
+		return false
+	}
+	s, ok := routing.Home(w.p.servers(w.p.settings.Server.Pool), uint64(partition), nil)
+	return ok && s.ID == w.p.settings.Instance.ID
+}
+
 // takesKeys tells whether calls with an idempotency key may come to this agent.
 func (w *work) takesKeys() bool {
 	s := w.p.config.Current().Schema
--- a/internal/agent/partition.go
+++ b/internal/agent/partition.go
@@ -168,3 +168,13 @@
 	}
 	return p.readTo(ctx, b.Next-1)
 }
+
+// expire forgets the claims of old keys, unless the stream is being read.
+func (p *partition) expire(forget time.Time) {
+	select {
+	case p.reading <- struct{}{}:
+		p.fold.Expire(forget)
+		<-p.reading
+	default:
+	}
+}
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/magnoliawheel/magnoliawheel/core/admission"
+	"github.com/magnoliawheel/magnoliawheel/core/claims"
 	"github.com/magnoliawheel/magnoliawheel/core/membership"
 	"github.com/magnoliawheel/magnoliawheel/core/pipeline"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
@@ -175,13 +176,15 @@
 }
 
 // Place chooses a server. A keyed stage that is not idempotent goes to the home
-// of its key, so that copies of the request meet at one agent.
+// of its key's partition, so that copies of the request meet at one agent, and an
+// agent reads the claims of few partitions.
 func (c chooser) Place(now time.Time, q *pipeline.Query) (pipeline.Server, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	router := c.router(now, q.Stage.Pool)
 	if c.req.Key != "" && !q.Stage.Idempotent {
-		s, ok := home(c.p.view.Servers(q.Stage.Pool), c.req.Key, q.Exclude)
+		slot := claims.NewKey(c.req.Customer.Name, c.req.Key, q.Stage.Name).Partition()
+		s, ok := routing.Home(c.p.view.Servers(q.Stage.Pool), uint64(slot), q.Exclude)
 		return place(s), ok
 	}
 	rq := c.query(q.Stage, c.req.Prefix)
@@ -196,30 +199,6 @@
 	return pipeline.Server{ID: s.ID, Addr: s.Addr, Zone: s.Zone, Region: s.Region}
 }
 
-// home returns the server with the highest rendezvous score for the key.
-func home(servers []routing.Server, key string, exclude []string) (best routing.Server, ok bool) {
-	var most uint64
-	for _, s := range servers {
-		if s.Leaving || contains(exclude, s.ID) {
-			continue
-		}
-		score := xxhash.Sum64String(key + "/" + s.ID)
-		if !ok || score > most || (score == most && s.ID < best.ID) {
-			best, most, ok = s, score, true
-		}
-	}
-	return best, ok
-}
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // Request records the first attempt at a stage.
 func (c chooser) Request(now time.Time) {
 	c.mu.Lock()
