--- a/internal/agent/models.go
+++ b/internal/agent/models.go
@@ -1,6 +1,10 @@
 package agent
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // modelList is the list of models at the server with its version.
 type modelList struct {
@@ -27,3 +31,24 @@
 	defer w.mu.Unlock()
 	return w.models.names
 }
+
+// obeyed takes in an order to load or unload a model that the server obeyed. The
+// list stays empty, which stands for all models of the pool, until one is unloaded.
+func (w *work) obeyed(kind, model string, pool []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	names := slices.Clone(w.models.names)
+	if len(names) == 0 {
+		names = slices.Clone(pool)
+	}
+	switch {
+	case kind == orderUnloadModel:
+		names = slices.DeleteFunc(names, func(n string) bool { return n == model })
+	case len(w.models.names) > 0 && !slices.Contains(names, model):
+		names = append(names, model)
+	default:
+		return
+	}
+	slices.Sort(names)
+	w.models = newModelList(names)
+}
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -132,6 +132,9 @@
 		o.drop()
 	}
 	if out.Code == result.OK {
+		if req.Kind != orderSetRole {
+			o.p.work.obeyed(req.Kind, req.Model, pool.Models)
+		}
 		return nil, order.Fence
 	}
 	return &result.Error{Code: out.Code, Message: out.Message, Ran: out.Ran}, order.Fence
--- a/internal/agent/orders_test.go
+++ b/internal/agent/orders_test.go
@@ -99,6 +99,21 @@
 	assert.Equal(t, f.load(t), result.PlatformDown)
 }
 
+func TestOrdersChangeTheListOfModels(t *testing.T) {
+	f := newSlot(t, true).agent(t)
+	probe := func() []string {
+		reply, err := f.client.Probe(context.Background(), &wire.ProbeRequest{})
+		assert.NilError(t, err)
+		return reply.Load.Models
+	}
+	assert.Equal(t, f.load(t), result.OK)
+	assert.Equal(t, len(probe()), 0)
+	assert.Equal(t, result.Code(f.order(t, orderUnloadModel, "clause-7b", "entry-1").Code), result.OK)
+	assert.DeepEqual(t, probe(), []string{"fixings-1b"})
+	assert.Equal(t, f.load(t), result.OK)
+	assert.DeepEqual(t, probe(), []string{"clause-7b", "fixings-1b"})
+}
+
 func TestOrderedDrain(t *testing.T) {
 	f := newSlot(t, true).agent(t)
 	assert.Equal(t, result.Code(f.order(t, orderDrain, "", "entry-1").Code), result.OK)
