--- a/cmd/mwctl/main.go
+++ b/cmd/mwctl/main.go
@@ -31,6 +31,7 @@
 	}}
 	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
 	addConfig(parser)
+	addCall(parser)
 	addBurn(parser)
 	addLoad(parser)
 	if _, err := parser.Parse(); err != nil {
