--- a/cmd/mwctl/main.go
+++ b/cmd/mwctl/main.go
@@ -32,6 +32,7 @@
 	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
 	addConfig(parser)
 	addCall(parser)
+	addStatus(parser)
 	addBurn(parser)
 	addLoad(parser)
 	if _, err := parser.Parse(); err != nil {
