Tell peers of new records by neighbors, keep checkpoints in the log, correct the instance list by what is seen

Only the side that is ahead sends records. A state or checkpoint that differs at an offset folded here raises an alarm and is not taken.

Membership: an instance is taken off after two newer lists without it, or when its address went to another; an empty list takes nothing off; the mark of a leaving incarnation ends only with a newer one.

Membership: each rule broken in turn fails its row of TestFaults.

--- a/core/configlog/checkpoint.go
+++ b/core/configlog/checkpoint.go
@@ -10,8 +10,10 @@
 
 // checkpoint is the state as of an offset.
 type checkpoint struct {
-	Offset   uint64    `json:"offset"`
-	Digest   uint64    `json:"digest"`
+	Offset uint64 `json:"offset"`
+	Digest uint64 `json:"digest"`
+	// Last is the offset of the checkpoint record before this one.
+	Last     uint64    `json:"last,omitempty"`
 	Objects  []Object  `json:"objects"`
 	Outcomes []Outcome `json:"outcomes,omitempty"`
 }
@@ -23,7 +25,7 @@
 // EncodeCheckpoint returns the log record that holds the whole state.
 func (s *Snapshot) EncodeCheckpoint() ([]byte, error) {
 	return json.Marshal(record{Checkpoint: &checkpoint{
-		Offset: s.Offset, Digest: s.digest, Objects: s.objects, Outcomes: s.outcomes,
+		Offset: s.Offset, Digest: s.digest, Last: s.checkpoint, Objects: s.objects, Outcomes: s.outcomes,
 	}})
 }
 
@@ -48,7 +50,7 @@
 	if c == nil {
 		return nil, ErrCheckpoint
 	}
-	s := &Snapshot{Offset: c.Offset, objects: c.Objects, outcomes: c.Outcomes}
+	s := &Snapshot{Offset: c.Offset, checkpoint: c.Last, objects: c.Objects, outcomes: c.Outcomes}
 	if err := s.decodeObjects(); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrCheckpoint, err)
 	}
--- a/core/configlog/configlog.go
+++ b/core/configlog/configlog.go
@@ -19,6 +19,8 @@
 	outcomes []Outcome
 	// digest covers objects.
 	digest uint64
+	// checkpoint is the offset of the newest record that is a checkpoint.
+	checkpoint uint64
 }
 
 // Empty returns the snapshot before the first record.
@@ -32,6 +34,10 @@
 // processes at one offset have the same digest.
 func (s *Snapshot) Digest() uint64 { return s.digest }
 
+// CheckpointOffset returns the offset of the newest record that is a checkpoint;
+// 0 if none was folded.
+func (s *Snapshot) CheckpointOffset() uint64 { return s.checkpoint }
+
 // Objects returns the objects that exist, sorted by name.
 func (s *Snapshot) Objects() []Object { return Existing(s.objects) }
 
--- a/core/configlog/fold.go
+++ b/core/configlog/fold.go
@@ -66,6 +66,7 @@
 		return &next, Outcome{Offset: offset, Status: Malformed, Mistakes: mistake("record", err.Error())}
 	}
 	if r.Checkpoint != nil {
+		next.checkpoint = offset
 		return &next, Outcome{Offset: offset, Status: Checkpointed}
 	}
 	if _, ok := s.Outcome(r.Change.ID); ok {
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -6,13 +6,27 @@
 	"time"
 )
 
+// goneAfter is the number of newer lists in a row that an instance must be
+// missing from before it is taken off.
+const goneAfter = 2
+
+// maxObservations bounds the observations kept of instances that are not listed.
+const maxObservations = 1 << 14
+
 // Table is the view of the instances of one process. It is not safe for
 // concurrent use.
 type Table struct {
-	asOf      time.Time
-	instances []Instance
-	seen      map[string]observation
-	version   uint64
+	asOf    time.Time
+	rows    []row
+	seen    map[string]observation
+	version uint64
+}
+
+// row is one instance of the list.
+type row struct {
+	Instance
+	// missing counts the newer lists in a row without the instance.
+	missing int
 }
 
 // observation is what the process saw itself of one instance.
@@ -29,30 +43,72 @@
 // Version changes whenever the answer of Instances may have changed.
 func (t *Table) Version() uint64 { return t.version }
 
-// SetList takes in a list as of a time by the platform's clock. A list older
-// than the one held is ignored; the result tells whether the list was taken.
+// AsOf returns the time of the newest list taken, by the platform's clock.
+func (t *Table) AsOf() time.Time { return t.asOf }
+
+// SetList takes in a list as of a time by the platform's clock. A list that is
+// not newer than the one held is ignored, as is an empty one while instances are
+// known. The result tells whether the list was taken.
 func (t *Table) SetList(list []Instance, asOf time.Time) bool {
-	if asOf.Before(t.asOf) {
+	if !asOf.After(t.asOf) || (len(list) == 0 && len(t.rows) > 0) {
 		return false
 	}
 	t.asOf = asOf
-	sorted := slices.Clone(list)
-	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
-	sorted = slices.CompactFunc(sorted, func(a, b Instance) bool { return a.ID == b.ID })
-	if !slices.Equal(sorted, t.instances) {
-		t.instances = sorted
+	rows := make([]row, 0, len(list))
+	for i := range list {
+		rows = append(rows, row{Instance: list[i]})
+	}
+	rows = append(rows, t.missingFrom(list)...)
+	sort.SliceStable(rows, func(i, j int) bool { return rows[i].ID < rows[j].ID })
+	rows = slices.CompactFunc(rows, func(a, b row) bool { return a.ID == b.ID })
+	if !slices.EqualFunc(rows, t.rows, func(a, b row) bool { return a.Instance == b.Instance }) {
 		t.version++
 	}
+	t.rows = rows
+	t.forget()
 	return true
 }
 
+// missingFrom returns the rows that a list lacks and that stay for now. A row
+// whose address was given to another instance does not stay.
+func (t *Table) missingFrom(list []Instance) []row {
+	ids, addrs := make(map[string]bool, len(list)), make(map[string]bool, len(list))
+	for i := range list {
+		ids[list[i].ID], addrs[list[i].Addr] = true, true
+	}
+	var rows []row
+	for _, r := range t.rows {
+		if ids[r.ID] || addrs[r.Addr] || r.missing+1 >= goneAfter {
+			continue
+		}
+		r.missing++
+		rows = append(rows, r)
+	}
+	return rows
+}
+
+// forget bounds the observations. Marks of listed instances are kept.
+func (t *Table) forget() {
+	if len(t.seen) <= maxObservations {
+		return
+	}
+	kept := make(map[string]observation, len(t.rows))
+	for i := range t.rows {
+		if o, ok := t.seen[t.rows[i].ID]; ok {
+			kept[t.rows[i].ID] = o
+		}
+	}
+	t.seen = kept
+}
+
 // Seen records that an instance answered under an incarnation. Incarnations of
-// one id grow; older ones are ignored.
+// one id grow; older ones are ignored, as late messages.
 func (t *Table) Seen(id string, incarnation uint64) {
-	if o, ok := t.seen[id]; ok && incarnation <= o.incarnation {
+	o, ok := t.seen[id]
+	if ok && incarnation <= o.incarnation {
 		return
 	}
-	if t.seen[id].leaving {
+	if o.leaving {
 		t.version++
 	}
 	t.seen[id] = observation{incarnation: incarnation}
@@ -69,12 +125,22 @@
 	t.version++
 }
 
+// Incarnation returns the newest incarnation heard of an instance; 0 if none.
+func (t *Table) Incarnation(id string) uint64 { return t.seen[id].incarnation }
+
 // Instances returns the instances sorted by id, with the leaving marks of the
-// list and of the process itself.
+// list and of the process itself. Of two instances listed at one address, the
+// one that is leaving is left out.
 func (t *Table) Instances() []Instance {
-	list := slices.Clone(t.instances)
-	for i := range list {
-		list[i].Leaving = list[i].Leaving || t.seen[list[i].ID].leaving
+	list := make([]Instance, 0, len(t.rows))
+	live := make(map[string]bool, len(t.rows))
+	for i := range t.rows {
+		in := t.rows[i].Instance
+		in.Leaving = in.Leaving || t.seen[in.ID].leaving
+		list = append(list, in)
+		if !in.Leaving {
+			live[in.Addr] = true
+		}
 	}
-	return list
+	return slices.DeleteFunc(list, func(in Instance) bool { return in.Leaving && live[in.Addr] })
 }
--- a/internal/confsync/exchange.go
+++ b/internal/confsync/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,13 +14,15 @@
 )
 
 const (
-	// exchangeInterval is the mean time between two exchanges with a random peer.
+	// exchangeInterval is the mean time between two exchanges with a neighbor.
 	exchangeInterval = 3 * time.Second
+	// firstInterval is the same while no schema is in force.
+	firstInterval = 300 * time.Millisecond
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 2 * time.Second
-	// fanout is the number of peers that are told of new records at once.
-	fanout = 3
-	// pushInterval is the least time between two rounds of telling peers.
+	// fanout is the number of neighbors that are told of new records at once.
+	fanout = 4
+	// pushInterval is the least time between two rounds of telling neighbors.
 	pushInterval = 100 * time.Millisecond
 )
 
@@ -27,7 +30,7 @@
 func (s *Sync) Exchange(_ context.Context, req *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
 	s.fold(fromWire(req.Records))
 	s.compare(req.Instance, req.ConfigOffset, req.ConfigDigest)
-	if len(req.Records) == 0 && req.Address != "" {
+	if req.Address != "" {
 		s.Learn(req.Address, req.ConfigOffset)
 	}
 	return s.reply(req)
@@ -57,28 +60,49 @@
 	return reply, nil
 }
 
-// compare raises an alarm if a peer at the same offset has another content.
+// compare raises an alarm if a peer has another content at an offset that was
+// folded here.
 func (s *Sync) compare(peer string, offset, digest uint64) {
-	snap := s.Current()
-	if offset == snap.Offset && offset > 0 && digest != snap.Digest() {
-		s.alarm("peer "+peer, offset, digest, snap.Digest())
+	s.mu.Lock()
+	own, ok := s.digests.at(offset)
+	s.mu.Unlock()
+	if ok && digest != own {
+		s.alarm("peer "+peer, offset, digest, own)
 	}
 }
 
-// call exchanges with one peer and takes in what it answers.
-func (s *Sync) call(ctx context.Context, addr string, records []*wire.ConfigRecord) (*wire.ExchangeReply, error) {
+// meet exchanges with one peer until the one that was behind has what the other
+// has, or was told where to get it. It returns the offset in force at the peer.
+func (s *Sync) meet(ctx context.Context, addr string) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	snap := s.Current()
 	conn := s.opts.Pool.Conn(ctx, addr)
 	defer func() { _ = conn.Close() }()
-	reply, err := wire.NewDRPCPeerClient(conn).Exchange(ctx, &wire.ExchangeRequest{
-		Instance: s.opts.Self, Incarnation: s.opts.Incarnation, Address: s.opts.Address,
-		ConfigOffset: snap.Offset, ConfigDigest: snap.Digest(),
-		WantState: snap.Offset == 0, Records: records,
-	})
+	peer := wire.NewDRPCPeerClient(conn)
+	reply, err := s.call(ctx, peer, &wire.ExchangeRequest{})
+	if err != nil || reply.ConfigOffset >= s.Current().Offset {
+		return reply.GetConfigOffset(), errors.Wrapf(err, "exchange with %s", addr)
+	}
+	s.mu.Lock()
+	records, ok := s.recent.after(reply.ConfigOffset)
+	s.mu.Unlock()
+	offer := &wire.ExchangeRequest{Records: records}
+	if !ok {
+		offer.Address = s.opts.Address
+	}
+	reply, err = s.call(ctx, peer, offer)
+	return reply.GetConfigOffset(), errors.Wrapf(err, "exchange with %s", addr)
+}
+
+// call sends one request and takes in what the peer answers.
+func (s *Sync) call(ctx context.Context, peer wire.DRPCPeerClient, req *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	snap := s.Current()
+	req.Instance, req.Incarnation = s.opts.Self, s.opts.Incarnation
+	req.ConfigOffset, req.ConfigDigest = snap.Offset, snap.Digest()
+	req.WantState = snap.Offset == 0
+	reply, err := peer.Exchange(ctx, req)
 	if err != nil {
-		return nil, errors.Wrapf(err, "exchange with %s", addr)
+		return nil, err
 	}
 	s.fold(fromWire(reply.Records))
 	if len(reply.State) > 0 {
@@ -97,10 +121,10 @@
 	s.install(snap)
 }
 
-// exchangeLoop exchanges with a random peer now and then, and at once with a
-// peer that is known to be ahead.
+// exchangeLoop exchanges with the neighbors in turn, and at once with a peer
+// that is known to be ahead.
 func (s *Sync) exchangeLoop(ctx context.Context) {
-	timer := time.NewTimer(jitter(exchangeInterval))
+	timer := time.NewTimer(jitter(s.interval()))
 	defer timer.Stop()
 	for {
 		var addr string
@@ -109,20 +133,27 @@
 			return
 		case addr = <-s.behind:
 		case <-timer.C:
-			timer.Reset(jitter(exchangeInterval))
-			peers := s.opts.Peers()
-			if len(peers) == 0 {
-				continue
-			}
-			addr = peers[rand.IntN(len(peers))]
+			timer.Reset(jitter(s.interval()))
+			addr = s.neighbors.next(s.opts.Peers())
 		}
-		if _, err := s.call(ctx, addr, nil); err != nil {
+		if addr == "" {
+			continue
+		}
+		if _, err := s.meet(ctx, addr); err != nil && ctx.Err() == nil {
+			s.neighbors.drop(addr)
 			s.log.V(1).Info("Exchange failed.", "peer", addr, "error", err.Error())
 		}
 	}
 }
 
-// pushLoop tells a few random peers of new records.
+func (s *Sync) interval() time.Duration {
+	if s.Current().Schema == nil {
+		return firstInterval
+	}
+	return exchangeInterval
+}
+
+// pushLoop tells a few neighbors of new records.
 func (s *Sync) pushLoop(ctx context.Context) {
 	for {
 		select {
@@ -130,29 +161,28 @@
 			return
 		case <-s.advanced:
 		}
-		peers := s.opts.Peers()
-		for _, i := range rand.Perm(len(peers))[:min(fanout, len(peers))] {
-			s.push(ctx, peers[i])
+		var round sync.WaitGroup
+		for _, addr := range s.neighbors.pick(s.opts.Peers(), fanout) {
+			round.Go(func() {
+				if _, err := s.meet(ctx, addr); err != nil {
+					s.neighbors.drop(addr)
+				}
+			})
 		}
 		if !sleep(ctx, pushInterval) {
+			round.Wait()
 			return
 		}
+		round.Wait()
 	}
 }
 
-// push tells a peer the offset in force and, if the peer is behind, sends it the
-// records it misses.
-func (s *Sync) push(ctx context.Context, addr string) {
-	reply, err := s.call(ctx, addr, nil)
-	if err != nil || reply.ConfigOffset >= s.Current().Offset {
-		return
-	}
-	s.mu.Lock()
-	records, ok := s.recent.after(reply.ConfigOffset)
-	s.mu.Unlock()
-	if ok && len(records) > 0 {
-		_, _ = s.call(ctx, addr, records)
+// OffsetOf asks the instance at an address for its offset in force.
+func (s *Sync) OffsetOf(ctx context.Context, addr string) (uint64, error) {
+	if addr == s.opts.Address {
+		return s.Current().Offset, nil
 	}
+	return s.meet(ctx, addr)
 }
 
 func fromWire(list []*wire.ConfigRecord) []platform.Record {
@@ -163,14 +193,5 @@
 	return records
 }
 
-// OffsetOf asks the instance at an address for its offset in force.
-func (s *Sync) OffsetOf(ctx context.Context, addr string) (uint64, error) {
-	if addr == s.opts.Address {
-		return s.Current().Offset, nil
-	}
-	reply, err := s.call(ctx, addr, nil)
-	if err != nil {
-		return 0, err
-	}
-	return reply.ConfigOffset, nil
-}
+// jitter returns a duration between half of d and one and a half times d.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
--- a/internal/confsync/log.go
+++ b/internal/confsync/log.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/magnoliawheel/magnoliawheel/core/configlog"
 	"github.com/magnoliawheel/magnoliawheel/internal/platform"
 )
 
@@ -58,25 +58,18 @@
 	}
 }
 
-// fromCheckpoint takes the newest checkpoint of a log whose older records are
-// gone, and the records after it.
+// fromCheckpoint takes the oldest usable checkpoint of a log whose older records
+// are gone, and folds the records after it, which checks the later checkpoints.
 func (s *Sync) fromCheckpoint(ctx context.Context, first uint64) error {
 	records, err := s.readAll(ctx, first)
 	if err != nil {
 		return err
 	}
-	for i := len(records) - 1; i >= 0; i-- {
-		offset, _, ok := configlog.CheckpointInfo(records[i].Data)
-		if !ok || offset+1 < records[0].Offset {
-			continue
-		}
-		snap, err := configlog.DecodeCheckpoint(records[i].Data)
-		if err != nil {
-			s.log.Error(err, "Checkpoint unusable.", "offset", records[i].Offset)
-			continue
-		}
+	if snap := startFor(records, math.MaxUint64); snap != nil {
 		s.install(snap)
 		s.fold(records)
+	}
+	if s.Current().Offset+1 >= first {
 		return nil
 	}
 	return errors.Wrap(platform.ErrUnavailable, "records truncated and no checkpoint kept")
--- a/internal/confsync/recent.go
+++ b/internal/confsync/recent.go
@@ -34,3 +34,19 @@
 	skip := min(offset+1-r.list[0].Offset, uint64(len(r.list)))
 	return append([]*wire.ConfigRecord(nil), r.list[skip:]...), true
 }
+
+// recentDigests is the number of offsets whose digest is kept.
+const recentDigests = 256
+
+// digestRing keeps the digests of the newest offsets that were in force.
+type digestRing [recentDigests]struct{ offset, digest uint64 }
+
+func (r *digestRing) add(offset, digest uint64) {
+	r[offset%recentDigests].offset, r[offset%recentDigests].digest = offset, digest
+}
+
+// at returns the digest at an offset; ok is false if it is not kept.
+func (r *digestRing) at(offset uint64) (digest uint64, ok bool) {
+	e := &r[offset%recentDigests]
+	return e.digest, offset > 0 && e.offset == offset
+}
--- a/internal/confsync/run.go
+++ b/internal/confsync/run.go
@@ -13,7 +13,7 @@
 func (s *Sync) Run(ctx context.Context) error {
 	s.start(ctx)
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){s.readLoop, s.exchangeLoop, s.pushLoop} {
+	for _, loop := range []func(context.Context){s.readLoop, s.exchangeLoop, s.pushLoop, s.checkpointLoop} {
 		loops.Go(func() { loop(ctx) })
 	}
 	loops.Wait()
@@ -24,7 +24,7 @@
 func (s *Sync) start(ctx context.Context) {
 	peers := s.opts.Peers()
 	for _, i := range rand.Perm(len(peers))[:min(startPeers, len(peers))] {
-		if _, err := s.call(ctx, peers[i], nil); err == nil && s.Current().Offset > 0 {
+		if _, err := s.meet(ctx, peers[i]); err == nil && s.Current().Offset > 0 {
 			return
 		}
 	}
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,14 +42,22 @@
 	// advanced is signalled when records were folded.
 	advanced chan struct{}
 
-	mu     sync.Mutex
-	recent recentRecords
+	neighbors neighbors
+	// alarms counts contents that differed at one offset.
+	alarms    atomic.Uint64
+	lastAlarm atomic.Int64
+
+	mu      sync.Mutex
+	recent  recentRecords
+	digests digestRing
 	// moved is closed and replaced whenever the offset grows.
 	moved chan struct{}
 }
 
 var _ Source = (*Sync)(nil)
 
+var errDiffers = errors.New("confsync: configuration differs at one offset")
+
 // New returns a Sync with nothing in force.
 func New(o Options) *Sync {
 	s := &Sync{
@@ -115,10 +122,11 @@
 		if r.Offset != snap.Offset+1 {
 			continue
 		}
-		s.checkCheckpoint(snap, r.Data)
+		s.checkCheckpoint(r.Data)
 		var outcome configlog.Outcome
 		snap, outcome = snap.Fold(r.Offset, r.Data)
 		s.recent.add(r.Offset, r.Data)
+		s.digests.add(r.Offset, snap.Digest())
 		s.logOutcome(&outcome)
 	}
 	if snap.Offset > before {
@@ -152,6 +160,7 @@
 		return false
 	}
 	s.recent.reset()
+	s.digests.add(snap.Offset, snap.Digest())
 	s.publish(snap)
 	s.log.Info("State taken.", "offset", snap.Offset)
 	return true
@@ -167,19 +176,30 @@
 	}
 }
 
-// checkCheckpoint raises an alarm if a checkpoint of the current offset does not
-// agree with the fold. The caller holds the mutex.
-func (s *Sync) checkCheckpoint(snap *configlog.Snapshot, data []byte) {
+// checkCheckpoint raises an alarm if a checkpoint does not agree with the fold at
+// its offset. The caller holds the mutex.
+func (s *Sync) checkCheckpoint(data []byte) {
 	offset, digest, ok := configlog.CheckpointInfo(data)
-	if ok && offset == snap.Offset && digest != snap.Digest() {
-		s.alarm("checkpoint in the log", offset, digest, snap.Digest())
+	if !ok {
+		return
+	}
+	if own, known := s.digests.at(offset); known && digest != own {
+		s.alarm("checkpoint in the log", offset, digest, own)
 	}
 }
 
+// alarmInterval is the least time between two log lines about differing contents.
+const alarmInterval = time.Minute
+
+// Alarms returns how often another content was seen at an offset folded here.
+func (s *Sync) Alarms() uint64 { return s.alarms.Load() }
+
 func (s *Sync) alarm(what string, offset, theirs, own uint64) {
-	s.log.Error(errors.New("configuration differs at one offset"), "Configuration differs; nothing is taken over.",
+	s.alarms.Add(1)
+	now, last := time.Now().UnixNano(), s.lastAlarm.Load()
+	if now-last < int64(alarmInterval) || !s.lastAlarm.CompareAndSwap(last, now) {
+		return
+	}
+	s.log.Error(errDiffers, "Configuration differs; nothing is taken over.",
 		"seen", what, "offset", offset, "digest", theirs, "own", own)
 }
-
-// jitter returns a duration between half of d and one and a half times d.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -33,14 +33,19 @@
 	// back until release.
 	loseAnswers, late bool
 	held              [][]byte
-	reads             int
+	// now is the log's clock; the real one if it is zero.
+	now time.Time
 }
 
 func newFakeLog() *fakeLog { return &fakeLog{first: 1} }
 
 func (l *fakeLog) add(data []byte) uint64 {
 	offset := l.first + uint64(len(l.records))
-	l.records = append(l.records, platform.Record{Offset: offset, Data: data})
+	at := l.now
+	if at.IsZero() {
+		at = time.Now()
+	}
+	l.records = append(l.records, platform.Record{Offset: offset, Time: at, Data: data})
 	return offset
 }
 
@@ -67,7 +72,6 @@
 func (l *fakeLog) Read(_ context.Context, _ string, from uint64, limit int, _ time.Duration) (platform.Batch, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.reads++
 	if l.down {
 		return platform.Batch{}, platform.ErrUnavailable
 	}
@@ -89,10 +93,20 @@
 	f(l)
 }
 
-// truncate drops the records before an offset.
-func (l *fakeLog) truncate(first uint64) {
-	l.records = append([]platform.Record(nil), l.records[first-l.first:]...)
-	l.first = first
+// expire drops the records older than a time.
+func (l *fakeLog) expire(oldest time.Time) {
+	for len(l.records) > 0 && l.records[0].Time.Before(oldest) {
+		l.records = l.records[1:]
+		l.first++
+	}
+}
+
+// release lets the writes that were held back take effect.
+func (l *fakeLog) release() {
+	for _, data := range l.held {
+		l.add(data)
+	}
+	l.held, l.late = nil, false
 }
 
 // cluster runs instances of one process each on loopback.
--- a/internal/members/poll.go
+++ b/internal/members/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,8 +14,14 @@
 	"github.com/magnoliawheel/magnoliawheel/internal/platform"
 )
 
-// pollInterval is the time between two polls of the instance list.
-const pollInterval = time.Second
+// Mean times between two polls of the instance list. Agents need the list only
+// to find peers, entries to find servers.
+const (
+	EntryInterval = 1500 * time.Millisecond
+	AgentInterval = 30 * time.Second
+	// firstInterval applies while no instances are known.
+	firstInterval = time.Second
+)
 
 // Options sets up Members.
 type Options struct {
@@ -22,6 +29,8 @@
 	Logger logr.Logger
 	// Self is the id of this instance, which Peers leaves out.
 	Self string
+	// Interval is the mean time between two polls; 0 is EntryInterval.
+	Interval time.Duration
 }
 
 // Members implements View.
@@ -45,39 +54,56 @@
 
 // New returns a Members without instances.
 func New(o Options) *Members {
+	if o.Interval == 0 {
+		o.Interval = EntryInterval
+	}
 	m := &Members{opts: o, log: o.Logger.WithName("members"), table: membership.NewTable()}
 	m.view.Store(&view{pools: map[string][]routing.Server{}})
 	return m
 }
 
-// Run polls the list until ctx ends.
+// Run polls the list until ctx ends. It returns nil.
 func (m *Members) Run(ctx context.Context) error {
 	failing := false
 	for {
-		list, asOf, err := m.opts.List.List(ctx)
-		switch {
-		case ctx.Err() != nil:
+		err := m.poll(ctx)
+		if ctx.Err() != nil {
 			return nil
-		case err != nil:
-			if !failing {
-				m.log.Error(err, "Instance list unavailable; last known instances stay.")
-			}
-			failing = true
-		default:
-			if failing {
-				m.log.Info("Instance list available again.")
-			}
-			failing = false
-			m.change(func(t *membership.Table) { t.SetList(list, asOf) })
 		}
+		if err != nil && !failing {
+			m.log.Error(err, "Instance list unavailable; last known instances stay.")
+		}
+		if err == nil && failing {
+			m.log.Info("Instance list available again.")
+		}
+		failing = err != nil
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(pollInterval):
+		case <-time.After(m.interval()):
 		}
 	}
 }
 
+// poll takes in the list once.
+func (m *Members) poll(ctx context.Context) error {
+	list, asOf, err := m.opts.List.List(ctx)
+	if err != nil {
+		return err
+	}
+	m.change(func(t *membership.Table) { t.SetList(list, asOf) })
+	return nil
+}
+
+// interval returns a random time with the mean that applies now.
+func (m *Members) interval() time.Duration {
+	mean := m.opts.Interval
+	if len(m.Instances()) == 0 {
+		mean = min(mean, firstInterval)
+	}
+	return mean/2 + rand.N(mean)
+}
+
 // Servers implements View.
 func (m *Members) Servers(pool string) []routing.Server { return m.view.Load().pools[pool] }
 
