Refuse waiting calls once they could no longer end in time

Change: a waiting call leaves the queue at its deadline less its expected time. A call that need not wait is still started, so that a server whose time was once long is measured again.

--- a/internal/agent/server_test.go
+++ b/internal/agent/server_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawheel/magnoliawheel/core/limit"
 	"github.com/magnoliawheel/magnoliawheel/core/schema"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
 	"github.com/magnoliawheel/magnoliawheel/internal/settings"
@@ -37,3 +38,26 @@
 		})
 	}
 }
+
+// TestLatestStart checks that a call is not started when it can't end in time,
+// unless it does not wait: its time may have changed since it was measured.
+func TestLatestStart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cases := []struct {
+		name    string
+		running int
+		service time.Duration
+		want    time.Duration
+	}{
+		{"does not wait", 0, 400 * time.Millisecond, time.Second},
+		{"waits", 1, 400 * time.Millisecond, 600 * time.Millisecond},
+		{"waits, nothing measured", 1, 0, time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := &work{running: c.running, limiter: limit.New(limit.Options{Min: 1, Max: 1}), timing: timing{service: c.service}}
+			at := w.latestStart(&task{req: &wire.RunRequest{}, deadline: now.Add(time.Second)})
+			assert.Equal(t, at.Sub(now), c.want)
+		})
+	}
+}
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -214,7 +214,7 @@
 func (w *work) push(now time.Time, t *task) {
 	it := fairqueue.Item{
 		Key: t.id, Customer: t.req.Customer, Weight: int(t.req.Weight), Cost: w.timing.expect(t.req).Seconds(),
-		Deadline: t.deadline, Priority: int(t.req.Priority),
+		Deadline: w.latestStart(t), Priority: int(t.req.Priority),
 	}
 	if !w.queue.Push(now, it) {
 		w.refuse(now, t.id, ledger.Outcome{Code: result.QueueFull, Ran: result.RanNo, RetryAfter: w.wait(t.req)})
@@ -228,6 +228,15 @@
 	return int64(len(req.Payload)) + int64(req.GetRef().GetSizeBytes())
 }
 
+// latestStart returns when a task that has to wait is no longer worth starting,
+// since it would not end in time. The caller holds mu.
+func (w *work) latestStart(t *task) time.Time {
+	if w.running < w.limiter.Limit() {
+		return t.deadline
+	}
+	return t.deadline.Add(-w.timing.expect(t.req))
+}
+
 func reserveOf(req *wire.RunRequest) int64 {
 	return reserveBytes + tokenBytes*int64(req.MaxTokens)
 }
