Count other entries' calls between load reports

Ruled out: the number of entries from the list (entries that get no requests would count). Change: the calls at the pool's servers for each one from here, as reported, multiply the own calls since a report. Failing first: with the factor fixed at 1 TestExpectedCountsOtherEntries fails.

--- a/core/routing/cost.go
+++ b/core/routing/cost.go
@@ -46,7 +46,10 @@
 	at time.Time
 	// service and wait are medians in nanoseconds; failing is the median share.
 	service, wait, failing float64
-	scratch                []float64
+	// others is the number of calls that all entries have at the pool's servers for
+	// each one from here.
+	others  float64
+	scratch []float64
 }
 
 // statsAge is how often the figures of the pool are worked out again.
@@ -63,9 +66,25 @@
 	}
 	r.stats.wait, _ = r.median(now, func(st *server) float64 { return float64(st.load.Wait) })
 	r.stats.failing, _ = r.median(now, func(st *server) float64 { return st.failingNow(now) })
+	r.stats.others = r.countOthers(now)
 	r.countZones(now)
 }
 
+// othersMost bounds how many calls are taken to be sent for each one from here.
+const othersMost = 8
+
+func (r *Router) countOthers(now time.Time) float64 {
+	all, own := 0, 0
+	for _, st := range r.all {
+		if st.reported.IsZero() || now.Sub(st.reported) > loadFresh {
+			continue
+		}
+		all += st.load.Running + st.load.Queued
+		own += st.startsReported
+	}
+	return min(max(float64(all)/float64(max(own, 1)), 1), othersMost)
+}
+
 func (r *Router) median(now time.Time, of func(*server) float64) (v float64, ok bool) {
 	list := r.stats.scratch[:0]
 	for _, st := range r.all {
@@ -97,7 +116,7 @@
 		cost *= overBudgetFactor
 	}
 	service := r.service(now, st)
-	cost += occupancyWeight * service * min(1, float64(st.occupied())/float64(st.limit()))
+	cost += occupancyWeight * service * min(1, st.occupied(r.stats.others)/float64(st.limit()))
 	cost += r.failureCost(now, st)
 	cost += billed(q, st, r.opts.Region)
 	return cost
@@ -119,7 +138,7 @@
 	if v == 0 {
 		v = r.stats.service
 	}
-	if st.occupied() == 0 && !st.used.IsZero() {
+	if st.occupied(1) == 0 && !st.used.IsZero() {
 		idle := now.Sub(st.used).Seconds() / serviceHalf.Seconds()
 		v = r.stats.service + (v-r.stats.service)*math.Exp2(-idle)
 	}
@@ -137,7 +156,7 @@
 // wait is the expected time in the server's queue.
 func (r *Router) wait(now time.Time, st *server, service float64) float64 {
 	limit := float64(st.limit())
-	over := float64(st.occupied()) - limit + 1
+	over := st.occupied(r.stats.others) - limit + 1
 	v := max(0, over) * service / limit
 	if st.load.Queued > 0 {
 		v = max(v, float64(st.load.Wait))
@@ -221,14 +240,14 @@
 // occupied than the bound allows.
 func (r *Router) holders(now time.Time, q *Query, list, dst []*server) []*server {
 	region := r.bytesRegion(q)
-	sum, n := 0, 0
+	sum, n := 0.0, 0
 	var holder *server
 	best := 0.0
 	for _, st := range list {
 		if !r.usable(now, q, st) {
 			continue
 		}
-		sum += st.occupied()
+		sum += st.occupied(r.stats.others)
 		n++
 		if st.Region == region && (r.home == nil || st.homeRank(q) > r.home.homeRank(q)) {
 			r.home = st
@@ -237,9 +256,9 @@
 			holder, best = st, v
 		}
 	}
-	bound := homeBound*float64(sum)/float64(max(n, 1)) + 1
+	bound := homeBound*sum/float64(max(n, 1)) + 1
 	for _, st := range [...]*server{holder, r.home} {
-		if st != nil && float64(st.occupied()) <= bound && !contains(dst, st) {
+		if st != nil && st.occupied(r.stats.others) <= bound && !contains(dst, st) {
 			dst = append(dst, st)
 		}
 	}
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -44,6 +44,7 @@
 		o.ProbesPerSecond = DefaultProbesPerSecond
 	}
 	return &Router{
+		stats:  poolStats{others: 1},
 		opts:   o,
 		rng:    rand.New(rand.NewPCG(o.Seed, seedStream)),
 		byID:   map[string]*server{},
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -222,6 +222,29 @@
 	assert.Assert(t, d >= 340*ms && d < 400*ms, "expected %v", d)
 }
 
+// TestExpectedCountsOtherEntries checks that between two reports the calls sent
+// from here stand for those of other entries too.
+func TestExpectedCountsOtherEntries(t *testing.T) {
+	expected := func(all int) time.Duration {
+		r := New(Options{Zone: "r0-z0", Region: "r0"})
+		list := servers(1, 1)
+		r.SetServers(epoch, list)
+		for range 4 {
+			r.Start(epoch, list[0].ID)
+		}
+		r.Observe(epoch, list[0].ID, Load{Limit: 4, Running: 4, Queued: all - 4, Service: 400 * ms})
+		for range 4 {
+			r.Start(epoch, list[0].ID)
+		}
+		d, ok := r.Expected(epoch, &Query{})
+		assert.Assert(t, ok)
+		return d
+	}
+	// One call more takes 100 ms more; 4 sent from here since the report.
+	assert.Equal(t, expected(4), 900*ms)
+	assert.Equal(t, expected(12), 900*ms+(8+2*4)*100*ms)
+}
+
 func TestModels(t *testing.T) {
 	r := New(Options{Seed: 1})
 	list := servers(6, 1)
--- a/core/routing/server.go
+++ b/core/routing/server.go
@@ -55,11 +55,11 @@
 	return model == "" || len(st.load.Models) == 0 || slices.Contains(st.load.Models, model)
 }
 
-// occupied estimates the calls at the server: those reported and those sent
-// from here since.
-func (st *server) occupied() int {
+// occupied estimates the calls at the server: those reported, and those sent
+// since from here and, going by the pool, from other entries.
+func (st *server) occupied(others float64) float64 {
 	sent := max(0, len(st.starts)-st.startsReported)
-	return max(st.load.Running+st.load.Queued+sent, len(st.starts))
+	return max(float64(st.load.Running+st.load.Queued)+float64(sent)*others, float64(len(st.starts)))
 }
 
 func (st *server) started(now time.Time) {
