--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -69,6 +69,7 @@
 	}
 	instances := members.New(members.Options{
 		List: platform.NewHTTPList(o.Settings.Platform.ListURL), Logger: p.log, Self: o.Settings.Instance.ID,
+		Interval: members.AgentInterval,
 	})
 	sync := confsync.New(confsync.Options{
 		Log: p.plog, Peers: instances.Peers, Pool: p.pool, Self: o.Settings.Instance.ID, Incarnation: p.incarnation,
