--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -15,7 +15,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -28,10 +27,8 @@
 )
 
 const (
-	secret = "capacity-secret-0123456789"
-	// ticksPerSecond is the unit of processor time in /proc on Linux.
-	ticksPerSecond = 100
-	startTimeout   = 60 * time.Second
+	secret       = "capacity-secret-0123456789"
+	startTimeout = 60 * time.Second
 )
 
 type options struct {
@@ -161,19 +158,19 @@
 	}
 	defer proc.Kill()
 	time.Sleep(o.Settle)
-	return out, out.take(o.Duration, proc.Pid(), f, plat)
+	return out, out.take(o.Duration, proc, f, plat)
 }
 
 // take measures over a duration.
-func (s *sample) take(d time.Duration, pid int, f *fleet, plat *platform) error {
-	cpu0, err := processorSeconds(pid)
+func (s *sample) take(d time.Duration, proc *harness.Process, f *fleet, plat *platform) error {
+	cpu0, err := proc.ProcessorSeconds()
 	if err != nil {
 		return err
 	}
 	peer0, list0, log0 := f.bytes.Load(), plat.listBytes.Load(), plat.logBytes.Load()
 	probes0, exchanges0 := f.probes.Load(), f.exchanges.Load()
 	time.Sleep(d)
-	cpu1, err := processorSeconds(pid)
+	cpu1, err := proc.ProcessorSeconds()
 	if err != nil {
 		return err
 	}
@@ -181,7 +178,7 @@
 	s.cpuPercent = 100 * (cpu1 - cpu0) / d.Seconds()
 	s.peerBytes, s.listBytes, s.logBytes = per(f.bytes.Load(), peer0), per(plat.listBytes.Load(), list0), per(plat.logBytes.Load(), log0)
 	s.probesPerSecond, s.exchangesPerSecond = per(f.probes.Load(), probes0), per(f.exchanges.Load(), exchanges0)
-	s.rssMB, err = residentMB(pid)
+	s.rssMB, err = proc.ResidentMB()
 	return err
 }
 
@@ -277,40 +274,6 @@
 	return harness.WaitStatus(ctx, "http://"+admin+"/readyz", http.StatusOK)
 }
 
-// processorSeconds returns the user and system time of a process.
-func processorSeconds(pid int) (float64, error) {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, err
-	}
-	// The second field is in parentheses and may hold spaces.
-	f := strings.Fields(string(b[bytes.LastIndexByte(b, ')')+1:]))
-	const user, system = 11, 12
-	var total float64
-	for _, i := range []int{user, system} {
-		n, err := strconv.ParseFloat(f[i], 64)
-		if err != nil {
-			return 0, err
-		}
-		total += n
-	}
-	return total / ticksPerSecond, nil
-}
-
-func residentMB(pid int) (float64, error) {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0, err
-	}
-	for line := range strings.Lines(string(b)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, err := strconv.ParseFloat(strings.Fields(rest)[0], 64)
-			return kb / 1024, err
-		}
-	}
-	return 0, fmt.Errorf("no VmRSS for process %d", pid)
-}
-
 func write(w io.Writer, samples []sample) error {
 	out := csv.NewWriter(w)
 	rows := [][]string{{"servers", "entries", "customers", "models", "cpu_percent", "rss_mb", "peer_bytes_per_s", "list_bytes_per_s", "log_bytes_per_s",
--- /dev/null
+++ b/test/harness/usage.go
@@ -0,0 +1,47 @@
+package harness
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+)
+
+// ticksPerSecond is the unit of processor time in /proc on Linux.
+const ticksPerSecond = 100
+
+// ProcessorSeconds returns the user and system time that the process has used.
+func (p *Process) ProcessorSeconds() (float64, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid()))
+	if err != nil {
+		return 0, err
+	}
+	// The second field is in parentheses and may hold spaces.
+	f := strings.Fields(string(b[bytes.LastIndexByte(b, ')')+1:]))
+	const user, system = 11, 12
+	var total float64
+	for _, i := range []int{user, system} {
+		n, err := strconv.ParseFloat(f[i], 64)
+		if err != nil {
+			return 0, err
+		}
+		total += n
+	}
+	return total / ticksPerSecond, nil
+}
+
+// ResidentMB returns the resident memory of the process in MiB.
+func (p *Process) ResidentMB() (float64, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid()))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(b)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, err := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			return kb / 1024, err
+		}
+	}
+	return 0, fmt.Errorf("no VmRSS for process %d", p.Pid())
+}
