--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -37,6 +37,9 @@
 	Metrics http.Handler
 }
 
+// lastAnswersTimeout bounds the wait for answers under way after the drain.
+const lastAnswersTimeout = 2 * time.Second
+
 // Process is one agent.
 type Process struct {
 	opts        Options
@@ -151,8 +154,9 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { p.work.expireLoop(live) })
 	wg.Go(func() { p.work.claims.run(live, p.work.takesKeys, p.work.validity) })
+	calls := rpc.NewInFlight(mux)
 	wg.Go(func() {
-		if err := rpc.Serve(live, peers, p.conf, mux); err != nil {
+		if err := rpc.Serve(live, peers, p.conf, calls); err != nil {
 			p.log.Error(err, "Serving peers ended.")
 		}
 	})
@@ -164,6 +168,9 @@
 	p.log.Info("Agent started.", "incarnation", p.incarnation, "peers", peers.Addr().String(), "pool", p.settings.Server.Pool)
 	<-ctx.Done()
 	p.drain()
+	last, done := context.WithTimeout(live, lastAnswersTimeout)
+	calls.Wait(last)
+	done()
 	stop()
 	_ = srv.Close()
 	p.work.stop()
