Leave peers the time to read a draining agent's last answers

Cause: the process closes its connections right after the last answer is written, and closing a connection discards what its peer has not read. Change: 100 ms between the last answer and the closing.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -38,8 +38,14 @@
 	Metrics http.Handler
 }
 
-// lastAnswersTimeout bounds the wait for answers under way after the drain.
-const lastAnswersTimeout = 2 * time.Second
+// Bounds of the end of a process.
+const (
+	// lastAnswersTimeout bounds the wait for calls in flight after the drain.
+	lastAnswersTimeout = 2 * time.Second
+	// linger is the time for peers to read the last answers before connections are
+	// closed, since closing one discards what its peer has not read.
+	linger = 100 * time.Millisecond
+)
 
 // Process is one agent.
 type Process struct {
@@ -174,6 +180,7 @@
 	p.drain()
 	last, done := context.WithTimeout(live, lastAnswersTimeout)
 	calls.Wait(last)
+	wait(last, linger)
 	done()
 	stop()
 	_ = srv.Close()
