Let a draining agent send its last answers; answer copies of a key from memory

Cause: the process ended as soon as the last result was acknowledged, while the answer to that Ack was under way; TestDrainCutsNothing failed once in a full run. Change: the process waits for the calls in flight, 2 s at most, and 100 ms more before it closes connections.

A copy of a key whose attempt this process holds is answered without the log, so also while the log is down and while the agent leaves. The memory for results can be full also for work that ran, so its code's ran varies.

--- a/core/result/table.go
+++ b/core/result/table.go
@@ -27,7 +27,7 @@
 	{WrongIncarnation, "wrong_incarnation", 503, "no", "The agent process asked is not the one meant.", "The entry probes again."},
 	{BudgetSpent, "budget_spent", 504, "no", "The remaining time is spent before the server was called.", "Come back with more time."},
 	{EntryDraining, "entry_draining", 503, "no", "The entry is shutting down.", "Send again; the balancer picks another entry."},
-	{ResultsFull, "results_full", 503, "no", "The memory for kept results is full.", "Come back after Retry-After."},
+	{ResultsFull, "results_full", 503, "varies", "The memory for kept results is full.", "Come back after Retry-After; repeat only if effects is no."},
 	{Tombstoned, "tombstoned", 409, "no", "The attempt was cancelled before it started and will never run.", "Send again if wanted."},
 	{ConfigTooOld, "config_too_old", 503, "no", "The entry's schema is older than the agent's.", "The entry fetches the difference."},
 	{NotReady, "not_ready", 503, "no", "The process has no configuration yet.", "Come back after Retry-After."},
--- /dev/null
+++ b/internal/agent/accept.go
@@ -0,0 +1,143 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnoliawheel/magnoliawheel/core/claims"
+	"github.com/magnoliawheel/magnoliawheel/core/fairqueue"
+	"github.com/magnoliawheel/magnoliawheel/core/ledger"
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/core/schema"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+)
+
+// accept takes a run in, or finds the attempt that exists already.
+func (w *work) accept(now time.Time, id ledger.ID, req *wire.RunRequest) (attached bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ledger.Get(id) != nil {
+		return true
+	}
+	w.applyConfig()
+	deadline := now.Add(time.Duration(req.BudgetUs) * time.Microsecond)
+	if e := w.judgeKey(now, req); e != nil {
+		w.refuse(now, id, ledger.Outcome{Code: e.Code, Message: e.Message, Ran: e.Ran})
+		return false
+	}
+	if o, held := w.heldHere(req); held {
+		w.refuse(now, id, o)
+		return false
+	}
+	if o := w.judge(now, req); o.Code != result.OK {
+		w.refuse(now, id, o)
+		return false
+	}
+	job := ledger.Job{Deadline: deadline, Idempotent: req.Idempotent, Shared: keyed(req), Reserve: reserveOf(req), Input: inputOf(req), MaxBytes: schema.MaxAnswerBytes}
+	if code := w.ledger.Accept(now, id, job); code != result.OK {
+		w.p.metrics.ended(code)
+		return false
+	}
+	t := &task{id: id, req: req, deadline: deadline, accepted: now, checksum: xxhash.New(), readers: map[chan struct{}]struct{}{}}
+	w.tasks[id] = t
+	w.p.metrics.accepted.Inc(1)
+	if req.Ref == nil && !keyed(req) {
+		w.push(now, t)
+		return false
+	}
+	t.preparing, t.claiming = true, keyed(req)
+	w.preparing++
+	w.wg.Go(func() { w.prepare(t) })
+	return false
+}
+
+// push queues a task, or refuses it if the queue is full. The caller holds mu.
+func (w *work) push(now time.Time, t *task) {
+	it := fairqueue.Item{
+		Key: t.id, Customer: t.req.Customer, Weight: int(t.req.Weight), Cost: w.timing.expect(t.req).Seconds(),
+		Deadline: t.deadline, Priority: int(t.req.Priority),
+	}
+	if !w.queue.Push(now, it) {
+		w.refuse(now, t.id, ledger.Outcome{Code: result.QueueFull, Ran: result.RanNo, RetryAfter: w.wait(t.req)})
+		return
+	}
+	w.dispatch(now)
+}
+
+// prepare pulls the input and claims the key of a task, and queues it.
+func (w *work) prepare(t *task) {
+	if o := w.pull(t); o.Code != result.OK {
+		w.endPreparing(t, o)
+		return
+	}
+	if keyed(t.req) {
+		w.claimThenQueue(t)
+		return
+	}
+	w.queuePrepared(t, nil)
+}
+
+// queuePrepared queues a task unless it was cancelled meanwhile. The claim is the
+// one that holds its key, or nil.
+func (w *work) queuePrepared(t *task, claim *claims.Record) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if claim != nil {
+		w.hold(t, claim)
+	}
+	t.preparing, t.claiming = false, false
+	w.preparing--
+	if a := w.ledger.Get(t.id); a != nil && a.State == ledger.Queued {
+		w.push(time.Now(), t)
+		return
+	}
+	if claim != nil {
+		w.release(claim)
+	}
+}
+
+// endPreparing refuses a task.
+func (w *work) endPreparing(t *task, o ledger.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.preparing, t.claiming = false, false
+	w.preparing--
+	w.refuse(time.Now(), t.id, o)
+}
+
+// inputOf returns the memory that the input takes, in bytes.
+func inputOf(req *wire.RunRequest) int64 {
+	return int64(len(req.Payload)) + int64(req.GetRef().GetSizeBytes())
+}
+
+func reserveOf(req *wire.RunRequest) int64 {
+	return reserveBytes + tokenBytes*int64(req.MaxTokens)
+}
+
+// judge refuses what cannot be served in time.
+func (w *work) judge(now time.Time, req *wire.RunRequest) ledger.Outcome {
+	budget := time.Duration(req.BudgetUs) * time.Microsecond
+	wait := w.wait(req)
+	switch {
+	case w.leaving != 0:
+		return ledger.Outcome{Code: result.ServerLeaving, Ran: result.RanNo}
+	case budget <= 0:
+		return ledger.Outcome{Code: result.BudgetSpent, Ran: result.RanNo}
+	case w.preparing >= w.queueLimit:
+		return ledger.Outcome{Code: result.QueueFull, Ran: result.RanNo, RetryAfter: wait}
+	case wait > 0 && wait+w.timing.expect(req) > budget:
+		return ledger.Outcome{Code: result.Overloaded, Ran: result.RanNo, RetryAfter: wait}
+	}
+	return ledger.Outcome{}
+}
+
+// wait returns the expected time in the queue of a new call. The caller holds mu.
+func (w *work) wait(req *wire.RunRequest) time.Duration {
+	if w.running < w.limiter.Limit() {
+		return 0
+	}
+	cost := w.timing.expect(req)
+	ahead := w.queue.Ahead(req.Customer, int(req.Weight), cost.Seconds())
+	return time.Duration((ahead + w.timing.service.Seconds()) / float64(w.limiter.Limit()) * float64(time.Second))
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -37,6 +37,15 @@
 	Metrics http.Handler
 }
 
+// Bounds of the end of a process.
+const (
+	// lastAnswersTimeout bounds the wait for calls in flight after the drain.
+	lastAnswersTimeout = 2 * time.Second
+	// linger is the time for peers to read the last answers before connections are
+	// closed, since closing one discards what its peer has not read.
+	linger = 100 * time.Millisecond
+)
+
 // Process is one agent.
 type Process struct {
 	opts        Options
@@ -151,8 +160,9 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { p.work.expireLoop(live) })
 	wg.Go(func() { p.work.claims.run(live, p.work.takesKeys, p.work.validity) })
+	calls := rpc.NewInFlight(mux)
 	wg.Go(func() {
-		if err := rpc.Serve(live, peers, p.conf, mux); err != nil {
+		if err := rpc.Serve(live, peers, p.conf, calls); err != nil {
 			p.log.Error(err, "Serving peers ended.")
 		}
 	})
@@ -164,6 +174,10 @@
 	p.log.Info("Agent started.", "incarnation", p.incarnation, "peers", peers.Addr().String(), "pool", p.settings.Server.Pool)
 	<-ctx.Done()
 	p.drain()
+	last, done := context.WithTimeout(live, lastAnswersTimeout)
+	calls.Wait(last)
+	wait(last, linger)
+	done()
 	stop()
 	_ = srv.Close()
 	p.work.stop()
--- a/internal/agent/keyed.go
+++ b/internal/agent/keyed.go
@@ -56,6 +56,55 @@
 	return claims.CheckTime(minted, now, validity, skew)
 }
 
+// heldKey is a key that an attempt of this process holds.
+type heldKey struct {
+	attempt ledger.ID
+	digest  uint64
+	// forget is when copies of the key are refused by its age.
+	forget time.Time
+}
+
+func keyOf(req *wire.RunRequest) claims.Key {
+	return claims.NewKey(req.Customer, req.IdempotencyKey, req.SubKey)
+}
+
+// heldHere returns the outcome of a copy of a key that this process holds; ok is
+// false if it does not. It needs no log. The caller holds mu.
+func (w *work) heldHere(req *wire.RunRequest) (o ledger.Outcome, ok bool) {
+	if !keyed(req) {
+		return o, false
+	}
+	h, ok := w.held[keyOf(req)]
+	if !ok {
+		return o, false
+	}
+	if a := w.ledger.Get(h.attempt); a == nil || a.State == ledger.NotRun {
+		return o, false
+	}
+	return w.lostTo(req, h.digest, w.holder(h.attempt)), true
+}
+
+// hold records that a task holds its key. The caller holds mu.
+func (w *work) hold(t *task, claim *claims.Record) {
+	t.claim = claim
+	validity, _ := w.keyLimits()
+	w.held[claim.Key] = heldKey{t.id, claim.Digest, time.UnixMilli(claim.Minted).Add(validity + forgetMargin)}
+}
+
+// forgetKeys drops the keys that are too old. The caller holds mu.
+func (w *work) forgetKeys(now time.Time) {
+	for k, h := range w.held {
+		if now.After(h.forget) {
+			delete(w.held, k)
+		}
+	}
+}
+
+// holder names an attempt of this process.
+func (w *work) holder(id ledger.ID) ledger.Holder {
+	return ledger.Holder{Instance: w.p.settings.Instance.ID, Address: w.p.address, Incarnation: w.p.incarnation, Attempt: id}
+}
+
 // newClaim returns the claim of a task for its key.
 func (w *work) newClaim(t *task) (*claims.Record, error) {
 	id, err := newClaimID()
@@ -64,10 +113,7 @@
 	}
 	minted, _ := claims.Minted(t.req.IdempotencyKey)
 	return &claims.Record{
-		ID: id, Key: claims.NewKey(t.req.Customer, t.req.IdempotencyKey, t.req.SubKey), Minted: minted.UnixMilli(), Digest: t.req.Digest,
-		Holder: ledger.Holder{
-			Instance: w.p.settings.Instance.ID, Address: w.p.address, Incarnation: w.p.incarnation, Attempt: t.id,
-		},
+		ID: id, Key: keyOf(t.req), Minted: minted.UnixMilli(), Digest: t.req.Digest, Holder: w.holder(t.id),
 	}, nil
 }
 
@@ -96,17 +142,16 @@
 	case j == claims.Held:
 		w.queuePrepared(t, r)
 	case j == claims.Lost:
-		w.endPreparing(t, w.lostTo(t, &by))
+		w.endPreparing(t, w.lostTo(t.req, by.Digest, by.Holder))
 	default:
 		w.endPreparing(t, ledger.Outcome{Code: result.ClaimUnavailable, Message: "the claim is void", Ran: result.RanNo, RetryAfter: claimRetryAfter})
 	}
 }
 
-// lostTo is the outcome of a task whose key another claim holds.
-func (w *work) lostTo(t *task, by *claims.Record) ledger.Outcome {
-	h := by.Holder
+// lostTo is the outcome of a call whose key another attempt holds.
+func (w *work) lostTo(req *wire.RunRequest, digest uint64, h ledger.Holder) ledger.Outcome {
 	switch {
-	case by.Digest != t.req.Digest:
+	case digest != req.Digest:
 		return ledger.Outcome{Code: result.KeyReused, Message: "the key was used with another body or call", Ran: result.RanNo}
 	case h.Instance == w.p.settings.Instance.ID && h.Incarnation != w.p.incarnation:
 		return ledger.Outcome{Code: result.HolderGone, Message: "the process that held the key is gone", Ran: result.RanUnknown}
--- a/internal/agent/keyed_test.go
+++ b/internal/agent/keyed_test.go
@@ -52,6 +52,14 @@
 	assert.Equal(t, again.text, first.text)
 	assert.Equal(t, again.accepted.Holder.RequestId, "e1~1")
 
+	// The same holds while the log is down, and while the agent leaves.
+	log.set(func(l *fakeLog) { l.down = true })
+	a.work.setLeaving(leavingOrdered, true)
+	again = a.run(t, a.filing("e2~4", key))
+	assert.DeepEqual(t, again.events, []string{"accepted attached=true", "done 1"})
+	a.work.setLeaving(leavingOrdered, false)
+	log.set(func(l *fakeLog) { l.down = false })
+
 	// Another agent names the holder.
 	lost := b.run(t, b.filing("e2~2", key))
 	assert.Equal(t, result.Code(lost.refused.Code), result.ClaimLost)
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawheel/magnoliawheel/core/result"
@@ -166,3 +169,21 @@
 	assert.Equal(t, run.text, whole.text)
 	assert.Equal(t, len(model.Recorder.All()), 1)
 }
+
+// TestSilentEngineConnections checks that a generation goes on over a new
+// connection when the open one goes silent for good.
+func TestSilentEngineConnections(t *testing.T) {
+	model := startEngine(t, engine.Config{Prefill: time.Millisecond})
+	f := start(t, testSettings(t, "a", "http://"+model.Addr()))
+	run := f.startRun(t, f.generateRequest("e~1", 100))
+	run.receive(t, run.stream, func(a *answer) bool { return a.next > 3 })
+	resp, err := http.Post("http://"+model.Addr()+"/control", "application/json", strings.NewReader(`{"silence":true}`))
+	assert.NilError(t, err)
+	_ = resp.Body.Close()
+	run.finish(t)
+	assert.Equal(t, run.done.Count, uint64(100))
+	assert.Equal(t, run.done.Checksum, xxhash.Sum64String(run.text))
+	executions := model.Recorder.All()
+	assert.Equal(t, len(executions), 1)
+	assert.Equal(t, executions[0].Outcome, standin.Completed)
+}
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
-	"sort"
 	"sync"
 	"time"
 
@@ -16,7 +13,6 @@
 	"github.com/magnoliawheel/magnoliawheel/core/ledger"
 	"github.com/magnoliawheel/magnoliawheel/core/limit"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
-	"github.com/magnoliawheel/magnoliawheel/core/schema"
 	"github.com/magnoliawheel/magnoliawheel/internal/engine"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
 )
@@ -39,18 +35,8 @@
 	tokenBytes   = 8
 	// expireInterval is the time between two sweeps for what expired.
 	expireInterval = 250 * time.Millisecond
-)
-
-// leavingReason is why the agent takes no new work.
-type leavingReason uint8
-
-const (
-	// leavingSignal: the process was told to stop.
-	leavingSignal leavingReason = 1 << iota
-	// leavingListed: the platform's list says that the instance leaves.
-	leavingListed
-	// leavingOrdered: an operator ordered it.
-	leavingOrdered
+	// sweepInterval is the time between two sweeps for keys that are too old.
+	sweepInterval = time.Minute
 )
 
 // task is the process's part of an attempt that the ledger holds.
@@ -94,7 +80,9 @@
 	limiter    *limit.Limiter
 	tasks      map[ledger.ID]*task
 	claims     *claimer
-	running    int
+	// held holds the keys that attempts of this process hold.
+	held    map[claims.Key]heldKey
+	running int
 	// preparing is the number of tasks that wait for their input or their claim.
 	preparing int
 	leaving   leavingReason
@@ -121,6 +109,7 @@
 		tasks:      map[ledger.ID]*task{},
 		changed:    make(chan struct{}, 1),
 		claims:     newClaimer(ctx, p.log, p.plog),
+		held:       map[claims.Key]heldKey{},
 	}
 }
 
@@ -140,128 +129,6 @@
 	}
 }
 
-// accept takes a run in, or finds the attempt that exists already.
-func (w *work) accept(now time.Time, id ledger.ID, req *wire.RunRequest) (attached bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.ledger.Get(id) != nil {
-		return true
-	}
-	w.applyConfig()
-	deadline := now.Add(time.Duration(req.BudgetUs) * time.Microsecond)
-	if o := w.judge(now, req); o.Code != result.OK {
-		w.refuse(now, id, o)
-		return false
-	}
-	job := ledger.Job{Deadline: deadline, Idempotent: req.Idempotent, Shared: keyed(req), Reserve: reserveOf(req), Input: inputOf(req), MaxBytes: schema.MaxAnswerBytes}
-	if code := w.ledger.Accept(now, id, job); code != result.OK {
-		w.p.metrics.ended(code)
-		return false
-	}
-	t := &task{id: id, req: req, deadline: deadline, accepted: now, checksum: xxhash.New(), readers: map[chan struct{}]struct{}{}}
-	w.tasks[id] = t
-	w.p.metrics.accepted.Inc(1)
-	if req.Ref == nil && !keyed(req) {
-		w.push(now, t)
-		return false
-	}
-	t.preparing, t.claiming = true, keyed(req)
-	w.preparing++
-	w.wg.Go(func() { w.prepare(t) })
-	return false
-}
-
-// prepare pulls the input and claims the key of a task, and queues it.
-func (w *work) prepare(t *task) {
-	if o := w.pull(t); o.Code != result.OK {
-		w.endPreparing(t, o)
-		return
-	}
-	if keyed(t.req) {
-		w.claimThenQueue(t)
-		return
-	}
-	w.queuePrepared(t, nil)
-}
-
-// queuePrepared queues a task unless it was cancelled meanwhile. The claim is the
-// one that holds its key, or nil.
-func (w *work) queuePrepared(t *task, claim *claims.Record) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	t.claim = claim
-	t.preparing, t.claiming = false, false
-	w.preparing--
-	if a := w.ledger.Get(t.id); a != nil && a.State == ledger.Queued {
-		w.push(time.Now(), t)
-		return
-	}
-	if claim != nil {
-		w.release(claim)
-	}
-}
-
-// endPreparing refuses a task.
-func (w *work) endPreparing(t *task, o ledger.Outcome) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	t.preparing, t.claiming = false, false
-	w.preparing--
-	w.refuse(time.Now(), t.id, o)
-}
-
-// push queues a task, or refuses it if the queue is full. The caller holds mu.
-func (w *work) push(now time.Time, t *task) {
-	it := fairqueue.Item{
-		Key: t.id, Customer: t.req.Customer, Weight: int(t.req.Weight), Cost: w.timing.expect(t.req).Seconds(),
-		Deadline: t.deadline, Priority: int(t.req.Priority),
-	}
-	if !w.queue.Push(now, it) {
-		w.refuse(now, t.id, ledger.Outcome{Code: result.QueueFull, Ran: result.RanNo, RetryAfter: w.wait(t.req)})
-		return
-	}
-	w.dispatch(now)
-}
-
-// inputOf returns the memory that the input takes, in bytes.
-func inputOf(req *wire.RunRequest) int64 {
-	return int64(len(req.Payload)) + int64(req.GetRef().GetSizeBytes())
-}
-
-func reserveOf(req *wire.RunRequest) int64 {
-	return reserveBytes + tokenBytes*int64(req.MaxTokens)
-}
-
-// judge refuses what cannot be served in time.
-func (w *work) judge(now time.Time, req *wire.RunRequest) ledger.Outcome {
-	budget := time.Duration(req.BudgetUs) * time.Microsecond
-	wait := w.wait(req)
-	if e := w.judgeKey(now, req); e != nil {
-		return ledger.Outcome{Code: e.Code, Message: e.Message, Ran: e.Ran}
-	}
-	switch {
-	case w.leaving != 0:
-		return ledger.Outcome{Code: result.ServerLeaving, Ran: result.RanNo}
-	case budget <= 0:
-		return ledger.Outcome{Code: result.BudgetSpent, Ran: result.RanNo}
-	case w.preparing >= w.queueLimit:
-		return ledger.Outcome{Code: result.QueueFull, Ran: result.RanNo, RetryAfter: wait}
-	case wait > 0 && wait+w.timing.expect(req) > budget:
-		return ledger.Outcome{Code: result.Overloaded, Ran: result.RanNo, RetryAfter: wait}
-	}
-	return ledger.Outcome{}
-}
-
-// wait returns the expected time in the queue of a new call. The caller holds mu.
-func (w *work) wait(req *wire.RunRequest) time.Duration {
-	if w.running < w.limiter.Limit() {
-		return 0
-	}
-	cost := w.timing.expect(req)
-	ahead := w.queue.Ahead(req.Customer, int(req.Weight), cost.Seconds())
-	return time.Duration((ahead + w.timing.service.Seconds()) / float64(w.limiter.Limit()) * float64(time.Second))
-}
-
 // refuse records that an attempt never runs. The caller holds mu.
 func (w *work) refuse(now time.Time, id ledger.ID, o ledger.Outcome) {
 	w.ledger.Refuse(now, id, o)
@@ -311,6 +178,7 @@
 
 // expireLoop drops what outlived its time until ctx ends.
 func (w *work) expireLoop(ctx context.Context) {
+	swept := time.Now()
 	tick := time.NewTicker(expireInterval)
 	defer tick.Stop()
 	for {
@@ -319,6 +187,12 @@
 			return
 		case now := <-tick.C:
 			w.expire(now)
+			if now.Sub(swept) >= sweepInterval {
+				swept = now
+				w.mu.Lock()
+				w.forgetKeys(now)
+				w.mu.Unlock()
+			}
 		}
 	}
 }
@@ -337,73 +211,3 @@
 	w.p.metrics.kept.Update(float64(w.ledger.KeptBytes()))
 	w.p.metrics.known.Update(float64(w.ledger.Len()))
 }
-
-func (w *work) setLeaving(why leavingReason, on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if on {
-		w.leaving |= why
-	} else {
-		w.leaving &^= why
-	}
-}
-
-func (w *work) isLeaving() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.leaving != 0
-}
-
-func (w *work) counts() (working, results int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.ledger.Unacknowledged()
-}
-
-// waitIdle returns once no call waits or runs.
-func (w *work) waitIdle() {
-	for {
-		if working, _ := w.counts(); working == 0 {
-			return
-		}
-		<-w.changed
-	}
-}
-
-// waitAcknowledged returns once no result is kept or the grace is over, with the
-// number of results that are left.
-func (w *work) waitAcknowledged(grace <-chan time.Time) int {
-	for {
-		_, results := w.counts()
-		if results == 0 && w.claims.waiting() == 0 {
-			return 0
-		}
-		select {
-		case <-w.changed:
-		case <-time.After(expireInterval):
-		case <-grace:
-			return results
-		}
-	}
-}
-
-// stop cancels what still runs and waits for it.
-func (w *work) stop() {
-	w.cancel()
-	w.wg.Wait()
-	w.claims.wg.Wait()
-}
-
-func (w *work) writeCut(out io.Writer) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var lines []string
-	for id := range w.tasks {
-		a := w.ledger.Get(id)
-		lines = append(lines, fmt.Sprintf("%s %s", a.State, idString(id)))
-	}
-	sort.Strings(lines)
-	for _, line := range lines {
-		_, _ = fmt.Fprintln(out, "cut:", line)
-	}
-}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -15,7 +15,6 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
-	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
@@ -47,8 +46,8 @@
 }
 
 // Serve accepts connections until ctx ends. It returns nil after ctx ended.
-func Serve(ctx context.Context, lis net.Listener, conf *tls.Config, mux *drpcmux.Mux) error {
-	srv := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+func Serve(ctx context.Context, lis net.Listener, conf *tls.Config, handler drpc.Handler) error {
+	srv := drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: managerOptions()})
 	err := srv.Serve(ctx, &serverListener{lis, conf})
 	if ctx.Err() != nil {
 		return nil
