--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -26,7 +26,9 @@
 	settings *settings.Entry
 	seed     uint64
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// status is the space in which homes are sought.
+	status    []routing.Status
 	routers   map[string]*poolRouter
 	admission *admission.Controller
 	budget    *retry.Budget
@@ -112,8 +114,11 @@
 	return probesPerSecond
 }
 
-func (d *decider) query(st *schema.Stage, prefix uint64) routing.Query {
-	return routing.Query{Zone: d.settings.Instance.Zone, Region: d.settings.Instance.Region, Model: st.Model, Prefix: prefix}
+func (d *decider) query(now time.Time, st *schema.Stage, r *callerapi.Request) routing.Query {
+	return routing.Query{
+		Zone: d.settings.Instance.Zone, Region: d.settings.Instance.Region, Model: st.Model, Prefix: r.Prefix,
+		Budget: r.Received.Add(r.Timeout).Sub(now),
+	}
 }
 
 // admit decides on a request from what its stages are expected to take now.
@@ -127,7 +132,7 @@
 	}
 	for i := range r.Pipeline.Stages {
 		st := &r.Pipeline.Stages[i]
-		q := d.query(st, r.Prefix)
+		q := d.query(now, st, r)
 		expected, ok := d.router(now, st.Pool).Expected(now, &q)
 		if !ok {
 			expected = st.Typical.Std()
@@ -181,13 +186,13 @@
 	defer c.mu.Unlock()
 	router := c.router(now, q.Stage.Pool)
 	if c.req.Key != "" && !q.Stage.Idempotent {
-		s, ok := home(c.p.view.Servers(q.Stage.Pool), c.req.Key, q.Exclude)
+		c.status = router.Status(now, c.status[:0])
+		s, ok := home(c.status, c.req.Key, q.Exclude)
 		return place(s), ok
 	}
-	rq := c.query(q.Stage, c.req.Prefix)
+	rq := c.query(now, q.Stage, c.req)
 	rq.Exclude = q.Exclude
 	rq.Bytes, rq.BytesRegion = q.Input.Bytes()
-	rq.Budget = c.req.Received.Add(c.req.Timeout).Sub(now)
 	s, ok := router.Pick(now, &rq)
 	return place(s), ok
 }
@@ -196,16 +201,29 @@
 	return pipeline.Server{ID: s.ID, Addr: s.Addr, Zone: s.Zone, Region: s.Region}
 }
 
-// home returns the server with the highest rendezvous score for the key.
-func home(servers []routing.Server, key string, exclude []string) (best routing.Server, ok bool) {
+// home returns the server with the highest rendezvous score for the key among
+// those that answer; entries that see them differently meet by the claims in the
+// log. If none answers, any that is not leaving is taken.
+func home(servers []routing.Status, key string, exclude []string) (routing.Server, bool) {
+	best, ok := highest(servers, key, exclude, func(s routing.State) bool {
+		return s != routing.StateLeaving && s != routing.StateSilent && s != routing.StateEjected
+	})
+	if ok {
+		return best, true
+	}
+	return highest(servers, key, exclude, func(s routing.State) bool { return s != routing.StateLeaving })
+}
+
+func highest(servers []routing.Status, key string, exclude []string, usable func(routing.State) bool) (best routing.Server, ok bool) {
 	var most uint64
-	for _, s := range servers {
-		if s.Leaving || contains(exclude, s.ID) {
+	for i := range servers {
+		s := &servers[i]
+		if !usable(s.State) || contains(exclude, s.ID) {
 			continue
 		}
 		score := xxhash.Sum64String(key + "/" + s.ID)
 		if !ok || score > most || (score == most && s.ID < best.ID) {
-			best, most, ok = s, score, true
+			best, most, ok = s.Server, score, true
 		}
 	}
 	return best, ok
--- /dev/null
+++ b/internal/entry/decider_test.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/routing"
+)
+
+func TestHomeOfAKey(t *testing.T) {
+	const key = "018bcfe5-6800-7000-8000-000000000001"
+	servers := []routing.Status{
+		{Server: routing.Server{ID: "a"}, State: routing.StateUsable},
+		{Server: routing.Server{ID: "b"}, State: routing.StateUsable},
+		{Server: routing.Server{ID: "c"}, State: routing.StateUsable},
+	}
+	first, ok := home(servers, key, nil)
+	assert.Assert(t, ok)
+	reversed := []routing.Status{servers[2], servers[1], servers[0]}
+	again, _ := home(reversed, key, nil)
+	assert.Equal(t, again.ID, first.ID, "the order of the servers matters")
+	second, _ := home(servers, key, []string{first.ID})
+	assert.Assert(t, second.ID != first.ID)
+	mark := func(state routing.State) {
+		for i := range servers {
+			if servers[i].ID == first.ID {
+				servers[i].State = state
+			}
+		}
+	}
+	for _, state := range []routing.State{routing.StateSilent, routing.StateEjected, routing.StateLeaving} {
+		mark(state)
+		got, _ := home(servers, key, nil)
+		assert.Equal(t, got.ID, second.ID, state)
+	}
+	for i := range servers {
+		servers[i].State = routing.StateSilent
+	}
+	got, ok := home(servers, key, nil)
+	assert.Assert(t, ok)
+	assert.Equal(t, got.ID, first.ID)
+	for i := range servers {
+		servers[i].State = routing.StateLeaving
+	}
+	_, ok = home(servers, key, nil)
+	assert.Assert(t, !ok)
+}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -75,7 +75,7 @@
 		Pipeline: r.req.Pipeline.Name, Stage: s.stage.Name, Pool: s.stage.Pool, Call: s.stage.Call,
 		Idempotent: s.stage.Idempotent, Digest: r.digest, Model: s.stage.Model, MaxTokens: uint32(s.stage.MaxTokens),
 		Prefix: r.req.Prefix, Payload: a.Input.Data, KeepOverBytes: uint64(a.KeepOver),
-		OriginRegion: r.p.opts.Settings.Instance.Region,
+		OriginRegion: r.p.opts.Settings.Instance.Region, OriginAddress: r.p.opts.Settings.Listen.Peers,
 	}
 	if !s.stage.Idempotent && r.req.Key != "" {
 		req.IdempotencyKey, req.SubKey = r.req.Key, s.stage.Name
