Let agents repeat, skip and die in the pipeline's property test

Cause of the first blindness: rapid's integers favour small values, so that the caller cancelled almost at once; the happenings are drawn without bias now.

--- a/core/pipeline/property_test.go
+++ b/core/pipeline/property_test.go
@@ -41,13 +41,18 @@
 	next      uint64
 	cancels   int
 	attaching bool
-	introduced
+	// first is set until the agent sent its first event on a connection.
+	first bool
 }
 
-type introduced struct{ first bool }
-
 const chunksPerStage = 3
 
+// rarely and sometimes are drawn from without bias.
+var (
+	rarely    = append(make([]bool, 199), true)
+	sometimes = append(make([]bool, 7), true)
+)
+
 func (w *world) chunk(id Attempt, seq uint64) string {
 	return fmt.Sprintf("%d.%d.%d;", id.Stage, id.Number, seq)
 }
@@ -120,7 +125,7 @@
 			}
 		}
 	}
-	w.work[id] = &trueWork{id: id, streaming: true, next: 1, introduced: introduced{first: true}}
+	w.work[id] = &trueWork{id: id, streaming: true, next: 1, first: true}
 	w.order = append(w.order, id)
 }
 
@@ -201,7 +206,7 @@
 			w.step(Lost{Attempt: wk.id, Cause: rapid.SampledFrom([]LostCause{Broken, Silent}).Draw(w.t, "cause")})
 		}
 	case "die":
-		if rapid.IntRange(0, 9).Draw(w.t, "dies") == 0 {
+		if rapid.SampledFrom(sometimes).Draw(w.t, "dies") {
 			wk.dead = true
 		}
 	case "cancel":
@@ -233,7 +238,14 @@
 	case !wk.ran:
 	case wk.next <= chunksPerStage:
 		seq := wk.next
-		wk.next++
+		switch rapid.SampledFrom([]string{"next", "next", "next", "again", "gap"}).Draw(w.t, "order") {
+		case "next":
+			wk.next++
+		case "again":
+			seq = max(1, seq-1)
+		case "gap":
+			seq++
+		}
 		w.step(Chunk{Attempt: wk.id, Seq: seq, Data: []byte(w.chunk(wk.id, seq))})
 	default:
 		wk.finished, wk.streaming = true, false
@@ -286,7 +298,7 @@
 				w.step(Tick{})
 				continue
 			}
-			if rapid.IntRange(0, 199).Draw(t, "cancels") == 0 {
+			if rapid.SampledFrom(rarely).Draw(t, "cancels") {
 				w.step(CallerCancel{})
 				continue
 			}
