Run real processes under the faults that the system must survive

After each run callers' answers are compared with the servers' record.

The harness publishes the instance list before the processes start and waits until every entry uses every server; without that, first requests were refused with no_server, rightly. bad_last_event_id now says ran=unknown in the table as on the wire: a bad sequence number says nothing about whether the request ran.

--- a/core/result/table.go
+++ b/core/result/table.go
@@ -14,7 +14,7 @@
 	{SlowCaller, "slow_caller", 408, "varies", "The caller sent or read too slowly.", "Re-attach with the request id, or send again if ran is no."},
 	{MethodNotAllowed, "method_not_allowed", 405, "no", "The path does not accept this method.", "Correct the method."},
 	{StreamTooLong, "stream_too_long", 502, "yes", "The answer is over the call's limit on length.", "Ask for less."},
-	{BadLastEventID, "bad_last_event_id", 400, "no", "Last-Event-ID is not a sequence number of this request.", "Correct the number."},
+	{BadLastEventID, "bad_last_event_id", 400, "unknown", "Last-Event-ID is not a sequence number of this request.", "Correct the number."},
 	{NotYourRequest, "not_your_request", 403, "no", "The request belongs to another customer.", "Use the customer that sent the request."},
 	{KeyRequired, "key_required", 400, "no", "The call requires an Idempotency-Key.", "Send one."},
 	{KeyNotAllowed, "key_not_allowed", 400, "no", "The call has no stage to which an Idempotency-Key could apply.", "Leave the header out."},
--- /dev/null
+++ b/test/failure/accept_test.go
@@ -0,0 +1,154 @@
+package failure
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/load"
+	"github.com/magnoliawheel/magnoliawheel/test/harness"
+	"github.com/magnoliawheel/magnoliawheel/test/standin"
+)
+
+// longWork keeps a plain call running until a fault has been made.
+const longWork = `"work_ms":1500`
+
+// agentOf returns the agent beside the server that executes e.
+func (f *fleet) agentOf(e standin.Execution) *harness.Instance { return f.agent(e.Server) }
+
+// TestFrozenAfterAcceptance freezes the agent of each stage while its server
+// executes, and lets it go on once another request was answered.
+func TestFrozenAfterAcceptance(t *testing.T) {
+	for _, tc := range []struct {
+		name, call, execution, body string
+		change                      func(*load.Request)
+	}{
+		{"encoder", "draft", "encode", `"tokens":5,` + longWork, streamed},
+		{"engine", "draft", "generate", `"tokens":150`, streamed},
+		{"service", "file-only", "file", longWork, streamed},
+		{"service, keyed", "file-only", "file", longWork, keyed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, nil)
+			r := f.request(tc.call, tc.change, body(tc.body))
+			done := f.send(r, 0)
+			a := f.agentOf(f.awaitExecution(r, tc.execution))
+			assert.NilError(t, a.Freeze())
+			f.complete("draft", 1)
+			assert.NilError(t, a.Thaw())
+			out := <-done
+			t.Logf("%s: %s %s", r.Nonce, out.Class, out.Code)
+			f.check()
+		})
+	}
+}
+
+// TestFrozenBeforeAcceptance sends filings while one agent of the pool is frozen:
+// each is answered, and none runs late when the agent goes on.
+func TestFrozenBeforeAcceptance(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change []func(*load.Request)
+	}{
+		{"without key", nil},
+		{"with key", []func(*load.Request){keyed}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, nil)
+			f.complete("file-only", 0, tc.change...)
+			a := f.agent("services-1")
+			assert.NilError(t, a.Freeze())
+			var pending []<-chan load.Outcome
+			for i := range 12 {
+				pending = append(pending, f.send(f.request("file-only", tc.change...), i))
+			}
+			for _, p := range pending {
+				<-p
+			}
+			assert.NilError(t, a.Thaw())
+			f.awaitServer("services-1", tc.change...)
+			f.check()
+		})
+	}
+}
+
+// awaitServer sends filings until the server executes one.
+func (f *fleet) awaitServer(name string, change ...func(*load.Request)) {
+	f.t.Helper()
+	before := len(f.executions(at(name)))
+	f.await("new work at "+name, func() bool {
+		<-f.send(f.request("file-only", change...), f.n)
+		return len(f.executions(at(name))) > before
+	})
+}
+
+func at(server string) func(standin.Execution) bool {
+	return func(e standin.Execution) bool { return e.Server == server }
+}
+
+// TestAgentKilledAfterAcceptance kills the agent of a filing that its server
+// executes: the caller is told "unknown" and nothing runs twice.
+func TestAgentKilledAfterAcceptance(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil)
+	for _, change := range []func(*load.Request){streamed, keyed} {
+		r := f.request("file-only", change, body(longWork))
+		done := f.send(r, 0)
+		a := f.agentOf(f.awaitExecution(r, "file"))
+		a.Kill()
+		out := <-done
+		assert.Equal(t, out.Class, load.Unknown, "%+v", out)
+		assert.Equal(t, out.Effects, "unknown")
+		assert.NilError(t, f.Restart(a))
+		assert.NilError(t, f.WaitReady(f.ctx))
+	}
+	f.check()
+}
+
+// TestEngineAgentKilledWhileGenerating kills the agent of a generation, which is
+// idempotent: the answer is whole, whichever chunks were out.
+func TestEngineAgentKilledWhileGenerating(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil)
+	r := f.request("draft", streamed, body(`"tokens":120`))
+	done := f.send(r, 0)
+	f.agentOf(f.awaitExecution(r, "generate")).Kill()
+	out := <-done
+	assert.Equal(t, out.Class, load.Complete, "%+v", out)
+	f.check()
+}
+
+// TestEntryKilledWhileGenerating kills the entry that owns a stream: the caller
+// re-attaches through the other one and is answered honestly.
+func TestEntryKilledWhileGenerating(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil)
+	r := f.request("draft", streamed, body(`"tokens":120`))
+	done := f.send(r, 0)
+	f.awaitExecution(r, "generate")
+	f.Entries[0].Kill()
+	out := <-done
+	t.Logf("%s %s", out.Class, out.Code)
+	f.check()
+}
+
+// TestPayloadHolderKilled kills the agent that keeps a large result, once the next
+// stage runs or is about to.
+func TestPayloadHolderKilled(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil)
+	r := f.request("draft", streamed, body(`"tokens":40,"size":20000`))
+	done := f.send(r, 0)
+	e := f.awaitExecution(r, "encode")
+	f.await("the result of encode", func() bool {
+		return len(f.executions(func(x standin.Execution) bool {
+			return x.Run == e.Run && x.Seq == e.Seq && x.Outcome == standin.Completed
+		})) > 0
+	})
+	f.agentOf(e).Kill()
+	out := <-done
+	assert.Equal(t, out.Class, load.Complete, "%+v", out)
+	f.check()
+}
--- /dev/null
+++ b/test/failure/drain_test.go
@@ -0,0 +1,162 @@
+package failure
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/load"
+	"github.com/magnoliawheel/magnoliawheel/test/harness"
+	"github.com/magnoliawheel/magnoliawheel/test/standin"
+	"github.com/magnoliawheel/magnoliawheel/test/standin/spec"
+)
+
+// leavingBound is within what time a leaving server gets no new work any more.
+const leavingBound = 3 * time.Second
+
+// TestDrainCutsNothing terminates a process while it has a request in flight: the
+// request completes and the process exits with 0.
+func TestDrainCutsNothing(t *testing.T) {
+	for _, tc := range []struct {
+		name, call, execution, body string
+		process                     func(f *fleet, e standin.Execution) *harness.Instance
+	}{
+		{"agent of an encoder", "draft", "encode", `"tokens":5,` + longWork, (*fleet).agentOf},
+		{"agent of an engine", "draft", "generate", `"tokens":200`, (*fleet).agentOf},
+		{"agent of a service", "file-only", "file", longWork, (*fleet).agentOf},
+		{"entry", "draft", "generate", `"tokens":200`, func(f *fleet, _ standin.Execution) *harness.Instance { return f.Entries[0] }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, nil)
+			var pending []<-chan load.Outcome
+			r := f.request(tc.call, streamed, body(tc.body))
+			pending = append(pending, f.send(r, 0))
+			plain := f.request(tc.call, body(tc.body))
+			pending = append(pending, f.send(plain, 0))
+			p := tc.process(f, f.awaitExecution(r, tc.execution))
+			f.awaitExecution(plain, tc.execution)
+			assert.NilError(t, p.Terminate())
+			for _, done := range pending {
+				out := <-done
+				assert.Equal(t, out.Class, load.Complete, "%+v", out)
+				assert.Equal(t, out.Reattached, 0)
+			}
+			assert.Equal(t, p.ExitCode(), 0)
+			f.complete(tc.call, 1, streamed)
+			f.check()
+		})
+	}
+}
+
+// TestLeavingGetsNoNewWork marks a server as leaving in the list under traffic. No
+// execution starts at it more than leavingBound later, and nothing is cut.
+func TestLeavingGetsNoNewWork(t *testing.T) {
+	for _, id := range []string{"engines-1", "services-1"} {
+		t.Run(id, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, nil)
+			f.await("work at "+id, func() bool {
+				f.trafficStep()
+				return len(f.executions(at(id))) > 0
+			})
+			assert.NilError(t, f.SetLeaving(id, true))
+			last := time.Now().Add(leavingBound)
+			for time.Now().Before(last.Add(leavingBound)) {
+				f.trafficStep()
+			}
+			f.wg.Wait()
+			late := f.executions(func(e standin.Execution) bool { return e.Server == id && e.Start.After(last) })
+			assert.Equal(t, len(late), 0, "%+v", late)
+			ledger := f.check()
+			assert.Equal(t, ledger.Unknown, 0)
+		})
+	}
+}
+
+// TestLeavingUnderStaleList terminates an agent while the list is stale: its
+// refusals teach the entries, and requests go on.
+func TestLeavingUnderStaleList(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil)
+	f.complete("draft", 0, streamed)
+	f.control(map[string]any{"stale": true}, spec.KindList)
+	a := f.agent("services-1")
+	assert.NilError(t, a.Terminate())
+	f.traffic(trafficRequests)
+	f.wg.Wait()
+	assert.Equal(t, a.ExitCode(), 0)
+	assert.Equal(t, f.check().Unknown, 0)
+}
+
+// withoutDeadline leaves the deadline to the call, which is longer than the
+// generations of these tests: only a cancel can end them early.
+func withoutDeadline(r *load.Request) { r.Timeout = 0 }
+
+// TestCallerGoesAway cancels in the three ways that a caller has: the engine stops
+// generating.
+func TestCallerGoesAway(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, func(s *harness.Server) { s.Spec.StreamTokensPerSecond = 5 })
+	for _, way := range []string{"delete", "delete through the other entry"} {
+		r := f.request("draft-long", streamed, withoutDeadline, body(`"tokens":200`))
+		done := f.send(r, 0)
+		e := f.awaitExecution(r, "generate")
+		f.deleteRequest(r, e, way)
+		out := <-done
+		assert.Assert(t, out.Class != load.Complete, "%+v", out)
+		f.await("cancel at the engine after "+way, func() bool {
+			return len(f.executions(func(x standin.Execution) bool {
+				return x.Nonce == r.Nonce && x.Call == "generate" && x.Outcome == standin.Cancelled
+			})) > 0
+		})
+	}
+	f.check()
+}
+
+// deleteRequest cancels the request whose id is part of the execution's.
+func (f *fleet) deleteRequest(r load.Request, e standin.Execution, way string) {
+	f.t.Helper()
+	base := f.Entries[0].Callers
+	if way != "delete" {
+		base = f.Entries[1].Callers
+	}
+	id, _, _ := cutID(e.ID)
+	req, err := http.NewRequestWithContext(f.ctx, http.MethodDelete, base+"/v1/requests/"+id, nil)
+	assert.NilError(f.t, err)
+	req.Header.Set("Customer", r.Customer)
+	req.Header.Set("Customer-Key", r.CustomerKey)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, resp.Body.Close())
+}
+
+// TestCallersConnectionsCut cuts the callers' connections for good: the engine
+// stops generating.
+func TestCallersConnectionsCut(t *testing.T) {
+	for _, change := range []func(*load.Request){streamed, func(*load.Request) {}} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, func(s *harness.Server) { s.Spec.StreamTokensPerSecond = 5 })
+			r := f.request("draft-long", change, withoutDeadline, body(`"tokens":200`))
+			ctx, cut := context.WithCancel(f.ctx)
+			ended := make(chan struct{})
+			go func() {
+				f.caller.Do(ctx, r, 0, time.Now())
+				close(ended)
+			}()
+			f.awaitExecution(r, "generate")
+			cut()
+			<-ended
+			f.await("cancel at the engine", func() bool {
+				return len(f.executions(func(x standin.Execution) bool {
+					return x.Nonce == r.Nonce && x.Call == "generate" && x.Outcome == standin.Cancelled
+				})) > 0
+			})
+			f.check()
+		})
+	}
+}
--- /dev/null
+++ b/test/failure/fleet_test.go
@@ -0,0 +1,263 @@
+// Package failure runs real processes under the faults that the system must
+// survive, and compares what callers were told with what servers executed.
+package failure
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/schema"
+	"github.com/magnoliawheel/magnoliawheel/internal/load"
+	"github.com/magnoliawheel/magnoliawheel/test/harness"
+	"github.com/magnoliawheel/magnoliawheel/test/standin"
+	"github.com/magnoliawheel/magnoliawheel/test/standin/spec"
+)
+
+// patience bounds each wait for an event, so that a test that would hang fails. It
+// is no criterion of any test.
+const patience = 60 * time.Second
+
+const pollInterval = 10 * time.Millisecond
+
+// requestTimeout is the deadline of the requests.
+const requestTimeout = 8 * time.Second
+
+var binaries harness.Binaries
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "magnoliawheel-failure-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if binaries, err = harness.Build(context.Background(), dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// fleet is a running deployment with the requests that were sent to it.
+type fleet struct {
+	*harness.Deployment
+	t      *testing.T
+	ctx    context.Context
+	schema *schema.Schema
+	caller *load.Caller
+	run    string
+
+	mu   sync.Mutex
+	sent []harness.Sent
+	n    int
+	wg   sync.WaitGroup
+}
+
+// servers returns two servers of each pool; change may alter each.
+func servers(change func(*harness.Server)) []harness.Server {
+	var list []harness.Server
+	for _, p := range []struct{ pool, kind string }{
+		{"encoders", "encoder"}, {"engines", "engine"}, {"services", "service"},
+	} {
+		for i := range 2 {
+			s := harness.Server{
+				Name: fmt.Sprintf("%s-%d", p.pool, i+1), Pool: p.pool, Zone: i,
+				Spec: spec.Service{Kind: p.kind, TimeMS: 10},
+			}
+			if change != nil {
+				change(&s)
+			}
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// newFleet starts two entries and the servers, and stops them with the test.
+func newFleet(t *testing.T, change func(*harness.Server)) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+	t.Cleanup(cancel)
+	schemaFile, err := filepath.Abs("testdata/schema.toml")
+	assert.NilError(t, err)
+	text, err := os.ReadFile(schemaFile)
+	assert.NilError(t, err)
+	s, err := schema.Parse(text)
+	assert.NilError(t, err)
+	dir, err := os.MkdirTemp("", "magnoliawheel-case-")
+	assert.NilError(t, err)
+	t.Cleanup(func() { keepIfFailed(t, dir) })
+	d, err := harness.Start(ctx, harness.Config{
+		Name: t.Name(), Binaries: binaries, Dir: dir, SchemaFile: schemaFile, Entries: 2,
+		Zones:   []harness.Zone{{Name: "north-1", Region: "north"}, {Name: "south-1", Region: "south"}},
+		Servers: servers(change),
+	})
+	assert.NilError(t, err)
+	f := &fleet{
+		Deployment: d, t: t, ctx: ctx, schema: s, run: "f" + uuid.NewString()[:8],
+		caller: load.NewCaller(d.CallerURLs()),
+	}
+	t.Cleanup(func() {
+		f.wg.Wait()
+		f.caller.Close()
+		d.Stop()
+	})
+	return f
+}
+
+func keepIfFailed(t *testing.T, dir string) {
+	if t.Failed() {
+		t.Logf("logs and records are in %s", dir)
+		return
+	}
+	_ = os.RemoveAll(dir)
+}
+
+// request returns a new request of a call.
+func (f *fleet) request(call string, change ...func(*load.Request)) load.Request {
+	f.mu.Lock()
+	f.n++
+	nonce := fmt.Sprintf("%s-%05d", f.run, f.n)
+	f.mu.Unlock()
+	r := load.Request{
+		Nonce: nonce, Call: call, Customer: "burj-consult", CustomerKey: "burj-consult-key",
+		Timeout: requestTimeout,
+		Body:    fmt.Appendf(nil, `{"nonce":%q,"tokens":20}`, nonce),
+	}
+	for _, c := range change {
+		c(&r)
+	}
+	return r
+}
+
+func streamed(r *load.Request) { r.Stream = true }
+
+func keyed(r *load.Request) { r.IdempotencyKey = uuid.Must(uuid.NewV7()).String() }
+
+// body sets the fields of the body besides the nonce.
+func body(fields string) func(*load.Request) {
+	return func(r *load.Request) { r.Body = fmt.Appendf(nil, `{"nonce":%q,%s}`, r.Nonce, fields) }
+}
+
+// send sends a request through the entry of that index. The outcome comes on the
+// channel and goes into the ledger.
+func (f *fleet) send(r load.Request, entry int) <-chan load.Outcome {
+	done := make(chan load.Outcome, 1)
+	f.wg.Add(1)
+	go func() {
+		defer f.wg.Done()
+		out := f.caller.Do(f.ctx, r, entry, time.Now())
+		f.mu.Lock()
+		f.sent = append(f.sent, harness.Sent{Request: r, Outcome: out})
+		f.mu.Unlock()
+		done <- out
+	}()
+	return done
+}
+
+// complete sends new requests of a call until one is complete.
+func (f *fleet) complete(call string, entry int, change ...func(*load.Request)) {
+	f.t.Helper()
+	for f.ctx.Err() == nil {
+		out := <-f.send(f.request(call, change...), entry)
+		if out.Class == load.Complete {
+			return
+		}
+		time.Sleep(max(out.RetryAfter, 5*pollInterval))
+	}
+	f.t.Fatalf("no request of %s through entry %d completed", call, entry)
+}
+
+// await polls until the condition holds.
+func (f *fleet) await(what string, holds func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !holds() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("did not come about: %s", what)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// executions returns the executions that match.
+func (f *fleet) executions(match func(standin.Execution) bool) []standin.Execution {
+	f.t.Helper()
+	all, err := f.Executions()
+	assert.NilError(f.t, err)
+	var list []standin.Execution
+	for _, e := range all {
+		if match(e) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// awaitExecution returns the first execution of a call for a request.
+func (f *fleet) awaitExecution(r load.Request, call string) standin.Execution {
+	f.t.Helper()
+	var found []standin.Execution
+	f.await("execution of "+call+" for "+r.Nonce, func() bool {
+		found = f.executions(func(e standin.Execution) bool { return e.Nonce == r.Nonce && e.Call == call })
+		return len(found) > 0
+	})
+	return found[0]
+}
+
+// check waits for all requests and compares them with the record of executions.
+func (f *fleet) check() harness.Ledger {
+	f.t.Helper()
+	f.wg.Wait()
+	executions, err := f.Executions()
+	assert.NilError(f.t, err)
+	f.mu.Lock()
+	sent := f.sent
+	f.mu.Unlock()
+	ledger := harness.Check(f.schema, sent, executions)
+	f.t.Log(ledger)
+	assert.NilError(f.t, ledger.Err())
+	return ledger
+}
+
+// control sets fault switches of stand-ins.
+func (f *fleet) control(switches map[string]any, names ...string) {
+	f.t.Helper()
+	for _, name := range names {
+		assert.NilError(f.t, f.Control(name, switches))
+	}
+}
+
+// agent returns the agent beside the server of that name.
+func (f *fleet) agent(id string) *harness.Instance {
+	f.t.Helper()
+	a := f.Agent(id)
+	assert.Assert(f.t, a != nil, id)
+	return a
+}
+
+// cutID splits the id of an execution into request, stage and attempt.
+func cutID(id string) (request, stage, attempt string) {
+	rest, attempt, _ := cutLast(id)
+	request, stage, _ = cutLast(rest)
+	return request, stage, attempt
+}
+
+func cutLast(s string) (before, after string, found bool) {
+	i := strings.LastIndexByte(s, '/')
+	if i < 0 {
+		return s, "", false
+	}
+	return s[:i], s[i+1:], true
+}
--- /dev/null
+++ b/test/failure/traffic_test.go
@@ -0,0 +1,223 @@
+package failure
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/load"
+	"github.com/magnoliawheel/magnoliawheel/test/harness"
+	"github.com/magnoliawheel/magnoliawheel/test/standin"
+	"github.com/magnoliawheel/magnoliawheel/test/standin/spec"
+)
+
+// The traffic under each fault.
+const (
+	trafficRequests = 80
+	trafficInterval = 40 * time.Millisecond
+	// faultAfter is how many executions are recorded when the fault begins.
+	faultAfter = 30
+	// faultRequests is how many requests are sent while the fault lasts.
+	faultRequests = 40
+)
+
+// faultCase is a fault that comes in the middle of traffic. The verdict is the
+// ledger, and that all calls complete afterwards through both entries.
+type faultCase struct {
+	name string
+	// setup changes the servers before the start.
+	setup func(*harness.Server)
+	begin func(f *fleet)
+	// end may be nil for a fault that lasts.
+	end func(f *fleet)
+}
+
+func killAgent(id string) func(*fleet) { return func(f *fleet) { f.agent(id).Kill() } }
+
+func freezeAgent(id string) func(*fleet) {
+	return func(f *fleet) { assert.NilError(f.t, f.agent(id).Freeze()) }
+}
+
+func thawAgent(id string) func(*fleet) {
+	return func(f *fleet) { assert.NilError(f.t, f.agent(id).Thaw()) }
+}
+
+func restartAgent(id string) func(*fleet) {
+	return func(f *fleet) { assert.NilError(f.t, f.Restart(f.agent(id))) }
+}
+
+func set(name string, switches map[string]any) func(*fleet) {
+	return func(f *fleet) { f.control(switches, name) }
+}
+
+func reset(name string) func(*fleet) { return set(name, map[string]any{"reset": true}) }
+
+func all(steps ...func(*fleet)) func(*fleet) {
+	return func(f *fleet) {
+		for _, step := range steps {
+			step(f)
+		}
+	}
+}
+
+// ownServer runs the server of that name in a process of its own.
+func ownServer(name string) func(*harness.Server) {
+	return func(s *harness.Server) { s.Own = s.Own || s.Name == name }
+}
+
+func standinOf(f *fleet, server string) *harness.Process { return f.Standin("server-" + server) }
+
+func killServer(name string) func(*fleet) { return func(f *fleet) { standinOf(f, name).Kill() } }
+
+func relayServers(s *harness.Server) { s.RelayServer = true }
+
+func relayAgents(s *harness.Server) { s.RelayAgent = true }
+
+func silenceServers(f *fleet) {
+	for _, a := range f.Agents {
+		a.ServerRelay.Silence()
+	}
+}
+
+func silenceAgents(f *fleet) {
+	for _, a := range f.Agents {
+		a.AgentRelay.Silence()
+	}
+}
+
+var faultCases = []faultCase{
+	{name: "encoder agent killed", begin: killAgent("encoders-1")},
+	{name: "engine agent killed", begin: killAgent("engines-1")},
+	{name: "service agent killed", begin: killAgent("services-1")},
+	{name: "service agent killed twice",
+		begin: all(killAgent("services-1"), restartAgent("services-1")),
+		end:   all(killAgent("services-1"), restartAgent("services-1"))},
+	{name: "encoder agent frozen", begin: freezeAgent("encoders-1"), end: thawAgent("encoders-1")},
+	{name: "engine agent frozen", begin: freezeAgent("engines-1"), end: thawAgent("engines-1")},
+	{name: "service agent frozen", begin: freezeAgent("services-1"), end: thawAgent("services-1")},
+	{name: "engine killed", setup: ownServer("engines-1"), begin: killServer("engines-1")},
+	{name: "service killed", setup: ownServer("services-1"), begin: killServer("services-1")},
+	{name: "engine frozen", setup: ownServer("engines-1"),
+		begin: func(f *fleet) { assert.NilError(f.t, standinOf(f, "engines-1").Freeze()) },
+		end:   func(f *fleet) { assert.NilError(f.t, standinOf(f, "engines-1").Thaw()) }},
+	{name: "service frozen", setup: ownServer("services-1"),
+		begin: func(f *fleet) { assert.NilError(f.t, standinOf(f, "services-1").Freeze()) },
+		end:   func(f *fleet) { assert.NilError(f.t, standinOf(f, "services-1").Thaw()) }},
+	{name: "entry killed", begin: func(f *fleet) { f.Entries[0].Kill() },
+		end: func(f *fleet) { assert.NilError(f.t, f.Restart(f.Entries[0])) }},
+	{name: "entry frozen", begin: func(f *fleet) { assert.NilError(f.t, f.Entries[0].Freeze()) },
+		end: func(f *fleet) { assert.NilError(f.t, f.Entries[0].Thaw()) }},
+	{name: "connections between entries and agents silent", setup: relayAgents, begin: silenceAgents, end: silenceAgents},
+	{name: "connections between agents and servers silent", setup: relayServers, begin: silenceServers},
+	{name: "engine slow", begin: set("engines-1", map[string]any{"slow": 10}), end: reset("engines-1")},
+	{name: "engine fails every call", begin: set("engines-1", map[string]any{"fail": true}), end: reset("engines-1")},
+	{name: "service fails every call", begin: set("services-1", map[string]any{"fail": true}), end: reset("services-1")},
+	{name: "service does not run calls", begin: set("services-1", map[string]any{"not_run": true}), end: reset("services-1")},
+	{name: "answers of services lost", begin: set("services-1", map[string]any{"drop_answers": 3})},
+	{name: "answers of services late", begin: set("services-1", map[string]any{"delay_ms": 1500}), end: reset("services-1")},
+	{name: "log down", begin: set(spec.KindLog, map[string]any{"down": true}), end: reset(spec.KindLog)},
+	{name: "log holds calls", begin: set(spec.KindLog, map[string]any{"hang": true}), end: reset(spec.KindLog)},
+	{name: "log slow", begin: set(spec.KindLog, map[string]any{"delay_ms": 700}), end: reset(spec.KindLog)},
+	{name: "log drops answers", begin: set(spec.KindLog, map[string]any{"drop_answers": 10})},
+	{name: "log applies writes late", begin: set(spec.KindLog, map[string]any{"late_writes": 5, "late_write_ms": 800})},
+	{name: "log's open connections silent", begin: set(spec.KindLog, map[string]any{"silence": true})},
+	{name: "list down", begin: set(spec.KindList, map[string]any{"down": true}), end: reset(spec.KindList)},
+	{name: "list stale while an agent is killed",
+		begin: all(set(spec.KindList, map[string]any{"stale": true}), killAgent("engines-1")), end: reset(spec.KindList)},
+	{name: "service agent killed while the log is down",
+		begin: all(set(spec.KindLog, map[string]any{"down": true}), killAgent("services-1")), end: reset(spec.KindLog)},
+	{name: "entry and service agent killed",
+		begin: all(func(f *fleet) { f.Entries[0].Kill() }, killAgent("services-1")),
+		end:   func(f *fleet) { assert.NilError(f.t, f.Restart(f.Entries[0])) }},
+	{name: "service agent frozen while the log applies writes late",
+		begin: all(freezeAgent("services-1"), set(spec.KindLog, map[string]any{"late_writes": 5, "late_write_ms": 800})),
+		end:   thawAgent("services-1")},
+}
+
+func TestFaultsUnderTraffic(t *testing.T) {
+	for _, tc := range faultCases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, tc.setup)
+			f.await("traffic before the fault", func() bool { f.trafficStep(); return f.executed() >= faultAfter })
+			tc.begin(f)
+			f.traffic(faultRequests)
+			if tc.end != nil {
+				tc.end(f)
+			}
+			f.traffic(trafficRequests - faultRequests)
+			f.wg.Wait()
+			for entry := range f.Entries {
+				f.complete("draft", entry, streamed)
+				f.complete("file-only", entry, keyed)
+				f.complete("file-only", entry)
+			}
+			f.check()
+		})
+	}
+}
+
+// mix are the kinds of requests of the traffic.
+var mix = []struct {
+	call   string
+	change []func(*load.Request)
+}{
+	{"draft", []func(*load.Request){streamed, keyed}},
+	{"file-only", []func(*load.Request){keyed, body(`"work_ms":200`)}},
+	{"draft", []func(*load.Request){body(`"tokens":20,"work_ms":50`)}},
+	{"file-only", []func(*load.Request){body(`"work_ms":200`)}},
+	{"draft", []func(*load.Request){streamed, body(`"tokens":40,"size":8000`)}},
+}
+
+// trafficStep sends one request of the mix and waits for the interval.
+func (f *fleet) trafficStep() {
+	f.mu.Lock()
+	n := f.n
+	f.mu.Unlock()
+	m := mix[n%len(mix)]
+	f.send(f.request(m.call, m.change...), n)
+	time.Sleep(trafficInterval)
+}
+
+func (f *fleet) traffic(n int) {
+	for range n {
+		f.trafficStep()
+	}
+}
+
+func (f *fleet) executed() int {
+	return len(f.executions(func(standin.Execution) bool { return true }))
+}
+
+func TestCallersConnectionsGoSilent(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil)
+	var relays []*harness.Relay
+	var urls []string
+	for _, e := range f.Entries {
+		r, err := harness.StartRelay(e.Callers[len("http://"):])
+		assert.NilError(t, err)
+		defer r.Close()
+		relays = append(relays, r)
+		urls = append(urls, "http://"+r.Addr())
+	}
+	caller := load.NewCaller(urls)
+	defer caller.Close()
+	f.caller = caller
+	var streams []<-chan load.Outcome
+	for i := range 6 {
+		r := f.request("draft", streamed, body(`"tokens":200`))
+		streams = append(streams, f.send(r, i))
+		f.awaitExecution(r, "generate")
+	}
+	for _, r := range relays {
+		assert.Assert(t, r.Silence() > 0)
+	}
+	for _, s := range streams {
+		out := <-s
+		assert.Equal(t, out.Class, load.Complete, "%+v", out)
+		assert.Assert(t, out.Reattached > 0)
+	}
+	f.check()
+}
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/test/standin/instancelist"
 	"github.com/magnoliawheel/magnoliawheel/test/standin/spec"
@@ -21,8 +20,7 @@
 	// AdminKey is the administration key of every deployment, with the write role.
 	AdminKey = "admin-key-for-tests"
 
-	peerSecret   = "a secret for tests on loopback"
-	pollInterval = 20 * time.Millisecond
+	peerSecret = "a secret for tests on loopback"
 )
 
 // Zone is an availability zone with its region.
@@ -128,6 +126,11 @@
 	if err := d.publish(); err != nil {
 		return err
 	}
+	for _, i := range slices.Concat(d.Agents, d.Entries) {
+		if err := d.Restart(i); err != nil {
+			return err
+		}
+	}
 	if err := d.Apply(ctx, d.conf.SchemaFile); err != nil {
 		return err
 	}
@@ -178,7 +181,7 @@
 	d.rows = append(d.rows, instancelist.Instance{
 		ID: a.ID, Role: "agent", Pool: s.Pool, Addr: shown, Admin: admin, Zone: zone.Name, Region: zone.Region,
 	})
-	return d.launch(a, "agent", text)
+	return d.prepare(a, "agent", text)
 }
 
 func (d *Deployment) orderers() string {
@@ -209,7 +212,7 @@
 	d.rows = append(d.rows, instancelist.Instance{
 		ID: e.ID, Role: "entry", Addr: e.Peers, Admin: admin, Zone: zone.Name, Region: zone.Region,
 	})
-	return d.launch(e, "entry", text)
+	return d.prepare(e, "entry", text)
 }
 
 func (d *Deployment) common(id string, zone Zone) string {
@@ -228,16 +231,13 @@
 `, id, zone.Name, zone.Region, d.Addrs[spec.KindLog], d.Addrs[spec.KindList])
 }
 
-func (d *Deployment) launch(i *Instance, role, settings string) error {
+func (d *Deployment) prepare(i *Instance, role, settings string) error {
 	name := i.ID + ".toml"
-	if err := d.write(name, settings); err != nil {
-		return err
-	}
 	i.args = []string{role, "-s", filepath.Join(d.conf.Dir, name)}
-	return d.Restart(i)
+	return d.write(name, settings)
 }
 
-// Restart starts the process of an instance again, after it ended.
+// Restart starts the process of an instance, again after it ended.
 func (d *Deployment) Restart(i *Instance) error {
 	p, err := StartProcess(d.conf.Dir, i.ID, nil, d.conf.Binaries.Magnoliawheel, i.args...)
 	if err != nil {
@@ -247,58 +247,6 @@
 	return nil
 }
 
-// Apply applies a schema file through the first entry, again while it is not ready.
-func (d *Deployment) Apply(ctx context.Context, file string) error {
-	admin := d.Entries[0].Admin
-	if err := WaitStatus(ctx, admin+"/healthz", http.StatusOK); err != nil {
-		return err
-	}
-	var out []byte
-	for ctx.Err() == nil {
-		var err error
-		out, err = d.Mwctl(ctx, "config", "apply", file, "--admin", admin, "--key", AdminKey)
-		if err == nil {
-			return nil
-		}
-		time.Sleep(10 * pollInterval)
-	}
-	return fmt.Errorf("apply %s: %w\n%s", file, ctx.Err(), out)
-}
-
-// WaitReady returns once all entries and agents report ready.
-func (d *Deployment) WaitReady(ctx context.Context) error {
-	for _, i := range slices.Concat(d.Agents, d.Entries) {
-		if err := WaitStatus(ctx, i.Admin+"/readyz", http.StatusOK); err != nil {
-			return fmt.Errorf("%s: %w", i.ID, err)
-		}
-	}
-	return nil
-}
-
-// WaitStatus polls a URL until it answers with the status.
-func WaitStatus(ctx context.Context, url string, status int) error {
-	last := "no answer"
-	for {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-		if err != nil {
-			return err
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == status {
-				return nil
-			}
-			last = resp.Status
-		}
-		select {
-		case <-time.After(pollInterval):
-		case <-ctx.Done():
-			return fmt.Errorf("wait for %s: %w (last: %s)", url, ctx.Err(), last)
-		}
-	}
-}
-
 // SetLeaving marks an instance in the platform's list.
 func (d *Deployment) SetLeaving(id string, leaving bool) error {
 	d.mu.Lock()
