--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/magnoliawheel/magnoliawheel/core/configlog"
+	"github.com/magnoliawheel/magnoliawheel/core/routing"
 	"github.com/magnoliawheel/magnoliawheel/internal/confsync"
 	"github.com/magnoliawheel/magnoliawheel/internal/members"
 	"github.com/magnoliawheel/magnoliawheel/internal/platform"
@@ -37,6 +38,9 @@
 	Metrics http.Handler
 }
 
+// lastAnswersTimeout bounds the wait for answers under way after the drain.
+const lastAnswersTimeout = 2 * time.Second
+
 // Process is one agent.
 type Process struct {
 	opts        Options
@@ -50,11 +54,13 @@
 	// peer answers the exchange of configuration; nil without one.
 	peer wire.DRPCPeerServer
 	// loops run until the process has drained.
-	loops   []func(context.Context) error
-	plog    platform.Log
-	work    *work
-	orders  *orders
-	pool    *rpc.Pool
+	loops  []func(context.Context) error
+	plog   platform.Log
+	work   *work
+	orders *orders
+	pool   *rpc.Pool
+	// servers lists the servers of a pool; nil if the membership is not known.
+	servers func(pool string) []routing.Server
 	metrics metrics
 }
 
@@ -66,12 +72,13 @@
 	}
 	instances := members.New(members.Options{
 		List: platform.NewHTTPList(o.Settings.Platform.ListURL), Logger: p.log, Self: o.Settings.Instance.ID,
+		Interval: members.AgentInterval,
 	})
 	sync := confsync.New(confsync.Options{
 		Log: p.plog, Peers: instances.Peers, Pool: p.pool, Self: o.Settings.Instance.ID, Incarnation: p.incarnation,
 		Address: o.Settings.Listen.Peers, Logger: p.log,
 	})
-	p.config, p.peer = sync, sync
+	p.config, p.peer, p.servers = sync, sync, instances.Servers
 	p.loops = []func(context.Context) error{instances.Run, sync.Run, func(ctx context.Context) error {
 		p.watchList(ctx, instances.Instances)
 		return nil
@@ -150,9 +157,10 @@
 	live, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	wg.Go(func() { p.work.expireLoop(live) })
-	wg.Go(func() { p.work.claims.run(live, p.work.takesKeys, p.work.validity) })
+	wg.Go(func() { p.work.claims.run(live, p.work.homeOf, p.work.validity) })
+	calls := rpc.NewInFlight(mux)
 	wg.Go(func() {
-		if err := rpc.Serve(live, peers, p.conf, mux); err != nil {
+		if err := rpc.Serve(live, peers, p.conf, calls); err != nil {
 			p.log.Error(err, "Serving peers ended.")
 		}
 	})
@@ -164,6 +172,9 @@
 	p.log.Info("Agent started.", "incarnation", p.incarnation, "peers", peers.Addr().String(), "pool", p.settings.Server.Pool)
 	<-ctx.Done()
 	p.drain()
+	last, done := context.WithTimeout(live, lastAnswersTimeout)
+	calls.Wait(last)
+	done()
 	stop()
 	_ = srv.Close()
 	p.work.stop()
