Measure the spread of the configuration; compress large records

Now the oldest offset is asked for without a record, the times of records are remembered, no checkpoint is appended within a minute of the one before, and records over 2 KiB are compressed.

--- a/core/configlog/checkpoint.go
+++ b/core/configlog/checkpoint.go
@@ -1,7 +1,6 @@
 package configlog
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 
@@ -24,7 +23,7 @@
 
 // EncodeCheckpoint returns the log record that holds the whole state.
 func (s *Snapshot) EncodeCheckpoint() ([]byte, error) {
-	return json.Marshal(record{Checkpoint: &checkpoint{
+	return encodeRecord(record{Checkpoint: &checkpoint{
 		Offset: s.Offset, Digest: s.digest, Last: s.checkpoint, Objects: s.objects, Outcomes: s.outcomes,
 	}})
 }
--- a/core/configlog/configlog_test.go
+++ b/core/configlog/configlog_test.go
@@ -149,9 +149,12 @@
 
 func TestBadCheckpointsAreRefused(t *testing.T) {
 	s := filled(t)
-	good, err := s.EncodeCheckpoint()
+	record, err := s.EncodeCheckpoint()
+	assert.NilError(t, err)
+	good, err := decompress(record)
 	assert.NilError(t, err)
 	for name, data := range map[string]string{
+		"cut record":     string(record[:len(record)/2]),
 		"cut":            string(good[:len(good)/2]),
 		"content":        strings.Replace(string(good), `"weight":4`, `"weight":5`, 1),
 		"version":        strings.Replace(string(good), `"version":1`, `"version":9`, 1),
@@ -161,7 +164,7 @@
 		_, err := DecodeCheckpoint([]byte(data))
 		assert.ErrorIs(t, err, ErrCheckpoint, name)
 	}
-	got, err := DecodeCheckpoint(good)
+	got, err := DecodeCheckpoint(record)
 	assert.NilError(t, err)
 	assert.Equal(t, got.Digest(), s.Digest())
 	assert.DeepEqual(t, got.Schema, s.Schema)
--- a/core/configlog/fold.go
+++ b/core/configlog/fold.go
@@ -46,6 +46,9 @@
 	ConflictVersion uint64 `json:"conflict_version,omitempty"`
 	// Mistakes lists what is not valid.
 	Mistakes []schema.Mistake `json:"mistakes,omitempty"`
+	// CheckpointOffset and CheckpointDigest are set for a checkpoint.
+	CheckpointOffset uint64 `json:"-"`
+	CheckpointDigest uint64 `json:"-"`
 }
 
 // maxMistakes bounds the mistakes kept in an outcome.
@@ -67,7 +70,7 @@
 	}
 	if r.Checkpoint != nil {
 		next.checkpoint = offset
-		return &next, Outcome{Offset: offset, Status: Checkpointed}
+		return &next, Outcome{Offset: offset, Status: Checkpointed, CheckpointOffset: r.Checkpoint.Offset, CheckpointDigest: r.Checkpoint.Digest}
 	}
 	if _, ok := s.Outcome(r.Change.ID); ok {
 		return &next, Outcome{ID: r.Change.ID, Offset: offset, Status: Duplicate}
--- a/core/configlog/record.go
+++ b/core/configlog/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"errors"
 	"io"
@@ -60,11 +61,39 @@
 var errRecord = errors.New("configlog: a record holds either a change or a checkpoint")
 
 // EncodeChange returns the log record of a change.
-func EncodeChange(c *Change) ([]byte, error) {
-	return json.Marshal(record{Change: c})
+func EncodeChange(c *Change) ([]byte, error) { return encodeRecord(record{Change: c}) }
+
+const (
+	// compressOver is the size in bytes over which a record is compressed.
+	compressOver = 2 << 10
+	// maxRecordBytes bounds a record after decompression.
+	maxRecordBytes = 64 << 20
+	// gzipMagic starts a compressed record (RFC 1952).
+	gzipMagic = "\x1f\x8b"
+)
+
+func encodeRecord(r record) ([]byte, error) {
+	text, err := json.Marshal(r)
+	if err != nil || len(text) <= compressOver {
+		return text, err
+	}
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if _, err := w.Write(text); err != nil {
+		return nil, err
+	}
+	err = w.Close()
+	return b.Bytes(), err
 }
 
 func decodeRecord(data []byte) (record, error) {
+	if bytes.HasPrefix(data, []byte(gzipMagic)) {
+		text, err := decompress(data)
+		if err != nil {
+			return record{}, err
+		}
+		data = text
+	}
 	var r record
 	if err := decodeStrict(data, &r); err != nil {
 		return record{}, err
@@ -75,6 +104,18 @@
 	return r, nil
 }
 
+func decompress(data []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	text, err := io.ReadAll(io.LimitReader(r, maxRecordBytes+1))
+	if err == nil && len(text) > maxRecordBytes {
+		err = errors.New("configlog: the record is too large")
+	}
+	return text, err
+}
+
 // decodeStrict reads one JSON value; unknown keys and trailing data are errors.
 func decodeStrict(data []byte, v any) error {
 	dec := json.NewDecoder(bytes.NewReader(data))
--- a/internal/confsync/checkpoint.go
+++ b/internal/confsync/checkpoint.go
@@ -16,8 +16,12 @@
 	checksPerInterval = 2
 	// The interval is a share of the age of the oldest record, within bounds.
 	checkShare       = 8
-	minCheckInterval = time.Second
+	minCheckInterval = 10 * time.Second
 	maxCheckInterval = 5 * time.Minute
+	// minCheckpointAge is the least age of the newest checkpoint, or without one
+	// of the oldest record, at which another is appended. The retention must be
+	// over twice as long.
+	minCheckpointAge = time.Minute
 )
 
 // checkpointLoop appends a checkpoint when the newest has become old.
@@ -48,19 +52,20 @@
 	if snap.Schema == nil {
 		return 0, nil
 	}
-	first, err := s.firstTime(ctx)
+	first, err := s.first(ctx)
 	if err != nil {
 		return 0, err
 	}
-	if !first.IsZero() {
-		oldest = now.Sub(first)
-		newest, kept, err := s.timeOf(ctx, snap.CheckpointOffset())
-		if err != nil {
-			return 0, err
-		}
-		if kept && now.Sub(newest) <= oldest/2 {
-			return oldest, nil
-		}
+	at, kept, err := s.timeOf(ctx, first)
+	if err != nil {
+		return 0, err
+	}
+	if kept {
+		oldest = now.Sub(at)
+	}
+	due, err := s.checkpointDue(ctx, first, oldest, now)
+	if err != nil || !due {
+		return oldest, err
 	}
 	data, err := snap.EncodeCheckpoint()
 	if err != nil {
@@ -73,24 +78,50 @@
 	return oldest, err
 }
 
-// firstTime returns the time of the oldest record; zero if none is kept.
-func (s *Sync) firstTime(ctx context.Context) (time.Time, error) {
-	batch, err := s.opts.Log.Read(ctx, platform.ConfigStream, 1, 1, 0)
-	for tries := 0; errors.Is(err, platform.ErrTruncated) && tries < 3; tries++ {
-		batch, err = s.opts.Log.Read(ctx, platform.ConfigStream, batch.First, 1, 0)
+// checkpointDue tells whether a checkpoint should be appended, given the oldest
+// offset kept and the age of its record.
+func (s *Sync) checkpointDue(ctx context.Context, first uint64, oldest time.Duration, now time.Time) (bool, error) {
+	newest := s.Current().CheckpointOffset()
+	if newest == 0 && first <= 1 {
+		return oldest > minCheckpointAge, nil
 	}
-	if err != nil || len(batch.Records) == 0 {
-		return time.Time{}, err
+	at, kept, err := s.timeOf(ctx, newest)
+	if err != nil {
+		return false, err
+	}
+	return !kept || now.Sub(at) > max(oldest/2, minCheckpointAge), nil
+}
+
+// first returns the oldest offset kept, without reading a record.
+func (s *Sync) first(ctx context.Context) (uint64, error) {
+	batch, err := s.opts.Log.Read(ctx, platform.ConfigStream, s.Current().Offset+1, 1, 0)
+	if errors.Is(err, platform.ErrTruncated) {
+		err = nil
 	}
-	return batch.Records[0].Time, nil
+	return batch.First, err
+}
+
+// recordTime is the time of a record that was read.
+type recordTime struct {
+	offset uint64
+	at     time.Time
 }
 
-// timeOf returns the time of a record; kept is false if the log dropped it or the
-// offset is 0.
+// timeOf returns the time of a record; kept is false if the log does not hold it
+// or the offset is 0. The times of the records last asked for are remembered.
 func (s *Sync) timeOf(ctx context.Context, offset uint64) (at time.Time, kept bool, err error) {
 	if offset == 0 {
 		return time.Time{}, false, nil
 	}
+	first, err := s.first(ctx)
+	if err != nil || offset < first {
+		return time.Time{}, false, err
+	}
+	for _, known := range s.times {
+		if known.offset == offset {
+			return known.at, true, nil
+		}
+	}
 	batch, err := s.opts.Log.Read(ctx, platform.ConfigStream, offset, 1, 0)
 	if errors.Is(err, platform.ErrTruncated) {
 		return time.Time{}, false, nil
@@ -98,5 +129,7 @@
 	if err != nil || len(batch.Records) == 0 {
 		return time.Time{}, false, err
 	}
-	return batch.Records[0].Time, true, nil
+	at = batch.Records[0].Time
+	s.times = [2]recordTime{s.times[1], {offset, at}}
+	return at, true, nil
 }
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -43,6 +43,8 @@
 	advanced chan struct{}
 
 	neighbors neighbors
+	// times belongs to the checkpoint loop.
+	times [2]recordTime
 	// alarms counts contents that differed at one offset.
 	alarms    atomic.Uint64
 	lastAlarm atomic.Int64
@@ -122,12 +124,12 @@
 		if r.Offset != snap.Offset+1 {
 			continue
 		}
-		s.checkCheckpoint(r.Data)
 		var outcome configlog.Outcome
 		snap, outcome = snap.Fold(r.Offset, r.Data)
 		s.recent.add(r.Offset, r.Data)
 		s.digests.add(r.Offset, snap.Digest())
 		s.logOutcome(&outcome)
+		s.checkCheckpoint(&outcome)
 	}
 	if snap.Offset > before {
 		s.publish(snap)
@@ -178,13 +180,12 @@
 
 // checkCheckpoint raises an alarm if a checkpoint does not agree with the fold at
 // its offset. The caller holds the mutex.
-func (s *Sync) checkCheckpoint(data []byte) {
-	offset, digest, ok := configlog.CheckpointInfo(data)
-	if !ok {
+func (s *Sync) checkCheckpoint(o *configlog.Outcome) {
+	if o.Status != configlog.Checkpointed {
 		return
 	}
-	if own, known := s.digests.at(offset); known && digest != own {
-		s.alarm("checkpoint in the log", offset, digest, own)
+	if own, ok := s.digests.at(o.CheckpointOffset); ok && o.CheckpointDigest != own {
+		s.alarm("checkpoint in the log", o.CheckpointOffset, o.CheckpointDigest, own)
 	}
 }
 
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,14 +24,69 @@
 	idleConnTimeout = 30 * time.Second
 )
 
-func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+// Traffic counts what the clients that it is given to send and receive.
+type Traffic struct {
+	// Requests counts calls; Sent and Received count bytes on the connections.
+	Requests, Sent, Received atomic.Uint64
+}
+
+// Option sets up a client of the platform.
+type Option func(*http.Client)
+
+// WithTraffic counts the traffic of the client.
+func WithTraffic(t *Traffic) Option {
+	return func(c *http.Client) {
+		transport := c.Transport.(*http.Transport)
+		transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: conn, traffic: t}, nil
+		}
+		c.Transport = &countingTransport{next: transport, traffic: t}
+	}
+}
+
+type countingTransport struct {
+	next    http.RoundTripper
+	traffic *Traffic
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c *countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	c.traffic.Requests.Add(1)
+	return c.next.RoundTrip(r)
+}
+
+type countingConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.Received.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.Sent.Add(uint64(n))
+	return n, err
+}
+
+func newClient(opts []Option) *http.Client {
+	c := &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
-		// A connection that went silent is not noticed by the transport; the
-		// timeout of each call closes it, and the next call opens a new one.
-		ForceAttemptHTTP2: false,
 	}}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
 }
 
 // withTimeout bounds a call that may wait for up to wait at the server.
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -23,8 +23,8 @@
 }
 
 // NewHTTPList returns a client of the instance list at the base URL.
-func NewHTTPList(baseURL string) InstanceList {
-	return &httpList{base: strings.TrimRight(baseURL, "/"), client: newClient()}
+func NewHTTPList(baseURL string, opts ...Option) InstanceList {
+	return &httpList{base: strings.TrimRight(baseURL, "/"), client: newClient(opts)}
 }
 
 type listReply struct {
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -20,8 +20,8 @@
 }
 
 // NewHTTPLog returns a client of the log at the base URL.
-func NewHTTPLog(baseURL string) Log {
-	return &httpLog{base: strings.TrimRight(baseURL, "/"), client: newClient()}
+func NewHTTPLog(baseURL string, opts ...Option) Log {
+	return &httpLog{base: strings.TrimRight(baseURL, "/"), client: newClient(opts)}
 }
 
 type appendRequest struct {
--- /dev/null
+++ b/test/spread/schema.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/magnoliawheel/magnoliawheel/core/configlog"
+	"github.com/magnoliawheel/magnoliawheel/core/schema"
+)
+
+// Sizes of the schema, those of the target.
+const (
+	customers = 640
+	models    = 35
+	pipelines = 11
+	regions   = 5
+	zones     = 16
+)
+
+// targetSchema returns a schema of the target's size.
+func targetSchema() *schema.Schema {
+	s := &schema.Schema{}
+	for i := range regions {
+		s.Regions = append(s.Regions, schema.Region{Name: fmt.Sprintf("region-%d", i)})
+	}
+	for i := range zones {
+		r := &s.Regions[i%regions]
+		r.Zones = append(r.Zones, fmt.Sprintf("%s-%d", r.Name, i))
+	}
+	engines := schema.Pool{Name: "engines", Kind: schema.KindEngine, Concurrency: 16, Queue: 64}
+	for i := range models {
+		engines.Models = append(engines.Models, fmt.Sprintf("model-%d", i))
+	}
+	s.Pools = []schema.Pool{engines, {Name: "encoders", Kind: schema.KindEncoder, Concurrency: 8, Queue: 64}}
+	for i := range pipelines {
+		name := fmt.Sprintf("pipeline-%d", i)
+		s.Pipelines = append(s.Pipelines, schema.Pipeline{Name: name, Stages: []schema.Stage{
+			{Name: "encode", Pool: "encoders", Call: "encode", Idempotent: true, Typical: 20e6},
+			{Name: "generate", Pool: "engines", Call: "generate", Idempotent: true, Typical: 400e6, Model: engines.Models[i], MaxTokens: 64, Answer: true},
+		}})
+		s.Calls = append(s.Calls, schema.Call{Name: "call-" + name, Pipeline: name, Deadline: 3e9})
+	}
+	for i := range customers {
+		s.Customers = append(s.Customers, schema.Customer{Name: fmt.Sprintf("customer-%d", i), KeySHA256: strings.Repeat("0", 64), Weight: 1})
+	}
+	s.Normalize()
+	return s
+}
+
+// firstChange applies the target schema to an empty configuration.
+func firstChange() (*configlog.Change, error) {
+	objects, err := configlog.FromSchema(targetSchema())
+	return &configlog.Change{ID: "first", Author: "spread", Edits: configlog.Diff(nil, objects)}, err
+}
+
+// weightChange sets the weight of one customer.
+func weightChange(s *configlog.Snapshot, number int) *configlog.Change {
+	o, _ := s.Object(fmt.Sprintf("customer/customer-%d", number%customers))
+	before, _, _ := strings.Cut(string(o.Body), `"weight":`)
+	body := fmt.Sprintf(`%s"weight":%d}`, before, 2+number%900)
+	return &configlog.Change{ID: fmt.Sprintf("c%d", number), Author: "spread", Edits: []configlog.Edit{
+		{Object: o.Name, Base: o.Version, Body: []byte(body)},
+	}}
+}
