Hold the clients of the platform and the admin API against their contracts

Errors of the platform were marked, which only cockroachdb's errors.Is sees; they are wrapped now, so that the standard library's sees them too. A change refused before it was written no longer names an offset.

--- a/core/configlog/fold.go
+++ b/core/configlog/fold.go
@@ -80,14 +80,17 @@
 	return &next, outcome
 }
 
-// Try returns what would become of a change if it were the next record.
-func (s *Snapshot) Try(c *Change) Outcome {
-	next := *s
-	next.Offset++
+// Try returns what became of a change, or what would become of it if it were the
+// next record; decided tells which. The offset is 0 unless it is decided.
+func (s *Snapshot) Try(c *Change) (o Outcome, decided bool) {
 	if first, ok := s.Outcome(c.ID); ok {
-		return first
+		return first, true
 	}
-	return next.apply(c)
+	next := *s
+	next.Offset++
+	o = next.apply(c)
+	o.Offset = 0
+	return o, false
 }
 
 // apply judges a change at s.Offset and puts it in force if it is accepted.
--- a/internal/confsync/submit.go
+++ b/internal/confsync/submit.go
@@ -30,8 +30,7 @@
 	if !c.Withdraw {
 		c.After = snap.Offset
 	}
-	o := snap.Try(c)
-	decided := o.Offset <= snap.Offset
+	o, decided := snap.Try(c)
 	if decided || (o.Status != configlog.Accepted && o.Status != configlog.Withdrawn) {
 		return o, nil
 	}
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -49,7 +49,7 @@
 	}
 	res, err := l.client.Do(req)
 	if err != nil {
-		return nil, time.Time{}, errors.Mark(errors.Wrap(err, "list instances"), ErrUnavailable)
+		return nil, time.Time{}, errors.Wrapf(ErrUnavailable, "list instances: %v", err)
 	}
 	defer closeBody(res.Body)
 	if res.StatusCode == http.StatusNotModified && etag != "" {
@@ -60,7 +60,7 @@
 	}
 	var reply listReply
 	if err := readJSON(res.Body, &reply); err != nil {
-		return nil, time.Time{}, errors.Mark(errors.Wrap(err, "list instances"), ErrUnavailable)
+		return nil, time.Time{}, errors.Wrapf(ErrUnavailable, "list instances: %v", err)
 	}
 	l.mu.Lock()
 	l.etag, l.last = res.Header.Get("ETag"), reply
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -56,16 +56,16 @@
 	res, err := l.client.Do(req)
 	if err != nil {
 		if !sent.Load() {
-			return 0, errors.Mark(errors.Wrap(err, "append"), ErrUnavailable)
+			return 0, errors.Wrapf(ErrUnavailable, "append: %v", err)
 		}
-		return 0, errors.Mark(errors.Wrap(err, "append"), ErrOutcomeUnknown)
+		return 0, errors.Wrapf(ErrOutcomeUnknown, "append: %v", err)
 	}
 	defer closeBody(res.Body)
 	switch res.StatusCode {
 	case http.StatusOK:
 		var reply appendReply
 		if err := readJSON(res.Body, &reply); err != nil || reply.First == 0 {
-			return 0, errors.Mark(errors.CombineErrors(err, errors.New("append: unreadable answer")), ErrOutcomeUnknown)
+			return 0, errors.Wrapf(ErrOutcomeUnknown, "append: unreadable answer: %v", err)
 		}
 		return reply.First, nil
 	case http.StatusServiceUnavailable:
@@ -85,19 +85,19 @@
 	}
 	res, err := l.client.Do(req)
 	if err != nil {
-		return Batch{}, errors.Mark(errors.Wrap(err, "read"), ErrUnavailable)
+		return Batch{}, errors.Wrapf(ErrUnavailable, "read: %v", err)
 	}
 	defer closeBody(res.Body)
 	var batch Batch
 	switch res.StatusCode {
 	case http.StatusOK:
 		if err := readJSON(res.Body, &batch); err != nil {
-			return Batch{}, errors.Mark(err, ErrUnavailable)
+			return Batch{}, errors.Wrapf(ErrUnavailable, "%v", err)
 		}
 		return batch, checkBatch(&batch, from)
 	case http.StatusGone:
 		if err := readJSON(res.Body, &batch); err != nil {
-			return Batch{}, errors.Mark(err, ErrUnavailable)
+			return Batch{}, errors.Wrapf(ErrUnavailable, "%v", err)
 		}
 		return batch, errors.Wrapf(ErrTruncated, "read from %d, first is %d", from, batch.First)
 	}
@@ -108,7 +108,7 @@
 func checkBatch(b *Batch, from uint64) error {
 	for i := range b.Records {
 		if b.Records[i].Offset != from+uint64(i) {
-			return errors.Mark(errors.Newf("read: offset %d in place of %d", b.Records[i].Offset, from+uint64(i)), ErrUnavailable)
+			return errors.Wrapf(ErrUnavailable, "read: offset %d in place of %d", b.Records[i].Offset, from+uint64(i))
 		}
 	}
 	return nil
