--- a/core/schema/validate.go
+++ b/core/schema/validate.go
@@ -23,9 +23,15 @@
 	MaxAnswerBytes = 64 << 20
 	MaxWeight      = 1000
 	MaxValidity    = 24 * time.Hour
+	MaxRate        = 1e6
+	MaxModelBytes  = 128
 )
 
-var nameRule = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+var (
+	nameRule = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	// callRule is for the names of calls at servers, which are parts of a URL.
+	callRule = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+)
 
 // Mistake is one fault of a schema or settings file.
 type Mistake struct {
@@ -202,18 +208,32 @@
 		}
 		c.number(place+".concurrency", int64(p.Concurrency), 1, MaxConcurrency)
 		c.number(place+".queue", int64(p.Queue), 1, MaxQueue)
+		c.models(place, p.Models)
 		if len(p.Models) > 0 && p.Kind != KindEngine {
 			c.add(place+".models", "only a pool of kind engine has models")
 		}
 	}
 }
 
+func (c *checker) models(pool string, list []string) {
+	for i, name := range list {
+		if name == "" || len(name) > MaxModelBytes {
+			c.add(pool+".models", "the name of a model has 1 to %d bytes", MaxModelBytes)
+		}
+		if contains(list[:i], name) {
+			c.add(pool+".models", "%q is named twice", name)
+		}
+	}
+}
+
 func (c *checker) pipelines() {
 	seen := map[string]bool{}
 	for i := range c.s.Pipelines {
 		p := &c.s.Pipelines[i]
 		place := c.name(seen, "pipeline", p.Name)
-		c.number(place+".stage", int64(len(p.Stages)), 1, MaxStages)
+		if len(p.Stages) < 1 || len(p.Stages) > MaxStages {
+			c.add(place+".stage", "a pipeline has 1 to %d stages, not %d", MaxStages, len(p.Stages))
+		}
 		stages, answers := map[string]bool{}, 0
 		for j := range p.Stages {
 			c.stage(place, stages, &p.Stages[j])
@@ -234,8 +254,8 @@
 		c.add(place+".pool", "%q is not a declared pool", st.Pool)
 		return
 	}
-	if st.Call == "" {
-		c.add(place+".call", "the name of the call at the server is missing")
+	if !callRule.MatchString(st.Call) {
+		c.add(place+".call", "a call has 1 to 63 letters, digits, dots, underscores or hyphens")
 	}
 	c.duration(place+".typical", st.Typical, MaxDeadline)
 	if pool.Kind != KindEngine {
@@ -258,7 +278,7 @@
 		c.duration(place+".deadline", call.Deadline, MaxDeadline)
 		c.number(place+".max_body_bytes", call.MaxBody, 1, MaxBodyBytes)
 		c.number(place+".max_answer_bytes", call.MaxAnswer, 1, MaxAnswerBytes)
-		if call.Objective <= 0 || call.Objective >= 1 {
+		if !(call.Objective > 0 && call.Objective < 1) {
 			c.add(place+".objective", "%g is not between 0 and 1", call.Objective)
 		}
 		p := c.s.Pipeline(call.Pipeline)
@@ -281,8 +301,8 @@
 			c.add(place+".key_sha256", "a SHA-256 has 64 hexadecimal digits")
 		}
 		c.number(place+".weight", int64(cu.Weight), 1, MaxWeight)
-		if cu.RatePerSecond < 0 {
-			c.add(place+".rate_per_second", "a rate is not negative")
+		if !(cu.RatePerSecond >= 0 && cu.RatePerSecond <= MaxRate) {
+			c.add(place+".rate_per_second", "%g is not between 0 and %g", cu.RatePerSecond, MaxRate)
 		}
 		for _, name := range cu.Calls {
 			if c.s.Call(name) == nil {
@@ -298,7 +318,7 @@
 	c.duration("limits.key_skew", l.KeySkew, time.Minute)
 	c.duration("limits.result_retention", l.ResultRetention, MaxValidity)
 	c.number("limits.reference_bytes", l.ReferenceBytes, 1, MaxBodyBytes)
-	if l.RetryShare < 0 || l.RetryShare > 1 {
+	if !(l.RetryShare >= 0 && l.RetryShare <= 1) {
 		c.add("limits.retry_share", "%g is not between 0 and 1", l.RetryShare)
 	}
 }
