Treat an incarnation as an identity, not as a number that grows

A replacement whose clock is behind that of its predecessor would have been taken for a late message, and its server kept as leaving. A message is late if its incarnation was current before another one followed; up to eight such are remembered per instance. Failing first: with the order of numbers in place of the list of past ones, the row of TestFaults with the clock behind fails.

--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -86,11 +86,28 @@
 			m.Leaving("2", 7)
 			m.Seen("2", 8)
 		}, []string{"1", "2"}},
+		{"refusal, then a new incarnation whose clock is behind", func(m *Table) {
+			m.Leaving("2", 7)
+			m.Seen("2", 3)
+			m.Leaving("2", 7)
+		}, []string{"1", "2"}},
+		{"refusal of the new incarnation too", func(m *Table) {
+			m.Leaving("2", 7)
+			m.Seen("2", 3)
+			m.Leaving("2", 3)
+		}, []string{"1", "2 leaving"}},
+		{"message without an incarnation", func(m *Table) {
+			m.Leaving("1", 0)
+			m.Leaving("2", 7)
+			m.Seen("2", 0)
+		}, []string{"1", "2 leaving"}},
 		{"late refusal of an old incarnation", func(m *Table) {
+			m.Seen("2", 7)
 			m.Seen("2", 8)
 			m.Leaving("2", 7)
 		}, []string{"1", "2"}},
 		{"late heartbeat of an old incarnation", func(m *Table) {
+			m.Seen("2", 7)
 			m.Leaving("2", 8)
 			m.Seen("2", 7)
 		}, []string{"1", "2 leaving"}},
@@ -125,11 +142,13 @@
 }
 
 // TestVersionChangesWithInstances checks that no step changes the answer without
-// a new version, and that a leaving mark ends only with a newer incarnation.
+// a new version, and that a leaving mark ends only with an incarnation not seen
+// before.
 func TestVersionChangesWithInstances(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := NewTable()
-		marked := map[string]uint64{}
+		// known holds the incarnations of each id in the order first seen.
+		known, marked := map[string][]uint64{}, map[string]bool{}
 		now := 0
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			before, version := describe(m), m.Version()
@@ -147,20 +166,24 @@
 				m.SetList(list, at(now))
 			case 1:
 				m.Seen(id, incarnation)
-				if incarnation > marked[id] {
+				if !slices.Contains(known[id], incarnation) {
+					known[id] = append(known[id], incarnation)
 					delete(marked, id)
 				}
 			case 2:
 				m.Leaving(id, incarnation)
-				if incarnation >= m.Incarnation(id) {
-					marked[id] = incarnation
+				if !slices.Contains(known[id], incarnation) {
+					known[id] = append(known[id], incarnation)
+				}
+				if last := known[id][len(known[id])-1]; last == incarnation {
+					marked[id] = true
 				}
 			}
 			if !slices.Equal(before, describe(m)) {
 				assert.Assert(t, m.Version() != version)
 			}
 			for _, in := range m.Instances() {
-				assert.Equal(t, in.Leaving, marked[in.ID] > 0, "instance %s", in.ID)
+				assert.Equal(t, in.Leaving, marked[in.ID], "instance %s", in.ID)
 			}
 		}
 	})
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -10,6 +10,9 @@
 // missing from before it is taken off.
 const goneAfter = 2
 
+// maxPast is the number of past incarnations remembered of an instance.
+const maxPast = 8
+
 // maxObservations bounds the observations kept of instances that are not listed.
 const maxObservations = 1 << 14
 
@@ -31,10 +34,30 @@
 
 // observation is what the process saw itself of one instance.
 type observation struct {
-	// incarnation is the newest one heard of.
+	// incarnation is the current one; 0 if none was heard of.
 	incarnation uint64
 	// leaving is set once that incarnation said that it is leaving.
 	leaving bool
+	// past holds the incarnations before it, the newest last. A message of one of
+	// them is late. Incarnations are not ordered, as clocks of instances differ.
+	past []uint64
+}
+
+// current returns the observation with the incarnation as the current one; ok is
+// false if the incarnation is a past one.
+func (o observation) current(incarnation uint64) (next observation, ok bool) {
+	if incarnation == 0 || slices.Contains(o.past, incarnation) {
+		return o, false
+	}
+	if incarnation == o.incarnation {
+		return o, true
+	}
+	next.incarnation = incarnation
+	if o.incarnation != 0 {
+		next.past = append(slices.Clone(o.past), o.incarnation)
+		next.past = next.past[max(0, len(next.past)-maxPast):]
+	}
+	return next, true
 }
 
 // NewTable returns an empty table.
@@ -101,31 +124,34 @@
 	t.seen = kept
 }
 
-// Seen records that an instance answered under an incarnation. Incarnations of
-// one id grow; older ones are ignored, as late messages.
+// Seen records that an instance answered under an incarnation, which becomes the
+// current one unless it was current before and another followed.
 func (t *Table) Seen(id string, incarnation uint64) {
-	o, ok := t.seen[id]
-	if ok && incarnation <= o.incarnation {
+	o := t.seen[id]
+	next, ok := o.current(incarnation)
+	if !ok || next.incarnation == o.incarnation {
 		return
 	}
 	if o.leaving {
 		t.version++
 	}
-	t.seen[id] = observation{incarnation: incarnation}
+	t.seen[id] = next
 }
 
 // Leaving records that an incarnation of an instance said that it is leaving.
-// The mark holds for as long as no newer incarnation is seen.
+// The mark holds until another incarnation follows.
 func (t *Table) Leaving(id string, incarnation uint64) {
 	o := t.seen[id]
-	if incarnation < o.incarnation || (incarnation == o.incarnation && o.leaving) {
+	next, ok := o.current(incarnation)
+	if !ok || (next.incarnation == o.incarnation && o.leaving) {
 		return
 	}
-	t.seen[id] = observation{incarnation: incarnation, leaving: true}
+	next.leaving = true
+	t.seen[id] = next
 	t.version++
 }
 
-// Incarnation returns the newest incarnation heard of an instance; 0 if none.
+// Incarnation returns the current incarnation of an instance; 0 if none was heard of.
 func (t *Table) Incarnation(id string) uint64 { return t.seen[id].incarnation }
 
 // Instances returns the instances sorted by id, with the leaving marks of the
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -19,6 +19,6 @@
 	// Leaving records that an agent said that its server is leaving.
 	Leaving(id string, incarnation uint64)
 	// Seen records that an instance answered under an incarnation, which ends the
-	// leaving mark of an older one. Incarnations of one id grow.
+	// leaving mark of the one before.
 	Seen(id string, incarnation uint64)
 }
