--- a/core/configlog/fold.go
+++ b/core/configlog/fold.go
@@ -46,6 +46,9 @@
 	ConflictVersion uint64 `json:"conflict_version,omitempty"`
 	// Mistakes lists what is not valid.
 	Mistakes []schema.Mistake `json:"mistakes,omitempty"`
+	// CheckpointOffset and CheckpointDigest are set for a checkpoint.
+	CheckpointOffset uint64 `json:"-"`
+	CheckpointDigest uint64 `json:"-"`
 }
 
 // maxMistakes bounds the mistakes kept in an outcome.
@@ -67,7 +70,7 @@
 	}
 	if r.Checkpoint != nil {
 		next.checkpoint = offset
-		return &next, Outcome{Offset: offset, Status: Checkpointed}
+		return &next, Outcome{Offset: offset, Status: Checkpointed, CheckpointOffset: r.Checkpoint.Offset, CheckpointDigest: r.Checkpoint.Digest}
 	}
 	if _, ok := s.Outcome(r.Change.ID); ok {
 		return &next, Outcome{ID: r.Change.ID, Offset: offset, Status: Duplicate}
@@ -77,14 +80,17 @@
 	return &next, outcome
 }
 
-// Try returns what would become of a change if it were the next record.
-func (s *Snapshot) Try(c *Change) Outcome {
-	next := *s
-	next.Offset++
+// Try returns what became of a change, or what would become of it if it were the
+// next record; decided tells which. The offset is 0 unless it is decided.
+func (s *Snapshot) Try(c *Change) (o Outcome, decided bool) {
 	if first, ok := s.Outcome(c.ID); ok {
-		return first
+		return first, true
 	}
-	return next.apply(c)
+	next := *s
+	next.Offset++
+	o = next.apply(c)
+	o.Offset = 0
+	return o, false
 }
 
 // apply judges a change at s.Offset and puts it in force if it is accepted.
