Hedge no earlier than two medians

Change: a hedge starts at the later of the 95th percentile and two medians; the times of the last 128 calls count in place of 256, so that queueing shows sooner.

--- a/core/retry/quantile.go
+++ b/core/retry/quantile.go
@@ -7,7 +7,7 @@
 
 const (
 	// samplesKept is the number of recent times kept per stage.
-	samplesKept = 256
+	samplesKept = 128
 	// samplesNeeded is the number of times needed before hedging.
 	samplesNeeded = 32
 	// samplesBetween is the number of times between two computations.
@@ -20,9 +20,12 @@
 	queueingFactor = 1.5
 	// hedgeQuantile is the quantile of the times at which a hedge starts.
 	hedgeQuantile = 0.95
+	// hedgeMedians is the least time before a hedge, in medians.
+	hedgeMedians = 2
 )
 
-// times keeps the recent times of one stage with their median and late quantile.
+// times keeps the recent times of one stage with their median and the time after
+// which a call is late.
 type times struct {
 	ring         [samplesKept]time.Duration
 	count        int
@@ -47,7 +50,7 @@
 	copy(s, t.ring[:n])
 	slices.Sort(s)
 	t.median = s[n/2]
-	t.late = s[int(hedgeQuantile*float64(n-1))]
+	t.late = max(s[int(hedgeQuantile*float64(n-1))], hedgeMedians*t.median)
 	t.track()
 }
 
