--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -51,8 +51,8 @@
 	// shareFrom is the load from which customers' shares are enforced, and
 	// shareSlack how far above its share a customer may be there; the slack falls
 	// to shareLeast at full load.
-	shareFrom  = 0.5
-	shareSlack = 4.0
+	shareFrom  = 0.25
+	shareSlack = 3.0
 	shareLeast = 0.8
 	// underShare is the use relative to the share under which a customer is let
 	// through up to the load underShareLoad.
