--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -7,13 +7,17 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawheel/magnoliawheel/core/ledger"
+	"github.com/magnoliawheel/magnoliawheel/internal/platform"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+	"github.com/magnoliawheel/magnoliawheel/test/standin"
+	"github.com/magnoliawheel/magnoliawheel/test/standin/platformlog"
 )
 
 // instantServer answers plain calls and generations at once.
@@ -76,6 +80,64 @@
 	}
 }
 
+// countingLog counts appends and the bytes of their records.
+type countingLog struct {
+	platform.Log
+	appends, bytes atomic.Int64
+}
+
+func (l *countingLog) Append(ctx context.Context, stream string, records ...[]byte) (uint64, error) {
+	l.appends.Add(1)
+	for _, r := range records {
+		l.bytes.Add(int64(len(r)))
+	}
+	return l.Log.Append(ctx, stream, records...)
+}
+
+// BenchmarkFilings runs calls that must not be repeated, some at a time, with a
+// key and without, before a log that takes 5 ms for each request.
+func BenchmarkFilings(b *testing.B) {
+	srv, err := platformlog.Start("127.0.0.1:0", platformlog.Config{Faults: standin.Faults{DelayMS: 5}})
+	assert.NilError(b, err)
+	defer func() { _ = srv.Close() }()
+	url := instantServer(b, 0)
+	for _, keyed := range []bool{false, true} {
+		for _, parallel := range []int{1, 64} {
+			b.Run(fmt.Sprintf("keyed=%t/parallel=%d", keyed, parallel), func(b *testing.B) {
+				log := &countingLog{Log: platform.NewHTTPLog("http://" + srv.Addr())}
+				f := startWith(b, testSettings(b, "a", url), log, noConfig{})
+				f.work.limiter.SetMax(64)
+				var n atomic.Int64
+				b.SetParallelism(max(1, parallel/runtime.GOMAXPROCS(0)))
+				file := func() {
+					req := f.filing(fmt.Sprint("e~", n.Add(1)), newKey(b))
+					if !keyed {
+						req.IdempotencyKey = ""
+					}
+					assert.Check(b, f.run(b, req).done != nil)
+					f.ack(b, req)
+				}
+				b.ResetTimer()
+				start := time.Now()
+				if parallel == 1 {
+					for range b.N {
+						file()
+					}
+				} else {
+					b.RunParallel(func(pb *testing.PB) {
+						for pb.Next() {
+							file()
+						}
+					})
+				}
+				b.ReportMetric(float64(b.N)/time.Since(start).Seconds(), "filings/s")
+				b.ReportMetric(float64(log.appends.Load())/float64(b.N), "appends/filing")
+				b.ReportMetric(float64(log.bytes.Load())/float64(b.N), "log-B/filing")
+			})
+		}
+	}
+}
+
 // BenchmarkKeptMemory reports the heap that one kept result and one remembered
 // attempt take beside the bytes of the result.
 func BenchmarkKeptMemory(b *testing.B) {
