Give connections back to the pool after a stream's last event

Cause: the stream's context was cancelled before its end was read, which closes a drpc connection, so that every stage paid a TLS handshake.

--- /dev/null
+++ b/core/pipeline/bench_test.go
@@ -0,0 +1,66 @@
+package pipeline
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnoliawheel/magnoliawheel/core/retry"
+	"github.com/magnoliawheel/magnoliawheel/core/schema"
+)
+
+type plainDecider struct{}
+
+func (plainDecider) Place(time.Time, *Query) (Server, bool)            { return Server{ID: "s"}, true }
+func (plainDecider) Request(time.Time)                                 {}
+func (plainDecider) Retry(time.Time, *retry.Ask) (time.Duration, bool) { return 0, false }
+func (plainDecider) HedgeSent(time.Time) bool                          { return false }
+func (plainDecider) HedgeAfter(time.Time, *schema.Stage, time.Duration) (time.Duration, bool) {
+	return 0, false
+}
+
+func benchPipeline() *schema.Pipeline {
+	return &schema.Pipeline{Name: "p", Stages: []schema.Stage{
+		{Name: "encode", Pool: "p", Idempotent: true},
+		{Name: "retrieve", Pool: "p", Idempotent: true},
+		{Name: "rerank", Pool: "p", Idempotent: true},
+		{Name: "generate", Pool: "p", Idempotent: true, Answer: true},
+		{Name: "file", Pool: "p", Answer: true},
+	}}
+}
+
+// BenchmarkRequest runs one request of five stages with one chunk each.
+func BenchmarkRequest(b *testing.B) {
+	data := []byte("result")
+	sum := xxhash.Sum64(data)
+	b.ReportAllocs()
+	for b.Loop() {
+		m := New(Options{RequestID: "r", Pipeline: benchPipeline(), Body: data, Deadline: epoch.Add(time.Second), Live: true, Decider: plainDecider{}})
+		m.Step(epoch, Start{})
+		for st := range uint32(5) {
+			id := Attempt{Stage: st, Number: 1}
+			m.Step(epoch, Accepted{Attempt: id})
+			m.Step(epoch, Chunk{Attempt: id, Seq: 1, Data: data})
+			m.Step(epoch, Done{Attempt: id, Count: 1, Checksum: sum})
+		}
+		m.Step(epoch, Delivered{})
+		if !m.Ended() {
+			b.Fatal("not ended")
+		}
+	}
+}
+
+// BenchmarkChunk takes in one chunk of a live stream.
+func BenchmarkChunk(b *testing.B) {
+	m := New(Options{RequestID: "r", Pipeline: &schema.Pipeline{Stages: []schema.Stage{{Name: "generate", Idempotent: true, Answer: true}}},
+		Deadline: epoch.Add(time.Second), Live: true, Decider: plainDecider{}})
+	m.Step(epoch, Start{})
+	data := []byte(" token")
+	b.ReportAllocs()
+	seq := uint64(0)
+	for b.Loop() {
+		seq++
+		m.Step(epoch, Chunk{Attempt: Attempt{Number: 1}, Seq: seq, Data: data, Tokens: 1})
+	}
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -181,6 +181,9 @@
 			return nil, err
 		}
 		watchdog.Reset(rpc.SilenceTimeout)
+		if ev.Last {
+			defer func() { _, _ = stream.Recv() }()
+		}
 		if ev.Kind == kindRefused {
 			return refusalOf(ev.Data), nil
 		}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -160,6 +160,9 @@
 		}
 		watchdog.Reset(rpc.SilenceTimeout)
 		if s.take(generation, ev) {
+			// The end of the stream gives the connection back to the pool; cancelling
+			// before it would close the connection.
+			_, _ = in.Recv()
 			return nil
 		}
 	}
