--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/magnoliawheel/magnoliawheel/core/admission"
+	"github.com/magnoliawheel/magnoliawheel/core/claims"
 	"github.com/magnoliawheel/magnoliawheel/core/membership"
 	"github.com/magnoliawheel/magnoliawheel/core/pipeline"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
@@ -180,14 +181,16 @@
 }
 
 // Place chooses a server. A keyed stage that is not idempotent goes to the home
-// of its key, so that copies of the request meet at one agent.
+// of its key's partition, so that copies of the request meet at one agent, and an
+// agent reads the claims of few partitions.
 func (c chooser) Place(now time.Time, q *pipeline.Query) (pipeline.Server, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	router := c.router(now, q.Stage.Pool)
 	if c.req.Key != "" && !q.Stage.Idempotent {
+		slot := claims.NewKey(c.req.Customer.Name, c.req.Key, q.Stage.Name).Partition()
 		c.status = router.Status(now, c.status[:0])
-		s, ok := home(c.status, c.req.Key, q.Exclude)
+		s, ok := home(c.status, uint64(slot), q.Exclude)
 		return place(s), ok
 	}
 	rq := c.query(now, q.Stage, c.req)
@@ -201,41 +204,24 @@
 	return pipeline.Server{ID: s.ID, Addr: s.Addr, Zone: s.Zone, Region: s.Region}
 }
 
-// home returns the server with the highest rendezvous score for the key among
-// those that answer; entries that see them differently meet by the claims in the
-// log. If none answers, any that is not leaving is taken.
-func home(servers []routing.Status, key string, exclude []string) (routing.Server, bool) {
-	best, ok := highest(servers, key, exclude, func(s routing.State) bool {
-		return s != routing.StateLeaving && s != routing.StateSilent && s != routing.StateEjected
-	})
-	if ok {
-		return best, true
-	}
-	return highest(servers, key, exclude, func(s routing.State) bool { return s != routing.StateLeaving })
-}
-
-func highest(servers []routing.Status, key string, exclude []string, usable func(routing.State) bool) (best routing.Server, ok bool) {
-	var most uint64
-	for i := range servers {
-		s := &servers[i]
-		if !usable(s.State) || contains(exclude, s.ID) {
-			continue
-		}
-		score := xxhash.Sum64String(key + "/" + s.ID)
-		if !ok || score > most || (score == most && s.ID < best.ID) {
-			best, most, ok = s.Server, score, true
+// home returns the home of a slot among the servers that answer; entries that see
+// them differently meet by the claims in the log. If none answers, any that is
+// not leaving is taken.
+func home(list []routing.Status, slot uint64, exclude []string) (routing.Server, bool) {
+	var answering, others []routing.Server
+	for i := range list {
+		switch list[i].State {
+		case routing.StateLeaving:
+		case routing.StateSilent, routing.StateEjected:
+			others = append(others, list[i].Server)
+		default:
+			answering = append(answering, list[i].Server)
 		}
 	}
-	return best, ok
-}
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
+	if s, ok := routing.Home(answering, slot, exclude); ok {
+		return s, true
 	}
-	return false
+	return routing.Home(others, slot, exclude)
 }
 
 // Request records the first attempt at a stage.
--- a/internal/entry/decider_test.go
+++ b/internal/entry/decider_test.go
@@ -8,19 +8,19 @@
 	"github.com/magnoliawheel/magnoliawheel/core/routing"
 )
 
-func TestHomeOfAKey(t *testing.T) {
-	const key = "018bcfe5-6800-7000-8000-000000000001"
+func TestHomeOfASlot(t *testing.T) {
+	const slot = 7
 	servers := []routing.Status{
 		{Server: routing.Server{ID: "a"}, State: routing.StateUsable},
 		{Server: routing.Server{ID: "b"}, State: routing.StateUsable},
 		{Server: routing.Server{ID: "c"}, State: routing.StateUsable},
 	}
-	first, ok := home(servers, key, nil)
+	first, ok := home(servers, slot, nil)
 	assert.Assert(t, ok)
 	reversed := []routing.Status{servers[2], servers[1], servers[0]}
-	again, _ := home(reversed, key, nil)
+	again, _ := home(reversed, slot, nil)
 	assert.Equal(t, again.ID, first.ID, "the order of the servers matters")
-	second, _ := home(servers, key, []string{first.ID})
+	second, _ := home(servers, slot, []string{first.ID})
 	assert.Assert(t, second.ID != first.ID)
 	mark := func(state routing.State) {
 		for i := range servers {
@@ -31,18 +31,18 @@
 	}
 	for _, state := range []routing.State{routing.StateSilent, routing.StateEjected, routing.StateLeaving} {
 		mark(state)
-		got, _ := home(servers, key, nil)
+		got, _ := home(servers, slot, nil)
 		assert.Equal(t, got.ID, second.ID, state)
 	}
 	for i := range servers {
 		servers[i].State = routing.StateSilent
 	}
-	got, ok := home(servers, key, nil)
+	got, ok := home(servers, slot, nil)
 	assert.Assert(t, ok)
 	assert.Equal(t, got.ID, first.ID)
 	for i := range servers {
 		servers[i].State = routing.StateLeaving
 	}
-	_, ok = home(servers, key, nil)
+	_, ok = home(servers, slot, nil)
 	assert.Assert(t, !ok)
 }
