--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -182,7 +182,10 @@
 		}
 		watchdog.Reset(rpc.SilenceTimeout)
 		if ev.Last {
-			defer func() { _, _ = stream.Recv() }()
+			defer func() {
+				_, _ = stream.Recv()
+				<-stream.Context().Done()
+			}()
 		}
 		if ev.Kind == kindRefused {
 			return refusalOf(ev.Data), nil
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -43,6 +43,7 @@
 
 type receiver interface {
 	Recv() (*wire.RunEvent, error)
+	Context() context.Context
 }
 
 func (s *stream) attemptID() *wire.AttemptID {
@@ -163,6 +164,7 @@
 			// The end of the stream gives the connection back to the pool; cancelling
 			// before it would close the connection.
 			_, _ = in.Recv()
+			<-in.Context().Done()
 			return nil
 		}
 	}
