Ask peers for the state while the first read of the log hangs

A new instance knows no peers before its first look at the list, so it went to the log first, and with a log that accepts connections and never answers nothing else of it ran. It got the state only if a peer knew of it already and pushed the records. The first read runs beside the other loops now. Failing first: with the read before the loops, TestNewInstanceTakesStateFromPeerWhileLogIsSilent times out for an instance that the others do not know of yet (it passes for one that they do). A peer that is silent is passed over (test), and a silent connection to the log is replaced (test).

--- a/internal/confsync/faults_test.go
+++ b/internal/confsync/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -272,3 +273,36 @@
 	assert.Equal(t, s.Current().Offset, old.Offset+1)
 	assert.Equal(t, s.Current().Schema.Customer("petra-build").Weight, 2)
 }
+
+// silentLog never answers.
+type silentLog struct{ platform.Log }
+
+func (silentLog) Read(ctx context.Context, _ string, _ uint64, _ int, _ time.Duration) (platform.Batch, error) {
+	<-ctx.Done()
+	return platform.Batch{}, platform.ErrUnavailable
+}
+
+func TestNewInstanceTakesStateFromPeerWhileLogIsSilent(t *testing.T) {
+	c := newCluster(t)
+	o := submitted(t, c.start(), exampleChange(t, "first"))
+	s := c.startWith(silentLog{}, false)
+	assert.NilError(t, s.WaitReady(c.ctx))
+	c.eventually(o.Offset)
+}
+
+// TestSilentPeerIsPassedOver checks that a peer which accepts connections and
+// never answers does not keep others from learning.
+func TestSilentPeerIsPassedOver(t *testing.T) {
+	c := newCluster(t)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = lis.Close() }()
+	c.mu.Lock()
+	c.addrs = append(c.addrs, lis.Addr().String())
+	c.mu.Unlock()
+	for range 3 {
+		c.start()
+	}
+	o := submitted(t, c.syncs[0], exampleChange(t, "first"))
+	c.eventually(o.Offset)
+}
--- a/internal/confsync/run.go
+++ b/internal/confsync/run.go
@@ -11,9 +11,8 @@
 
 // Run keeps the configuration in step until ctx ends. It returns nil.
 func (s *Sync) Run(ctx context.Context) error {
-	s.start(ctx)
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){s.readLoop, s.exchangeLoop, s.pushLoop, s.checkpointLoop} {
+	for _, loop := range []func(context.Context){s.start, s.readLoop, s.exchangeLoop, s.pushLoop, s.checkpointLoop} {
 		loops.Go(func() { loop(ctx) })
 	}
 	loops.Wait()
--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -156,7 +157,12 @@
 }
 
 // start adds an instance that runs.
-func (c *cluster) start() *Sync {
+func (c *cluster) start() *Sync { return c.startWith(c.log, true) }
+
+// startWith adds an instance with its own view of the log, which the others know
+// of if it is listed. It knows no peers itself before its first look at the list.
+func (c *cluster) startWith(log platform.Log, listed bool) *Sync {
+	var looks atomic.Int64
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(c.t, err)
 	conf, err := rpc.TLSConfig([]byte("a secret of the test cluster"))
@@ -164,7 +170,12 @@
 	pool := rpc.NewPool(conf)
 	addr := lis.Addr().String()
 	s := New(Options{
-		Log: c.log, Peers: func() []string { return c.peersOf(addr) }, Pool: pool,
+		Log: log, Peers: func() []string {
+			if looks.Add(1) == 1 {
+				return nil
+			}
+			return c.peersOf(addr)
+		}, Pool: pool,
 		Self: addr, Incarnation: 1, Address: addr, Logger: logr.Discard(),
 	})
 	mux := drpcmux.New()
@@ -174,7 +185,9 @@
 	all.Go(func() { _ = s.Run(c.ctx) })
 	c.t.Cleanup(func() { c.stop(); all.Wait(); _ = pool.Close() })
 	c.mu.Lock()
-	c.addrs = append(c.addrs, addr)
+	if listed {
+		c.addrs = append(c.addrs, addr)
+	}
 	c.syncs = append(c.syncs, s)
 	c.mu.Unlock()
 	return s
--- a/internal/platform/contract_test.go
+++ b/internal/platform/contract_test.go
@@ -135,6 +135,20 @@
 	assert.Equal(t, len(batch.Records), 2)
 }
 
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	log, addr := startLog(t)
+	_, err := log.Append(context.Background(), ConfigStream, []byte("a"))
+	assert.NilError(t, err)
+	control(t, addr, `{"silence":true}`)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err = log.Read(ctx, ConfigStream, 1, 10, 0)
+	assert.ErrorIs(t, err, ErrUnavailable)
+	batch, err := log.Read(context.Background(), ConfigStream, 1, 10, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(batch.Records), 1)
+}
+
 func TestRefusedConnectionIsUnavailable(t *testing.T) {
 	srv := httptest.NewServer(http.NotFoundHandler())
 	srv.Close()
