--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -27,7 +27,9 @@
 	settings *settings.Entry
 	seed     uint64
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// status is the space in which homes are sought.
+	status    []routing.Status
 	routers   map[string]*poolRouter
 	admission *admission.Controller
 	budget    *retry.Budget
@@ -113,8 +115,11 @@
 	return probesPerSecond
 }
 
-func (d *decider) query(st *schema.Stage, prefix uint64) routing.Query {
-	return routing.Query{Zone: d.settings.Instance.Zone, Region: d.settings.Instance.Region, Model: st.Model, Prefix: prefix}
+func (d *decider) query(now time.Time, st *schema.Stage, r *callerapi.Request) routing.Query {
+	return routing.Query{
+		Zone: d.settings.Instance.Zone, Region: d.settings.Instance.Region, Model: st.Model, Prefix: r.Prefix,
+		Budget: r.Received.Add(r.Timeout).Sub(now),
+	}
 }
 
 // admit decides on a request from what its stages are expected to take now.
@@ -128,7 +133,7 @@
 	}
 	for i := range r.Pipeline.Stages {
 		st := &r.Pipeline.Stages[i]
-		q := d.query(st, r.Prefix)
+		q := d.query(now, st, r)
 		expected, ok := d.router(now, st.Pool).Expected(now, &q)
 		if !ok {
 			expected = st.Typical.Std()
@@ -184,13 +189,13 @@
 	router := c.router(now, q.Stage.Pool)
 	if c.req.Key != "" && !q.Stage.Idempotent {
 		slot := claims.NewKey(c.req.Customer.Name, c.req.Key, q.Stage.Name).Partition()
-		s, ok := routing.Home(c.p.view.Servers(q.Stage.Pool), uint64(slot), q.Exclude)
+		c.status = router.Status(now, c.status[:0])
+		s, ok := home(c.status, uint64(slot), q.Exclude)
 		return place(s), ok
 	}
-	rq := c.query(q.Stage, c.req.Prefix)
+	rq := c.query(now, q.Stage, c.req)
 	rq.Exclude = q.Exclude
 	rq.Bytes, rq.BytesRegion = q.Input.Bytes()
-	rq.Budget = c.req.Received.Add(c.req.Timeout).Sub(now)
 	s, ok := router.Pick(now, &rq)
 	return place(s), ok
 }
@@ -199,6 +204,26 @@
 	return pipeline.Server{ID: s.ID, Addr: s.Addr, Zone: s.Zone, Region: s.Region}
 }
 
+// home returns the home of a slot among the servers that answer; entries that see
+// them differently meet by the claims in the log. If none answers, any that is
+// not leaving is taken.
+func home(list []routing.Status, slot uint64, exclude []string) (routing.Server, bool) {
+	var answering, others []routing.Server
+	for i := range list {
+		switch list[i].State {
+		case routing.StateLeaving:
+		case routing.StateSilent, routing.StateEjected:
+			others = append(others, list[i].Server)
+		default:
+			answering = append(answering, list[i].Server)
+		}
+	}
+	if s, ok := routing.Home(answering, slot, exclude); ok {
+		return s, true
+	}
+	return routing.Home(others, slot, exclude)
+}
+
 // Request records the first attempt at a stage.
 func (c chooser) Request(now time.Time) {
 	c.mu.Lock()
