--- a/internal/report/html.go
+++ b/internal/report/html.go
@@ -108,7 +108,7 @@
 	total, queue, server := plot.Series{Name: "first attempt to result"}, plot.Series{Name: "queue"}, plot.Series{Name: "server"}
 	for i := range r.Stages {
 		s := &r.Stages[i]
-		c.Labels = append(c.Labels, s.Stage)
+		c.Labels = append(c.Labels, s.Call+"/"+s.Stage)
 		total.Values = append(total.Values, mean(s.Seconds, s.Requests))
 		queue.Values = append(queue.Values, mean(s.Queue, s.Requests))
 		server.Values = append(server.Values, mean(s.Server, s.Requests))
@@ -122,7 +122,7 @@
 	all, wasted := plot.Series{Name: "all"}, plot.Series{Name: "requests not attained"}
 	for i := range r.Stages {
 		s := &r.Stages[i]
-		c.Labels = append(c.Labels, s.Stage)
+		c.Labels = append(c.Labels, s.Call+"/"+s.Stage)
 		all.Values = append(all.Values, s.Server)
 		wasted.Values = append(wasted.Values, s.Wasted)
 	}
--- a/internal/report/plot/plot.go
+++ b/internal/report/plot/plot.go
@@ -18,6 +18,10 @@
 	chartHeight  = 260
 	ticks        = 4
 	legendStep   = 150
+	// letterWidth is the mean width of a letter; labels over shortLabel letters take
+	// two lines in turn.
+	letterWidth = 6.5
+	shortLabel  = 8
 )
 
 // colors tell series apart, also for readers who cannot tell red from green.
@@ -157,12 +161,7 @@
 			marginLeft, y, width-marginRight, y, marginLeft-6, y+4, number(v))
 	}
 	p.printf(`<text transform="translate(14 %.1f) rotate(-90)" text-anchor="middle">%s</text>`, (p.top+p.bottom)/2, esc(c.YLabel))
-	every := max(1, int(math.Ceil(float64(len(c.Labels))/12)))
-	for i, label := range c.Labels {
-		if i%every == 0 {
-			p.printf(`<text x="%.1f" y="%.1f" text-anchor="middle">%s</text>`, p.center(i), p.bottom+18, esc(label))
-		}
-	}
+	c.xLabels(p)
 	if c.Target > 0 && c.Target <= p.max {
 		y := p.y(c.Target)
 		p.printf(`<line x1="%d" y1="%.1f" x2="%d" y2="%.1f" stroke="#d00" stroke-dasharray="6 4"/><text x="%d" y="%.1f" fill="#d00" text-anchor="end">%s</text>`,
@@ -170,6 +169,25 @@
 	}
 }
 
+// xLabels writes the labels that have room; long ones go on two lines in turn.
+func (c *Chart) xLabels(p *page) {
+	longest := 0
+	for _, label := range c.Labels {
+		longest = max(longest, len(label))
+	}
+	lines := 1
+	if longest > shortLabel {
+		lines = 2
+	}
+	every := max(1, int(math.Ceil(float64(longest)*letterWidth/float64(lines)/p.step)))
+	for i, label := range c.Labels {
+		if i%every == 0 {
+			y := p.bottom + 16 + float64(i/every%lines)*14
+			p.printf(`<text x="%.1f" y="%.1f" text-anchor="middle">%s</text>`, p.center(i), y, esc(label))
+		}
+	}
+}
+
 // number writes a value with three significant digits.
 func number(v float64) string {
 	if v != 0 && math.Abs(v) < 1e6 && math.Abs(v) >= 1000 {
