--- a/internal/agent/accept.go
+++ b/internal/agent/accept.go
@@ -111,17 +111,6 @@
 	return int64(len(req.Payload)) + int64(req.GetRef().GetSizeBytes())
 }
 
-// overtaking is how much longer than expected a call waits in a fair queue, since
-// later calls of customers with a smaller backlog go first.
-const overtaking = 1.25
-
-func (w *work) overtaken(wait time.Duration) time.Duration {
-	if fairqueue.Policy(w.p.settings.Limits.Queue) == fairqueue.FIFO {
-		return wait
-	}
-	return time.Duration(overtaking * float64(wait))
-}
-
 // latestStart returns when a task that has to wait is no longer worth starting,
 // since it would not end in time. The caller holds mu.
 func (w *work) latestStart(t *task) time.Time {
@@ -146,7 +135,7 @@
 		return ledger.Outcome{Code: result.BudgetSpent, Ran: result.RanNo}
 	case w.preparing >= w.queueLimit:
 		return ledger.Outcome{Code: result.QueueFull, Ran: result.RanNo, RetryAfter: wait}
-	case wait > 0 && w.overtaken(wait)+w.timing.expect(req) > budget:
+	case wait > 0 && wait+w.timing.expect(req) > budget:
 		return ledger.Outcome{Code: result.Overloaded, Ran: result.RanNo, RetryAfter: wait}
 	}
 	return ledger.Outcome{}
