--- a/core/pipeline/property_test.go
+++ b/core/pipeline/property_test.go
@@ -26,7 +26,6 @@
 	work    map[Attempt]*trueWork
 	order   []Attempt
 	emitted []string
-	sources map[string]Attempt
 	ended   *Finish
 }
 
