Tell the state of a key's work for its copies, and what a takeover needs

Cause: Cancel of a copy of a key answered NOT_RUN although the attempt that holds the key had run, so that a caller could be told that its work did not run; Find left out the customer, the pipeline and the budget, without which no other entry can take a request over. Change: the state of a copy is that of the holder, or unknown when it is elsewhere; the ledger keeps the customer and pipeline of each accepted attempt.

Proved failing first: with the copy's own state TestKeyRunsOnce finds NOT_RUN for work that finished; restored, it passes.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -68,6 +68,8 @@
 
 // Job is what the ledger needs to know of an attempt.
 type Job struct {
+	// Customer and Pipeline are those of the request.
+	Customer, Pipeline string
 	// Deadline is when the budget is spent.
 	Deadline time.Time
 	// Idempotent attempts may lose their result for want of memory.
@@ -115,7 +117,8 @@
 	// Acknowledged is set on a shared result that was taken.
 	Acknowledged bool
 
-	job      Job
+	Job Job
+
 	reserved int64
 	// expires is when the ledger moves on; zero for attempts that have not ended.
 	expires time.Time
@@ -166,7 +169,7 @@
 		l.Refuse(now, id, Outcome{Code: code, Ran: result.RanNo})
 		return code
 	}
-	l.attempts[id] = &Attempt{ID: id, State: Queued, job: job, reserved: job.Reserve + job.Input}
+	l.attempts[id] = &Attempt{ID: id, State: Queued, Job: job, reserved: job.Reserve + job.Input}
 	l.kept += job.Reserve + job.Input
 	return result.OK
 }
@@ -230,7 +233,7 @@
 	if a == nil || a.State != Queued {
 		return result.Tombstoned
 	}
-	if !now.Before(a.job.Deadline) {
+	if !now.Before(a.Job.Deadline) {
 		l.Refuse(now, id, Outcome{Code: result.BudgetSpent, Ran: result.RanNo})
 		return result.BudgetSpent
 	}
@@ -246,11 +249,11 @@
 		return result.Internal
 	}
 	size := int64(len(c.Data))
-	if a.job.MaxBytes > 0 && a.Bytes+size > a.job.MaxBytes {
+	if a.Job.MaxBytes > 0 && a.Bytes+size > a.Job.MaxBytes {
 		return result.StreamTooLong
 	}
-	grow := max(0, a.Bytes+size+a.job.Input-a.reserved)
-	if !l.room(now, grow) && a.job.Idempotent {
+	grow := max(0, a.Bytes+size+a.Job.Input-a.reserved)
+	if !l.room(now, grow) && a.Job.Idempotent {
 		return result.ResultsFull
 	}
 	a.Chunks = append(a.Chunks, c)
@@ -288,7 +291,7 @@
 	if a == nil || a.State != Finished || a.Acknowledged {
 		return
 	}
-	if !a.job.Shared {
+	if !a.Job.Shared {
 		l.spend(now, a)
 		return
 	}
--- a/core/ledger/memory.go
+++ b/core/ledger/memory.go
@@ -40,10 +40,10 @@
 
 func (l *Ledger) spend(now time.Time, a *Attempt) {
 	retention := l.opts.TombstoneRetention
-	if a.job.Idempotent {
+	if a.Job.Idempotent {
 		retention = l.opts.ReplayRetention
 	}
-	l.remember(a, Spent, now.Add(retention), a.job.Idempotent)
+	l.remember(a, Spent, now.Add(retention), a.Job.Idempotent)
 }
 
 // remember moves an attempt to state NotRun or Spent and drops its result.
--- a/internal/agent/accept.go
+++ b/internal/agent/accept.go
@@ -34,7 +34,10 @@
 		w.refuse(now, id, o)
 		return false
 	}
-	job := ledger.Job{Deadline: deadline, Idempotent: req.Idempotent, Shared: keyed(req), Reserve: reserveOf(req), Input: inputOf(req), MaxBytes: schema.MaxAnswerBytes}
+	job := ledger.Job{
+		Customer: req.Customer, Pipeline: req.Pipeline, Deadline: deadline, Idempotent: req.Idempotent, Shared: keyed(req),
+		Reserve: reserveOf(req), Input: inputOf(req), MaxBytes: schema.MaxAnswerBytes,
+	}
 	if code := w.ledger.Accept(now, id, job); code != result.OK {
 		w.p.metrics.ended(code)
 		return false
--- a/internal/agent/fetch.go
+++ b/internal/agent/fetch.go
@@ -79,7 +79,7 @@
 		err = errors.New("agent: the result fetched does not match its reference")
 	}
 	if err != nil {
-		w.log.Info("Pulling an input failed.", "request", t.id.Request, "holder", ref.Instance, "error", err.Error())
+		w.limited.Info("Pulling an input failed.", "request", t.id.Request, "holder", ref.Instance, "error", err.Error())
 		return ledger.Outcome{Code: result.PayloadLost, Message: err.Error(), Ran: result.RanNo}
 	}
 	w.mu.Lock()
--- a/internal/agent/keyed.go
+++ b/internal/agent/keyed.go
@@ -142,7 +142,7 @@
 	switch {
 	case err != nil:
 		if err == errGivenUp {
-			w.log.Info("A claim was given up.", "request", t.id.Request)
+			w.limited.Info("A claim was given up.", "request", t.id.Request)
 		}
 		w.endPreparing(t, ledger.Outcome{
 			Code: result.ClaimUnavailable, Message: "the log cannot record the claim of the key", Ran: result.RanNo, RetryAfter: claimRetryAfter,
--- a/internal/agent/keyed_test.go
+++ b/internal/agent/keyed_test.go
@@ -68,6 +68,10 @@
 	assert.Equal(t, h.Incarnation, a.incarnation)
 	assert.Equal(t, a.attach(t, h.Attempt, 1).text, first.text)
 
+	// The state of a copy is that of the work, which ran.
+	assert.Equal(t, a.cancel(t, a.filing("e2~1", key).Attempt), wire.AttemptState_ATTEMPT_STATE_FINISHED)
+	assert.Equal(t, b.cancel(t, b.filing("e2~2", key).Attempt), wire.AttemptState_ATTEMPT_STATE_UNKNOWN_HERE)
+
 	reused := a.filing("e1~3", key)
 	reused.Digest++
 	r := a.run(t, reused)
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -115,21 +115,42 @@
 
 // Find lists the attempts of a request.
 func (s *rpcServer) Find(_ context.Context, req *wire.FindRequest) (*wire.FindReply, error) {
-	return &wire.FindReply{Attempts: s.p.work.find(req.RequestId, s.p.incarnation), Load: s.p.load()}, nil
+	return &wire.FindReply{Attempts: s.p.work.find(time.Now(), req.RequestId), Load: s.p.load()}, nil
 }
 
-func (w *work) find(request string, incarnation uint64) []*wire.FoundAttempt {
+// find lists the attempts of a request that were accepted.
+func (w *work) find(now time.Time, request string) []*wire.FoundAttempt {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var found []*wire.FoundAttempt
 	for _, a := range w.ledger.Find(request) {
+		if a.Job.Deadline.IsZero() {
+			continue
+		}
 		found = append(found, &wire.FoundAttempt{
-			Attempt: wireID(a.ID), State: wireState(a.State), Chunks: uint64(len(a.Chunks)), Incarnation: incarnation,
+			Attempt: wireID(a.ID), State: wireState(w.stateOf(a)), Chunks: uint64(len(a.Chunks)), Incarnation: w.p.incarnation,
+			Customer: a.Job.Customer, Pipeline: a.Job.Pipeline, BudgetUs: uint64(max(0, a.Job.Deadline.Sub(now).Microseconds())),
 		})
 	}
 	return found
 }
 
+// stateOf returns the state of the work of an attempt. The work of a copy of a
+// key is that of the attempt that holds the key. The caller holds mu.
+func (w *work) stateOf(a *ledger.Attempt) ledger.State {
+	h := a.Outcome.Holder
+	if a.State != ledger.NotRun || h == nil {
+		return a.State
+	}
+	if h.Instance != w.p.settings.Instance.ID || h.Incarnation != w.p.incarnation {
+		return ledger.Unknown
+	}
+	if holder := w.ledger.Get(h.Attempt); holder != nil {
+		return holder.State
+	}
+	return ledger.Unknown
+}
+
 func wireState(s ledger.State) wire.AttemptState {
 	switch s {
 	case ledger.NotRun:
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -154,6 +154,33 @@
 	return r.events
 }
 
+// TestFind checks what an entry that takes a request over is told.
+func TestFind(t *testing.T) {
+	srv := startService(t, service.Config{})
+	f := start(t, testSettings(t, "a", "http://"+srv.Addr()))
+	find := func() []*wire.FoundAttempt {
+		reply, err := f.client.Find(context.Background(), &wire.FindRequest{RequestId: "e~1"})
+		assert.NilError(t, err)
+		return reply.Attempts
+	}
+	assert.Equal(t, len(find()), 0)
+	f.cancel(t, &wire.AttemptID{RequestId: "e~1", Attempt: 9})
+	assert.Equal(t, len(find()), 0)
+	req := f.runRequest("e~1")
+	req.Pipeline = "dossier"
+	f.run(t, req)
+	found := find()
+	assert.Equal(t, len(found), 1)
+	assert.Equal(t, found[0].Customer, "burj-consult")
+	assert.Equal(t, found[0].Pipeline, "dossier")
+	assert.Equal(t, found[0].State, wire.AttemptState_ATTEMPT_STATE_FINISHED)
+	assert.Assert(t, found[0].BudgetUs > 0 && found[0].BudgetUs <= req.BudgetUs)
+	f.ack(t, req)
+	found = find()
+	assert.Equal(t, found[0].Customer, "burj-consult")
+	assert.Equal(t, found[0].Chunks, uint64(0))
+}
+
 // TestReplacedAgentResumesStreams checks that another process at the same engine
 // takes up a generation that still runs, instead of running it again.
 func TestReplacedAgentResumesStreams(t *testing.T) {
--- a/internal/agent/task.go
+++ b/internal/agent/task.go
@@ -173,6 +173,9 @@
 	case state == ledger.Running && t.req.Idempotent && t.cancel != nil:
 		t.cancel()
 	}
+	if a := w.ledger.Get(id); a != nil {
+		return w.stateOf(a)
+	}
 	return state
 }
 
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/internal/engine"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+	"github.com/magnoliawheel/magnoliawheel/internal/telemetry"
 )
 
 // Bounds of the work in hand.
@@ -35,6 +36,8 @@
 	tokenBytes   = 8
 	// expireInterval is the time between two sweeps for what expired.
 	expireInterval = 250 * time.Millisecond
+	// logInterval is the least time between two lines of one message about a fault.
+	logInterval = 10 * time.Second
 	// sweepInterval is the time between two sweeps for keys that are too old.
 	sweepInterval = time.Minute
 )
@@ -64,13 +67,15 @@
 // work holds the calls in hand: those that wait, those at the server, and the
 // results that wait for their acknowledgement.
 type work struct {
-	p      *Process
-	log    logr.Logger
-	model  *engine.Model
-	plain  *engine.Service
-	ctx    context.Context
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	p   *Process
+	log logr.Logger
+	// limited is for lines that a fault may repeat.
+	limited *telemetry.Limited
+	model   *engine.Model
+	plain   *engine.Service
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
 
 	mu     sync.Mutex
 	ledger *ledger.Ledger
@@ -96,7 +101,7 @@
 func newWork(p *Process) *work {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &work{
-		p: p, log: p.log.WithName("work"), ctx: ctx, cancel: cancel,
+		p: p, log: p.log.WithName("work"), limited: telemetry.NewLimited(p.log.WithName("work"), logInterval), ctx: ctx, cancel: cancel,
 		model: engine.NewModel(p.settings.Server.URL),
 		plain: engine.NewService(p.settings.Server.URL),
 		ledger: ledger.New(ledger.Options{
