--- a/internal/confsync/exchange.go
+++ b/internal/confsync/exchange.go
@@ -15,13 +15,11 @@
 
 const (
 	// exchangeInterval is the mean time between two exchanges with a neighbor.
-	exchangeInterval = 3 * time.Second
+	exchangeInterval = 2 * time.Second
 	// firstInterval is the same while no schema is in force.
 	firstInterval = 300 * time.Millisecond
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 2 * time.Second
-	// fanout is the number of neighbors that are told of new records at once.
-	fanout = 4
 	// pushInterval is the least time between two rounds of telling neighbors.
 	pushInterval = 100 * time.Millisecond
 )
@@ -153,7 +151,7 @@
 	return exchangeInterval
 }
 
-// pushLoop tells a few neighbors of new records.
+// pushLoop tells the neighbors of new records.
 func (s *Sync) pushLoop(ctx context.Context) {
 	for {
 		select {
@@ -162,7 +160,7 @@
 		case <-s.advanced:
 		}
 		var round sync.WaitGroup
-		for _, addr := range s.neighbors.pick(s.opts.Peers(), fanout) {
+		for _, addr := range s.neighbors.all(s.opts.Peers()) {
 			round.Go(func() {
 				if _, err := s.meet(ctx, addr); err != nil {
 					s.neighbors.drop(addr)
--- a/internal/confsync/neighbors.go
+++ b/internal/confsync/neighbors.go
@@ -36,14 +36,12 @@
 	return n.list[n.index-1]
 }
 
-// pick returns up to count neighbors in random order.
-func (n *neighbors) pick(peers []string, count int) []string {
+// all returns the neighbors.
+func (n *neighbors) all(peers []string) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.fill(peers)
-	list := slices.Clone(n.list)
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(count, len(list))]
+	return slices.Clone(n.list)
 }
 
 // drop removes a neighbor that did not answer.
