Count a list confirmed by 304 as a newer one; keep bodies with their defaults

An instance is taken off after two newer lists without it. With a server that answers 304 the list never became newer, so an instance that had vanished stayed until some other row changed. A confirmed list is newer by the least step of time, so that a later answer with its own time is never refused.

An object written without its defaults was kept without them, and the next config diff of the same schema showed a difference.

Failing first: without the step TestListIsTransferredOnceWhileUnchanged fails, without the defaults TestBodiesAreKeptWithDefaults.

--- a/core/configlog/configlog_test.go
+++ b/core/configlog/configlog_test.go
@@ -169,3 +169,13 @@
 	assert.Equal(t, got.Digest(), s.Digest())
 	assert.DeepEqual(t, got.Schema, s.Schema)
 }
+
+func TestBodiesAreKeptWithDefaults(t *testing.T) {
+	s := filled(t)
+	body := `{"name":"new","pipeline":"question","deadline":"1s"}`
+	s, o := s.Fold(2, encode(t, &Change{ID: "a", Edits: []Edit{{Object: "call/new", Body: []byte(body)}}}))
+	assert.Equal(t, o.Status, Accepted, "%v", o.Mistakes)
+	want, err := FromSchema(s.Schema)
+	assert.NilError(t, err)
+	assert.Equal(t, len(Diff(s.AllObjects(), want)), 0)
+}
--- a/core/configlog/object.go
+++ b/core/configlog/object.go
@@ -123,6 +123,9 @@
 	if got := named(); got != rest {
 		return nil, nil, fmt.Errorf("the body is of %q", got)
 	}
+	if v, ok := value.(interface{ Normalize() }); ok {
+		v.Normalize()
+	}
 	canonical, err := json.Marshal(value)
 	return value, canonical, err
 }
--- a/core/schema/validate.go
+++ b/core/schema/validate.go
@@ -111,13 +111,14 @@
 	sort.SliceStable(s.Pipelines, func(i, j int) bool { return s.Pipelines[i].Name < s.Pipelines[j].Name })
 	sort.SliceStable(s.Calls, func(i, j int) bool { return s.Calls[i].Name < s.Calls[j].Name })
 	sort.SliceStable(s.Customers, func(i, j int) bool { return s.Customers[i].Name < s.Customers[j].Name })
-	s.Limits.fill()
+	s.Limits.Normalize()
 	for i := range s.Calls {
-		s.Calls[i].fill()
+		s.Calls[i].Normalize()
 	}
 }
 
-func (l *Limits) fill() {
+// Normalize fills in defaults.
+func (l *Limits) Normalize() {
 	setDefault(&l.KeyValidity, Duration(10*time.Minute))
 	setDefault(&l.KeySkew, Duration(5*time.Second))
 	setDefault(&l.ResultRetention, Duration(30*time.Second))
@@ -125,7 +126,8 @@
 	setDefault(&l.RetryShare, 0.1)
 }
 
-func (c *Call) fill() {
+// Normalize fills in defaults.
+func (c *Call) Normalize() {
 	setDefault(&c.MaxBody, 1<<20)
 	setDefault(&c.MaxAnswer, 4<<20)
 	setDefault(&c.Objective, 0.99)
--- a/internal/platform/contract_test.go
+++ b/internal/platform/contract_test.go
@@ -187,9 +187,10 @@
 	assert.Equal(t, len(got), 1)
 	assert.Assert(t, got[0].Leaving)
 	assert.Assert(t, !asOf.IsZero())
-	again, _, err := list.List(ctx)
+	again, later, err := list.List(ctx)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, again, got)
+	assert.Assert(t, later.After(asOf), "a confirmed list is newer")
 	assert.Equal(t, traffic.Requests.Load(), uint64(2))
 
 	control(t, srv.Addr(), `{"down":true}`)
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -32,6 +32,16 @@
 	Instances []membership.Instance `json:"instances"`
 }
 
+// again returns a list that the server confirmed, as a newer one: by the least
+// step of time, since the answer does not tell its own.
+func (l *httpList) again(last listReply) ([]membership.Instance, time.Time, error) {
+	last.AsOf = last.AsOf.Add(1)
+	l.mu.Lock()
+	l.last = last
+	l.mu.Unlock()
+	return last.Instances, last.AsOf, nil
+}
+
 // List implements InstanceList. The error is ErrUnavailable. A list that the
 // server marks with an ETag is not sent again while it is unchanged.
 func (l *httpList) List(ctx context.Context) ([]membership.Instance, time.Time, error) {
@@ -53,7 +63,7 @@
 	}
 	defer closeBody(res.Body)
 	if res.StatusCode == http.StatusNotModified && etag != "" {
-		return last.Instances, last.AsOf, nil
+		return l.again(last)
 	}
 	if res.StatusCode != http.StatusOK {
 		return nil, time.Time{}, errors.Wrapf(ErrUnavailable, "list instances: status %d", res.StatusCode)
