--- a/core/fairqueue/fairqueue.go
+++ b/core/fairqueue/fairqueue.go
@@ -60,6 +60,8 @@
 	// flows holds the customers in order of their first arrival.
 	flows   []*flow
 	dropped []Dropped
+	// busy holds the customers whose calls had to wait lately.
+	busy []busy
 }
 
 // flow is the backlog of one customer.
@@ -73,7 +75,8 @@
 
 type waiting struct {
 	Item
-	seq uint64
+	seq    uint64
+	pushed time.Time
 }
 
 // New returns an empty queue that holds at most limit items.
@@ -106,7 +109,7 @@
 	}
 	q.seq++
 	q.length++
-	f.insert(waiting{it, q.seq})
+	f.insert(waiting{it, q.seq, now})
 	return true
 }
 
@@ -119,6 +122,9 @@
 		return Item{}, false
 	}
 	it = f.items[0].Item
+	if now.After(f.items[0].pushed) {
+		q.waited(now, f)
+	}
 	f.items = f.items[1:]
 	q.length--
 	q.virtual = max(q.virtual, f.tag)
@@ -189,26 +195,49 @@
 }
 
 // AheadIfBusy returns the cost that would be served before a new item of the
-// customer if the customers that wait now went on waiting, so that each takes its
-// share meanwhile. It is at least Ahead.
-func (q *Queue) AheadIfBusy(customer string, weight int, cost float64) float64 {
+// customer if the customers that wait now, or did lately, went on waiting, so
+// that each takes its share meanwhile. It is at least Ahead.
+func (q *Queue) AheadIfBusy(now time.Time, customer string, weight int, cost float64) float64 {
+	ahead := q.Ahead(customer, weight, cost)
 	if q.policy == FIFO {
-		return q.total()
+		return ahead
 	}
-	start, own := q.virtual, 0.0
+	start, own, weights := 0.0, 0.0, 0.0
 	for _, f := range q.flows {
 		if f.customer == customer {
 			own = f.cost()
-			start = max(f.tag, q.virtual) + own/float64(max(weight, 1))
+			start = max(f.tag-q.virtual, 0) + own/float64(max(weight, 1))
 		}
 	}
-	ahead := own
-	for _, f := range q.flows {
-		if f.customer != customer && len(f.items) > 0 {
-			ahead += max(f.costBefore(start), (start-f.tag)*f.weight)
+	for _, b := range q.busy {
+		if b.customer != customer && now.Sub(b.at) <= busyFor {
+			weights += b.weight
 		}
 	}
-	return ahead
+	return max(ahead, own+start*weights)
+}
+
+// busyFor is the time after which a customer whose calls waited no longer counts
+// as busy.
+const busyFor = 2 * time.Second
+
+// busy is a customer whose calls had to wait.
+type busy struct {
+	customer string
+	weight   float64
+	at       time.Time
+}
+
+// waited notes that a call of the customer had to wait, and forgets customers
+// that are no longer busy.
+func (q *Queue) waited(now time.Time, f *flow) {
+	kept := q.busy[:0]
+	for _, b := range q.busy {
+		if b.customer != f.customer && now.Sub(b.at) <= busyFor {
+			kept = append(kept, b)
+		}
+	}
+	q.busy = append(kept, busy{f.customer, f.weight, now})
 }
 
 func (q *Queue) total() float64 {
