Finish relayed streams before an entry exits; cancel requests of a dead entry

Cause: the drain waited for the entry's own requests only; a caller that reads another entry's answer here was cut a second later. TestDrainCutsNoRelayedStream failed so without finishCallers and passes with it. DELETE after the owner died now takes the request over and cancels it at the agents. The tests try other ports when one was taken between finding and listening; one run beside other tests failed at its start.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,6 +113,7 @@
 	}
 	if err == nil {
 		p.drain()
+		lis.finishCallers()
 	}
 	p.stop()
 	lis.close()
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -433,7 +435,7 @@
 	b.view = &staticView{servers: map[string][]routing.Server{
 		"encoders": {b.encoder.server()}, "engines": {b.engine.server()}, "filers": {b.filer.server()},
 	}}
-	b.start(testSettings(t, "entry-1"))
+	b.start("entry-1")
 	return b
 }
 
@@ -444,19 +446,31 @@
 	return logr.Discard()
 }
 
-func (b *bench) start(s *settings.Entry) {
+// start runs an entry. Another process may take one of the free ports that were
+// found before the entry listens on it; then others are tried.
+func (b *bench) start(id string) {
+	for !b.tryStart(testSettings(b.t, id)) {
+		b.t.Log("a port was taken meanwhile")
+	}
+}
+
+func (b *bench) tryStart(s *settings.Entry) bool {
 	p, err := New(Options{Settings: s, Log: testLog(b.t)})
 	assert.NilError(b.t, err)
 	p.source, p.view = b.source, b.view
 	ctx, cancel := context.WithCancel(context.Background())
 	b.p, b.stop, b.done = p, cancel, make(chan error, 1)
-	go func() { b.done <- p.Run(ctx) }()
-	b.t.Cleanup(func() {
-		cancel()
-		p.stop()
-		assert.Check(b.t, <-b.done)
-	})
+	done := b.done
+	go func() { done <- p.Run(ctx) }()
+	taken := false
 	poll.WaitOn(b.t, func(poll.LogT) poll.Result {
+		select {
+		case err := <-done:
+			assert.Assert(b.t, errors.Is(err, syscall.EADDRINUSE), "%v", err)
+			taken = true
+			return poll.Success()
+		default:
+		}
 		if !p.Ready() {
 			return poll.Continue("not ready")
 		}
@@ -467,6 +481,16 @@
 		_ = res.Body.Close()
 		return poll.Success()
 	})
+	if taken {
+		cancel()
+		return false
+	}
+	b.t.Cleanup(func() {
+		cancel()
+		p.stop()
+		assert.Check(b.t, <-done)
+	})
+	return true
 }
 
 // checkGoroutines fails the test if goroutines are left after its cleanups.
--- a/internal/entry/find.go
+++ b/internal/entry/find.go
@@ -72,10 +72,23 @@
 		return r.cancelBy(customer)
 	}
 	addr, listed := p.entryAddr(owner)
-	if owner == p.opts.Settings.Instance.ID || !listed {
-		return unknownRequest()
+	if owner != p.opts.Settings.Instance.ID && listed {
+		if bad, err := p.relayCancel(ctx, addr, id, customer); err == nil {
+			return bad
+		}
+	}
+	return p.cancelOrphan(ctx, id, customer)
+}
+
+// cancelOrphan cancels what the agents know of a request whose entry is gone.
+func (p *Process) cancelOrphan(ctx context.Context, id, customer string) *result.Error {
+	if _, bad := p.takeOver(ctx, id, customer, 1); bad != nil {
+		return bad
+	}
+	if r := p.table.get(id); r != nil {
+		return r.cancelBy(customer)
 	}
-	return p.relayCancel(ctx, addr, id, customer)
+	return unknownRequest()
 }
 
 func (r *request) cancelBy(customer string) *result.Error {
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc/drpcmux"
 
+	"github.com/magnoliawheel/magnoliawheel/core/schema"
 	"github.com/magnoliawheel/magnoliawheel/internal/callerapi"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
@@ -27,7 +28,8 @@
 
 type listenerSet struct {
 	callers, peers, admin net.Listener
-	servers               []*http.Server
+	// servers holds that of the callers first.
+	servers []*http.Server
 }
 
 func (p *Process) listen() (*listenerSet, error) {
@@ -47,6 +49,15 @@
 	return l, nil
 }
 
+// finishCallers takes no more connections of callers and waits for the responses
+// in progress, among them those relayed from other entries. Their deadlines and
+// the write timeout bound the wait.
+func (l *listenerSet) finishCallers() {
+	ctx, cancel := context.WithTimeout(context.Background(), schema.MaxDeadline)
+	defer cancel()
+	_ = l.servers[0].Shutdown(ctx)
+}
+
 func (l *listenerSet) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
 	defer cancel()
--- a/internal/entry/reattach_test.go
+++ b/internal/entry/reattach_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -46,7 +47,7 @@
 func (b *bench) second() *bench {
 	b.t.Helper()
 	c := &bench{t: b.t, encoder: b.encoder, engine: b.engine, filer: b.filer, source: b.source, view: b.view}
-	c.start(testSettings(b.t, "entry-2"))
+	c.start("entry-2")
 	b.view.mu.Lock()
 	defer b.view.mu.Unlock()
 	b.view.entries = []membership.Instance{
@@ -219,6 +220,40 @@
 	assert.Equal(t, s.texts.String(), wholeDraft["generate"])
 }
 
+func TestDrainCutsNoRelayedStream(t *testing.T) {
+	b := startBench(t)
+	other := b.second()
+	open := b.engine.gate()
+	s := b.open("ask")
+	s.until("chunk")
+	again := other.read(other.get(s.id, s.seq))
+	other.stop()
+	waitFor(t, func() bool { return !other.p.Ready() && other.p.table.refusal() != nil })
+	// Longer than a process that exits waits for idle connections.
+	time.Sleep(closeWait + closeWait/5)
+	open()
+	again.until("done")
+	assert.Equal(t, s.texts.String()+again.texts.String(), wholeDraft["generate"])
+}
+
+func TestCancelAfterItsEntryDied(t *testing.T) {
+	b := startBench(t)
+	other := b.second()
+	b.engine.gate()
+	s := b.open("ask")
+	s.until("chunk")
+	b.kill()
+	b.engine.mu.Lock()
+	b.engine.attach = func(_ *wire.AttachRequest, out wire.DRPCAgent_AttachStream) error {
+		_ = b.engine.accept(out)
+		return hang(out.Context())
+	}
+	b.engine.mu.Unlock()
+	b.engine.knows(found(s.id, 0, 1, "ask", wire.AttemptState_ATTEMPT_STATE_RUNNING))
+	assert.Equal(t, other.do(other.request("DELETE", "/v1/requests/"+s.id, "")).status, http.StatusNoContent)
+	waitFor(t, func() bool { return b.engine.cancels() == 1 })
+}
+
 func TestRequestKeepsItsConfiguration(t *testing.T) {
 	b := startBench(t)
 	open := b.engine.gate()
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -230,21 +230,21 @@
 	}
 }
 
-// relayCancel asks the owner to cancel.
-func (p *Process) relayCancel(ctx context.Context, addr, id, customer string) *result.Error {
+// relayCancel asks the owner to cancel; err tells that it did not answer.
+func (p *Process) relayCancel(ctx context.Context, addr, id, customer string) (refusal *result.Error, err error) {
 	ctx, cancel := context.WithTimeout(ctx, rpc.SilenceTimeout)
 	defer cancel()
 	client := wire.NewDRPCEntryClient(p.pool.Conn(ctx, addr))
 	stream, err := client.Relay(ctx, &wire.RelayRequest{RequestId: id, Customer: customer, Cancel: true})
 	if err != nil {
-		return unknownRequest()
+		return nil, err
 	}
 	ev, err := stream.Recv()
 	if err != nil {
-		return unknownRequest()
+		return nil, err
 	}
 	if ev.Kind == kindRefused {
-		return refusalOf(ev.Data)
+		return refusalOf(ev.Data), nil
 	}
-	return nil
+	return nil, nil
 }
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -38,7 +38,7 @@
 		return nil, unknownRequest()
 	}
 	found := p.findAttempts(ctx, snap.Schema, id)
-	if len(found) == 0 {
+	if len(found) == 0 || found[0].Customer == "" {
 		return nil, unknownRequest()
 	}
 	if found[0].Customer != customer {
