--- a/core/fairqueue/fairqueue_test.go
+++ b/core/fairqueue/fairqueue_test.go
@@ -126,6 +126,26 @@
 	})
 }
 
+// TestAheadIfBusy checks that a customer's second call expects its share when the
+// others had to wait lately, and the whole server when nobody did.
+func TestAheadIfBusy(t *testing.T) {
+	q := New(Fair, 100)
+	q.Push(epoch, Item{Key: 1, Customer: "large", Weight: 9, Cost: 10})
+	q.Pop(epoch)
+	q.Push(epoch, Item{Key: 2, Customer: "small", Weight: 1, Cost: 10})
+	assert.Equal(t, q.AheadIfBusy(epoch, "small", 1, 10), 10.0, "the large customer did not wait")
+	q.Push(epoch, Item{Key: 3, Customer: "large", Weight: 9, Cost: 10})
+	now := epoch.Add(time.Second)
+	for range 2 {
+		q.Pop(now)
+	}
+	q.Push(now, Item{Key: 4, Customer: "small", Weight: 1, Cost: 10})
+	assert.Assert(t, q.Ahead("small", 1, 10) <= 20)
+	assert.Assert(t, q.AheadIfBusy(now, "small", 1, 10) >= 100, "%v", q.AheadIfBusy(now, "small", 1, 10))
+	later := now.Add(busyFor + 1)
+	assert.Equal(t, q.AheadIfBusy(later, "small", 1, 10), q.Ahead("small", 1, 10))
+}
+
 func TestAheadIsCostServedBefore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := New(rapid.SampledFrom([]Policy{Fair, FIFO}).Draw(t, "policy"), 1000)
@@ -139,6 +159,9 @@
 		}
 		c := rapid.IntRange(0, 2).Draw(t, "new")
 		ahead := q.Ahead(fmt.Sprint(c), weights[c], 3)
+		if busy := q.AheadIfBusy(epoch, fmt.Sprint(c), weights[c], 3); busy < ahead {
+			t.Fatalf("ahead if busy %v, under ahead %v", busy, ahead)
+		}
 		q.Push(epoch, Item{Key: "new", Customer: fmt.Sprint(c), Weight: weights[c], Cost: 3})
 		before := 0.0
 		for {
--- a/internal/platform/contract_test.go
+++ b/internal/platform/contract_test.go
@@ -135,6 +135,20 @@
 	assert.Equal(t, len(batch.Records), 2)
 }
 
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	log, addr := startLog(t)
+	_, err := log.Append(context.Background(), ConfigStream, []byte("a"))
+	assert.NilError(t, err)
+	control(t, addr, `{"silence":true}`)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err = log.Read(ctx, ConfigStream, 1, 10, 0)
+	assert.ErrorIs(t, err, ErrUnavailable)
+	batch, err := log.Read(context.Background(), ConfigStream, 1, 10, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(batch.Records), 1)
+}
+
 func TestRefusedConnectionIsUnavailable(t *testing.T) {
 	srv := httptest.NewServer(http.NotFoundHandler())
 	srv.Close()
@@ -173,9 +187,10 @@
 	assert.Equal(t, len(got), 1)
 	assert.Assert(t, got[0].Leaving)
 	assert.Assert(t, !asOf.IsZero())
-	again, _, err := list.List(ctx)
+	again, later, err := list.List(ctx)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, again, got)
+	assert.Assert(t, later.After(asOf), "a confirmed list is newer")
 	assert.Equal(t, traffic.Requests.Load(), uint64(2))
 
 	control(t, srv.Addr(), `{"down":true}`)
