--- /dev/null
+++ b/test/failure/burst_test.go
@@ -0,0 +1,76 @@
+package failure
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/client"
+	"github.com/magnoliawheel/magnoliawheel/internal/load"
+	"github.com/magnoliawheel/magnoliawheel/test/harness"
+)
+
+// burstRequests is far over what the servers can do within the deadline.
+const burstRequests = 600
+
+// TestBurst sends more at once than can be served in time: each request is answered
+// or refused, with a time to come back, and afterwards all is well again.
+func TestBurst(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, func(s *harness.Server) { s.Spec.Slots = 4 })
+	var pending []<-chan load.Outcome
+	for i := range burstRequests {
+		call, change := "draft", []func(*load.Request){streamed, body(`"tokens":60`)}
+		if i%2 == 0 {
+			call, change = "file-only", []func(*load.Request){keyed, body(`"work_ms":300`)}
+		}
+		pending = append(pending, f.send(f.request(call, change...), i))
+	}
+	for _, p := range pending {
+		out := <-p
+		if out.Class == load.Refused {
+			assert.Assert(t, out.RetryAfter > 0, "%+v", out)
+		}
+	}
+	for entry := range f.Entries {
+		f.complete("draft", entry, streamed)
+		f.complete("file-only", entry, keyed)
+	}
+	ledger := f.check()
+	assert.Assert(t, ledger.Refused > 0, "the burst was served whole, so that nothing was shown")
+}
+
+// TestClientRidesOutAnEntry makes calls with the public client while the entry that
+// serves them is killed: calls without effects all return their answers.
+func TestClientRidesOutAnEntry(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil)
+	c, err := client.New(client.Options{Entries: f.CallerURLs(), Customer: "burj-consult", Key: "burj-consult-key"})
+	assert.NilError(t, err)
+	defer c.Close()
+	const calls = 12
+	type done struct {
+		nonce  string
+		answer *client.Answer
+		err    error
+	}
+	results := make(chan done, calls)
+	for range calls {
+		r := f.request("read", body(`"work_ms":400`))
+		go func() {
+			answer, err := c.Do(f.ctx, &client.Call{Name: r.Call, Body: r.Body, Idempotent: true, Timeout: requestTimeout})
+			results <- done{r.Nonce, answer, err}
+		}()
+	}
+	f.await("work of all calls", func() bool { return f.executed() >= calls })
+	f.Entries[0].Kill()
+	time.AfterFunc(time.Second, func() { _ = f.Restart(f.Entries[0]) })
+	for range calls {
+		d := <-results
+		assert.NilError(t, d.err, d.nonce)
+		want := harness.Expected(f.schema.Pipeline("reading"), []byte(`{"nonce":"`+d.nonce+`","work_ms":400}`))
+		assert.Equal(t, len(d.answer.Stages), 1)
+		assert.Equal(t, d.answer.Stages[0].Text, want["encode"])
+	}
+}
--- /dev/null
+++ b/test/failure/config_test.go
@@ -0,0 +1,261 @@
+package failure
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/test/harness"
+	"github.com/magnoliawheel/magnoliawheel/test/standin/spec"
+)
+
+// raced is the object that the tests change; its weight tells the changes apart.
+const raced = "customer/gulf-towers"
+
+// object is a part of an object of the configuration.
+type object struct {
+	Version uint64          `json:"version"`
+	Body    json.RawMessage `json:"body"`
+}
+
+func (o object) weight(t *testing.T) int {
+	t.Helper()
+	var c struct{ Weight int }
+	assert.NilError(t, json.Unmarshal(o.Body, &c))
+	return c.Weight
+}
+
+// object reads an object at an entry.
+func (f *fleet) object(entry int, name string) object {
+	f.t.Helper()
+	var o object
+	assert.NilError(f.t, f.GetAdmin(f.ctx, f.Entries[entry], "/admin/v1/config/objects/"+name, &o))
+	return o
+}
+
+// changeReply is the answer to a change of the configuration.
+type changeReply struct {
+	status int
+	Code   result.Code `json:"code"`
+	Change string      `json:"change"`
+	Offset uint64      `json:"offset"`
+	Object string      `json:"object"`
+	// Version is that of the object that won.
+	Version      uint64 `json:"version"`
+	RetryAfterMS int64  `json:"retry_after_ms"`
+}
+
+// setWeight changes the weight of the raced customer, based on a version.
+func (f *fleet) setWeight(entry int, base object, weight int) changeReply {
+	f.t.Helper()
+	var body map[string]any
+	assert.NilError(f.t, json.Unmarshal(base.Body, &body))
+	body["weight"] = weight
+	text, err := json.Marshal(body)
+	assert.NilError(f.t, err)
+	return f.change(entry, fmt.Sprintf(`{"edits":[{"object":%q,"base":%d,"body":%s}]}`, raced, base.Version, text))
+}
+
+func (f *fleet) change(entry int, body string) changeReply {
+	f.t.Helper()
+	url := f.Entries[entry].Admin + "/admin/v1/config/changes"
+	req, err := http.NewRequestWithContext(f.ctx, http.MethodPost, url, bytes.NewBufferString(body))
+	assert.NilError(f.t, err)
+	req.Header.Set("Authorization", "Bearer "+harness.AdminKey)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(f.t, err)
+	reply := changeReply{status: resp.StatusCode}
+	assert.NilError(f.t, json.Unmarshal(text, &reply), "%s", text)
+	return reply
+}
+
+// awaitEverywhere waits until every entry and agent has the offset in force.
+func (f *fleet) awaitEverywhere(offset uint64) {
+	f.t.Helper()
+	out, err := f.Mwctl(f.ctx, "config", "wait", "--admin", f.Entries[0].Admin, "--key", harness.AdminKey,
+		"--offset", fmt.Sprint(offset), "--timeout", patience.String())
+	assert.NilError(f.t, err, "%s", out)
+	for _, i := range slices.Concat(f.Entries, f.Agents) {
+		assert.Assert(f.t, strings.Contains(string(out), i.ID), "%s is not in\n%s", i.ID, out)
+	}
+}
+
+// TestOperatorsRace changes one object at both entries on the same base, again and
+// again: exactly one wins each time, and the other is told so with the version that won.
+func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil)
+	weight := 10
+	for range 8 {
+		base := f.object(0, raced)
+		f.await("the base at the other entry", func() bool { return f.object(1, raced).Version == base.Version })
+		replies := make(chan changeReply, 2)
+		for entry := range 2 {
+			weight++
+			go func(weight int) { replies <- f.setWeight(entry, base, weight) }(weight)
+		}
+		first, second := <-replies, <-replies
+		if first.status != http.StatusOK {
+			first, second = second, first
+		}
+		assert.Equal(t, first.status, http.StatusOK, "%+v %+v", first, second)
+		assert.Equal(t, second.Code, result.ConfigConflict, "%+v", second)
+		assert.Equal(t, second.Object, raced)
+		assert.Equal(t, second.Version, first.Offset)
+		f.awaitEverywhere(first.Offset)
+		assert.Equal(t, f.object(0, raced).Version, first.Offset)
+	}
+	f.complete("draft", 0, streamed)
+	f.check()
+}
+
+// TestChangesUnderFaults makes a change while each fault lasts. What is accepted is
+// in force everywhere after the fault; what is refused never is.
+func TestChangesUnderFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		begin, end func(f *fleet)
+		// codes are the allowed outcomes besides success.
+		codes []result.Code
+		// accepted tells whether the change must be accepted.
+		accepted bool
+	}{
+		{"log down", set(spec.KindLog, map[string]any{"down": true}), reset(spec.KindLog), []result.Code{result.ConfigUnavailable}, false},
+		{"log slow", set(spec.KindLog, map[string]any{"delay_ms": 400}), reset(spec.KindLog), nil, true},
+		{"answer lost after the write took effect", set(spec.KindLog, map[string]any{"drop_answers": 1}), func(*fleet) {}, nil, true},
+		{"write applied late", set(spec.KindLog, map[string]any{"late_writes": 1, "late_write_ms": 800}), func(*fleet) {},
+			[]result.Code{result.ConfigUnavailable, result.ConfigUnknown}, false},
+		{"list down", set(spec.KindList, map[string]any{"down": true}), reset(spec.KindList), nil, true},
+		{"other entry and an agent frozen",
+			func(f *fleet) {
+				assert.NilError(f.t, f.Entries[1].Freeze())
+				freezeAgent("services-1")(f)
+			},
+			func(f *fleet) {
+				assert.NilError(f.t, f.Entries[1].Thaw())
+				thawAgent("services-1")(f)
+			}, nil, true},
+		{"other entry and an agent killed",
+			func(f *fleet) {
+				f.Entries[1].Kill()
+				killAgent("services-1")(f)
+			},
+			func(f *fleet) {
+				assert.NilError(f.t, f.Restart(f.Entries[1]))
+				restartAgent("services-1")(f)
+			}, nil, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, nil)
+			base := f.object(0, raced)
+			tc.begin(f)
+			reply := f.setWeight(0, base, 77)
+			accepted := reply.status == http.StatusOK
+			if !accepted {
+				assert.Assert(t, slices.Contains(tc.codes, reply.Code), "%+v", reply)
+			}
+			assert.Assert(t, accepted || !tc.accepted, "%+v", reply)
+			f.complete("draft", 0, streamed)
+			tc.end(f)
+			assert.NilError(t, f.WaitReady(f.ctx))
+			settled := f.settle(base, reply)
+			f.awaitEverywhere(settled)
+			for entry := range f.Entries {
+				o := f.object(entry, raced)
+				assert.Equal(t, o.Version, settled, "entry %d", entry)
+				if accepted {
+					assert.Equal(t, o.weight(t), 77)
+				}
+			}
+			f.complete("draft", 1, streamed)
+			f.check()
+		})
+	}
+}
+
+// settle returns the version of the raced object after one more change was accepted
+// in place of one that was refused or whose outcome is unknown.
+func (f *fleet) settle(base object, reply changeReply) uint64 {
+	f.t.Helper()
+	if reply.status == http.StatusOK {
+		return reply.Offset
+	}
+	var again changeReply
+	f.await("a change after the fault", func() bool {
+		again = f.setWeight(0, base, 88)
+		return again.status == http.StatusOK || again.Code == result.ConfigConflict
+	})
+	if again.status == http.StatusOK {
+		return again.Offset
+	}
+	// The change that was unknown won in the end.
+	assert.Equal(f.t, reply.Code, result.ConfigUnknown, "%+v, then %+v", reply, again)
+	return again.Version
+}
+
+// TestStartWhileTheLogIsDown replaces an entry and an agent while the log is down:
+// they take the configuration from their peers and serve.
+func TestStartWhileTheLogIsDown(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil)
+	reply := f.setWeight(0, f.object(0, raced), 55)
+	assert.Equal(t, reply.status, http.StatusOK)
+	f.awaitEverywhere(reply.Offset)
+	f.control(map[string]any{"down": true}, spec.KindLog)
+	f.Entries[1].Kill()
+	killAgent("services-1")(f)
+	assert.NilError(t, f.Restart(f.Entries[1]))
+	restartAgent("services-1")(f)
+	assert.NilError(t, f.WaitReady(f.ctx))
+	assert.Equal(t, f.object(1, raced).weight(t), 55)
+	f.complete("draft", 1, streamed)
+	f.control(map[string]any{"reset": true}, spec.KindLog)
+	f.awaitEverywhere(reply.Offset)
+	f.check()
+}
+
+// TestChangesWhileRequestsRun changes the configuration all the time under
+// traffic: no request is cut, and none is answered by a mixture.
+func TestChangesWhileRequestsRun(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil)
+	stop := make(chan struct{})
+	changed := make(chan int, 1)
+	go func() {
+		n := 0
+		for {
+			select {
+			case <-stop:
+				changed <- n
+				return
+			default:
+			}
+			if f.setWeight(n%2, f.object(n%2, raced), 2+n%50).status == http.StatusOK {
+				n++
+			}
+			time.Sleep(pollInterval)
+		}
+	}()
+	f.traffic(trafficRequests)
+	f.wg.Wait()
+	close(stop)
+	n := <-changed
+	assert.Assert(t, n > 0)
+	t.Logf("%d changes", n)
+	ledger := f.check()
+	assert.Equal(t, ledger.Complete, ledger.Requests)
+}
--- /dev/null
+++ b/test/failure/silent_test.go
@@ -0,0 +1,83 @@
+package failure
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/load"
+	"github.com/magnoliawheel/magnoliawheel/test/harness"
+)
+
+func TestCallersConnectionsGoSilent(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil)
+	var relays []*harness.Relay
+	var urls []string
+	for _, e := range f.Entries {
+		r, err := harness.StartRelay(e.Callers[len("http://"):])
+		assert.NilError(t, err)
+		defer r.Close()
+		relays = append(relays, r)
+		urls = append(urls, "http://"+r.Addr())
+	}
+	caller := load.NewCaller(urls)
+	defer caller.Close()
+	f.caller = caller
+	var streams []<-chan load.Outcome
+	for i := range 6 {
+		r := f.request("draft", streamed, body(`"tokens":200`))
+		streams = append(streams, f.send(r, i))
+		f.awaitExecution(r, "generate")
+	}
+	for _, r := range relays {
+		assert.Assert(t, r.Silence() > 0)
+	}
+	for _, s := range streams {
+		out := <-s
+		assert.Equal(t, out.Class, load.Complete, "%+v", out)
+		assert.Assert(t, out.Reattached > 0)
+	}
+	f.check()
+}
+
+// TestConnectionsWithinGoSilent silences the open connections of one kind, twice,
+// while a server executes: the answer comes whole over new connections, and a filing
+// is not done again. Work that is idempotent may have been hedged meanwhile.
+func TestConnectionsWithinGoSilent(t *testing.T) {
+	for _, tc := range []struct {
+		name, call, execution, body string
+		change                      func(*load.Request)
+		setup                       func(*harness.Server)
+		silence                     func(*fleet)
+	}{
+		{"entry to agent, generation", "draft", "generate", `"tokens":200`, streamed, relayAgents, silenceAgents},
+		{"entry to agent, filing", "file-only", "file", `"work_ms":2500`, streamed, relayAgents, silenceAgents},
+		{"entry to agent, keyed filing", "file-only", "file", `"work_ms":2500`, keyed, relayAgents, silenceAgents},
+		{"entry to agent, encoding", "read", "encode", `"work_ms":2500`, streamed, relayAgents, silenceAgents},
+		{"agent to server, generation", "draft", "generate", `"tokens":200`, streamed, relayServers, silenceServers},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, tc.setup)
+			r := f.request(tc.call, tc.change, body(tc.body))
+			done := f.send(r, 0)
+			e := f.awaitExecution(r, tc.execution)
+			a := f.agentOf(e)
+			relay := a.AgentRelay
+			if relay == nil {
+				relay = a.ServerRelay
+			}
+			before := relay.Accepted()
+			tc.silence(f)
+			f.await("a new connection", func() bool { return relay.Accepted() > before })
+			tc.silence(f)
+			out := <-done
+			assert.Equal(t, out.Class, load.Complete, "%+v", out)
+			f.check()
+			if tc.execution == "file" {
+				assert.Equal(t, f.filings(r), 1)
+			}
+		})
+	}
+}
--- a/test/failure/traffic_test.go
+++ b/test/failure/traffic_test.go
@@ -189,35 +189,3 @@
 func (f *fleet) executed() int {
 	return len(f.executions(func(standin.Execution) bool { return true }))
 }
-
-func TestCallersConnectionsGoSilent(t *testing.T) {
-	t.Parallel()
-	f := newFleet(t, nil)
-	var relays []*harness.Relay
-	var urls []string
-	for _, e := range f.Entries {
-		r, err := harness.StartRelay(e.Callers[len("http://"):])
-		assert.NilError(t, err)
-		defer r.Close()
-		relays = append(relays, r)
-		urls = append(urls, "http://"+r.Addr())
-	}
-	caller := load.NewCaller(urls)
-	defer caller.Close()
-	f.caller = caller
-	var streams []<-chan load.Outcome
-	for i := range 6 {
-		r := f.request("draft", streamed, body(`"tokens":200`))
-		streams = append(streams, f.send(r, i))
-		f.awaitExecution(r, "generate")
-	}
-	for _, r := range relays {
-		assert.Assert(t, r.Silence() > 0)
-	}
-	for _, s := range streams {
-		out := <-s
-		assert.Equal(t, out.Class, load.Complete, "%+v", out)
-		assert.Assert(t, out.Reattached > 0)
-	}
-	f.check()
-}
