--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -43,6 +43,7 @@
 
 type receiver interface {
 	Recv() (*wire.RunEvent, error)
+	Context() context.Context
 }
 
 func (s *stream) attemptID() *wire.AttemptID {
@@ -75,7 +76,7 @@
 		Pipeline: r.req.Pipeline.Name, Stage: s.stage.Name, Pool: s.stage.Pool, Call: s.stage.Call,
 		Idempotent: s.stage.Idempotent, Digest: r.digest, Model: s.stage.Model, MaxTokens: uint32(s.stage.MaxTokens),
 		Prefix: r.req.Prefix, Payload: a.Input.Data, KeepOverBytes: uint64(a.KeepOver),
-		OriginRegion: r.p.opts.Settings.Instance.Region,
+		OriginRegion: r.p.opts.Settings.Instance.Region, OriginAddress: r.p.opts.Settings.Listen.Peers,
 	}
 	if !s.stage.Idempotent && r.req.Key != "" {
 		req.IdempotencyKey, req.SubKey = r.req.Key, s.stage.Name
@@ -160,6 +161,10 @@
 		}
 		watchdog.Reset(rpc.SilenceTimeout)
 		if s.take(generation, ev) {
+			// The end of the stream gives the connection back to the pool; cancelling
+			// before it would close the connection.
+			_, _ = in.Recv()
+			<-in.Context().Done()
 			return nil
 		}
 	}
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -23,8 +23,8 @@
 }
 
 // NewHTTPList returns a client of the instance list at the base URL.
-func NewHTTPList(baseURL string) InstanceList {
-	return &httpList{base: strings.TrimRight(baseURL, "/"), client: newClient()}
+func NewHTTPList(baseURL string, opts ...Option) InstanceList {
+	return &httpList{base: strings.TrimRight(baseURL, "/"), client: newClient(opts)}
 }
 
 type listReply struct {
@@ -32,6 +32,16 @@
 	Instances []membership.Instance `json:"instances"`
 }
 
+// again returns a list that the server confirmed, as a newer one: by the least
+// step of time, since the answer does not tell its own.
+func (l *httpList) again(last listReply) ([]membership.Instance, time.Time, error) {
+	last.AsOf = last.AsOf.Add(1)
+	l.mu.Lock()
+	l.last = last
+	l.mu.Unlock()
+	return last.Instances, last.AsOf, nil
+}
+
 // List implements InstanceList. The error is ErrUnavailable. A list that the
 // server marks with an ETag is not sent again while it is unchanged.
 func (l *httpList) List(ctx context.Context) ([]membership.Instance, time.Time, error) {
@@ -49,18 +59,18 @@
 	}
 	res, err := l.client.Do(req)
 	if err != nil {
-		return nil, time.Time{}, errors.Mark(errors.Wrap(err, "list instances"), ErrUnavailable)
+		return nil, time.Time{}, errors.Wrapf(ErrUnavailable, "list instances: %v", err)
 	}
 	defer closeBody(res.Body)
 	if res.StatusCode == http.StatusNotModified && etag != "" {
-		return last.Instances, last.AsOf, nil
+		return l.again(last)
 	}
 	if res.StatusCode != http.StatusOK {
 		return nil, time.Time{}, errors.Wrapf(ErrUnavailable, "list instances: status %d", res.StatusCode)
 	}
 	var reply listReply
 	if err := readJSON(res.Body, &reply); err != nil {
-		return nil, time.Time{}, errors.Mark(errors.Wrap(err, "list instances"), ErrUnavailable)
+		return nil, time.Time{}, errors.Wrapf(ErrUnavailable, "list instances: %v", err)
 	}
 	l.mu.Lock()
 	l.etag, l.last = res.Header.Get("ETag"), reply
