--- a/test/experiment/cells.go
+++ b/test/experiment/cells.go
@@ -47,6 +47,8 @@
 	slow    fault = "slow"
 	silent  fault = "silent"
 	failing fault = "failing"
+	// zoneCut silences all agents of the victim's zone.
+	zoneCut fault = "zone-cut"
 )
 
 // cell is one load with one fault, and the policies that it compares.
@@ -79,6 +81,7 @@
 		policies: []string{full, roundRobin}, quick: []string{full}},
 	{name: "failing-0.7", load: 0.7, fault: failing,
 		policies: []string{full, roundRobin, naive}, quick: []string{full, roundRobin}},
+	{name: "zone-cut-0.5", load: 0.5, fault: zoneCut, policies: []string{full, roundRobin}},
 	{name: "dossiers-0.5", load: 0.5, large: true,
 		policies: []string{full, throughEntry, naive}, quick: []string{full, throughEntry}},
 }
