--- a/test/capacity/fleet.go
+++ b/test/capacity/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+	"github.com/magnoliawheel/magnoliawheel/test/meter"
 )
 
 // modelsVersion is the version of the list of models that all members have.
@@ -57,7 +58,7 @@
 	if err != nil {
 		return "", fmt.Errorf("member %s: %w", id, err)
 	}
-	f.wg.Go(func() { _ = rpc.Serve(f.ctx, &countingListener{Listener: lis, bytes: &f.bytes}, f.conf, mux) })
+	f.wg.Go(func() { _ = rpc.Serve(f.ctx, &meter.Listener{Listener: lis, Bytes: &f.bytes}, f.conf, mux) })
 	return lis.Addr().String(), nil
 }
 
@@ -93,33 +94,3 @@
 	m.fleet.offset.Store(max(m.fleet.offset.Load(), in.ConfigOffset))
 	return &wire.ExchangeReply{Instance: m.id, Incarnation: m.incarnation, ConfigOffset: in.ConfigOffset}, nil
 }
-
-type countingListener struct {
-	net.Listener
-	bytes *atomic.Uint64
-}
-
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn, bytes: l.bytes}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Uint64
-}
-
-func (c *countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(uint64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(uint64(n))
-	return n, err
-}
--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -21,6 +21,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/magnoliawheel/magnoliawheel/test/harness"
+	"github.com/magnoliawheel/magnoliawheel/test/meter"
 	"github.com/magnoliawheel/magnoliawheel/test/standin"
 	"github.com/magnoliawheel/magnoliawheel/test/standin/instancelist"
 	"github.com/magnoliawheel/magnoliawheel/test/standin/platformlog"
@@ -102,7 +103,7 @@
 	log, list           *standin.Server
 	logAddr, listAddr   string
 	logBytes, listBytes atomic.Uint64
-	relays              []*meter
+	relays              []*meter.Relay
 }
 
 func startPlatform() (*platform, error) {
@@ -118,19 +119,19 @@
 		addr  *string
 		bytes *atomic.Uint64
 	}{{&p.logAddr, &p.logBytes}, {&p.listAddr, &p.listBytes}} {
-		relay, err := startMeter(*m.addr, m.bytes)
+		relay, err := meter.StartRelay(*m.addr, m.bytes)
 		if err != nil {
 			return nil, err
 		}
 		p.relays = append(p.relays, relay)
-		*m.addr = relay.addr()
+		*m.addr = relay.Addr()
 	}
 	return p, nil
 }
 
 func (p *platform) close() {
 	for _, r := range p.relays {
-		r.close()
+		r.Close()
 	}
 	p.log.Close()
 	p.list.Close()
--- a/test/spread/node.go
+++ b/test/spread/node.go
@@ -22,6 +22,7 @@
 	"github.com/magnoliawheel/magnoliawheel/internal/platform"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+	"github.com/magnoliawheel/magnoliawheel/test/meter"
 )
 
 // secret is shared by the processes of a measurement.
@@ -73,7 +74,7 @@
 	if err := wire.DRPCRegisterPeer(mux, p.conf); err != nil {
 		return nil, err
 	}
-	p.done.Go(func() { _ = rpc.Serve(ctx, &countingListener{Listener: lis, bytes: &p.served}, conf, mux) })
+	p.done.Go(func() { _ = rpc.Serve(ctx, &meter.Listener{Listener: lis, Bytes: &p.served}, conf, mux) })
 	p.done.Go(func() { _ = p.members.Run(ctx) })
 	p.done.Go(func() { _ = p.conf.Run(ctx) })
 	return p, nil
@@ -140,37 +141,3 @@
 	p.done.Wait()
 	return p.pool.Close()
 }
-
-// countingListener counts the bytes of the connections it accepts.
-type countingListener struct {
-	net.Listener
-	bytes *atomic.Uint64
-}
-
-// Accept implements net.Listener.
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn, bytes: l.bytes}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Uint64
-}
-
-// Read implements net.Conn.
-func (c *countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(uint64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(uint64(n))
-	return n, err
-}
