--- a/internal/agent/accept.go
+++ b/internal/agent/accept.go
@@ -21,38 +21,54 @@
 		return true
 	}
 	w.applyConfig()
-	deadline := now.Add(time.Duration(req.BudgetUs) * time.Microsecond)
-	if e := w.judgeKey(now, req); e != nil {
-		w.refuse(now, id, ledger.Outcome{Code: e.Code, Message: e.Message, Ran: e.Ran})
-		return false
-	}
-	if o, held := w.heldHere(req); held {
-		w.refuse(now, id, o)
-		return false
-	}
-	if o := w.judge(now, req); o.Code != result.OK {
+	if o := w.refusal(now, req); o.Code != result.OK {
 		w.refuse(now, id, o)
 		return false
 	}
-	job := ledger.Job{
-		Customer: req.Customer, Pipeline: req.Pipeline, Deadline: deadline, Idempotent: req.Idempotent, Shared: keyed(req),
-		Reserve: reserveOf(req), Input: inputOf(req), MaxBytes: schema.MaxAnswerBytes,
-	}
+	job := jobOf(now, req)
 	if code := w.ledger.Accept(now, id, job); code != result.OK {
 		w.p.metrics.ended(code)
 		return false
 	}
-	t := &task{id: id, req: req, deadline: deadline, accepted: now, checksum: xxhash.New(), readers: map[chan struct{}]struct{}{}}
-	w.tasks[id] = t
 	w.p.metrics.accepted.Inc(1)
-	if req.Ref == nil && !keyed(req) {
+	w.start(now, &task{id: id, req: req, deadline: job.Deadline, accepted: now, checksum: xxhash.New(), readers: map[chan struct{}]struct{}{}})
+	return false
+}
+
+// jobOf returns what the ledger needs to know of a run.
+func jobOf(now time.Time, req *wire.RunRequest) ledger.Job {
+	return ledger.Job{
+		Customer: req.Customer, Pipeline: req.Pipeline, Deadline: now.Add(budgetOf(req)), Idempotent: req.Idempotent, Shared: keyed(req),
+		Reserve: reserveOf(req), Input: inputOf(req), MaxBytes: schema.MaxAnswerBytes,
+	}
+}
+
+func budgetOf(req *wire.RunRequest) time.Duration {
+	return time.Duration(req.BudgetUs) * time.Microsecond
+}
+
+// start queues a task, or prepares it first. The caller holds mu.
+func (w *work) start(now time.Time, t *task) {
+	w.tasks[t.id] = t
+	if t.req.Ref == nil && !keyed(t.req) {
 		w.push(now, t)
-		return false
+		return
 	}
-	t.preparing, t.claiming = true, keyed(req)
+	t.preparing, t.claiming = true, keyed(t.req)
 	w.preparing++
 	w.wg.Go(func() { w.prepare(t) })
-	return false
+}
+
+// refusal returns why a run is refused; its code is OK if it is not. Copies of a
+// key that this process holds are answered also when new work is not taken.
+func (w *work) refusal(now time.Time, req *wire.RunRequest) ledger.Outcome {
+	if e := w.judgeKey(now, req); e != nil {
+		return ledger.Outcome{Code: e.Code, Message: e.Message, Ran: e.Ran}
+	}
+	if o, held := w.heldHere(req); held {
+		return o
+	}
+	return w.judge(req)
 }
 
 // push queues a task, or refuses it if the queue is full. The caller holds mu.
@@ -123,13 +139,15 @@
 	return t.deadline.Add(-w.timing.expect(t.req))
 }
 
+// reserveOf returns the memory to set aside for the result, in bytes.
 func reserveOf(req *wire.RunRequest) int64 {
 	return reserveBytes + tokenBytes*int64(req.MaxTokens)
 }
 
-// judge refuses what cannot be served in time.
-func (w *work) judge(now time.Time, req *wire.RunRequest) ledger.Outcome {
-	budget := time.Duration(req.BudgetUs) * time.Microsecond
+// judge refuses new work that is not taken or cannot be served in time. The
+// caller holds mu.
+func (w *work) judge(req *wire.RunRequest) ledger.Outcome {
+	budget := budgetOf(req)
 	wait := w.wait(req)
 	switch {
 	case w.leaving != 0:
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -19,6 +19,7 @@
 	leavingOrdered
 )
 
+// setLeaving sets or clears a reason to take no new work.
 func (w *work) setLeaving(why leavingReason, on bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -35,6 +36,7 @@
 	return w.leaving != 0
 }
 
+// counts returns how many calls wait or run, and how many results are not taken.
 func (w *work) counts() (working, results int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -75,6 +77,7 @@
 	w.claims.wg.Wait()
 }
 
+// writeCut lists the attempts whose calls or results would be cut.
 func (w *work) writeCut(out io.Writer) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
