Go on with a live stream when another attempt repeats its text

Cause: an agent that died after the first chunks of a live generation ended the request, though the stage is idempotent and other servers could run it. Ruled out: discarding the first chunks of a new attempt unseen, since engines do not promise the same output twice. Change: the new attempt's bytes are compared with those given out; it goes on only after they agree to the last one, and the request ends with the first error when they differ or end before. TestEngineAgentKilledWhileGenerating ended with 3003 before when a chunk was out; three runs of it end complete.

--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -3,8 +3,9 @@
 // time and carries out the actions it returns.
 //
 // Invariants:
-//   - Chunks are emitted in order, each once, and all chunks of a stage come from
-//     one attempt.
+//   - Chunks are emitted in order, each once, and what is emitted of a stage is the
+//     result of one attempt. When that attempt is lost midway, another goes on only
+//     if its result begins with the bytes that were emitted.
 //   - A stage that is not idempotent is sent again only after the incarnation
 //     asked said that the attempt did not run and never will.
 //   - An error says ran or effects "no" only when nothing was sent, or when each
@@ -151,7 +152,10 @@
 	use     []StageUse
 	started []time.Time
 	// source is the attempt whose chunks of the present stage were emitted.
-	source   *attempt
+	source *attempt
+	// prefix is what the caller was given of the present stage by an attempt that
+	// was lost. Another attempt goes on only if its result begins with the same.
+	prefix   []byte
 	retryAt  time.Time
 	hedgeAt  time.Time
 	cancelBy time.Time
--- a/core/pipeline/stage.go
+++ b/core/pipeline/stage.go
@@ -9,7 +9,7 @@
 
 // begin starts the present stage.
 func (m *Machine) begin(now time.Time) {
-	m.source, m.last = nil, nil
+	m.source, m.prefix, m.last = nil, nil, nil
 	m.held = m.held[:0]
 	m.retryAt, m.hedgeAt = time.Time{}, time.Time{}
 	if m.started[m.stage].IsZero() {
@@ -86,7 +86,7 @@
 
 // hedge sends a second attempt at an idempotent stage of which nothing was emitted.
 func (m *Machine) hedge(now time.Time) {
-	if m.source != nil || !m.retryAt.IsZero() || !m.current().Idempotent || m.openAtStage() != 1 {
+	if m.source != nil || m.prefix != nil || !m.retryAt.IsZero() || !m.current().Idempotent || m.openAtStage() != 1 {
 		return
 	}
 	if m.opts.Decider.HedgeSent(now) {
@@ -108,10 +108,13 @@
 func (m *Machine) failed(now time.Time, a *attempt, err *result.Error, ran result.Ran) {
 	a.ended = true
 	m.last = err
-	if a == m.source || m.orphaned() {
+	if m.orphaned() {
 		m.giveUp(now, err)
 		return
 	}
+	if a == m.source {
+		m.replay()
+	}
 	if m.openAtStage() > 0 {
 		return
 	}
--- a/core/pipeline/stream.go
+++ b/core/pipeline/stream.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/result"
@@ -98,9 +99,7 @@
 	a.received += int64(len(ev.Data))
 	_, _ = a.hash.Write(ev.Data)
 	direct := m.opts.Live && m.current().Answer
-	if !direct || m.stage < len(m.results)-1 {
-		a.data = append(a.data, ev.Data...)
-	}
+	a.data = append(a.data, ev.Data...)
 	if !direct && m.current().Answer {
 		a.ends = append(a.ends, len(a.data))
 	}
@@ -109,11 +108,33 @@
 		return
 	}
 	if direct {
-		m.claim(a)
-		m.text(now, ev.Data, false)
+		m.direct(now, a, ev.Data)
 	}
 }
 
+// direct emits a chunk at once, unless it repeats what was emitted already.
+func (m *Machine) direct(now time.Time, a *attempt, data []byte) {
+	if a != m.source && m.prefix != nil {
+		n := min(len(a.data), len(m.prefix))
+		if !bytes.Equal(a.data[:n], m.prefix[:n]) {
+			m.giveUp(now, m.last)
+			return
+		}
+		data = a.data[n:]
+		if len(data) == 0 {
+			return
+		}
+	}
+	m.claim(a)
+	m.text(now, data, false)
+}
+
+// replay lets another attempt repeat and go on with what the source emitted.
+func (m *Machine) replay() {
+	m.prefix = append([]byte{}, m.source.data...)
+	m.source = nil
+}
+
 // claim makes the attempt the only one whose chunks of the stage are emitted.
 func (m *Machine) claim(a *attempt) {
 	if m.source == nil {
@@ -137,6 +158,11 @@
 		m.failed(now, a, &result.Error{Code: result.ChecksumMismatch, Message: "the result of stage " + m.Stage() + " does not match its checksum"}, result.RanYes)
 		return
 	}
+	if m.opts.Live && a != m.source && len(a.data) < len(m.prefix) {
+		a.ended = true
+		m.giveUp(now, m.last)
+		return
+	}
 	a.ended, a.done = true, true
 	m.hedgeAt = time.Time{}
 	m.abandon(a)
@@ -207,7 +233,7 @@
 
 // moveOn runs an idempotent stage elsewhere when its agent cannot be reached.
 func (m *Machine) moveOn(now time.Time, a *attempt) bool {
-	if !m.current().Idempotent || m.source != nil || m.openAtStage() > 1 {
+	if !m.current().Idempotent || m.openAtStage() > 1 || m.orphaned() {
 		return false
 	}
 	wait, ok := m.mayRetry(now, result.AgentLost, result.RanUnknown)
@@ -215,6 +241,10 @@
 		return false
 	}
 	a.ended = true
+	m.last = &result.Error{Code: result.AgentLost, Message: "the agent that took the work does not answer"}
+	if a == m.source {
+		m.replay()
+	}
 	m.emitAction(Drop{Attempt: a.id})
 	m.emitAction(Cancel{Attempt: a.id, Server: a.server})
 	m.retryAt = now.Add(wait)
