--- a/internal/agent/accept.go
+++ b/internal/agent/accept.go
@@ -68,7 +68,7 @@
 	if o, held := w.heldHere(req); held {
 		return o
 	}
-	return w.judge(req)
+	return w.judge(now, req)
 }
 
 // push queues a task, or refuses it if the queue is full. The caller holds mu.
@@ -146,7 +146,7 @@
 
 // judge refuses new work that is not taken or cannot be served in time. The
 // caller holds mu.
-func (w *work) judge(req *wire.RunRequest) ledger.Outcome {
+func (w *work) judge(now time.Time, req *wire.RunRequest) ledger.Outcome {
 	budget := budgetOf(req)
 	wait := w.wait(req)
 	switch {
