--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -108,3 +108,14 @@
 	l, _ := table.Get("engine-1")
 	assert.Equal(t, l.Fence, uint64(9))
 }
+
+func FuzzDecode(f *testing.F) {
+	f.Add(record("a", 0))
+	f.Add(record("a", 7))
+	f.Add([]byte(`{"s":"x","h":[]}`))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		table := New()
+		table.Fold(1, epoch, b)
+		table.Fold(2, epoch, b)
+	})
+}
--- a/internal/agent/fetch_test.go
+++ b/internal/agent/fetch_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+	"github.com/magnoliawheel/magnoliawheel/test/harness"
 	"github.com/magnoliawheel/magnoliawheel/test/standin/service"
 )
 
@@ -95,3 +96,25 @@
 	assert.Equal(t, result.Code(got.refused.Code), result.BodyTooLarge)
 	assert.Equal(t, len(srv.Recorder.All()), 0)
 }
+
+// TestPullOverSilentConnections checks that an input is pulled over a new
+// connection when the open ones to the agent that keeps it are silent.
+func TestPullOverSilentConnections(t *testing.T) {
+	srv := startService(t, service.Config{})
+	a, b := start(t, testSettings(t, "a", "http://"+srv.Addr())), start(t, testSettings(t, "b", "http://"+srv.Addr()))
+	relay, err := harness.StartRelay(a.addr)
+	assert.NilError(t, err)
+	defer relay.Close()
+	pull := func(request string) *answer {
+		_, ref := a.referenced(t, request, "200000")
+		ref.Address = relay.Addr()
+		next := b.runRequest(request)
+		next.Attempt.Stage, next.Payload, next.Ref = 1, nil, ref
+		return b.run(t, next)
+	}
+	assert.Assert(t, pull("e~1").done != nil)
+	assert.Assert(t, relay.Silence() > 0)
+	got := pull("e~2")
+	assert.Assert(t, got.done != nil, "%v", got.events)
+	assert.Equal(t, relay.Accepted(), 2)
+}
