--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,7 +113,7 @@
 	}
 	if err == nil {
 		p.drain()
-		lis.finishCallers()
+		lis.finishCallers(p.ctx)
 	}
 	p.stop()
 	lis.close()
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -52,8 +52,8 @@
 // finishCallers takes no more connections of callers and waits for the responses
 // in progress, among them those relayed from other entries. Their deadlines and
 // the write timeout bound the wait.
-func (l *listenerSet) finishCallers() {
-	ctx, cancel := context.WithTimeout(context.Background(), schema.MaxDeadline)
+func (l *listenerSet) finishCallers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, schema.MaxDeadline)
 	defer cancel()
 	_ = l.servers[0].Shutdown(ctx)
 }
