--- a/core/pipeline/adopt.go
+++ b/core/pipeline/adopt.go
@@ -51,9 +51,8 @@
 // firstNumber returns the number of the first attempt at the present stage, above
 // those of the entry that is gone.
 func (m *Machine) firstNumber() uint32 {
-	n := m.opts.FirstAttempt
 	if a := m.adopted(m.stage); a != nil {
-		n = max(n, a.Attempt.Number)
+		return max(a.Attempt.Number, 1)
 	}
-	return n
+	return 1
 }
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -47,7 +47,7 @@
 	ComeBack = 500 * time.Millisecond
 )
 
-// Attempt names one attempt at one stage. Both count from the values in Options.
+// Attempt names one attempt at one stage. Stages count from 0, numbers from 1.
 type Attempt struct{ Stage, Number uint32 }
 
 // Server is the server that an attempt is placed at.
@@ -116,8 +116,6 @@
 	// ReferenceBytes is the size over which results of stages that are not part of
 	// the answer stay at their agents; 0 passes all through the entry.
 	ReferenceBytes int64
-	// FirstAttempt is the number of the first attempt at each stage.
-	FirstAttempt uint32
 	// Adopted is set for a request whose entry is gone: the attempts that agents
 	// still know. Body is not known then. Stages that are not idempotent are not
 	// sent, since the entry that is gone may have sent them.
@@ -172,9 +170,6 @@
 
 // New returns a machine that has not started.
 func New(o Options) *Machine {
-	if o.FirstAttempt == 0 {
-		o.FirstAttempt = 1
-	}
 	n := len(o.Pipeline.Stages)
 	m := &Machine{opts: o, results: make([]Payload, n), use: make([]StageUse, n), started: make([]time.Time, n)}
 	for i := range o.Pipeline.Stages {
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/go-logr/logr"
-
 	"github.com/magnoliawheel/magnoliawheel/core/configlog"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/schema"
@@ -69,7 +67,6 @@
 // Options sets up a Handler.
 type Options struct {
 	Backend Backend
-	Log     logr.Logger
 	// HeaderBytes bounds the request headers.
 	HeaderBytes int
 	// ReadTimeout bounds reading a body; WriteTimeout one write.
--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -14,7 +14,6 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
@@ -115,7 +114,7 @@
 		b.snap = &configlog.Snapshot{Offset: 1, Schema: testSchema(t)}
 	}
 	return New(Options{
-		Backend: b, Log: logr.Discard(), HeaderBytes: 1024,
+		Backend: b, HeaderBytes: 1024,
 		ReadTimeout: 100 * time.Millisecond, WriteTimeout: time.Second, Now: func() time.Time { return now },
 	})
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
 	"github.com/magnoliawheel/magnoliawheel/internal/settings"
+	"github.com/magnoliawheel/magnoliawheel/internal/telemetry"
 )
 
 // Options sets up a Process.
@@ -33,10 +34,15 @@
 	Observers []Observer
 }
 
+// logInterval is the least time between two lines of one message that faults repeat.
+const logInterval = time.Second
+
 // Process is one entry.
 type Process struct {
-	opts    Options
-	log     logr.Logger
+	opts Options
+	log  logr.Logger
+	// limited is for lines that a fault repeats with each request.
+	limited *telemetry.Limited
 	tls     *tls.Config
 	pool    *rpc.Pool
 	decider *decider
@@ -77,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{opts: o, log: o.Log, tls: conf, pool: rpc.NewPool(conf), drainAsked: make(chan struct{})}
+	p := &Process{opts: o, log: o.Log, limited: telemetry.NewLimited(o.Log, logInterval), tls: conf, pool: rpc.NewPool(conf), drainAsked: make(chan struct{})}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.metrics = newMetrics(o.Scope)
 	p.burn = newBurnObserver(o.Settings.Instance.ID, o.Settings.Instance.Region, o.Scope)
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -113,7 +113,7 @@
 func (p *Process) callers() http.Handler {
 	limits := p.opts.Settings.Limits
 	return callerapi.New(callerapi.Options{
-		Backend: p, Log: p.log.WithName("callers"), HeaderBytes: limits.HeaderBytes,
+		Backend: p, HeaderBytes: limits.HeaderBytes,
 		ReadTimeout: limits.ReadTimeout.Std(), WriteTimeout: limits.WriteTimeout.Std(),
 	})
 }
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -63,6 +63,7 @@
 // refused tells the observers of a request that was not admitted.
 func (p *Process) refused(now time.Time, req *callerapi.Request, e *result.Error) {
 	p.metrics.refusals.Inc(1)
+	p.limited.Info("A request was refused.", "code", uint32(e.Code), "call", req.Call.Name, "customer", req.Customer.Name, "message", e.Message)
 	f := Finished{
 		Call: req.Call.Name, Customer: req.Customer.Name, Pipeline: req.Pipeline.Name, Started: req.Received, Objective: req.Call.Objective,
 		Deadline: req.Timeout, Took: now.Sub(req.Received), Code: e.Code, Ran: e.Ran, Effects: e.Effects,
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -133,7 +133,7 @@
 		if c.record.Len() > before {
 			tries = -1
 		}
-		c.p.log.Info("The owner of a request does not answer.", "request", c.id, "error", err.Error())
+		c.p.limited.Info("The owner of a request does not answer.", "request", c.id, "error", err.Error())
 	}
 	if ctx.Err() != nil {
 		return
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -146,8 +146,7 @@
 	if f.Err != nil {
 		r.event.Code, r.event.Ran, r.event.Effects = f.Err.Code, f.Err.Ran, f.Err.Effects
 		r.record.Append(answer.KindError, answer.ErrorBody(r.id, f.Err))
-		r.log.Info("A request failed.", "code", uint32(f.Err.Code), "ran", f.Err.Ran.String(),
-			"effects", f.Err.Effects.String(), "message", f.Err.Message)
+		r.logFailure(f.Err)
 	} else {
 		r.record.Append(answer.KindDone, answer.DoneData{Chunks: f.Chunks, Checksum: fmt.Sprintf("%016x", f.Checksum)})
 		r.log.V(1).Info("A request is complete.", "took", now.Sub(r.req.Received).String())
@@ -165,6 +164,16 @@
 	r.p.table.ended(r)
 }
 
+// logFailure writes one line a second at most; all of them at the debug level.
+func (r *request) logFailure(e *result.Error) {
+	values := []any{"code", uint32(e.Code), "ran", e.Ran.String(), "effects", e.Effects.String(), "message", e.Message}
+	if debug := r.log.V(1); debug.Enabled() {
+		debug.Info("A request failed.", values...)
+		return
+	}
+	r.p.limited.Info("A request failed.", append(values, "request", r.id)...)
+}
+
 // open returns the stream record of a new attempt and tells the router of it.
 func (r *request) open(now time.Time, id pipeline.Attempt, server pipeline.Server) *stream {
 	st := &r.req.Pipeline.Stages[id.Stage]
