--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/magnoliawheel/magnoliawheel/core/membership"
 	"github.com/magnoliawheel/magnoliawheel/core/routing"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
@@ -110,6 +111,26 @@
 	return known.names
 }
 
+// prune drops agents that are not listed any more, once they are more than those
+// that are.
+func (a *agents) prune(list []membership.Instance) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(list) == 0 || len(a.byID) <= 2*len(list) {
+		return
+	}
+	listed := make(map[string]bool, len(list))
+	for i := range list {
+		listed[list[i].ID] = true
+	}
+	for id := range a.byID {
+		if !listed[id] {
+			delete(a.byID, id)
+			delete(a.models, id)
+		}
+	}
+}
+
 // forget drops the incarnation of an agent, so that it is asked again.
 func (a *agents) forget(id string) {
 	a.mu.Lock()
@@ -130,7 +151,9 @@
 		case <-ctx.Done():
 			return
 		}
-		p.decider.countEntries(p.view.Instances())
+		instances := p.view.Instances()
+		p.decider.countEntries(instances)
+		p.agents.prune(instances)
 		for _, t := range p.decider.probes(time.Now()) {
 			if _, busy := inFlight.LoadOrStore(t.server.ID, true); busy {
 				continue
--- a/internal/entry/decider_test.go
+++ b/internal/entry/decider_test.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawheel/magnoliawheel/core/membership"
 	"github.com/magnoliawheel/magnoliawheel/core/routing"
 )
 
@@ -46,3 +48,16 @@
 	_, ok = home(servers, slot, nil)
 	assert.Assert(t, !ok)
 }
+
+func TestAgentsThatAreNotListedAreForgotten(t *testing.T) {
+	a := newAgents(nil)
+	for i := range 5 {
+		id := fmt.Sprint("agent-", i)
+		a.byID[id], a.models[id] = 1, modelList{version: 1}
+	}
+	a.prune(nil)
+	assert.Equal(t, len(a.byID), 5, "an empty list tells nothing")
+	a.prune([]membership.Instance{{ID: "agent-1"}, {ID: "agent-9"}})
+	assert.DeepEqual(t, a.byID, map[string]uint64{"agent-1": 1})
+	assert.Equal(t, len(a.models), 1)
+}
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -49,20 +49,6 @@
 	}
 }
 
-func parseStream(t testing.TB, body string) []streamEvent {
-	t.Helper()
-	r := bufio.NewReader(strings.NewReader(body))
-	var all []streamEvent
-	for {
-		e, err := readEvent(r)
-		if err == io.EOF {
-			return all
-		}
-		assert.NilError(t, err)
-		all = append(all, e)
-	}
-}
-
 // callerStream is an open stream of a caller.
 type callerStream struct {
 	t      testing.TB
