--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -345,9 +345,14 @@
 	return &wire.AckReply{}, nil
 }
 
-func (a *fakeAgent) Find(context.Context, *wire.FindRequest) (*wire.FindReply, error) {
+func (a *fakeAgent) Find(_ context.Context, req *wire.FindRequest) (*wire.FindReply, error) {
 	a.mu.Lock()
-	found := a.found
+	var found []*wire.FoundAttempt
+	for _, f := range a.found {
+		if f.Attempt.RequestId == req.RequestId {
+			found = append(found, f)
+		}
+	}
 	a.mu.Unlock()
 	return &wire.FindReply{Attempts: found, Load: a.load()}, nil
 }
