--- /dev/null
+++ b/internal/entry/fake_agent_test.go
@@ -0,0 +1,224 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/core/routing"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+)
+
+// fakeAgent runs attempts as its fields say and records what it ran.
+type fakeAgent struct {
+	wire.DRPCAgentUnimplementedServer
+	id string
+
+	mu          sync.Mutex
+	incarnation uint64
+	// run overrides the answer to Run.
+	run func(req *wire.RunRequest, out wire.DRPCAgent_RunStream) error
+	// attach and cancel override the answers to Attach and Cancel.
+	attach func(req *wire.AttachRequest, out wire.DRPCAgent_AttachStream) error
+	cancel func(req *wire.CancelRequest) (*wire.CancelReply, error)
+	found  []*wire.FoundAttempt
+	ran    []*wire.RunRequest
+	asked  []*wire.AttachRequest
+	cut    []*wire.AttemptID
+	acked  []*wire.AttemptID
+
+	stop context.CancelFunc
+	done chan struct{}
+	addr string
+}
+
+func testTLS(t testing.TB) *tls.Config {
+	conf, err := rpc.TLSConfig([]byte(testSecret))
+	assert.NilError(t, err)
+	return conf
+}
+
+func startAgent(t testing.TB, id string) *fakeAgent {
+	t.Helper()
+	a := &fakeAgent{id: id, incarnation: 7}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	a.serve(t, lis)
+	t.Cleanup(a.kill)
+	return a
+}
+
+func (a *fakeAgent) serve(t testing.TB, lis net.Listener) {
+	mux := drpcmux.New()
+	assert.NilError(t, wire.DRPCRegisterAgent(mux, a))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	a.stop, a.done, a.addr = cancel, done, lis.Addr().String()
+	conf := testTLS(t)
+	go func() {
+		defer close(done)
+		_ = rpc.Serve(ctx, lis, conf, mux)
+	}()
+}
+
+// kill closes all connections and the listener.
+func (a *fakeAgent) kill() {
+	a.stop()
+	<-a.done
+}
+
+func (a *fakeAgent) server() routing.Server {
+	return routing.Server{ID: a.id, Addr: a.addr, Zone: "z1", Region: "r1"}
+}
+
+func (a *fakeAgent) load() *wire.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return &wire.Load{Instance: a.id, Incarnation: a.incarnation, Limit: 8}
+}
+
+func (a *fakeAgent) Probe(context.Context, *wire.ProbeRequest) (*wire.ProbeReply, error) {
+	return &wire.ProbeReply{Load: a.load()}, nil
+}
+
+func (a *fakeAgent) Run(req *wire.RunRequest, out wire.DRPCAgent_RunStream) error {
+	a.mu.Lock()
+	a.ran = append(a.ran, req)
+	run := a.run
+	a.mu.Unlock()
+	if run != nil {
+		return run(req, out)
+	}
+	return a.complete(req, out)
+}
+
+type runSender interface{ Send(*wire.RunEvent) error }
+
+func (a *fakeAgent) accept(out runSender) error {
+	return out.Send(&wire.RunEvent{Event: &wire.RunEvent_Accepted{Accepted: &wire.Accepted{Load: a.load()}}})
+}
+
+// complete answers with the chunks of result.
+func (a *fakeAgent) complete(req *wire.RunRequest, out runSender) error {
+	if err := a.accept(out); err != nil {
+		return err
+	}
+	return a.sendFrom(out, 1, chunksOf(req.Stage))
+}
+
+func chunksOf(stage string) []string { return []string{stage + "-1 ", stage + "-2 ", stage + "-3"} }
+
+func (a *fakeAgent) sendFrom(out runSender, from int, chunks []string) error {
+	for i, c := range chunks {
+		if i+1 < from {
+			continue
+		}
+		if err := sendChunk(out, uint64(i+1), c); err != nil {
+			return err
+		}
+	}
+	return out.Send(&wire.RunEvent{Event: &wire.RunEvent_Done{Done: &wire.Done{
+		Count: uint64(len(chunks)), Checksum: xxhash.Sum64String(strings.Join(chunks, "")), Load: a.load(),
+	}}})
+}
+
+func sendChunk(out runSender, seq uint64, text string) error {
+	return out.Send(&wire.RunEvent{Event: &wire.RunEvent_Chunk{Chunk: &wire.Chunk{Seq: seq, Data: []byte(text), Tokens: 1}}})
+}
+
+func sendRefused(out runSender, code result.Code, ran wire.Ran) error {
+	return out.Send(&wire.RunEvent{Event: &wire.RunEvent_Refused{Refused: &wire.Refused{Code: uint32(code), Ran: ran}}})
+}
+
+func (a *fakeAgent) Attach(req *wire.AttachRequest, out wire.DRPCAgent_AttachStream) error {
+	a.mu.Lock()
+	a.asked = append(a.asked, req)
+	attach := a.attach
+	a.mu.Unlock()
+	if attach != nil {
+		return attach(req, out)
+	}
+	return sendRefused(out, result.WrongIncarnation, wire.Ran_RAN_UNKNOWN)
+}
+
+func (a *fakeAgent) Cancel(_ context.Context, req *wire.CancelRequest) (*wire.CancelReply, error) {
+	a.mu.Lock()
+	a.cut = append(a.cut, req.Attempt)
+	cancel := a.cancel
+	a.mu.Unlock()
+	if cancel != nil {
+		return cancel(req)
+	}
+	return &wire.CancelReply{State: wire.AttemptState_ATTEMPT_STATE_RUNNING}, nil
+}
+
+func (a *fakeAgent) Ack(_ context.Context, req *wire.AckRequest) (*wire.AckReply, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.acked = append(a.acked, req.Attempts...)
+	return &wire.AckReply{}, nil
+}
+
+func (a *fakeAgent) Find(_ context.Context, req *wire.FindRequest) (*wire.FindReply, error) {
+	a.mu.Lock()
+	var found []*wire.FoundAttempt
+	for _, f := range a.found {
+		if f.Attempt.RequestId == req.RequestId {
+			found = append(found, f)
+		}
+	}
+	a.mu.Unlock()
+	return &wire.FindReply{Attempts: found, Load: a.load()}, nil
+}
+
+func (a *fakeAgent) runs() []*wire.RunRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]*wire.RunRequest(nil), a.ran...)
+}
+
+func (a *fakeAgent) attaches() []*wire.AttachRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]*wire.AttachRequest(nil), a.asked...)
+}
+
+func (a *fakeAgent) cancels() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.cut)
+}
+
+func (a *fakeAgent) acks() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.acked)
+}
+
+// heartbeatUntil keeps a stream alive until opened is closed.
+func (a *fakeAgent) heartbeatUntil(out wire.DRPCAgent_RunStream, opened <-chan struct{}) error {
+	tick := time.NewTicker(rpc.HeartbeatInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-opened:
+			return nil
+		case <-out.Context().Done():
+			return out.Context().Err()
+		case <-tick.C:
+		}
+		if err := out.Send(&wire.RunEvent{Event: &wire.RunEvent_Heartbeat{Heartbeat: &wire.Heartbeat{Load: a.load()}}}); err != nil {
+			return err
+		}
+	}
+}
