Fold an agent's own claims without reading them back

Cause: each keyed call waited for an append and a read, one after the other. Change: records whose offset is the next of the stream are folded as they were sent; any other case reads as before.

Proved failing first: with the records before its own skipped, an agent runs a key that another holds; restored, the tests pass.

--- a/internal/agent/keyed_test.go
+++ b/internal/agent/keyed_test.go
@@ -80,6 +80,24 @@
 	assert.Equal(t, len(srv.Recorder.All()), 1)
 }
 
+// TestOwnClaimsAreNotRead checks that a claim stream is read only when there may
+// be records of others in it.
+func TestOwnClaimsAreNotRead(t *testing.T) {
+	log := newFakeLog()
+	srv, agents := filingAgents(t, 2, log, service.Config{})
+	var key string
+	for i := range 20 {
+		key = newKey(t)
+		a := agents[0].run(t, agents[0].filing("e~"+string(rune('a'+i)), key))
+		assert.Assert(t, a.done != nil, "%v", a.events)
+	}
+	assert.Equal(t, log.readCount(), 0)
+	copied := agents[1].run(t, agents[1].filing("f~1", key))
+	assert.Equal(t, result.Code(copied.refused.Code), result.ClaimLost)
+	assert.Assert(t, log.readCount() > 0)
+	assert.Equal(t, len(srv.Recorder.All()), 20)
+}
+
 func TestConcurrentCopiesRunOnce(t *testing.T) {
 	log := newFakeLog()
 	srv, agents := filingAgents(t, 3, log, service.Config{Time: 5 * time.Millisecond})
--- a/internal/agent/log_test.go
+++ b/internal/agent/log_test.go
@@ -21,6 +21,7 @@
 	late    int
 	pending []func()
 	appends int
+	reads   int
 	// now is the log's clock; beforeAppend is called at each append.
 	now          func() time.Time
 	beforeAppend func()
@@ -44,6 +45,12 @@
 	l.pending = nil
 }
 
+func (l *fakeLog) readCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reads
+}
+
 func (l *fakeLog) records() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -91,6 +98,7 @@
 func (l *fakeLog) Read(_ context.Context, stream string, from uint64, limit int, _ time.Duration) (platform.Batch, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.reads++
 	if l.down || l.readsDown {
 		return platform.Batch{}, platform.ErrUnavailable
 	}
--- a/internal/agent/partition.go
+++ b/internal/agent/partition.go
@@ -96,6 +96,9 @@
 		ctx, cancel := context.WithTimeout(p.ctx, appendTimeout)
 		first, err := p.log.Append(ctx, p.stream, records...)
 		cancel()
+		if err == nil {
+			p.foldOwn(first, records)
+		}
 		for i, a := range batch {
 			a.offset, a.err = first+uint64(i), err
 			close(a.done)
@@ -103,6 +106,24 @@
 	}
 }
 
+// foldOwn folds records that were appended at an offset, if they are the next of
+// the stream and nobody reads it now; else they are read with those before them.
+func (p *partition) foldOwn(first uint64, records [][]byte) {
+	select {
+	case p.reading <- struct{}{}:
+	default:
+		return
+	}
+	defer func() { <-p.reading }()
+	if p.fold.Next() != first {
+		return
+	}
+	for i, data := range records {
+		p.fold.Fold(first+uint64(i), data)
+	}
+}
+
+// take removes and returns the records of the next append.
 func (p *partition) take() []*pendingAppend {
 	p.mu.Lock()
 	defer p.mu.Unlock()
