--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -52,8 +52,8 @@
 // finishCallers takes no more connections of callers and waits for the responses
 // in progress, among them those relayed from other entries. Their deadlines and
 // the write timeout bound the wait.
-func (l *listenerSet) finishCallers() {
-	ctx, cancel := context.WithTimeout(context.Background(), schema.MaxDeadline)
+func (l *listenerSet) finishCallers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, schema.MaxDeadline)
 	defer cancel()
 	_ = l.servers[0].Shutdown(ctx)
 }
@@ -113,7 +113,7 @@
 func (p *Process) callers() http.Handler {
 	limits := p.opts.Settings.Limits
 	return callerapi.New(callerapi.Options{
-		Backend: p, Log: p.log.WithName("callers"), HeaderBytes: limits.HeaderBytes,
+		Backend: p, HeaderBytes: limits.HeaderBytes,
 		ReadTimeout: limits.ReadTimeout.Std(), WriteTimeout: limits.WriteTimeout.Std(),
 	})
 }
