Drain under faults; change the configuration over silent connections

A drain while the connections of the agent go silent, or while log and list are down, cuts nothing either.

--- a/test/failure/change_test.go
+++ b/test/failure/change_test.go
@@ -137,6 +137,14 @@
 		{"answer lost after the write took effect", set(spec.KindLog, map[string]any{"drop_answers": 1}), func(*fleet) {}, nil, true},
 		{"write applied late", set(spec.KindLog, map[string]any{"late_writes": 1, "late_write_ms": 800}), func(*fleet) {},
 			[]result.Code{result.ConfigUnavailable, result.ConfigUnknown}, false},
+		{"log's open connections silent", set(spec.KindLog, map[string]any{"silence": true}), func(*fleet) {},
+			[]result.Code{result.ConfigUnavailable, result.ConfigUnknown}, false},
+		{"answer lost while the other entry is frozen",
+			func(f *fleet) {
+				assert.NilError(f.t, f.Entries[1].Freeze())
+				f.control(map[string]any{"drop_answers": 1}, spec.KindLog)
+			},
+			func(f *fleet) { assert.NilError(f.t, f.Entries[1].Thaw()) }, nil, true},
 		{"list down", set(spec.KindList, map[string]any{"down": true}), reset(spec.KindList), nil, true},
 		{"other entry and an agent frozen",
 			func(f *fleet) {
--- a/test/failure/drain_test.go
+++ b/test/failure/drain_test.go
@@ -23,15 +23,24 @@
 	for _, tc := range []struct {
 		name, call, execution, body string
 		process                     func(f *fleet, e standin.Execution) *harness.Instance
+		// setup and fault add a fault that begins with the drain.
+		setup func(*harness.Server)
+		fault func(*fleet)
 	}{
-		{"agent of an encoder", "draft", "encode", `"tokens":5,` + longWork, (*fleet).agentOf},
-		{"agent of an engine", "draft", "generate", `"tokens":200`, (*fleet).agentOf},
-		{"agent of a service", "file-only", "file", longWork, (*fleet).agentOf},
-		{"entry", "draft", "generate", `"tokens":200`, func(f *fleet, _ standin.Execution) *harness.Instance { return f.Entries[0] }},
+		{name: "agent of an encoder", call: "draft", execution: "encode", body: `"tokens":5,` + longWork, process: (*fleet).agentOf},
+		{name: "agent of an engine", call: "draft", execution: "generate", body: `"tokens":200`, process: (*fleet).agentOf},
+		{name: "agent of a service", call: "file-only", execution: "file", body: longWork, process: (*fleet).agentOf},
+		{name: "entry", call: "draft", execution: "generate", body: `"tokens":200`, process: firstEntry},
+		{name: "agent while its connections go silent", call: "file-only", execution: "file", body: longWork,
+			process: (*fleet).agentOf, setup: relayAgents, fault: silenceAgents},
+		{name: "agent while the platform is down", call: "file-only", execution: "file", body: longWork,
+			process: (*fleet).agentOf, fault: platformDown},
+		{name: "entry while the platform is down", call: "draft", execution: "generate", body: `"tokens":200`,
+			process: firstEntry, fault: platformDown},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t, nil)
+			f := newFleet(t, tc.setup)
 			var pending []<-chan load.Outcome
 			r := f.request(tc.call, streamed, body(tc.body))
 			pending = append(pending, f.send(r, 0))
@@ -40,6 +49,9 @@
 			p := tc.process(f, f.awaitExecution(r, tc.execution))
 			f.awaitExecution(plain, tc.execution)
 			assert.NilError(t, p.Terminate())
+			if tc.fault != nil {
+				tc.fault(f)
+			}
 			for _, done := range pending {
 				out := <-done
 				assert.Equal(t, out.Class, load.Complete, "%+v", out)
@@ -52,6 +64,12 @@
 	}
 }
 
+func firstEntry(f *fleet, _ standin.Execution) *harness.Instance { return f.Entries[0] }
+
+func platformDown(f *fleet) {
+	f.control(map[string]any{"down": true}, spec.KindLog, spec.KindList)
+}
+
 // TestLeavingGetsNoNewWork marks a server as leaving in the list under traffic. No
 // execution starts at it more than leavingBound later, and nothing is cut.
 func TestLeavingGetsNoNewWork(t *testing.T) {
