--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -60,7 +60,7 @@
 
 type histograms struct{ total, first, gap, refusal *hdrhistogram.Histogram }
 
-// Summarize makes the report. Deadline returns the deadline of a call, and applies
+// Summarize makes the report. Attainment counts against the deadline given
 // where a request carried none.
 func Summarize(requests []Request, outcomes []Outcome, deadline time.Duration) Report {
 	r := Report{Requests: len(outcomes)}
