Prove claims that land after a refusal, and entries that die at three moments

A claim that takes effect after its caller was told that nothing ran is void by its release; the key's next copy runs once.

--- a/test/failure/accept_test.go
+++ b/test/failure/accept_test.go
@@ -139,18 +139,30 @@
 	}
 }
 
-// TestEntryKilledWhileGenerating kills the entry that owns a stream: the caller
-// re-attaches through the other one and is answered honestly.
-func TestEntryKilledWhileGenerating(t *testing.T) {
-	t.Parallel()
-	f := newFleet(t, nil)
-	r := f.request("draft", streamed, body(`"tokens":120`))
-	done := f.send(r, 0)
-	f.awaitExecution(r, "generate")
-	f.Entries[0].Kill()
-	out := <-done
-	t.Logf("%s %s", out.Class, out.Code)
-	f.check()
+// TestEntryKilled kills the entry that owns a stream: the caller re-attaches through
+// the other one. That one goes on with work without effects. It does not begin a
+// filing, which the dead entry may have sent already, and says so.
+func TestEntryKilled(t *testing.T) {
+	for _, tc := range []struct {
+		name, call, execution, body string
+		class                       load.Class
+	}{
+		{"without effects", "read", "encode", longWork, load.Complete},
+		{"before a filing", "draft", "generate", `"tokens":120`, load.Unknown},
+		{"while filing", "file-only", "file", longWork, load.Complete},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, nil)
+			r := f.request(tc.call, streamed, body(tc.body))
+			done := f.send(r, 0)
+			f.awaitExecution(r, tc.execution)
+			f.Entries[0].Kill()
+			out := <-done
+			assert.Equal(t, out.Class, tc.class, "%+v", out)
+			f.check()
+		})
+	}
 }
 
 // TestPayloadHolderKilled kills the agent that keeps a large result, once the next
--- a/test/failure/key_test.go
+++ b/test/failure/key_test.go
@@ -1,12 +1,15 @@
 package failure
 
 import (
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawheel/magnoliawheel/core/claims"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/internal/load"
+	"github.com/magnoliawheel/magnoliawheel/internal/platform"
 	"github.com/magnoliawheel/magnoliawheel/test/standin"
 	"github.com/magnoliawheel/magnoliawheel/test/standin/spec"
 )
@@ -111,3 +114,34 @@
 		})
 	}
 }
+
+// TestClaimAppliedAfterRefusal lets the claim of a key take effect only after the
+// caller was told that nothing ran. Its release makes it void: the key's next copy
+// runs, once.
+func TestClaimAppliedAfterRefusal(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil)
+	f.control(map[string]any{"late_writes": 1000, "late_write_ms": 4000}, spec.KindLog)
+	r := f.request("file-only", keyed)
+	out := <-f.send(r, 0)
+	assert.Equal(t, out.Code, result.ClaimUnavailable, "%+v", out)
+	assert.Equal(t, f.claims(), 0)
+	f.control(map[string]any{"reset": true}, spec.KindLog)
+	f.await("the late claim and its release", func() bool { return f.claims() > 1 })
+	f.await("the key's call to complete", func() bool { return (<-f.send(r, 1)).Class == load.Complete })
+	assert.Equal(t, f.filings(r), 1)
+	f.check()
+}
+
+// claims counts the records in the streams of claims.
+func (f *fleet) claims() int {
+	f.t.Helper()
+	log := platform.NewHTTPLog("http://" + f.Addrs[spec.KindLog])
+	n := 0
+	for i := range claims.Partitions {
+		b, err := log.Read(f.ctx, platform.ClaimStreamPrefix+strconv.Itoa(i), 1, 1, 0)
+		assert.NilError(f.t, err)
+		n += int(b.Next) - 1
+	}
+	return n
+}
