--- a/test/spread/report.go
+++ b/test/spread/report.go
@@ -98,7 +98,7 @@
 // target works out the figures at the target's sizes.
 func (r *report) target(w io.Writer) {
 	fmt.Fprintf(w, "\nWorked out by least squares: time over log2 of the number of processes, all else over the number;\n"+
-		"the measurement with more rows than processes is left out..\n"+
+		"the measurement with more rows than processes is left out.\n"+
 		"Changes: %d a day; changes of the list: %d a day, each fetched whole by an entry at once and by an agent at its next poll.\n"+
 		"Bound at the target: %s, %d B/s, %.1f%% of a core, %d MiB.\n\n",
 		changesADay, listChangesDay, boundTime, boundBytes, 100*boundCPU, boundRSS>>20)
