--- a/internal/agent/accept.go
+++ b/internal/agent/accept.go
@@ -21,35 +21,54 @@
 		return true
 	}
 	w.applyConfig()
-	deadline := now.Add(time.Duration(req.BudgetUs) * time.Microsecond)
-	if e := w.judgeKey(now, req); e != nil {
-		w.refuse(now, id, ledger.Outcome{Code: e.Code, Message: e.Message, Ran: e.Ran})
-		return false
-	}
-	if o, held := w.heldHere(req); held {
+	if o := w.refusal(now, req); o.Code != result.OK {
 		w.refuse(now, id, o)
 		return false
 	}
-	if o := w.judge(now, req); o.Code != result.OK {
-		w.refuse(now, id, o)
-		return false
-	}
-	job := ledger.Job{Deadline: deadline, Idempotent: req.Idempotent, Shared: keyed(req), Reserve: reserveOf(req), Input: inputOf(req), MaxBytes: schema.MaxAnswerBytes}
+	job := jobOf(now, req)
 	if code := w.ledger.Accept(now, id, job); code != result.OK {
 		w.p.metrics.ended(code)
 		return false
 	}
-	t := &task{id: id, req: req, deadline: deadline, accepted: now, checksum: xxhash.New(), readers: map[chan struct{}]struct{}{}}
-	w.tasks[id] = t
 	w.p.metrics.accepted.Inc(1)
-	if req.Ref == nil && !keyed(req) {
+	w.start(now, &task{id: id, req: req, deadline: job.Deadline, accepted: now, checksum: xxhash.New(), readers: map[chan struct{}]struct{}{}})
+	return false
+}
+
+// jobOf returns what the ledger needs to know of a run.
+func jobOf(now time.Time, req *wire.RunRequest) ledger.Job {
+	return ledger.Job{
+		Customer: req.Customer, Pipeline: req.Pipeline, Deadline: now.Add(budgetOf(req)), Idempotent: req.Idempotent, Shared: keyed(req),
+		Reserve: reserveOf(req), Input: inputOf(req), MaxBytes: schema.MaxAnswerBytes,
+	}
+}
+
+func budgetOf(req *wire.RunRequest) time.Duration {
+	return time.Duration(req.BudgetUs) * time.Microsecond
+}
+
+// start queues a task, or prepares it first. The caller holds mu.
+func (w *work) start(now time.Time, t *task) {
+	w.tasks[t.id] = t
+	if t.req.Ref == nil && !keyed(t.req) {
 		w.push(now, t)
-		return false
+		return
 	}
-	t.preparing, t.claiming = true, keyed(req)
+	t.preparing, t.claiming = true, keyed(t.req)
 	w.preparing++
 	w.wg.Go(func() { w.prepare(t) })
-	return false
+}
+
+// refusal returns why a run is refused; its code is OK if it is not. Copies of a
+// key that this process holds are answered also when new work is not taken.
+func (w *work) refusal(now time.Time, req *wire.RunRequest) ledger.Outcome {
+	if e := w.judgeKey(now, req); e != nil {
+		return ledger.Outcome{Code: e.Code, Message: e.Message, Ran: e.Ran}
+	}
+	if o, held := w.heldHere(req); held {
+		return o
+	}
+	return w.judge(now, req)
 }
 
 // push queues a task, or refuses it if the queue is full. The caller holds mu.
@@ -120,13 +139,15 @@
 	return t.deadline.Add(-w.timing.expect(t.req))
 }
 
+// reserveOf returns the memory to set aside for the result, in bytes.
 func reserveOf(req *wire.RunRequest) int64 {
 	return reserveBytes + tokenBytes*int64(req.MaxTokens)
 }
 
-// judge refuses what cannot be served in time.
+// judge refuses new work that is not taken or cannot be served in time. The
+// caller holds mu.
 func (w *work) judge(now time.Time, req *wire.RunRequest) ledger.Outcome {
-	budget := time.Duration(req.BudgetUs) * time.Microsecond
+	budget := budgetOf(req)
 	wait := w.wait(req)
 	switch {
 	case w.leaving != 0:
@@ -135,7 +156,7 @@
 		return ledger.Outcome{Code: result.BudgetSpent, Ran: result.RanNo}
 	case w.preparing >= w.queueLimit:
 		return ledger.Outcome{Code: result.QueueFull, Ran: result.RanNo, RetryAfter: wait}
-	case wait > 0 && wait+w.timing.expect(req) > budget:
+	case wait > 0 && w.waitIfBusy(now, req)+w.timing.expect(req) > budget:
 		return ledger.Outcome{Code: result.Overloaded, Ran: result.RanNo, RetryAfter: wait}
 	}
 	return ledger.Outcome{}
@@ -147,6 +168,18 @@
 		return 0
 	}
 	cost := w.timing.expect(req)
-	ahead := w.queue.Ahead(req.Customer, int(req.Weight), cost.Seconds())
-	return time.Duration((ahead + w.timing.service.Seconds()) / float64(w.limiter.Limit()) * float64(time.Second))
+	return w.timeFor(w.queue.Ahead(req.Customer, int(req.Weight), cost.Seconds()))
+}
+
+// waitIfBusy returns the time in the queue of a new call if the customers that
+// wait now go on waiting. The caller holds mu.
+func (w *work) waitIfBusy(now time.Time, req *wire.RunRequest) time.Duration {
+	cost := w.timing.expect(req)
+	return w.timeFor(w.queue.AheadIfBusy(now, req.Customer, int(req.Weight), cost.Seconds()))
+}
+
+// timeFor returns the time until the server has done the cost, in seconds, and
+// the first call that runs. The caller holds mu.
+func (w *work) timeFor(cost float64) time.Duration {
+	return time.Duration((cost + w.timing.service.Seconds()) / float64(w.limiter.Limit()) * float64(time.Second))
 }
