Give an empty list of models the form of an absent one

config get prints a pool without models with an empty list; applying the printed file again changed each such pool, as the bodies differed. Failing first: TestPrintedSchemaIsASchemaFile found a difference in four objects.

--- a/cmd/mwctl/config_get.go
+++ b/cmd/mwctl/config_get.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -35,12 +36,19 @@
 	if c.JSON {
 		return printJSON(reply)
 	}
+	return writeSchema(os.Stdout, &reply)
+}
+
+// writeSchema writes objects as a schema file.
+func writeSchema(w io.Writer, reply *adminapi.ObjectsReply) error {
 	s, err := configlog.ToSchema(reply.Objects)
 	if err != nil {
 		return err
 	}
-	fmt.Printf("# In force at offset %d.\n", reply.Offset)
-	return toml.NewEncoder(os.Stdout).Encode(s)
+	if _, err := fmt.Fprintf(w, "# As of offset %d.\n", reply.Offset); err != nil {
+		return err
+	}
+	return toml.NewEncoder(w).Encode(s)
 }
 
 func (c *configGet) object(ctx context.Context) error {
--- a/cmd/mwctl/config_test.go
+++ b/cmd/mwctl/config_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"net/http/httptest"
 	"os"
@@ -15,6 +16,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/configlog"
 	"github.com/magnoliawheel/magnoliawheel/core/membership"
+	"github.com/magnoliawheel/magnoliawheel/core/schema"
 	"github.com/magnoliawheel/magnoliawheel/internal/adminapi"
 	"github.com/magnoliawheel/magnoliawheel/internal/confsync"
 	"github.com/magnoliawheel/magnoliawheel/internal/platform"
@@ -184,3 +186,16 @@
 a2        agent  10.0.0.3:1  0       not reached: connection refused
 `)
 }
+
+func TestPrintedSchemaIsASchemaFile(t *testing.T) {
+	d := newDeployment(t)
+	assert.NilError(t, d.apply(exampleSchema))
+	snap := d.sync.Current()
+	var out bytes.Buffer
+	assert.NilError(t, writeSchema(&out, &adminapi.ObjectsReply{Offset: snap.Offset, Objects: snap.AllObjects()}))
+	s, err := schema.Parse(out.Bytes())
+	assert.NilError(t, err)
+	objects, err := configlog.FromSchema(s)
+	assert.NilError(t, err)
+	assert.Equal(t, len(configlog.Diff(snap.AllObjects(), objects)), 0)
+}
--- a/core/schema/validate.go
+++ b/core/schema/validate.go
@@ -112,6 +112,9 @@
 	sort.SliceStable(s.Calls, func(i, j int) bool { return s.Calls[i].Name < s.Calls[j].Name })
 	sort.SliceStable(s.Customers, func(i, j int) bool { return s.Customers[i].Name < s.Customers[j].Name })
 	s.Limits.Normalize()
+	for i := range s.Pools {
+		s.Pools[i].Normalize()
+	}
 	for i := range s.Calls {
 		s.Calls[i].Normalize()
 	}
@@ -126,6 +129,13 @@
 	setDefault(&l.RetryShare, 0.1)
 }
 
+// Normalize gives an empty list the form of an absent one.
+func (p *Pool) Normalize() {
+	if len(p.Models) == 0 {
+		p.Models = nil
+	}
+}
+
 // Normalize fills in defaults.
 func (c *Call) Normalize() {
 	setDefault(&c.MaxBody, 1<<20)
