Take attempts given up as evidence of a slow server

Ruled out: taking every long attempt as evidence (under load all wait long). Change: an attempt that was given up after twice the pool's usual service and wait counts as the server's service time, forgotten by half every 8 s.

--- a/core/routing/cost.go
+++ b/core/routing/cost.go
@@ -146,6 +146,10 @@
 		// A server that fails at once reports a short time.
 		v = max(v, r.stats.service)
 	}
+	if st.slow > 0 {
+		age := now.Sub(st.slowAt).Seconds() / serviceHalf.Seconds()
+		v = max(v, r.stats.service+(float64(st.slow)-r.stats.service)*math.Exp2(-age))
+	}
 	if len(st.starts) > 0 {
 		oldest := float64(now.Sub(st.starts[0])) - float64(st.load.Wait)
 		v = max(v, oldest)
--- a/core/routing/health.go
+++ b/core/routing/health.go
@@ -28,6 +28,9 @@
 	ejectForgotten = time.Minute
 	// failingReturned is the failed share assumed after an ejection.
 	failingReturned = 0.25
+	// slowFactor is the time of an attempt that counts as slow, relative to the
+	// median service time and wait.
+	slowFactor = 2
 	// slowStart is the time over which a server that returned takes up its share.
 	slowStart = 5 * time.Second
 	// slowStartLeast is the share of choices it takes part in at first.
@@ -81,6 +84,7 @@
 		return
 	}
 	st.ended(now, now.Add(-o.Took))
+	r.noteSlow(now, st, o)
 	if o.Silent {
 		st.silent = true
 		r.failed(now, st)
@@ -103,6 +107,19 @@
 	}
 }
 
+// noteSlow takes a long attempt that was given up as evidence of slowness: a
+// server that is too slow for every deadline never reports a long call.
+func (r *Router) noteSlow(now time.Time, st *server, o Outcome) {
+	if o.Code != result.Cancelled && o.Code != result.DeadlineExceeded {
+		return
+	}
+	usual := r.stats.service + r.stats.wait
+	if usual == 0 || float64(o.Took) < slowFactor*usual {
+		return
+	}
+	st.slow, st.slowAt = o.Took, now
+}
+
 func (r *Router) forgetModel(st *server, model string) {
 	if model == "" || !slices.Contains(st.load.Models, model) {
 		return
--- a/core/routing/server.go
+++ b/core/routing/server.go
@@ -26,6 +26,11 @@
 	// refused is when the server last refused for load.
 	refused time.Time
 
+	// slow is the time of an attempt that was given up after much longer than usual,
+	// and slowAt when it was.
+	slow   time.Duration
+	slowAt time.Time
+
 	// failing is the smoothed share of failed attempts as of failingAt.
 	failing   float64
 	failingAt time.Time
