Leave the queue out of the evidence of slowness

Cause: the age of the oldest attempt in flight, less the agent's reported wait, stood for the service time. Change: the backlog by number of calls is taken off as well. Failing first: without it TestWaitingIsNoEvidence fails.

--- a/core/routing/cost.go
+++ b/core/routing/cost.go
@@ -151,17 +151,15 @@
 		v = max(v, r.stats.service+(float64(st.slow)-r.stats.service)*math.Exp2(-age))
 	}
 	if len(st.starts) > 0 {
-		oldest := float64(now.Sub(st.starts[0])) - float64(st.load.Wait)
-		v = max(v, oldest)
+		oldest := float64(now.Sub(st.starts[0]))
+		v = max(v, oldest-max(float64(st.load.Wait), r.backlog(st, v)))
 	}
 	return v
 }
 
 // wait is the expected time in the server's queue.
 func (r *Router) wait(now time.Time, st *server, service float64) float64 {
-	limit := float64(st.limit())
-	over := st.occupied(r.stats.others) - limit + 1
-	v := max(0, over) * service / limit
+	v := r.backlog(st, service)
 	if st.load.Queued > 0 {
 		v = max(v, float64(st.load.Wait))
 	}
@@ -178,6 +176,12 @@
 	return v
 }
 
+// backlog is the time until the calls at the server leave a place free.
+func (r *Router) backlog(st *server, service float64) float64 {
+	limit := float64(st.limit())
+	return max(0, st.occupied(r.stats.others)-limit+1) * service / limit
+}
+
 func (st *server) limit() int {
 	if st.load.Limit > 0 {
 		return st.load.Limit
--- a/core/routing/health_test.go
+++ b/core/routing/health_test.go
@@ -207,6 +207,22 @@
 	}
 }
 
+// TestWaitingIsNoEvidence checks that long attempts at servers with long queues
+// do not make these look slow.
+func TestWaitingIsNoEvidence(t *testing.T) {
+	r := New(Options{Zone: "r0-z0", Region: "r0"})
+	list := servers(1, 1)
+	r.SetServers(epoch, list)
+	for range 20 {
+		r.Start(epoch, list[0].ID)
+	}
+	now := epoch.Add(400 * ms)
+	r.Observe(now, list[0].ID, Load{Running: 4, Queued: 16, Limit: 4, Service: 100 * ms, Wait: 50 * ms})
+	d, ok := r.Expected(now, &Query{})
+	assert.Assert(t, ok)
+	assert.Equal(t, d, 100*ms+17*25*ms)
+}
+
 // TestGivenUpAttemptIsEvidence checks that a server on which attempts are given up
 // after a long time is avoided, though it never reports a long call, and is tried
 // again later.
