--- a/core/pipeline/bench_test.go
+++ b/core/pipeline/bench_test.go
@@ -51,16 +51,23 @@
 	}
 }
 
-// BenchmarkChunk takes in one chunk of a live stream.
+// BenchmarkChunk takes in one chunk of a live stream of 400 chunks.
 func BenchmarkChunk(b *testing.B) {
-	m := New(Options{RequestID: "r", Pipeline: &schema.Pipeline{Stages: []schema.Stage{{Name: "generate", Idempotent: true, Answer: true}}},
-		Deadline: epoch.Add(time.Second), Live: true, Decider: plainDecider{}})
-	m.Step(epoch, Start{})
+	const chunks = 400
+	pl := &schema.Pipeline{Stages: []schema.Stage{{Name: "generate", Idempotent: true, Answer: true}}}
 	data := []byte(" token")
+	var m *Machine
 	b.ReportAllocs()
-	seq := uint64(0)
+	seq := uint64(chunks)
 	for b.Loop() {
+		if seq == chunks {
+			m = New(Options{RequestID: "r", Pipeline: pl, Deadline: epoch.Add(time.Second), Live: true, Decider: plainDecider{}})
+			m.Step(epoch, Start{})
+			seq = 0
+		}
 		seq++
-		m.Step(epoch, Chunk{Attempt: Attempt{Number: 1}, Seq: seq, Data: data, Tokens: 1})
+		if len(m.Step(epoch, Chunk{Attempt: Attempt{Number: 1}, Seq: seq, Data: data, Tokens: 1})) == 0 {
+			b.Fatal("nothing was emitted")
+		}
 	}
 }
