Do not hold up news of the configuration for a silent neighbor

A round of telling neighbors waited for all of them, so one that takes connections and never answers delayed the next records by the 2 s of the timeout. Meetings run beside each other now; a neighbor that fails is replaced. Failing first: with the wait, TestSilentNeighborDoesNotHoldUpPushes does not see the second change. A listener that does not even finish the handshake is cut off by the dial's timeout before; that was tried first and ruled out as the proof.

--- a/internal/confsync/exchange.go
+++ b/internal/confsync/exchange.go
@@ -72,7 +72,7 @@
 // meet exchanges with one peer until the one that was behind has what the other
 // has, or was told where to get it. It returns the offset in force at the peer.
 func (s *Sync) meet(ctx context.Context, addr string) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	conn := s.opts.Pool.Conn(ctx, addr)
 	defer func() { _ = conn.Close() }()
@@ -151,27 +151,27 @@
 	return exchangeInterval
 }
 
-// pushLoop tells the neighbors of new records.
+// pushLoop tells the neighbors of new records. A neighbor that does not answer
+// does not hold up the others or the next records.
 func (s *Sync) pushLoop(ctx context.Context) {
+	var meetings sync.WaitGroup
+	defer meetings.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.advanced:
 		}
-		var round sync.WaitGroup
 		for _, addr := range s.neighbors.all(s.opts.Peers()) {
-			round.Go(func() {
+			meetings.Go(func() {
 				if _, err := s.meet(ctx, addr); err != nil {
 					s.neighbors.drop(addr)
 				}
 			})
 		}
 		if !sleep(ctx, pushInterval) {
-			round.Wait()
 			return
 		}
-		round.Wait()
 	}
 }
 
--- a/internal/confsync/faults_test.go
+++ b/internal/confsync/faults_test.go
@@ -306,3 +306,31 @@
 	o := submitted(t, c.syncs[0], exampleChange(t, "first"))
 	c.eventually(o.Offset)
 }
+
+// silentPeer takes requests and never answers.
+type silentPeer struct {
+	wire.DRPCPeerUnimplementedServer
+}
+
+func (silentPeer) Exchange(ctx context.Context, _ *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestSilentNeighborDoesNotHoldUpPushes tells a peer of two changes in turn while
+// a meeting with a silent neighbor goes on.
+func TestSilentNeighborDoesNotHoldUpPushes(t *testing.T) {
+	c := newCluster(t)
+	silent := c.listen(silentPeer{})
+	from, to := c.serve(c.log, true), c.serve(c.log, true)
+	from.opts.Peers = func() []string { return []string{silent, to.opts.Address} }
+	from.timeout = time.Hour
+	ended := make(chan struct{})
+	go func() { from.pushLoop(c.ctx); close(ended) }()
+	o := submitted(t, from, exampleChange(t, "first"))
+	c.eventually(o.Offset)
+	o = submitted(t, from, weightChange(from.Current(), "second", "2"))
+	c.eventually(o.Offset)
+	c.stop()
+	<-ended
+}
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -37,6 +37,8 @@
 
 	current atomic.Pointer[configlog.Snapshot]
 	ready   chan struct{}
+	// timeout bounds one meeting with a peer.
+	timeout time.Duration
 	// behind holds the address of a peer that is known to be ahead.
 	behind chan string
 	// advanced is signalled when records were folded.
@@ -65,7 +67,7 @@
 	s := &Sync{
 		opts: o, log: o.Logger.WithName("config"),
 		ready: make(chan struct{}), behind: make(chan string, 1), advanced: make(chan struct{}, 1),
-		moved: make(chan struct{}),
+		moved: make(chan struct{}), timeout: exchangeTimeout,
 	}
 	s.current.Store(configlog.Empty())
 	return s
--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"os"
 	"runtime"
@@ -159,31 +160,29 @@
 // start adds an instance that runs.
 func (c *cluster) start() *Sync { return c.startWith(c.log, true) }
 
-// startWith adds an instance with its own view of the log, which the others know
-// of if it is listed. It knows no peers itself before its first look at the list.
+// startWith adds an instance that runs with its own view of the log.
 func (c *cluster) startWith(log platform.Log, listed bool) *Sync {
+	s := c.serve(log, listed)
+	ended := make(chan struct{})
+	go func() { _ = s.Run(c.ctx); close(ended) }()
+	c.t.Cleanup(func() { c.stop(); <-ended })
+	return s
+}
+
+// serve adds an instance that answers its peers and does nothing else. The others
+// know of it if it is listed; it knows no peers before its first look at the list.
+func (c *cluster) serve(log platform.Log, listed bool) *Sync {
 	var looks atomic.Int64
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(c.t, err)
-	conf, err := rpc.TLSConfig([]byte("a secret of the test cluster"))
-	assert.NilError(c.t, err)
-	pool := rpc.NewPool(conf)
-	addr := lis.Addr().String()
-	s := New(Options{
-		Log: log, Peers: func() []string {
-			if looks.Add(1) == 1 {
-				return nil
-			}
-			return c.peersOf(addr)
-		}, Pool: pool,
-		Self: addr, Incarnation: 1, Address: addr, Logger: logr.Discard(),
-	})
-	mux := drpcmux.New()
-	assert.NilError(c.t, wire.DRPCRegisterPeer(mux, s))
-	var all sync.WaitGroup
-	all.Go(func() { _ = rpc.Serve(c.ctx, lis, conf, mux) })
-	all.Go(func() { _ = s.Run(c.ctx) })
-	c.t.Cleanup(func() { c.stop(); all.Wait(); _ = pool.Close() })
+	s := New(Options{Log: log, Pool: rpc.NewPool(c.tls()), Incarnation: 1, Logger: logr.Discard()})
+	addr := c.listen(s)
+	s.opts.Self, s.opts.Address = addr, addr
+	s.opts.Peers = func() []string {
+		if looks.Add(1) == 1 {
+			return nil
+		}
+		return c.peersOf(addr)
+	}
+	c.t.Cleanup(func() { c.stop(); _ = s.opts.Pool.Close() })
 	c.mu.Lock()
 	if listed {
 		c.addrs = append(c.addrs, addr)
@@ -193,6 +192,24 @@
 	return s
 }
 
+func (c *cluster) tls() *tls.Config {
+	conf, err := rpc.TLSConfig([]byte("a secret of the test cluster"))
+	assert.NilError(c.t, err)
+	return conf
+}
+
+// listen serves a peer and returns its address.
+func (c *cluster) listen(peer wire.DRPCPeerServer) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(c.t, err)
+	mux := drpcmux.New()
+	assert.NilError(c.t, wire.DRPCRegisterPeer(mux, peer))
+	conf, ended := c.tls(), make(chan struct{})
+	go func() { _ = rpc.Serve(c.ctx, lis, conf, mux); close(ended) }()
+	c.t.Cleanup(func() { c.stop(); <-ended })
+	return lis.Addr().String()
+}
+
 // eventually waits until all instances have an offset in force.
 func (c *cluster) eventually(offset uint64) {
 	c.t.Helper()
