Refuse to take a request over when its pipeline has changed

Cause: an entry that takes over a request of a dead one uses the configuration in force, while the attempts stand in the one the request was admitted under; a changed pipeline could have mixed results of different stages. Change: agents tell the name of each attempt's stage; a take-over whose stages do not stand as they did ends as unknown. Proved: without the check TestTakeoverRefusesAPipelineThatChanged fails, with it it passes.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -68,8 +68,8 @@
 
 // Job is what the ledger needs to know of an attempt.
 type Job struct {
-	// Customer and Pipeline are those of the request.
-	Customer, Pipeline string
+	// Customer, Pipeline and Stage are those of the request.
+	Customer, Pipeline, Stage string
 	// Deadline is when the budget is spent.
 	Deadline time.Time
 	// Idempotent attempts may lose their result for want of memory.
--- a/internal/agent/accept.go
+++ b/internal/agent/accept.go
@@ -38,7 +38,7 @@
 // jobOf returns what the ledger needs to know of a run.
 func jobOf(now time.Time, req *wire.RunRequest) ledger.Job {
 	return ledger.Job{
-		Customer: req.Customer, Pipeline: req.Pipeline, Deadline: now.Add(budgetOf(req)), Idempotent: req.Idempotent, Shared: keyed(req),
+		Customer: req.Customer, Pipeline: req.Pipeline, Stage: req.Stage, Deadline: now.Add(budgetOf(req)), Idempotent: req.Idempotent, Shared: keyed(req),
 		Reserve: reserveOf(req), Input: inputOf(req), MaxBytes: schema.MaxAnswerBytes,
 	}
 }
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -129,7 +129,7 @@
 		}
 		found = append(found, &wire.FoundAttempt{
 			Attempt: wireID(a.ID), State: wireState(w.stateOf(a)), Chunks: uint64(len(a.Chunks)), Incarnation: w.p.incarnation,
-			Customer: a.Job.Customer, Pipeline: a.Job.Pipeline, BudgetUs: uint64(max(0, a.Job.Deadline.Sub(now).Microseconds())),
+			Customer: a.Job.Customer, Pipeline: a.Job.Pipeline, Stage: a.Job.Stage, BudgetUs: uint64(max(0, a.Job.Deadline.Sub(now).Microseconds())),
 		})
 	}
 	return found
--- a/internal/entry/reattach_test.go
+++ b/internal/entry/reattach_test.go
@@ -114,16 +114,41 @@
 func found(id string, stage, attempt uint32, pipeline string, state wire.AttemptState) *wire.FoundAttempt {
 	return &wire.FoundAttempt{
 		Attempt: &wire.AttemptID{RequestId: id, Stage: stage, Attempt: attempt}, State: state,
-		Incarnation: 7, Customer: "acme", Pipeline: pipeline, BudgetUs: 2_000_000,
+		Incarnation: 7, Customer: "acme", Pipeline: pipeline, BudgetUs: 2_000_000, Stage: stageOf(pipeline, stage),
 	}
 }
 
+// stageOf returns the name of a stage of the test schema's pipelines.
+func stageOf(pipeline string, stage uint32) string {
+	names := map[string][]string{"draft": {"encode", "generate", "file"}, "ask": {"generate"}}[pipeline]
+	if int(stage) < len(names) {
+		return names[stage]
+	}
+	return ""
+}
+
 func (a *fakeAgent) knows(f ...*wire.FoundAttempt) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.found = f
 }
 
+func TestTakeoverRefusesAPipelineThatChanged(t *testing.T) {
+	b := startBench(t)
+	other := b.second()
+	b.filer.acceptThen(0, silence)
+	s := b.open("draft")
+	waitFor(t, func() bool { return len(b.filer.runs()) == 1 })
+	b.kill()
+	f := found(s.id, 1, 1, "draft", wire.AttemptState_ATTEMPT_STATE_FINISHED)
+	f.Stage = "rerank"
+	b.engine.knows(f)
+	r := other.do(other.get(s.id, 0))
+	assert.Equal(t, result.Code(r.err(t).Code), result.EntryLost, r.body)
+	assert.Equal(t, r.err(t).Effects, "unknown")
+	assert.Equal(t, len(b.filer.runs()), 1)
+}
+
 func TestAnotherEntryTakesOver(t *testing.T) {
 	const finished, running = wire.AttemptState_ATTEMPT_STATE_FINISHED, wire.AttemptState_ATTEMPT_STATE_RUNNING
 	cases := []struct {
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -49,6 +49,9 @@
 	if pl == nil || cust == nil {
 		return nil, unknownRequest()
 	}
+	if !samePipeline(pl, found) {
+		return nil, unknownOutcome(result.EntryLost, "the entry that had the request is gone, and its pipeline has changed since")
+	}
 	if from > 1 && ambiguous(pl, found) {
 		return nil, unknownOutcome(result.EntryLost, "the entry that had the request is gone, and which output the caller saw is not known")
 	}
@@ -62,6 +65,18 @@
 	return r.record, nil
 }
 
+// samePipeline tells whether the stages of the attempts stand in the pipeline as
+// they did when the request was admitted, so that no results are mixed.
+func samePipeline(pl *schema.Pipeline, found []foundAttempt) bool {
+	for _, f := range found {
+		st := int(f.Attempt.GetStage())
+		if f.Pipeline != pl.Name || st >= len(pl.Stages) || pl.Stages[st].Name != f.Stage {
+			return false
+		}
+	}
+	return true
+}
+
 // ambiguous tells whether an answer stage has several attempts, so that chunks
 // the caller has may come from any of them.
 func ambiguous(pl *schema.Pipeline, found []foundAttempt) bool {
