--- a/test/failure/drain_test.go
+++ b/test/failure/drain_test.go
@@ -33,6 +33,8 @@
 		{name: "entry", call: "draft", execution: "generate", body: `"tokens":200`, process: firstEntry},
 		{name: "agent while its connections go silent", call: "file-only", execution: "file", body: longWork,
 			process: (*fleet).agentOf, setup: relayAgents, fault: silenceAgents},
+		{name: "agent and entry together", call: "file-only", execution: "file", body: longWork,
+			process: (*fleet).agentOf, fault: func(f *fleet) { assert.NilError(f.t, f.Entries[0].Terminate()) }},
 		{name: "agent while the platform is down", call: "file-only", execution: "file", body: longWork,
 			process: (*fleet).agentOf, fault: platformDown},
 		{name: "entry while the platform is down", call: "draft", execution: "generate", body: `"tokens":200`,
@@ -95,6 +97,31 @@
 	}
 }
 
+// TestLeavingWhileFrozen marks a server as leaving while its agent is frozen, with
+// requests on their way to it. Nothing starts at it when the agent goes on.
+func TestLeavingWhileFrozen(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, nil)
+	const id = "services-1"
+	f.await("work at "+id, func() bool {
+		f.trafficStep()
+		return len(f.executions(at(id))) > 0
+	})
+	assert.NilError(t, f.agent(id).Freeze())
+	f.traffic(10)
+	assert.NilError(t, f.SetLeaving(id, true))
+	last := time.Now().Add(leavingBound)
+	for time.Now().Before(last) {
+		f.trafficStep()
+	}
+	assert.NilError(t, f.agent(id).Thaw())
+	f.traffic(trafficRequests)
+	f.wg.Wait()
+	late := f.executions(func(e standin.Execution) bool { return e.Server == id && e.Start.After(last) })
+	assert.Equal(t, len(late), 0, "%+v", late)
+	f.check()
+}
+
 // TestLeavingUnderStaleList terminates an agent while the list is stale: its
 // refusals teach the entries, and requests go on.
 func TestLeavingUnderStaleList(t *testing.T) {
