--- a/cmd/magnoliawheel/main.go
+++ b/cmd/magnoliawheel/main.go
@@ -10,30 +10,23 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/jessevdk/go-flags"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/magnoliawheel/magnoliawheel/internal/agent"
+	"github.com/magnoliawheel/magnoliawheel/internal/cli"
 	"github.com/magnoliawheel/magnoliawheel/internal/entry"
 	"github.com/magnoliawheel/magnoliawheel/internal/settings"
 	"github.com/magnoliawheel/magnoliawheel/internal/telemetry"
-	"github.com/magnoliawheel/magnoliawheel/internal/version"
 )
 
-// Exit codes, listed in docs/OPERATIONS.md.
+// Exit codes besides those of package cli, listed in docs/OPERATIONS.md.
 const (
-	exitFailed   = 1
-	exitUsage    = 2
 	exitSettings = 3
 	exitCut      = 4
 )
 
-type options struct {
-	Version func() `long:"version" description:"Print the version and exit"`
-}
-
 type entryCommand struct {
 	Settings string `short:"s" long:"settings" required:"true" description:"Settings file (TOML)"`
 }
@@ -49,47 +42,20 @@
 	} `positional-args:"true"`
 }
 
-func main() {
-	opts := options{Version: func() {
-		fmt.Println("magnoliawheel", version.String())
-		os.Exit(0)
-	}}
-	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
-	add(parser, "entry", "Run an entry", "Example: magnoliawheel entry -s entry.toml", &entryCommand{})
-	add(parser, "agent", "Run an agent beside a backend server", "Example: magnoliawheel agent -s agent.toml", &agentCommand{})
-	add(parser, "check-settings", "List all mistakes of a settings file",
-		"Example: magnoliawheel check-settings --role entry entry.toml", &checkCommand{})
-	if _, err := parser.Parse(); err != nil {
-		exit(err)
-	}
-}
+func main() { cli.Run("magnoliawheel", register) }
 
-func add(parser *flags.Parser, name, short, long string, command any) {
-	if _, err := parser.AddCommand(name, short, long, command); err != nil {
-		panic(err)
-	}
+func register(parser *flags.Parser) {
+	cli.Add(parser.Command, "entry", "Run an entry", "Example: magnoliawheel entry -s entry.toml", &entryCommand{})
+	cli.Add(parser.Command, "agent", "Run an agent beside a backend server", "Example: magnoliawheel agent -s agent.toml", &agentCommand{})
+	cli.Add(parser.Command, "check-settings", "List all mistakes of a settings file",
+		"Example: magnoliawheel check-settings --role entry entry.toml", &checkCommand{})
 }
 
 // settingsError marks an error that stands for a mistake in a settings file.
 type settingsError struct{ error }
 
-func exit(err error) {
-	var usage *flags.Error
-	if errors.As(err, &usage) {
-		if usage.Type == flags.ErrHelp {
-			fmt.Println(usage.Message)
-			os.Exit(0)
-		}
-		fmt.Fprintln(os.Stderr, usage.Message)
-		os.Exit(exitUsage)
-	}
-	fmt.Fprintln(os.Stderr, err)
-	var bad settingsError
-	if errors.As(err, &bad) {
-		os.Exit(exitSettings)
-	}
-	os.Exit(exitFailed)
-}
+// ExitCode implements cli.Coded.
+func (settingsError) ExitCode() int { return exitSettings }
 
 // Execute runs the entry.
 func (c *entryCommand) Execute([]string) error {
--- a/cmd/mwctl/admin.go
+++ b/cmd/mwctl/admin.go
@@ -14,11 +14,12 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/internal/adminapi"
+	"github.com/magnoliawheel/magnoliawheel/internal/cli"
 )
 
 // Exit codes of commands that talk to the admin API, listed in docs/OPERATIONS.md.
 const (
-	exitFailed      = 1
+	exitFailed      = cli.ExitFailed
 	exitInvalid     = 3
 	exitConflict    = 4
 	exitUnavailable = 5
@@ -119,9 +120,6 @@
 	return exitFailed
 }
 
-// Unwrap returns the error without the exit code.
-func (e exitError) Unwrap() error { return e.error }
-
 // printJSON prints v indented.
 func printJSON(v any) error {
 	enc := json.NewEncoder(os.Stdout)
--- a/cmd/mwctl/config_rollback.go
+++ b/cmd/mwctl/config_rollback.go
@@ -9,6 +9,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/configlog"
 	"github.com/magnoliawheel/magnoliawheel/internal/adminapi"
+	"github.com/magnoliawheel/magnoliawheel/internal/cli"
 )
 
 // configRollback is mwctl config rollback.
@@ -26,7 +27,7 @@
 func (c *configRollback) Execute([]string) error {
 	ctx := context.Background()
 	if c.Args.Offset == 0 {
-		return exitError{errors.New("the offset is over 0"), exitUsage}
+		return exitError{errors.New("the offset is over 0"), cli.ExitUsage}
 	}
 	old, err := c.objects(ctx, c.Args.Offset)
 	if err != nil {
