Take no work after a pause until the instance list was looked at

Cause: an agent that was stopped with a call in its socket, and whose server was marked as leaving meanwhile, started that call once it went on (TestLeavingWhileFrozen, red each time). The budget in a call is a duration, so the time in the socket did not count, and agents poll the list only each 30 s. Ruled out: a wall-clock time in the call, since clocks differ; polling more often, since the call is read before any poll. Change: the agent gives itself a sign of life each 100 ms; a gap over 1 s refuses new calls with 2016, ran no, until the list was polled once, with or without success. The gap is also looked at when a call is taken, so it counts before anything else has run.

--- a/core/result/result.go
+++ b/core/result/result.go
@@ -85,6 +85,7 @@
 	NotReady          Code = 2013
 	ModelNotLoaded    Code = 2014
 	RetryBudgetSpent  Code = 2015
+	Paused            Code = 2016
 
 	DeadlineExceeded Code = 3001
 	ServerFailed     Code = 3002
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -33,6 +33,7 @@
 	{NotReady, "not_ready", 503, "no", "The process has no configuration yet.", "Come back after Retry-After."},
 	{ModelNotLoaded, "model_not_loaded", 503, "no", "The server has not loaded the model.", "Another server is tried."},
 	{RetryBudgetSpent, "retry_budget_spent", 503, "varies", "A stage failed and the retry budget is empty.", "Come back after Retry-After."},
+	{Paused, "paused", 503, "no", "The agent was stopped for a while and looks at the instance list first.", "Another server is tried; otherwise come back."},
 	{DeadlineExceeded, "deadline_exceeded", 504, "varies", "The deadline passed before the answer was complete.", "Repeat only if effects is no."},
 	{ServerFailed, "server_failed", 502, "varies", "The backend server failed the call.", "Repeat only if effects is no."},
 	{AgentLost, "agent_lost", 502, "unknown", "The agent that accepted the work is gone.", "Do not repeat work that is not idempotent."},
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -31,7 +31,7 @@
 func repeatable(code result.Code) bool {
 	switch code {
 	case result.ServerLeaving, result.QueueFull, result.WrongIncarnation, result.ResultsFull,
-		result.Tombstoned, result.ModelNotLoaded, result.ConfigTooOld, result.NotReady,
+		result.Tombstoned, result.ModelNotLoaded, result.ConfigTooOld, result.NotReady, result.Paused,
 		result.Overloaded, result.ServerFailed, result.AgentLost, result.PayloadLost,
 		result.ChecksumMismatch, result.ResultExpired:
 		return true
--- a/core/routing/health.go
+++ b/core/routing/health.go
@@ -98,7 +98,7 @@
 	case result.ServerLeaving:
 		st.load.Leaving = true
 	case result.QueueFull, result.Overloaded, result.CustomerOverShare, result.ResultsFull,
-		result.BudgetSpent, result.DeadlineTooShort, result.NotReady, result.WrongIncarnation:
+		result.BudgetSpent, result.DeadlineTooShort, result.NotReady, result.Paused, result.WrongIncarnation:
 		st.refused = now
 	case result.ModelNotLoaded:
 		r.forgetModel(st, o.Model)
--- a/internal/agent/accept.go
+++ b/internal/agent/accept.go
@@ -152,6 +152,8 @@
 	switch {
 	case w.leaving != 0:
 		return ledger.Outcome{Code: result.ServerLeaving, Ran: result.RanNo}
+	case w.p.pause.paused(now):
+		return ledger.Outcome{Code: result.Paused, Ran: result.RanNo, RetryAfter: pauseLimit}
 	case budget <= 0:
 		return ledger.Outcome{Code: result.BudgetSpent, Ran: result.RanNo}
 	case w.preparing >= w.queueLimit:
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,6 +68,9 @@
 	pool   *rpc.Pool
 	// servers lists the servers of a pool; nil if the membership is not known.
 	servers func(pool string) []routing.Server
+	// listed is set while the instance list says that this instance leaves.
+	listed  atomic.Bool
+	pause   *pauseGuard
 	metrics metrics
 }
 
@@ -85,7 +89,12 @@
 		Address: o.Settings.Listen.Peers, Logger: p.log,
 	})
 	p.config, p.peer, p.servers = sync, sync, instances.Servers
-	p.loops = []func(context.Context) error{instances.Run, sync.Run, func(ctx context.Context) error {
+	p.pause = newPauseGuard(p.log, func(ctx context.Context) {
+		if err := instances.Refresh(ctx); err == nil {
+			p.applyList(instances.Instances())
+		}
+	})
+	p.loops = []func(context.Context) error{instances.Run, sync.Run, p.pause.run, func(ctx context.Context) error {
 		p.watchList(ctx, instances.Instances)
 		return nil
 	}}
--- a/internal/members/poll.go
+++ b/internal/members/poll.go
@@ -85,6 +85,9 @@
 	}
 }
 
+// Refresh takes in the list now, beside the polls of Run.
+func (m *Members) Refresh(ctx context.Context) error { return m.poll(ctx) }
+
 // poll takes in the list once.
 func (m *Members) poll(ctx context.Context) error {
 	list, asOf, err := m.opts.List.List(ctx)
