Send a call again without its timeout when it is over the call's deadline

Cause: Call.Timeout bounds a call with all its repetitions, but was sent as the deadline of one request, and refused with 1004 when it was longer than the call allows. Change: after such a refusal, which ran nothing, the call is sent once more without the header; the entry applies the call's own deadline and the program's bound stays.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -145,6 +145,26 @@
 	}
 }
 
+func TestTimeoutOverTheCallsDeadline(t *testing.T) {
+	var sent []string
+	note := func(next step) step {
+		return func(w http.ResponseWriter, r *http.Request) {
+			sent = append(sent, r.Header.Get("Request-Timeout"))
+			next(w, r)
+		}
+	}
+	e := &fakeEntry{t: t, steps: []step{note(refuse(codeBadDeadline, "no", 0)), note(events(1, 5))}}
+	srv := httptest.NewServer(e)
+	defer srv.Close()
+	cl, err := New(Options{Entries: []string{srv.URL}})
+	assert.NilError(t, err)
+	defer cl.Close()
+	_, err = cl.Do(context.Background(), &Call{Name: "c", Timeout: time.Hour})
+	assert.NilError(t, err)
+	assert.Equal(t, len(sent), 2)
+	assert.Assert(t, sent[0] != "" && sent[1] == "", "%q", sent)
+}
+
 func TestGivenChunksAreNotRepeated(t *testing.T) {
 	e := &fakeEntry{t: t, steps: []step{events(1, 2), refuse(1009, "unknown", 0)}}
 	srv := httptest.NewServer(e)
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -20,6 +20,9 @@
 // codeEntryDraining is answered by an entry that shuts down; another takes the call.
 const codeEntryDraining = 2009
 
+// codeBadDeadline is answered to a timeout over the call's deadline.
+const codeBadDeadline = 1004
+
 // codeUnknownRequest is answered for a request that nobody knows.
 const codeUnknownRequest = 1009
 
@@ -34,6 +37,9 @@
 	answer   answerReader
 	requests int
 	attached int
+	// omitTimeout is set once an entry refused the timeout as longer than the
+	// call's deadline, which applies then.
+	omitTimeout bool
 }
 
 // errCut marks the end of a connection before the end of an answer.
@@ -86,6 +92,9 @@
 	case errors.As(err, &told) && told.Code == codeEntryDraining && len(x.client.opts.Entries) > 1:
 		x.next()
 		return 0, true
+	case errors.As(err, &told) && told.Code == codeBadDeadline && x.call.Timeout > 0 && !x.omitTimeout:
+		x.omitTimeout = true
+		return 0, true
 	case errors.As(err, &told) && told.Code == codeUnknownRequest, errors.Is(err, errCut):
 		x.next()
 		return reattachWait, x.call.Idempotent || x.call.IdempotencyKey != ""
@@ -143,7 +152,7 @@
 	if x.call.PromptPrefix != "" {
 		req.Header.Set("Prompt-Prefix", x.call.PromptPrefix)
 	}
-	if x.call.Timeout > 0 {
+	if x.call.Timeout > 0 && !x.omitTimeout {
 		at, _ := ctx.Deadline()
 		ms := max(time.Until(at)/time.Millisecond, 1)
 		req.Header.Set("Request-Timeout", strconv.FormatInt(int64(ms), 10))
