--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -6,10 +6,8 @@
 import (
 	"bytes"
 	"context"
-	"encoding/csv"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,8 +16,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"github.com/magnoliawheel/magnoliawheel/test/harness"
 	"github.com/magnoliawheel/magnoliawheel/test/meter"
 	"github.com/magnoliawheel/magnoliawheel/test/standin"
@@ -36,7 +32,7 @@
 	Servers  []int         `long:"servers" default:"270" default:"900" default:"2700" description:"Numbers of servers to measure"`
 	Duration time.Duration `long:"duration" default:"30s" description:"Time of one measurement"`
 	Settle   time.Duration `long:"settle" default:"15s" description:"Time before a measurement"`
-	Out      string        `long:"out" description:"CSV file to write; standard output if empty"`
+	Out      string        `long:"out" description:"CSV file to write as well as standard output"`
 }
 
 // sample is one measurement.
@@ -50,44 +46,25 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		os.Exit(2)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	m := harness.Measurement{
+		Name: "capacity", Options: &o, Out: func() string { return o.Out },
+		Table: func(ctx context.Context, bin harness.Binaries, dir string) ([][]string, error) {
+			return run(ctx, o, bin, dir)
+		},
 	}
+	m.Main()
 }
 
-func run(o options) error {
-	dir, err := os.MkdirTemp("", "capacity")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	ctx := context.Background()
-	bin, err := harness.Build(ctx, dir)
-	if err != nil {
-		return err
-	}
+func run(ctx context.Context, o options, bin harness.Binaries, dir string) ([][]string, error) {
 	var samples []sample
 	for _, n := range o.Servers {
 		s, err := measure(ctx, o, bin, dir, target(n))
 		if err != nil {
-			return fmt.Errorf("%d servers: %w", n, err)
+			return nil, fmt.Errorf("%d servers: %w", n, err)
 		}
 		samples = append(samples, s)
 	}
-	out := io.Writer(os.Stdout)
-	if o.Out != "" {
-		f, err := os.Create(o.Out)
-		if err != nil {
-			return err
-		}
-		defer func() { _ = f.Close() }()
-		out = io.MultiWriter(os.Stdout, f)
-	}
-	return write(out, samples)
+	return tableOf(samples), nil
 }
 
 // target scales the deployment of the target to a number of servers.
@@ -275,8 +252,7 @@
 	return harness.WaitStatus(ctx, "http://"+admin+"/readyz", http.StatusOK)
 }
 
-func write(w io.Writer, samples []sample) error {
-	out := csv.NewWriter(w)
+func tableOf(samples []sample) [][]string {
 	rows := [][]string{{"servers", "entries", "customers", "models", "cpu_percent", "rss_mb", "peer_bytes_per_s", "list_bytes_per_s", "log_bytes_per_s",
 		"probes_per_s", "exchanges_per_s", "schema_bytes"}}
 	for _, s := range samples {
@@ -286,5 +262,5 @@
 		}
 		rows = append(rows, append(row, strconv.Itoa(s.schemaBytes)))
 	}
-	return out.WriteAll(rows)
+	return rows
 }
--- a/test/entryshare/main.go
+++ b/test/entryshare/main.go
@@ -6,17 +6,13 @@
 import (
 	"context"
 	"crypto/sha256"
-	"encoding/csv"
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"github.com/magnoliawheel/magnoliawheel/core/schema"
 	"github.com/magnoliawheel/magnoliawheel/internal/load"
 	"github.com/magnoliawheel/magnoliawheel/test/harness"
@@ -79,29 +75,19 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		os.Exit(2)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	m := harness.Measurement{
+		Name: "entryshare", Options: &o, Out: func() string { return o.Out },
+		Table: func(ctx context.Context, bin harness.Binaries, dir string) ([][]string, error) {
+			return run(ctx, o, bin, dir)
+		},
 	}
+	m.Main()
 }
 
-func run(o options) error {
-	dir, err := os.MkdirTemp("", "entryshare")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	ctx := context.Background()
-	bin, err := harness.Build(ctx, dir)
-	if err != nil {
-		return err
-	}
+func run(ctx context.Context, o options, bin harness.Binaries, dir string) ([][]string, error) {
 	d, err := start(ctx, bin, dir)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer d.Stop()
 	var rows []row
@@ -109,20 +95,11 @@
 		rows = append(rows, direct(ctx, d, requests(rate, o.Duration, "direct"), rate))
 		r, err := through(ctx, d, requests(rate, o.Duration, "entry"), rate)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		rows = append(rows, r)
 	}
-	out := io.Writer(os.Stdout)
-	if o.Out != "" {
-		f, err := os.Create(o.Out)
-		if err != nil {
-			return err
-		}
-		defer func() { _ = f.Close() }()
-		out = io.MultiWriter(os.Stdout, f)
-	}
-	return write(out, rows)
+	return tableOf(rows), nil
 }
 
 func start(ctx context.Context, bin harness.Binaries, dir string) (*harness.Deployment, error) {
@@ -211,8 +188,7 @@
 	r.gapP50, r.gapP95 = quantile(gaps, 0.5), quantile(gaps, 0.95)
 }
 
-func write(w io.Writer, rows []row) error {
-	out := csv.NewWriter(w)
+func tableOf(rows []row) [][]string {
 	table := [][]string{strings.Split("path,requests_per_s,requests,complete,first_p50_ms,first_p95_ms,gap_p50_ms,gap_p95_ms,"+
 		"entry_cpu_percent,agents_cpu_percent,entry_rss_mb,agent_max_rss_mb", ",")}
 	for _, r := range rows {
@@ -222,5 +198,5 @@
 		}
 		table = append(table, line)
 	}
-	return out.WriteAll(table)
+	return table
 }
