Refuse keyed calls at the door while their home cannot record claims

Ruled out: a claim before the first stage, which would hold the key for the whole pipeline and need a release for each request that fails before its filing. Change: the entry remembers for 1 s which agent could not record a claim and refuses keyed calls whose home it is, ran no, with the time that is left. It does so only where stages come before the keyed one; otherwise the agent itself refuses as early. Proved: without the check TestKeyedCallsAreRefusedFirstDuringALogOutage fails. Not measured under load.

--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -36,6 +36,8 @@
 	// retryShare is that of the budget.
 	retryShare float64
 	entries    int
+	// claims are the servers' outages in recording claims of keys.
+	claims admission.Outages
 }
 
 type poolRouter struct {
@@ -133,6 +135,9 @@
 	}
 	for i := range r.Pipeline.Stages {
 		st := &r.Pipeline.Stages[i]
+		if wait, refuse := d.claimOutage(now, st, r); refuse && i > 0 {
+			return admission.Decision{Code: result.ClaimUnavailable, RetryAfter: wait}
+		}
 		q := d.query(now, st, r)
 		expected, ok := d.router(now, st.Pool).Expected(now, &q)
 		if !ok {
@@ -144,6 +149,28 @@
 	return d.admission.Admit(now, &ask)
 }
 
+// claimOutage tells whether the home of a keyed stage could not record claims
+// lately, so that the request would be refused after the stages before have run.
+// The caller holds the lock.
+func (d *decider) claimOutage(now time.Time, st *schema.Stage, r *callerapi.Request) (retryAfter time.Duration, refuse bool) {
+	if r.Key == "" || st.Idempotent {
+		return 0, false
+	}
+	s, ok := d.keyHome(now, st, r, nil)
+	if !ok {
+		return 0, false
+	}
+	return d.claims.Refuse(now, s.ID)
+}
+
+// keyHome returns the home of a request's key at a stage. The caller holds the
+// lock.
+func (d *decider) keyHome(now time.Time, st *schema.Stage, r *callerapi.Request, exclude []string) (routing.Server, bool) {
+	slot := claims.NewKey(r.Customer.Name, r.Key, st.Name).Partition()
+	d.status = d.router(now, st.Pool).Status(now, d.status[:0])
+	return home(d.status, uint64(slot), exclude)
+}
+
 func (d *decider) finish(now time.Time, customer string, code result.Code, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -160,6 +187,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.router(now, pool).End(now, id, o)
+	if o.Code == result.ClaimUnavailable {
+		d.claims.Failed(now, id)
+	}
 }
 
 func (d *decider) observe(now time.Time, pool, id string, l routing.Load) {
@@ -188,9 +218,7 @@
 	defer c.mu.Unlock()
 	router := c.router(now, q.Stage.Pool)
 	if c.req.Key != "" && !q.Stage.Idempotent {
-		slot := claims.NewKey(c.req.Customer.Name, c.req.Key, q.Stage.Name).Partition()
-		c.status = router.Status(now, c.status[:0])
-		s, ok := home(c.status, uint64(slot), q.Exclude)
+		s, ok := c.keyHome(now, q.Stage, c.req, q.Exclude)
 		return place(s), ok
 	}
 	rq := c.query(now, q.Stage, c.req)
--- /dev/null
+++ b/internal/entry/outage_test.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
+)
+
+// TestKeyedCallsAreRefusedFirstDuringALogOutage lets the home of the keys refuse a
+// claims: keyed calls are refused before any stage runs then, and calls without a
+// key go on.
+func TestKeyedCallsAreRefusedFirstDuringALogOutage(t *testing.T) {
+	b := startBench(t)
+	b.filer.mu.Lock()
+	b.filer.run = func(req *wire.RunRequest, out wire.DRPCAgent_RunStream) error {
+		if req.IdempotencyKey != "" {
+			return sendRefused(out, result.ClaimUnavailable, wire.Ran_RAN_NO)
+		}
+		return b.filer.complete(req, out)
+	}
+	b.filer.mu.Unlock()
+	first := b.call("draft", "Idempotency-Key", newKey(t)).err(t)
+	assert.Equal(t, result.Code(first.Code), result.ClaimUnavailable)
+	assert.Equal(t, first.Ran, "yes")
+	assert.Equal(t, first.Effects, "no")
+	waitFor(t, func() bool {
+		encoded := len(b.encoder.runs())
+		next := b.call("draft", "Idempotency-Key", newKey(t)).err(t)
+		assert.Equal(t, result.Code(next.Code), result.ClaimUnavailable)
+		assert.Equal(t, next.Effects, "no")
+		assert.Assert(t, next.RetryAfterMS > 0)
+		return next.Ran == "no" && len(b.encoder.runs()) == encoded
+	})
+	assert.DeepEqual(t, b.call("draft").answer(t), wholeDraft)
+}
