--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -175,22 +175,15 @@
 
 // probes lists the servers whose load is wanted, pool by pool in schema order.
 func (d *decider) probes(now time.Time) []probeTarget {
-	snap := d.p.source.Current()
-	if snap.Schema == nil {
-		return nil
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	var out []probeTarget
 	var servers []routing.Server
-	for i := range snap.Schema.Pools {
-		pool := snap.Schema.Pools[i].Name
-		servers = d.router(now, pool).Probes(now, servers[:0])
+	d.eachRouter(now, func(pool string, r *poolRouter) {
+		servers = r.Probes(now, servers[:0])
 		for _, s := range servers {
 			if len(out) < maxProbes {
 				out = append(out, probeTarget{pool: pool, server: s})
 			}
 		}
-	}
+	})
 	return out
 }
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -105,6 +105,21 @@
 	return r
 }
 
+// eachRouter calls f for the router of each pool in the order of the schema, under
+// the lock.
+func (d *decider) eachRouter(now time.Time, f func(pool string, r *poolRouter)) {
+	snap := d.p.source.Current()
+	if snap.Schema == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range snap.Schema.Pools {
+		pool := snap.Schema.Pools[i].Name
+		f(pool, d.router(now, pool))
+	}
+}
+
 // probesPerSecond bounds the load probes of an entry. With about 200 bytes on the
 // wire each they take under half of the 7 KB/s that a node may spend on control.
 const probesPerSecond = 16
--- a/internal/entry/operations.go
+++ b/internal/entry/operations.go
@@ -96,21 +96,14 @@
 
 // servers lists the servers of all pools, pool by pool in schema order.
 func (d *decider) servers(now time.Time) []ServerStatus {
-	snap := d.p.source.Current()
-	if snap.Schema == nil {
-		return nil
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	var out []ServerStatus
 	var buf []routing.Status
-	for i := range snap.Schema.Pools {
-		pool := snap.Schema.Pools[i].Name
-		buf = d.router(now, pool).Status(now, buf[:0])
-		for j := range buf {
-			out = append(out, serverStatus(pool, &buf[j]))
+	d.eachRouter(now, func(pool string, r *poolRouter) {
+		buf = r.Status(now, buf[:0])
+		for i := range buf {
+			out = append(out, serverStatus(pool, &buf[i]))
 		}
-	}
+	})
 	return out
 }
 
