--- a/core/routing/health_test.go
+++ b/core/routing/health_test.go
@@ -353,3 +353,27 @@
 	}
 	assert.Equal(t, len(seen), len(list))
 }
+
+func TestProbeRateChanges(t *testing.T) {
+	r := New(Options{Policy: LeastFinish, Subset: 8, ProbesPerSecond: 16, Seed: 1})
+	var list []Server
+	for i := range 8 {
+		list = append(list, Server{ID: fmt.Sprintf("s%d", i)})
+	}
+	now := time.Unix(0, 0)
+	r.SetServers(now, list)
+	count := func(seconds int) (n int) {
+		for range 4 * seconds {
+			now = now.Add(250 * time.Millisecond)
+			for _, s := range r.Probes(now, nil) {
+				n++
+				r.Observe(now, s.ID, Load{Limit: 4})
+			}
+		}
+		return n
+	}
+	count(10)
+	r.SetProbesPerSecond(1)
+	count(10)
+	assert.Equal(t, count(10), 10)
+}
--- a/core/routing/probe.go
+++ b/core/routing/probe.go
@@ -29,6 +29,14 @@
 	models []string
 }
 
+// SetProbesPerSecond changes the bound on probes; rates that are not over 0 change
+// nothing.
+func (r *Router) SetProbesPerSecond(rate float64) {
+	if rate > 0 {
+		r.opts.ProbesPerSecond = rate
+	}
+}
+
 // Probes appends to dst the servers whose load should be asked for now. When the
 // bound on probes leaves servers out, the next call goes on with them.
 func (r *Router) Probes(now time.Time, dst []Server) []Server {
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -94,10 +94,11 @@
 		s := d.settings
 		r = &poolRouter{Router: routing.New(routing.Options{
 			Policy: s.Policy.Routing, Zone: s.Instance.Zone, Region: s.Instance.Region,
-			Subset: s.Limits.SubsetServers, Seed: d.seed, ProbesPerSecond: d.probesPerPool(),
+			Subset: s.Limits.SubsetServers, Seed: d.seed,
 		})}
 		d.routers[pool] = r
 	}
+	r.SetProbesPerSecond(d.probesPerPool())
 	if v := d.p.view.Version(); v != r.version || !r.loaded {
 		r.SetServers(now, d.p.view.Servers(pool))
 		r.version, r.loaded = v, true
