--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -29,7 +29,7 @@
 )
 
 type options struct {
-	Servers  []int         `long:"servers" default:"270" default:"900" default:"2700" description:"Numbers of servers to measure"`
+	Servers  []int         `long:"servers" description:"Numbers of servers to measure (270, 900 and 2700 if none is given)"`
 	Duration time.Duration `long:"duration" default:"30s" description:"Time of one measurement"`
 	Settle   time.Duration `long:"settle" default:"15s" description:"Time before a measurement"`
 	Out      string        `long:"out" description:"CSV file to write as well as standard output"`
@@ -45,7 +45,7 @@
 }
 
 func main() {
-	var o options
+	o := options{Servers: []int{270, 900, 2700}}
 	m := harness.Measurement{
 		Name: "capacity", Options: &o, Out: func() string { return o.Out },
 		Table: func(ctx context.Context, bin harness.Binaries, dir string) ([][]string, error) {
--- a/test/entryshare/main.go
+++ b/test/entryshare/main.go
@@ -29,7 +29,7 @@
 )
 
 type options struct {
-	Rates    []float64     `long:"rate" default:"4" default:"8" default:"16" description:"Requests a second"`
+	Rates    []float64     `long:"rate" description:"Requests a second (4, 8 and 16 if none is given)"`
 	Duration time.Duration `long:"duration" default:"20s" description:"Time of one measurement"`
 	Out      string        `long:"out" description:"CSV file to write as well as standard output"`
 }
@@ -74,7 +74,7 @@
 `
 
 func main() {
-	var o options
+	o := options{Rates: []float64{4, 8, 16}}
 	m := harness.Measurement{
 		Name: "entryshare", Options: &o, Out: func() string { return o.Out },
 		Table: func(ctx context.Context, bin harness.Binaries, dir string) ([][]string, error) {
