--- a/internal/agent/process_test.go
+++ b/internal/agent/process_test.go
@@ -108,12 +108,15 @@
 // TestStoppedProcessStartsNothingLate checks that calls which a process held when
 // it was stopped are not sent to the server once their budgets are spent.
 func TestStoppedProcessStartsNothingLate(t *testing.T) {
-	srv := startService(t, service.Config{Time: 300 * time.Millisecond})
+	// Calls outlast their budgets, so that none that waits is begun before the stop,
+	// however long the test takes to start them.
+	const budget = 3 * time.Second
+	srv := startService(t, service.Config{Time: 3 * budget})
 	c := startChild(t, "a", srv.Addr(), "127.0.0.1:1")
 	var running, queued []*inFlight
 	for i := range 2 * defaultConcurrency {
 		req := c.runRequest(fmt.Sprint("e~", i))
-		req.BudgetUs = 1_000_000
+		req.BudgetUs = uint64(budget.Microseconds())
 		r := c.startRun(t, req)
 		if i < defaultConcurrency {
 			running = append(running, r)
@@ -123,7 +126,7 @@
 	}
 	eventually(t, func() bool { return len(srv.Recorder.All()) == defaultConcurrency })
 	assert.NilError(t, c.process.Freeze())
-	time.Sleep(1500 * time.Millisecond)
+	time.Sleep(budget + 500*time.Millisecond)
 	assert.NilError(t, c.process.Thaw())
 	for _, r := range queued {
 		r.finish(t)
