Use slices.Contains in place of own loops; look for a log outage only where it counts

The schema and the router each had a search of their own. The check for an outage of claims worked out a pool's state for the first stage too, whose answer was not used. Behaviour is the same; choosing a server still allocates nothing.

--- a/core/routing/cost.go
+++ b/core/routing/cost.go
@@ -266,7 +266,7 @@
 	}
 	bound := homeBound*sum/float64(max(n, 1)) + 1
 	for _, st := range [...]*server{holder, r.home} {
-		if st != nil && st.occupied(r.stats.others) <= bound && !contains(dst, st) {
+		if st != nil && st.occupied(r.stats.others) <= bound && !slices.Contains(dst, st) {
 			dst = append(dst, st)
 		}
 	}
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -112,7 +112,7 @@
 	for range g.members {
 		st := g.members[r.turn%len(g.members)]
 		r.turn++
-		if !st.leaving() && st.mayServe(q.Model) && !excluded(q, st.ID) {
+		if !st.leaving() && st.mayServe(q.Model) && !slices.Contains(q.Exclude, st.ID) {
 			return st
 		}
 	}
@@ -163,7 +163,7 @@
 	at := r.rng.IntN(len(list))
 	for i := range list {
 		st := list[(at+i)%len(list)]
-		if contains(dst, st) || !r.usable(now, q, st) {
+		if slices.Contains(dst, st) || !r.usable(now, q, st) {
 			continue
 		}
 		if !r.pastSlowStart(now, st) {
@@ -184,7 +184,7 @@
 	var silent *server
 	for i := range g.members {
 		st := g.members[(at+i)%len(g.members)]
-		if st.leaving() || !st.mayServe(q.Model) || excluded(q, st.ID) {
+		if st.leaving() || !st.mayServe(q.Model) || slices.Contains(q.Exclude, st.ID) {
 			continue
 		}
 		if !st.silent {
@@ -197,23 +197,5 @@
 
 func (r *Router) usable(now time.Time, q *Query, st *server) bool {
 	return !st.leaving() && !st.silent && !st.ejected(now) &&
-		st.mayServe(q.Model) && !excluded(q, st.ID)
-}
-
-func contains(list []*server, st *server) bool {
-	for _, x := range list {
-		if x == st {
-			return true
-		}
-	}
-	return false
-}
-
-func excluded(q *Query, id string) bool {
-	for _, x := range q.Exclude {
-		if x == id {
-			return true
-		}
-	}
-	return false
+		st.mayServe(q.Model) && !slices.Contains(q.Exclude, st.ID)
 }
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -77,12 +78,12 @@
 				leaving[id] = true
 			}
 			s, ok := r.Pick(now, q)
-			if ok && (leaving[s.ID] || excluded(q, s.ID)) {
+			if ok && (leaving[s.ID] || slices.Contains(q.Exclude, s.ID)) {
 				t.Fatalf("picked %s, which is leaving or excluded", s.ID)
 			}
 			left := 0
 			for _, s := range list {
-				if !leaving[s.ID] && !excluded(q, s.ID) {
+				if !leaving[s.ID] && !slices.Contains(q.Exclude, s.ID) {
 					left++
 				}
 			}
--- a/core/schema/validate.go
+++ b/core/schema/validate.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"regexp"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -232,7 +233,7 @@
 		if name == "" || len(name) > MaxModelBytes {
 			c.add(pool+".models", "the name of a model has 1 to %d bytes", MaxModelBytes)
 		}
-		if contains(list[:i], name) {
+		if slices.Contains(list[:i], name) {
 			c.add(pool+".models", "%q is named twice", name)
 		}
 	}
@@ -276,7 +277,7 @@
 		}
 		return
 	}
-	if !contains(pool.Models, st.Model) {
+	if !slices.Contains(pool.Models, st.Model) {
 		c.add(place+".model", "%q is not among the models of pool %s", st.Model, pool.Name)
 	}
 	c.number(place+".max_tokens", int64(st.MaxTokens), 1, 1<<20)
@@ -344,12 +345,3 @@
 	}
 	return false
 }
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -151,8 +151,10 @@
 	}
 	for i := range r.Pipeline.Stages {
 		st := &r.Pipeline.Stages[i]
-		if wait, refuse := d.claimOutage(now, st, r); refuse && i > 0 {
-			return admission.Decision{Code: result.ClaimUnavailable, RetryAfter: wait}
+		if i > 0 {
+			if wait, refuse := d.claimOutage(now, st, r); refuse {
+				return admission.Decision{Code: result.ClaimUnavailable, RetryAfter: wait}
+			}
 		}
 		q := d.query(now, st, r)
 		expected, ok := d.router(now, st.Pool).Expected(now, &q)
