--- a/cmd/magnoliawheel/main.go
+++ b/cmd/magnoliawheel/main.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/jessevdk/go-flags"
@@ -17,8 +19,10 @@
 	"github.com/magnoliawheel/magnoliawheel/internal/agent"
 	"github.com/magnoliawheel/magnoliawheel/internal/cli"
 	"github.com/magnoliawheel/magnoliawheel/internal/entry"
+	"github.com/magnoliawheel/magnoliawheel/internal/node"
 	"github.com/magnoliawheel/magnoliawheel/internal/settings"
 	"github.com/magnoliawheel/magnoliawheel/internal/telemetry"
+	"github.com/magnoliawheel/magnoliawheel/platform"
 )
 
 // Exit codes besides those of package cli, listed in docs/OPERATIONS.md.
@@ -27,6 +31,9 @@
 	exitCut      = 4
 )
 
+// logFlush bounds the writing of the last log lines.
+const logFlush = 300 * time.Millisecond
+
 type entryCommand struct {
 	Settings string `short:"s" long:"settings" required:"true" description:"Settings file (TOML)"`
 }
@@ -35,6 +42,10 @@
 	Settings string `short:"s" long:"settings" required:"true" description:"Settings file (TOML)"`
 }
 
+type gatewayCommand struct {
+	LogLevel string `long:"log-level" default:"info" description:"Least level of the lines logged"`
+}
+
 type checkCommand struct {
 	Role string `long:"role" choice:"entry" choice:"agent" required:"true" description:"Role that the file is for"`
 	Args struct {
@@ -47,6 +58,8 @@
 func register(parser *flags.Parser) {
 	cli.Add(parser.Command, "entry", "Run an entry", "Example: magnoliawheel entry -s entry.toml", &entryCommand{})
 	cli.Add(parser.Command, "agent", "Run an agent beside a backend server", "Example: magnoliawheel agent -s agent.toml", &agentCommand{})
+	cli.Add(parser.Command, "gateway", "Run an entry on the users' platform",
+		"The platform names the settings file. Example: magnoliawheel gateway", &gatewayCommand{})
 	cli.Add(parser.Command, "check-settings", "List all mistakes of a settings file",
 		"Example: magnoliawheel check-settings --role entry entry.toml", &checkCommand{})
 }
@@ -79,6 +92,32 @@
 	})
 }
 
+// Execute runs the entry on the users' platform.
+func (c *gatewayCommand) Execute([]string) error {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		return settingsError{err}
+	}
+	debug.SetMemoryLimit(s.MemoryBytes / 2)
+	out := telemetry.NewAsyncWriter(os.Stdout)
+	defer out.Close(logFlush)
+	log, err := telemetry.Logger(out, c.LogLevel)
+	if err != nil {
+		return settingsError{err}
+	}
+	scope, metrics, closer := telemetry.Metrics("gateway")
+	defer func() { _ = closer.Close() }()
+	stop := make(chan struct{})
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGHUP)
+	go func() {
+		<-signals
+		close(stop)
+	}()
+	return node.New(node.Options{Settings: s, Log: log, Scope: scope, Metrics: metrics}).Run(stop)
+}
+
 // Execute checks the file.
 func (c *checkCommand) Execute([]string) error {
 	var err error
--- /dev/null
+++ b/core/staging/admit.go
@@ -0,0 +1,88 @@
+package staging
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// lateShare is the part of the time to the deadline within which a job that
+	// can't reach its objective is still taken.
+	lateShare = 0.35
+	// shortestRetry and longestRetry bound when a refused caller is to come back.
+	shortestRetry = 200 * time.Millisecond
+	longestRetry  = 4 * time.Second
+)
+
+// expect returns the time to the expected end of the job's stages if it were taken
+// now; false if a stage has no server.
+func (s *Scheduler) expect(j *job, now time.Duration) (time.Duration, bool) {
+	var drain, path time.Duration
+	for _, r := range j.runs {
+		if len(r.pieces) == 0 {
+			continue
+		}
+		if r.pool == nil || len(r.pool.servers) == 0 {
+			return 0, false
+		}
+		drain = max(drain, r.pool.backlog(j, now))
+	}
+	path = j.shortest()
+	return drain + path, true
+}
+
+// backlog is the time that the pool needs for the pieces of jobs that go before j.
+func (p *pool) backlog(j *job, now time.Duration) time.Duration {
+	rate := p.rate(now)
+	if rate == 0 {
+		return longestRetry
+	}
+	pieces := 0
+	mine := j.urgency(now)
+	for _, r := range p.runs {
+		if r.job.started || r.job.urgency(now) <= mine {
+			pieces += len(r.queued)
+		}
+	}
+	var busy time.Duration
+	usable := 0
+	for _, m := range p.servers {
+		if m.usable(now) {
+			usable++
+			busy += m.freeAt(now) - now
+		}
+	}
+	return busy/time.Duration(max(usable, 1)) + time.Duration(float64(pieces)/rate*float64(time.Second))
+}
+
+// admissible tells whether a job with the expected time is worth taking.
+func admissible(j *job, now, expected time.Duration) bool {
+	end := now + expected + j.def.After
+	if end <= j.def.Due {
+		return true
+	}
+	left := j.def.Deadline - now
+	return expected+j.def.After <= time.Duration(lateShare*float64(left))
+}
+
+// retryAfter is when the work that waits now will be done, spread by the job's id
+// so that refused callers don't come back together.
+func (s *Scheduler) retryAfter(j *job, now time.Duration) time.Duration {
+	var drain time.Duration
+	for _, r := range j.runs {
+		if r.pool != nil && len(r.pieces) > 0 {
+			drain = max(drain, r.pool.backlog(j, now))
+		}
+	}
+	after := min(max(drain, shortestRetry), longestRetry)
+	return after + time.Duration(spread(j.def.ID)*float64(after))
+}
+
+// spread maps an id to [0, 1) by FNV-1a.
+func spread(id string) float64 {
+	h := uint32(2166136261)
+	for i := range len(id) {
+		h = (h ^ uint32(id[i])) * 16777619
+	}
+	return float64(h) / (math.MaxUint32 + 1)
+}
--- /dev/null
+++ b/core/staging/dispatch.go
@@ -0,0 +1,236 @@
+package staging
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// lead is how long before the expected end of a call the next one is sent, so
+	// that it waits at the server when its turn comes.
+	lead = 25 * time.Millisecond
+	// rankStep is how much later a request of the next rank counts as due.
+	rankStep = 250 * time.Millisecond
+	// missedPenalty puts requests that can't reach their objective behind the others.
+	missedPenalty = 20 * time.Second
+	// memoryShare is the part of the servers' memory that started jobs may claim in
+	// all their stages together. Jobs use it at different times, so it exceeds 1.
+	memoryShare = 1.3
+	// callTimeout bounds a call.
+	callTimeout = 5 * time.Second
+	// zoneGain is how much later a batch may end to be made where it will be read.
+	zoneGain = 40 * time.Millisecond
+)
+
+// dispatch starts all calls that can be started.
+func (s *Scheduler) dispatch(now time.Duration) {
+	s.flush(now)
+	for _, p := range s.pools {
+		for s.startCall(p, now) {
+		}
+	}
+}
+
+// flush gives up the results that were gathered long enough.
+func (s *Scheduler) flush(now time.Duration) {
+	for _, p := range s.pools {
+		for _, m := range p.servers {
+			if len(m.frees) >= freeBatch || len(m.frees) > 0 && now-m.freeSince >= freeDelay {
+				s.flushServer(m)
+			}
+		}
+	}
+}
+
+func (s *Scheduler) flushServer(m *server) {
+	s.acts.Frees = append(s.acts.Frees, Free{Server: m.def, Handles: m.frees})
+	m.frees = nil
+}
+
+// startCall starts the most urgent call of a pool; false if none can be started.
+func (s *Scheduler) startCall(p *pool, now time.Duration) bool {
+	waiting := p.waiting(s, now)
+	if len(waiting) == 0 {
+		return false
+	}
+	n := 0
+	for _, r := range waiting {
+		n += len(r.queued)
+	}
+	for _, m := range p.candidates(now, n, waiting[0].job.def.Zone) {
+		items := s.batch(m, waiting, now)
+		if len(items) > 0 {
+			s.begin(m, items, now)
+			return true
+		}
+	}
+	return false
+}
+
+// waiting returns the runs with pieces that can be asked for, most urgent first.
+func (p *pool) waiting(s *Scheduler, now time.Duration) []*run {
+	p.runs = slices.DeleteFunc(p.runs, func(r *run) bool { return len(r.queued) == 0 })
+	var ready []*run
+	for _, r := range p.runs {
+		if r.ready() && !r.early(now) {
+			ready = append(ready, r)
+		}
+	}
+	slices.SortStableFunc(ready, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.job.urgency(now), b.job.urgency(now)), cmp.Compare(a.job.def.ID, b.job.def.ID), cmp.Compare(a.stage, b.stage))
+	})
+	return ready
+}
+
+// early tells whether a run would only hold memory while the job's other stages
+// go on: no stage reads its results, and the others take longer than it does.
+func (r *run) early(time.Duration) bool {
+	if len(r.next) > 0 || len(r.after) > 0 {
+		return false
+	}
+	own := r.pathTime()
+	for _, o := range r.job.runs {
+		if o != r && o.pathTime() > 2*own+lateSlack {
+			return true
+		}
+	}
+	return false
+}
+
+// urgency orders jobs: those that can reach their objective by its end and their
+// rank, then those that can reach only their deadline.
+func (j *job) urgency(now time.Duration) time.Duration {
+	u := j.def.Due + time.Duration(j.def.Rank)*rankStep
+	if now+j.shortest()+j.def.After > j.def.Due {
+		u += missedPenalty
+	}
+	return u
+}
+
+// candidates returns the servers that can begin a call now, the one that would end
+// it first in front. Slow servers are left out while the others can do the work
+// sooner.
+func (p *pool) candidates(now time.Duration, pieces int, zone string) []*server {
+	fastest := p.fastest(now)
+	size := min(pieces, p.spec.Batch)
+	type option struct {
+		m   *server
+		end time.Duration
+	}
+	var options []option
+	for _, m := range p.servers {
+		if !m.usable(now) || len(m.calls) > p.spec.Slots || m.freeAt(now) > now+lead {
+			continue
+		}
+		end := m.freeAt(now) + time.Duration(float64(p.callTime(size))*m.slowness(now))
+		if m.slowness(now) > slowRatio*fastest && end > now+p.drainTime(pieces, m, now) {
+			continue
+		}
+		if zone != "" && m.def.Zone != zone {
+			end += zoneGain
+		}
+		options = append(options, option{m, end})
+	}
+	slices.SortFunc(options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.end, b.end), cmp.Compare(a.m.def.ID, b.m.def.ID))
+	})
+	servers := make([]*server, len(options))
+	for i, o := range options {
+		servers[i] = o.m
+	}
+	return servers
+}
+
+// drainTime is how long the servers other than m take for the pieces that wait.
+func (p *pool) drainTime(pieces int, m *server, now time.Duration) time.Duration {
+	full := p.callTime(p.spec.Batch).Seconds()
+	rate := p.rate(now) - float64(p.spec.Batch*p.spec.Slots)/(full*m.slowness(now))
+	if rate <= 0 {
+		return callTimeout
+	}
+	return p.callTime(p.spec.Batch) + time.Duration(float64(pieces)/rate*float64(time.Second))
+}
+
+// batch picks the pieces of a call at a server.
+func (s *Scheduler) batch(m *server, waiting []*run, now time.Duration) []item {
+	var items []item
+	left := m.pool.spec.Memory - m.used
+	for _, r := range waiting {
+		if r.bytes > left || !r.job.started && !s.mayStart(r.job) {
+			continue
+		}
+		for _, k := range r.queued {
+			if len(items) == m.pool.spec.Batch || r.bytes > left {
+				break
+			}
+			items = append(items, item{r, k})
+			left -= r.bytes
+		}
+		r.job.started = len(items) > 0 && items[len(items)-1].run == r || r.job.started
+		if len(items) == m.pool.spec.Batch {
+			break
+		}
+	}
+	return items
+}
+
+// mayStart tells whether there is memory for the results of all stages of a job.
+func (s *Scheduler) mayStart(j *job) bool {
+	claimed := map[*pool]int64{}
+	for _, o := range s.jobs {
+		if o.started {
+			o.claim(claimed)
+		}
+	}
+	own := map[*pool]int64{}
+	j.claim(own)
+	for p, bytes := range own {
+		total := p.spec.Memory * int64(len(p.servers))
+		if claimed[p] > 0 && float64(claimed[p]+bytes) > memoryShare*float64(total) {
+			return false
+		}
+	}
+	return true
+}
+
+// claim adds the sizes of the results that the job keeps or will make.
+func (j *job) claim(sum map[*pool]int64) {
+	for _, r := range j.runs {
+		if r.pool != nil && !r.freed {
+			sum[r.pool] += r.bytes * int64(len(r.pieces))
+		}
+	}
+}
+
+// begin emits a call.
+func (s *Scheduler) begin(m *server, items []item, now time.Duration) {
+	if len(m.frees) > 0 {
+		s.flushServer(m)
+	}
+	s.lastCall++
+	c := &call{id: s.lastCall, server: m, items: items}
+	c.begins = m.freeAt(now)
+	expected := time.Duration(float64(m.pool.callTime(len(items))) * m.slowness(now))
+	c.ends = c.begins + expected
+	s.calls[c.id] = c
+	m.calls = append(m.calls, c)
+	act := Call{ID: c.id, Server: m.def, Timeout: callTimeout, Expected: c.ends - now}
+	for _, it := range items {
+		it.run.unqueue(it.piece)
+		it.run.pieces[it.piece].copies++
+		m.used += it.run.bytes
+		act.Items = append(act.Items, it.action(now))
+	}
+	s.acts.Calls = append(s.acts.Calls, act)
+}
+
+func (it item) action(now time.Duration) Item {
+	def := &it.run.job.def
+	a := Item{JobID: def.ID, Stage: it.run.stage, Piece: it.piece, Remaining: def.Deadline - now}
+	a.Inputs = it.run.inputs()
+	if len(a.Inputs) == 0 {
+		a.Key = def.Key
+	}
+	return a
+}
--- /dev/null
+++ b/core/staging/job.go
@@ -0,0 +1,274 @@
+package staging
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxTries is how often one piece is asked for before its job is given up.
+	maxTries = 5
+	// maxRemakes is how often a job's lost results are made again.
+	maxRemakes = 3
+)
+
+// job is a request whose stages are being run or whose results are kept.
+type job struct {
+	def     Job
+	runs    []*run
+	started bool
+	done    bool
+	remakes int
+}
+
+// run is one stage of one job.
+type run struct {
+	job    *job
+	stage  int
+	pool   *pool
+	bytes  int64
+	after  []*run
+	next   []*run
+	pieces []piece
+	// queued are the pieces to be asked for; made counts those with a result.
+	queued []int
+	made   int
+	freed  bool
+}
+
+// piece is one result of a run.
+type piece struct {
+	handle string
+	server *server
+	// copies is the number of calls that are making the piece.
+	copies int
+	tries  int
+}
+
+func (s *Scheduler) newJob(def Job) *job {
+	j := &job{def: def}
+	for i, st := range def.Stages {
+		r := &run{job: j, stage: i, pool: s.pools[st.Pool], bytes: st.Bytes, pieces: make([]piece, st.Pieces)}
+		for k := range r.pieces {
+			r.queued = append(r.queued, k)
+		}
+		j.runs = append(j.runs, r)
+	}
+	for i, st := range def.Stages {
+		for _, a := range st.After {
+			j.runs[i].after = append(j.runs[i].after, j.runs[a])
+			j.runs[a].next = append(j.runs[a].next, j.runs[i])
+		}
+	}
+	return j
+}
+
+func (r *run) complete() bool { return r.made == len(r.pieces) }
+
+// ready tells whether the results that the run reads are all held.
+func (r *run) ready() bool {
+	for _, a := range r.after {
+		if !a.complete() {
+			return false
+		}
+	}
+	return true
+}
+
+// inputs returns the handles of all results that the run reads.
+func (r *run) inputs() []string {
+	var all []string
+	for _, a := range r.after {
+		for i := range a.pieces {
+			all = append(all, a.pieces[i].handle)
+		}
+	}
+	return all
+}
+
+// requeue puts a piece back to be asked for, in the order of pieces.
+func (r *run) requeue(k int) {
+	at, found := slices.BinarySearch(r.queued, k)
+	if !found {
+		r.queued = slices.Insert(r.queued, at, k)
+	}
+	if !slices.Contains(r.pool.runs, r) {
+		r.pool.runs = append(r.pool.runs, r)
+	}
+}
+
+// unqueue removes a piece that was made meanwhile.
+func (r *run) unqueue(k int) {
+	if at, found := slices.BinarySearch(r.queued, k); found {
+		r.queued = slices.Delete(r.queued, at, at+1)
+	}
+}
+
+// shortest is the least time in which the stages left can end.
+func (j *job) shortest() time.Duration {
+	var longest time.Duration
+	for _, r := range j.runs {
+		longest = max(longest, r.pathTime())
+	}
+	return longest
+}
+
+// pathTime is the least time from now to the end of the run.
+func (r *run) pathTime() time.Duration {
+	if r.complete() {
+		return 0
+	}
+	var before time.Duration
+	for _, a := range r.after {
+		before = max(before, a.pathTime())
+	}
+	if r.pool == nil {
+		return before
+	}
+	return before + r.pool.callTime(min(len(r.pieces)-r.made, r.pool.spec.Batch))
+}
+
+// pieceDone takes the outcome of one piece.
+func (s *Scheduler) pieceDone(it item, c *call, res Result, now time.Duration) {
+	r := it.run
+	p := &r.pieces[it.piece]
+	if res.Outcome != Made {
+		s.pieceFailed(it, c, res.Outcome, now)
+		return
+	}
+	p.copies--
+	if s.jobs[r.job.def.ID] != r.job || p.handle != "" || r.freed {
+		c.server.free(res.Handle, r.bytes, now)
+		return
+	}
+	p.handle, p.server = res.Handle, c.server
+	r.made++
+	r.unqueue(it.piece)
+	if r.complete() {
+		s.runComplete(r, now)
+	}
+}
+
+func (s *Scheduler) pieceFailed(it item, c *call, outcome Outcome, now time.Duration) {
+	if outcome == NoMemory {
+		c.server.noMemory(now)
+	}
+	if outcome == InputGone && s.jobs[it.run.job.def.ID] == it.run.job {
+		s.remakeInputs(it.run, now)
+	}
+	s.repeat(it, c, now, outcome != NoMemory)
+}
+
+// repeat asks for a piece again unless another call is making it.
+func (s *Scheduler) repeat(it item, c *call, now time.Duration, counts bool) {
+	r := it.run
+	p := &r.pieces[it.piece]
+	p.copies--
+	c.server.used = max(0, c.server.used-r.bytes)
+	if s.jobs[r.job.def.ID] != r.job || p.handle != "" || r.freed || p.copies > 0 {
+		return
+	}
+	if counts {
+		p.tries++
+	}
+	if p.tries >= maxTries {
+		s.refuse(r.job, now, Failing, 0)
+		s.drop(r.job, now)
+		return
+	}
+	r.requeue(it.piece)
+}
+
+// remakeInputs makes the results again that a run reads and that are lost: those
+// at servers that fail or left, or all of them if there are none such.
+func (s *Scheduler) remakeInputs(r *run, now time.Duration) {
+	if !r.ready() {
+		return
+	}
+	r.job.remakes++
+	if r.job.remakes > maxRemakes {
+		return
+	}
+	lost := func(p *piece) bool { return p.server != nil && (!p.server.listed || p.server.failures > 0) }
+	if !slices.ContainsFunc(r.after, func(a *run) bool { return slices.ContainsFunc(a.pieces, func(p piece) bool { return lost(&p) }) }) {
+		lost = func(*piece) bool { return true }
+	}
+	for _, a := range r.after {
+		a.remake(lost, now)
+	}
+}
+
+// remake gives up the results for which lost is true and asks for them again.
+func (r *run) remake(lost func(*piece) bool, now time.Duration) {
+	for k := range r.pieces {
+		p := &r.pieces[k]
+		if p.handle == "" || !lost(p) {
+			continue
+		}
+		p.server.free(p.handle, r.bytes, now)
+		p.handle, p.server = "", nil
+		r.made--
+		r.requeue(k)
+	}
+}
+
+// runComplete frees the results that have no reader left and ends the job if this
+// was its last run.
+func (s *Scheduler) runComplete(r *run, now time.Duration) {
+	for _, a := range r.after {
+		if !slices.ContainsFunc(a.next, func(n *run) bool { return !n.complete() }) {
+			a.free(now)
+		}
+	}
+	s.finishIfDone(r.job)
+}
+
+func (s *Scheduler) finishIfDone(j *job) {
+	if j.done {
+		return
+	}
+	var handles []string
+	for _, r := range j.runs {
+		if !r.complete() {
+			return
+		}
+		if len(r.next) > 0 {
+			continue
+		}
+		for i := range r.pieces {
+			handles = append(handles, r.pieces[i].handle)
+		}
+	}
+	j.done = true
+	s.acts.Done = append(s.acts.Done, Done{JobID: j.def.ID, Handles: handles})
+}
+
+func (r *run) free(now time.Duration) {
+	if r.freed {
+		return
+	}
+	r.freed = true
+	for i := range r.pieces {
+		if p := &r.pieces[i]; p.handle != "" {
+			p.server.free(p.handle, r.bytes, now)
+		}
+	}
+}
+
+// drop ends a job: its results are freed and its pieces are not asked for.
+func (s *Scheduler) drop(j *job, now time.Duration) {
+	delete(s.jobs, j.def.ID)
+	for _, r := range j.runs {
+		r.free(now)
+		r.queued = nil
+		if r.pool != nil {
+			r.pool.remove(r)
+		}
+	}
+}
+
+func (s *Scheduler) refuse(j *job, now time.Duration, why Reason, expected time.Duration) {
+	s.acts.Refused = append(s.acts.Refused, Refused{
+		JobID: j.def.ID, Reason: why, RetryAfter: s.retryAfter(j, now), Expected: expected,
+	})
+}
--- /dev/null
+++ b/core/staging/server.go
@@ -0,0 +1,207 @@
+package staging
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// ratioWeight is the weight of the newest call in a server's slowness.
+	ratioWeight = 0.4
+	minRatio    = 0.3
+	maxRatio    = 20.0
+	// slowRatio is the slowness, relative to the fastest server of the pool, from
+	// which a server is used only when the others are behind.
+	slowRatio = 1.8
+	// forgetAfter is the time without calls after which a server's slowness halves.
+	forgetAfter = 2 * time.Second
+	// lateFactor and lateSlack tell from when a call's pieces are asked for elsewhere.
+	lateFactor = 2.0
+	lateSlack  = 250 * time.Millisecond
+	// firstPause doubles with each failure in a row, up to longestPause.
+	firstPause   = 300 * time.Millisecond
+	longestPause = 3 * time.Second
+	// fullPause is the time without calls after a server said that it is full or
+	// has no memory.
+	fullPause = 80 * time.Millisecond
+	// freeDelay is how long freed results are gathered for one call.
+	freeDelay = 25 * time.Millisecond
+	// freeBatch is the number of freed results that are sent at once.
+	freeBatch = 32
+)
+
+// pool is the servers of one service.
+type pool struct {
+	name    string
+	spec    Spec
+	servers []*server
+	// runs are the runs with pieces to be asked for.
+	runs []*run
+}
+
+func (p *pool) member(def Server) *server {
+	for _, m := range p.servers {
+		if m.def == def {
+			return m
+		}
+	}
+	return &server{def: def, pool: p, ratio: 1}
+}
+
+func (p *pool) remove(r *run) {
+	if i := slices.Index(p.runs, r); i >= 0 {
+		p.runs = slices.Delete(p.runs, i, i+1)
+	}
+}
+
+// callTime is the time that a call of n pieces takes at a server of normal speed.
+func (p *pool) callTime(n int) time.Duration {
+	return p.spec.CallTime + time.Duration(n)*p.spec.ItemTime
+}
+
+// fastest is the least slowness of a usable server.
+func (p *pool) fastest(now time.Duration) float64 {
+	least := maxRatio
+	for _, m := range p.servers {
+		if m.usable(now) {
+			least = min(least, m.slowness(now))
+		}
+	}
+	return least
+}
+
+// rate is the number of pieces a second that the usable servers make in full calls.
+func (p *pool) rate(now time.Duration) float64 {
+	full := p.callTime(p.spec.Batch).Seconds()
+	var sum float64
+	for _, m := range p.servers {
+		if m.usable(now) {
+			sum += float64(p.spec.Batch*p.spec.Slots) / (full * m.slowness(now))
+		}
+	}
+	return sum
+}
+
+// server is a member of a pool with what its calls showed.
+type server struct {
+	def    Server
+	pool   *pool
+	listed bool
+	calls  []*call
+	// used is the size of the results kept or being made, in bytes.
+	used int64
+	// ratio is the time of its calls relative to the described one.
+	ratio   float64
+	lastEnd time.Duration
+	// failures counts failed calls in a row; no call starts before pausedUntil.
+	failures    int
+	pausedUntil time.Duration
+
+	frees     []string
+	freeSince time.Duration
+}
+
+// call is a call at work.
+type call struct {
+	id     uint64
+	server *server
+	items  []item
+	// begins and ends are the expected times of its turn and its end.
+	begins, ends time.Duration
+	// late calls have had their pieces asked for elsewhere.
+	late bool
+}
+
+type item struct {
+	run   *run
+	piece int
+}
+
+func (m *server) usable(now time.Duration) bool {
+	return m.listed && now >= m.pausedUntil && !m.hasLate()
+}
+
+func (m *server) hasLate() bool {
+	return slices.ContainsFunc(m.calls, func(c *call) bool { return c.late })
+}
+
+// slowness is the ratio, forgotten while the server has no calls.
+func (m *server) slowness(now time.Duration) float64 {
+	if m.ratio <= 1 || len(m.calls) > 0 {
+		return m.ratio
+	}
+	halves := float64(now-m.lastEnd) / float64(forgetAfter)
+	return max(1, m.ratio/(1+halves))
+}
+
+// freeAt is the expected time at which the server can begin another call.
+func (m *server) freeAt(now time.Duration) time.Duration {
+	if len(m.calls) < m.pool.spec.Slots {
+		return now
+	}
+	ends := make([]time.Duration, len(m.calls))
+	for i, c := range m.calls {
+		ends[i] = c.ends
+	}
+	slices.Sort(ends)
+	return max(now, ends[len(ends)-m.pool.spec.Slots])
+}
+
+// ended takes the end of a call.
+func (m *server) ended(c *call, now time.Duration, end CallEnd) {
+	if i := slices.Index(m.calls, c); i >= 0 {
+		m.calls = slices.Delete(m.calls, i, i+1)
+	}
+	switch end {
+	case Answered:
+		m.failures = 0
+		m.measure(c, now)
+	case Full:
+		m.pausedUntil = now + fullPause
+	default:
+		m.pausedUntil = now + min(firstPause<<min(m.failures, 6), longestPause)
+		m.failures++
+	}
+	m.lastEnd = now
+}
+
+func (m *server) measure(c *call, now time.Duration) {
+	described := m.pool.callTime(len(c.items))
+	took := now - max(c.begins, m.lastEnd)
+	if c.begins > now {
+		took = described
+	}
+	seen := min(max(float64(took)/float64(described), minRatio), maxRatio)
+	m.ratio += ratioWeight * (seen - m.ratio)
+}
+
+// noMemory takes the server's word that it has no memory for a result.
+func (m *server) noMemory(now time.Duration) { m.pausedUntil = now + fullPause }
+
+// free gathers a result to be given up.
+func (m *server) free(handle string, bytes int64, now time.Duration) {
+	m.used = max(0, m.used-bytes)
+	if len(m.frees) == 0 {
+		m.freeSince = now
+	}
+	m.frees = append(m.frees, handle)
+}
+
+// checkLate asks for the pieces of an overdue call elsewhere.
+func (s *Scheduler) checkLate(c *call, now time.Duration) {
+	if c.late {
+		return
+	}
+	described := c.server.pool.callTime(len(c.items))
+	limit := c.begins + max(time.Duration(lateFactor*float64(described)), described+lateSlack)
+	if now < limit {
+		return
+	}
+	c.late = true
+	for _, it := range c.items {
+		p := &it.run.pieces[it.piece]
+		if s.jobs[it.run.job.def.ID] == it.run.job && p.handle == "" && !it.run.freed && p.copies == 1 {
+			it.run.requeue(it.piece)
+		}
+	}
+}
--- /dev/null
+++ b/core/staging/staging.go
@@ -0,0 +1,283 @@
+// Package staging schedules the stages of requests on servers that make the
+// results of many pieces in one call and keep them in bounded memory. Pieces of
+// different requests share calls. It is a pure state machine: events and the time
+// go in, actions come out; the caller does all I/O.
+//
+// Invariants: a piece is asked for only when all results that it reads are held;
+// a result is freed once, after its last reader; the results that this scheduler
+// knows of at a server never exceed the server's memory.
+package staging
+
+import (
+	"time"
+)
+
+// Spec describes the servers of a pool; each value is per server.
+type Spec struct {
+	Slots, Batch       int
+	CallTime, ItemTime time.Duration
+	// Memory bounds the results kept, in bytes.
+	Memory int64
+}
+
+// Server is a member of a pool. Started tells two starts under one ID apart.
+type Server struct {
+	ID, Address, Zone string
+	Started           int64
+}
+
+// Stage is one stage of a request.
+type Stage struct {
+	Pool string
+	// After lists the stages whose results this one reads.
+	After []int
+	// Bytes is the approximate size of one result.
+	Bytes  int64
+	Pieces int
+}
+
+// Job is a request whose stages are to be run. Times count from a fixed start.
+type Job struct {
+	ID     string
+	Key    string
+	Stages []Stage
+	// Rank is 0 for the most urgent.
+	Rank int
+	// Due is the end of the objective, Deadline that of the caller's patience.
+	Due, Deadline time.Duration
+	// After is the time that the request takes once its stages are done.
+	After time.Duration
+	// Zone is the availability zone where the results will be read.
+	Zone string
+}
+
+// Item is one piece of a call.
+type Item struct {
+	JobID        string
+	Stage, Piece int
+	Key          string
+	Inputs       []string
+	Remaining    time.Duration
+}
+
+// Call is an action: make pieces at a server.
+type Call struct {
+	ID      uint64
+	Server  Server
+	Items   []Item
+	Timeout time.Duration
+	// Expected is the time that the call is expected to take.
+	Expected time.Duration
+}
+
+// Free is an action: give up results at a server.
+type Free struct {
+	Server  Server
+	Handles []string
+}
+
+// Done is an action: the stages of a job are complete.
+type Done struct {
+	JobID string
+	// Handles are the results that the request reads.
+	Handles []string
+}
+
+// Reason tells why a job was refused.
+type Reason uint8
+
+// The reasons.
+const (
+	// Overloaded: the stages would not end in time.
+	Overloaded Reason = iota + 1
+	// TooLate: the deadline can't be kept any more.
+	TooLate
+	// Failing: pieces failed too often.
+	Failing
+)
+
+// String returns the reason in words.
+func (r Reason) String() string {
+	return [...]string{"", "overloaded", "too late", "failing"}[r]
+}
+
+// Refused is an action: a job was given up; its request has not run.
+type Refused struct {
+	JobID  string
+	Reason Reason
+	// RetryAfter is when there is room again.
+	RetryAfter time.Duration
+	// Expected is the time to the expected end, for logs.
+	Expected time.Duration
+}
+
+// Actions are what the caller carries out.
+type Actions struct {
+	Calls   []Call
+	Frees   []Free
+	Done    []Done
+	Refused []Refused
+}
+
+// Outcome is what became of one piece of a call.
+type Outcome uint8
+
+// The outcomes of a piece.
+const (
+	Made Outcome = iota
+	Late
+	InputGone
+	NoMemory
+	Failed
+)
+
+// Result is the outcome of a piece, with its handle if it was made.
+type Result struct {
+	Outcome Outcome
+	Handle  string
+}
+
+// CallEnd tells how a call as a whole ended.
+type CallEnd uint8
+
+// The ends of a call.
+const (
+	// Answered calls have a result for each piece.
+	Answered CallEnd = iota
+	// Full: the server refused the call because it was full.
+	Full
+	// Gone: the server is another one or takes no connections.
+	Gone
+	// Broken: there was no whole answer; pieces may have been made.
+	Broken
+)
+
+// Scheduler runs the stages of jobs. It is not safe for concurrent use.
+type Scheduler struct {
+	pools    map[string]*pool
+	jobs     map[string]*job
+	calls    map[uint64]*call
+	lastCall uint64
+	acts     Actions
+}
+
+// New returns a scheduler without pools.
+func New() *Scheduler {
+	return &Scheduler{pools: map[string]*pool{}, jobs: map[string]*job{}, calls: map[uint64]*call{}}
+}
+
+// SetPool sets the description and the servers of a pool. Servers that are left
+// out get no new calls; their calls go on.
+func (s *Scheduler) SetPool(name string, spec Spec, servers []Server) {
+	p := s.pools[name]
+	if p == nil {
+		p = &pool{name: name}
+		s.pools[name] = p
+	}
+	p.spec = spec
+	kept := make([]*server, 0, len(servers))
+	for _, def := range servers {
+		kept = append(kept, p.member(def))
+	}
+	for _, old := range p.servers {
+		old.listed = false
+	}
+	for _, m := range kept {
+		m.listed = true
+	}
+	p.servers = kept
+}
+
+// Jobs returns the number of jobs that are not released.
+func (s *Scheduler) Jobs() int { return len(s.jobs) }
+
+// Submit takes a job, or refuses it if its stages would not end in time.
+func (s *Scheduler) Submit(now time.Duration, def Job) {
+	if s.jobs[def.ID] != nil {
+		return
+	}
+	j := s.newJob(def)
+	expected, ok := s.expect(j, now)
+	if !ok || !admissible(j, now, expected) {
+		s.refuse(j, now, Overloaded, expected)
+		return
+	}
+	s.jobs[def.ID] = j
+	for _, r := range j.runs {
+		if r.pool != nil && len(r.pieces) > 0 {
+			r.pool.runs = append(r.pool.runs, r)
+		}
+	}
+	s.finishIfDone(j)
+	s.dispatch(now)
+}
+
+// Release gives up the results of a job, which its request has read, or cancels it.
+func (s *Scheduler) Release(now time.Duration, jobID string) {
+	j := s.jobs[jobID]
+	if j == nil {
+		return
+	}
+	s.drop(j, now)
+	s.dispatch(now)
+}
+
+// CallDone takes the end of a call. results has one entry per piece if the call
+// was answered.
+func (s *Scheduler) CallDone(now time.Duration, id uint64, end CallEnd, results []Result) {
+	c := s.calls[id]
+	if c == nil {
+		return
+	}
+	delete(s.calls, id)
+	c.server.ended(c, now, end)
+	if end != Answered || len(results) != len(c.items) {
+		for _, it := range c.items {
+			s.repeat(it, c, now, end != Full)
+		}
+	} else {
+		for i, it := range c.items {
+			s.pieceDone(it, c, results[i], now)
+		}
+	}
+	s.dispatch(now)
+}
+
+// Tick starts what can be started and gives up what can't end in time.
+func (s *Scheduler) Tick(now time.Duration) {
+	for _, c := range s.calls {
+		s.checkLate(c, now)
+	}
+	for _, j := range s.jobs {
+		if !j.done && now+j.shortest() > j.def.Deadline {
+			s.refuse(j, now, TooLate, 0)
+			s.drop(j, now)
+		}
+	}
+	s.dispatch(now)
+}
+
+// Take returns the actions since the last call of Take.
+func (s *Scheduler) Take() Actions {
+	acts := s.acts
+	s.acts = Actions{}
+	return acts
+}
+
+// Idle tells whether there is nothing that needs ticks.
+func (s *Scheduler) Idle() bool {
+	if len(s.calls) > 0 {
+		return false
+	}
+	for _, p := range s.pools {
+		if len(p.runs) > 0 {
+			return false
+		}
+		for _, m := range p.servers {
+			if len(m.frees) > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,280 @@
+// Package gateway is the HTTP front door for clients that name a host and a path:
+// it finds the route, checks the customer's key, has the request placed, forwards
+// it, and relays the server's answer byte for byte.
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/magnoliawheel/magnoliawheel/core/budget"
+	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/routes"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+	"github.com/magnoliawheel/magnoliawheel/internal/peer"
+	"github.com/magnoliawheel/magnoliawheel/internal/planner"
+	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
+	"github.com/magnoliawheel/magnoliawheel/platform"
+)
+
+const (
+	// defaultWait bounds requests that name no deadline on routes without a timeout.
+	defaultWait = 30 * time.Second
+	// defaultBody bounds bodies where the configuration sets no limit.
+	defaultBody = 4 << 20
+	// bodyTimeout bounds the time in which a client must send its body.
+	bodyTimeout = 5 * time.Second
+	// staleAfter is the age of the configuration from which the entry does not
+	// answer for good that a route or a key does not exist.
+	staleAfter = 1500 * time.Millisecond
+	// keyShare is the part of a key's validity after which it is not honoured
+	// without word from the store; the rest covers the way to the server.
+	keyShare = 0.85
+	// readyShare is the part of a key's validity from which the entry asks for no
+	// new clients.
+	readyShare = 0.5
+	// unreadyRetry is when to come back to an entry that can't serve now.
+	unreadyRetry = 400 * time.Millisecond
+)
+
+// Config is what the gateway needs of the watcher of the configuration.
+type Config interface {
+	Table() *routes.Table
+	// Age is how long ago the store confirmed the table.
+	Age() time.Duration
+}
+
+// Servers is what the gateway needs of the watcher of the servers.
+type Servers interface {
+	Usable(service string) []platform.Server
+	Takes(id string) bool
+	Loaded() bool
+}
+
+// Options set up a Gateway.
+type Options struct {
+	Config   Config
+	Servers  Servers
+	Planner  *planner.Planner
+	Links    *peer.Links
+	Upstream *upstream.Client
+	Settings *platform.Settings
+	Log      logr.Logger
+	Scope    tally.Scope
+}
+
+// Gateway serves clients' requests.
+type Gateway struct {
+	Options
+	inFlight atomic.Int64
+	// stopAt is the time, by clock.Now, at which the gateway began to stop; 0 before.
+	stopAt atomic.Int64
+
+	mu      sync.Mutex
+	plain   *placement.Table
+	budgets map[string]*budget.Budget
+}
+
+// New returns a gateway.
+func New(o Options) *Gateway {
+	return &Gateway{Options: o, plain: placement.New(), budgets: map[string]*budget.Budget{}}
+}
+
+// request is a client's request on its way.
+type request struct {
+	platform.ClientRequest
+	route    *routes.Route
+	version  uint64
+	service  string
+	customer string
+	rank     int
+	arrived  time.Duration
+	// due is the end of the objective, deadline that of the client's patience or
+	// the route's timeout.
+	due, deadline time.Duration
+	keyed         bool
+	header        http.Header
+	method        string
+	target        string
+	host          string
+	body          []byte
+	tries         int
+	log           logr.Logger
+}
+
+func (r *request) remaining() time.Duration { return r.deadline - clock.Now() }
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	if g.stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	req, refusal := g.accept(w, hr)
+	if refusal != nil {
+		g.refuse(w, req, refusal)
+		return
+	}
+	ctx, cancel := context.WithTimeout(hr.Context(), req.remaining())
+	defer cancel()
+	g.count(req.service)
+	if req.route.Kind == routes.Stream {
+		g.serveStream(ctx, w, req)
+		return
+	}
+	g.servePlain(ctx, w, req)
+}
+
+// accept reads the request whole and checks it.
+func (g *Gateway) accept(w http.ResponseWriter, hr *http.Request) (*request, *refusal) {
+	arrived := clock.Now()
+	cr, err := platform.DecodeClientRequest(hr.Header)
+	req := &request{
+		ClientRequest: cr, arrived: arrived, header: hr.Header, method: hr.Method, target: hr.RequestURI, host: hr.Host,
+		log: g.Log.WithValues("request", cr.ID),
+	}
+	if err != nil {
+		return req, &refusal{status: http.StatusBadRequest, cause: err.Error()}
+	}
+	if r := g.match(req); r != nil {
+		return req, r
+	}
+	if r := g.readBody(w, hr, req); r != nil {
+		return req, r
+	}
+	return req, nil
+}
+
+// match finds the route and checks the key.
+func (g *Gateway) match(req *request) *refusal {
+	t := g.Config.Table()
+	if t == nil || !g.Servers.Loaded() {
+		return &refusal{status: http.StatusServiceUnavailable, after: unreadyRetry, cause: "no configuration yet"}
+	}
+	req.version = t.Version
+	path, _, _ := strings.Cut(req.target, "?")
+	route := t.Match(req.host, path)
+	if route == nil {
+		return g.unknown(http.StatusNotFound, "no such route")
+	}
+	req.route, req.rank = route, route.Priority
+	req.keyed = t.Keyed() && !route.Public
+	if req.keyed {
+		if r := g.checkKey(t, req); r != nil {
+			return r
+		}
+	}
+	wait := defaultWait
+	if req.Wait > 0 {
+		wait = req.Wait
+	}
+	if route.Timeout > 0 {
+		wait = min(wait, route.Timeout)
+	}
+	req.deadline = req.arrived + wait
+	req.due = req.arrived + route.Objective
+	req.service = route.Service(spread(req.ID))
+	return nil
+}
+
+func (g *Gateway) checkKey(t *routes.Table, req *request) *refusal {
+	if !g.keysValid() {
+		return &refusal{status: http.StatusServiceUnavailable, after: unreadyRetry, cause: "keys not confirmed by the store", close: true}
+	}
+	c := t.Customer(req.Key)
+	if c == nil {
+		return g.unknown(http.StatusUnauthorized, "unknown key")
+	}
+	req.customer = c.Name
+	if c.Priority != nil {
+		req.rank = *c.Priority
+	}
+	return nil
+}
+
+// keysValid tells whether the keys known are recent enough to be honoured.
+func (g *Gateway) keysValid() bool {
+	limit := g.Settings.KeyValidity
+	return limit == 0 || g.Config.Age() < time.Duration(keyShare*float64(limit))
+}
+
+// unknown answers for what the configuration does not have. An entry that may lack
+// a newer version does not say so for good.
+func (g *Gateway) unknown(status int, cause string) *refusal {
+	if g.Config.Age() > staleAfter {
+		return &refusal{status: http.StatusServiceUnavailable, after: unreadyRetry, cause: cause + " in a configuration that may be old"}
+	}
+	return &refusal{status: status, cause: cause}
+}
+
+func (g *Gateway) readBody(w http.ResponseWriter, hr *http.Request, req *request) *refusal {
+	limit := g.Config.Table().Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, limit))
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &refusal{status: http.StatusRequestEntityTooLarge, cause: "body too large"}
+	}
+	if err != nil {
+		return &refusal{status: http.StatusRequestTimeout, cause: "body not received: " + err.Error(), close: true}
+	}
+	req.body = body
+	return nil
+}
+
+// Ready tells whether the entry asks for new clients.
+func (g *Gateway) Ready() bool {
+	return g.CanPlan() && (g.Settings.KeyValidity == 0 || g.Config.Age() < time.Duration(readyShare*float64(g.Settings.KeyValidity)))
+}
+
+// CanPlan tells whether the entry can place requests for others.
+func (g *Gateway) CanPlan() bool {
+	return !g.stopping() && g.Config.Table() != nil && g.Servers.Loaded() && g.Config.Age() < time.Duration(readyShare*float64(max(g.Settings.KeyValidity, 4*time.Second)))
+}
+
+// spread maps an id to [0, 1).
+func spread(id string) float64 {
+	h := uint32(2166136261)
+	for i := range len(id) {
+		h = (h ^ uint32(id[i])) * 16777619
+	}
+	return float64(h) / (1 << 32)
+}
+
+// count counts a first call for the retry budget.
+func (g *Gateway) count(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(service).Request(clock.Now())
+}
+
+// mayRepeat takes one repeat out of the budget of a service.
+func (g *Gateway) mayRepeat(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(service).Repeat(clock.Now())
+}
+
+func (g *Gateway) budget(service string) *budget.Budget {
+	b := g.budgets[service]
+	if b == nil {
+		b = budget.New(budget.Options(g.Settings.Retry))
+		g.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/internal/gateway/place.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/staging"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+	"github.com/magnoliawheel/magnoliawheel/internal/peer"
+	"github.com/magnoliawheel/magnoliawheel/internal/planner"
+)
+
+// place has a request placed by the entry that places for all, or by this one if
+// there is none before it. When that entry is lost the next one is asked. The
+// function returned tells the placing entry what becomes of the request.
+func (g *Gateway) place(ctx context.Context, req *request, avoid []string) (planner.Placed, func(planner.Phase)) {
+	for {
+		pr := g.placementRequest(req, avoid)
+		link := g.Links.First()
+		by := "self"
+		if link != nil {
+			by = link.Name()
+		}
+		start := clock.Now()
+		placed, ok := g.placeBy(ctx, link, &pr)
+		progress := func(phase planner.Phase) { g.progress(link, req.ID, phase) }
+		if ok || ctx.Err() != nil {
+			req.log.Info("Placement.", "by", by, "server", placed.Server, "reason", placed.Reason, "took", clock.Now()-start, "stages", len(pr.Stages))
+			return placed, progress
+		}
+		req.log.Info("Placing entry lost.", "by", by, "waited", clock.Now()-start)
+	}
+}
+
+func (g *Gateway) progress(link *peer.Link, id string, phase planner.Phase) {
+	if link == nil {
+		g.Planner.Progress(id, phase)
+		return
+	}
+	link.Progress(id, phase)
+}
+
+type placedAnswer struct {
+	placed planner.Placed
+	ok     bool
+}
+
+// placeBy asks one entry; link is nil for this one. It returns false if the entry
+// was lost before it answered.
+func (g *Gateway) placeBy(ctx context.Context, link *peer.Link, pr *planner.Request) (planner.Placed, bool) {
+	answers := make(chan placedAnswer, 1)
+	if link == nil {
+		g.Planner.Place(*pr, func(p planner.Placed) { answers <- placedAnswer{p, true} })
+	} else {
+		link.Place(pr, func(p planner.Placed, ok bool) { answers <- placedAnswer{p, ok} })
+	}
+	select {
+	case a := <-answers:
+		return a.placed, a.ok
+	case <-ctx.Done():
+		return planner.Placed{}, false
+	}
+}
+
+func (g *Gateway) placementRequest(req *request, avoid []string) planner.Request {
+	now := clock.Now()
+	pr := planner.Request{
+		ID: req.ID, Key: req.PieceKey, Rank: req.rank, Due: req.due - now, Deadline: req.deadline - now,
+		Pool: req.service, Zone: g.Settings.Zone, MaxTokens: req.MaxTokens, Avoid: avoid,
+	}
+	for _, p := range req.Prompt {
+		pr.Parts = append(pr.Parts, placement.Part{ID: p.ID, Tokens: p.Tokens})
+	}
+	for i, st := range req.route.Stages {
+		pieces := 0
+		if i < len(req.Pieces) {
+			pieces = req.Pieces[i]
+		}
+		pr.Stages = append(pr.Stages, staging.Stage{Pool: st.Service, After: st.After, Bytes: st.Bytes, Pieces: pieces})
+	}
+	return pr
+}
+
+// Pools returns the servers that the planner uses, by the configuration in force.
+func (g *Gateway) Pools() []planner.Pool {
+	t := g.Config.Table()
+	if t == nil {
+		return nil
+	}
+	var all []planner.Pool
+	for _, svc := range t.Services() {
+		list := g.Servers.Usable(svc.Name)
+		pool := planner.Pool{Name: svc.Name}
+		if b := svc.Batch; b != nil {
+			pool.Spec = &staging.Spec{Slots: b.Slots, Batch: b.Size, CallTime: b.CallTime, ItemTime: b.ItemTime, Memory: b.Memory}
+			for _, s := range list {
+				pool.Stage = append(pool.Stage, staging.Server{ID: s.ID, Address: s.Address, Zone: s.Zone, Started: s.Started})
+			}
+		} else {
+			pool.Servers = placementServers(list)
+			for i := range pool.Servers {
+				if svc.Model != nil {
+					pool.Servers[i].Slots, pool.Servers[i].CacheTokens = svc.Model.Slots, svc.Model.CacheTokens
+				}
+			}
+		}
+		all = append(all, pool)
+	}
+	return all
+}
+
+// stoppingFor is the time since the gateway began to stop; 0 if it did not.
+func (g *Gateway) stoppingFor() time.Duration {
+	at := g.stopAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return clock.Now() - time.Duration(at)
+}
+
+func (g *Gateway) stopping() bool { return g.stopAt.Load() != 0 }
+
+// Stop makes the gateway take its last requests.
+func (g *Gateway) Stop() { g.stopAt.CompareAndSwap(0, int64(clock.Now())) }
+
+// InFlight returns the number of requests that are not answered.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,186 @@
+// Package node runs the process that stands between clients and servers on the
+// platform: the HTTP front door, its readiness, and the sessions with other entries.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/magnoliawheel/magnoliawheel/core/routes"
+	"github.com/magnoliawheel/magnoliawheel/internal/gateway"
+	"github.com/magnoliawheel/magnoliawheel/internal/peer"
+	"github.com/magnoliawheel/magnoliawheel/internal/planner"
+	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
+	"github.com/magnoliawheel/magnoliawheel/internal/watch"
+	"github.com/magnoliawheel/magnoliawheel/platform"
+)
+
+const (
+	// listenRetry is the time between two tries to listen; a process that was
+	// killed may hold its address for a moment.
+	listenRetry   = 100 * time.Millisecond
+	listenTries   = 30
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 64 << 10
+	// balancerLag is how long the balancer may send new clients after the entry
+	// said that it is not ready.
+	balancerLag = 3200 * time.Millisecond
+	// stopReserve is left of the grace when the process ends at the latest.
+	stopReserve = 500 * time.Millisecond
+	stopPoll    = 50 * time.Millisecond
+)
+
+// Options set up a Node.
+type Options struct {
+	Settings *platform.Settings
+	Log      logr.Logger
+	Scope    tally.Scope
+	// Metrics serves the metrics; it may be nil.
+	Metrics http.Handler
+}
+
+// Node is one entry.
+type Node struct {
+	opts     Options
+	store    *platform.Store
+	config   *watch.Config
+	servers  *watch.Servers
+	planner  *planner.Planner
+	links    *peer.Links
+	gateway  *gateway.Gateway
+	registry *registry
+}
+
+// New returns an entry that does not run yet.
+func New(o Options) *Node {
+	n := &Node{opts: o, store: platform.NewStore(o.Settings.StoreAddress)}
+	client := upstream.New()
+	n.servers = watch.NewServers(n.store, o.Log.WithName("servers"), n.poolsChanged)
+	n.config = watch.NewConfig(n.store, o.Log.WithName("config"), func(*routes.Table) { n.poolsChanged() })
+	stages := &gateway.Stages{Client: client, Takes: n.servers.Takes}
+	n.planner = planner.New(stages, o.Log.WithName("planner"))
+	n.links = peer.NewLinks(func() bool { return n.gateway.CanPlan() }, o.Log.WithName("peer"))
+	n.gateway = gateway.New(gateway.Options{
+		Config: n.config, Servers: n.servers, Planner: n.planner, Links: n.links, Upstream: client,
+		Settings: o.Settings, Log: o.Log.WithName("gateway"), Scope: o.Scope,
+	})
+	n.registry = &registry{
+		store: n.store, links: n.links, log: o.Log.WithName("registry"),
+		name: o.Settings.Node, address: n.peerAddress(),
+	}
+	return n
+}
+
+func (n *Node) poolsChanged() { n.planner.SetPools(n.gateway.Pools()) }
+
+func (n *Node) peerAddress() string {
+	return net.JoinHostPort(n.opts.Settings.IP, strconv.Itoa(n.opts.Settings.FirstPort))
+}
+
+func (n *Node) metricsAddress() string {
+	return net.JoinHostPort(n.opts.Settings.IP, strconv.Itoa(n.opts.Settings.FirstPort+1))
+}
+
+// Run serves until stop is closed and the last request is answered, or the grace
+// is over.
+func (n *Node) Run(stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	peers, err := listen(n.peerAddress())
+	if err != nil {
+		return err
+	}
+	clients, err := listen(n.opts.Settings.ClientAddress)
+	if err != nil {
+		return err
+	}
+	ready, err := listen(n.opts.Settings.ReadinessAddress)
+	if err != nil {
+		return err
+	}
+	go n.config.Run(ctx)
+	go n.servers.Run(ctx)
+	go n.planner.Run(ctx)
+	go n.links.Run(ctx)
+	go n.registry.run(ctx)
+	ps := peer.NewServer(n.planner, n.gateway.CanPlan, n.opts.Log.WithName("peer"))
+	go func() { _ = ps.Serve(ctx, peers) }()
+	go func() { _ = http.Serve(ready, n.readiness()) }()
+	n.serveMetrics()
+	srv := n.clientServer()
+	go func() { _ = srv.Serve(clients) }()
+	n.opts.Log.Info("Entry started.", "node", n.opts.Settings.Node, "zone", n.opts.Settings.Zone, "clients", n.opts.Settings.ClientAddress)
+	<-stop
+	n.drain(srv)
+	return nil
+}
+
+func (n *Node) clientServer() *http.Server {
+	return &http.Server{
+		Handler: n.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+func (n *Node) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !n.gateway.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (n *Node) serveMetrics() {
+	if n.opts.Metrics == nil {
+		return
+	}
+	lis, err := listen(n.metricsAddress())
+	if err != nil {
+		n.opts.Log.Error(err, "Metrics not served.")
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", n.opts.Metrics)
+	go func() { _ = http.Serve(lis, mux) }()
+}
+
+// drain answers what the entry has, and what still comes while the balancer learns
+// that it stops.
+func (n *Node) drain(srv *http.Server) {
+	n.gateway.Stop()
+	n.registry.leave()
+	begin := time.Now()
+	n.opts.Log.Info("Entry stops.", "requests", n.gateway.InFlight())
+	latest := n.opts.Settings.Grace - stopReserve
+	for time.Since(begin) < latest {
+		if time.Since(begin) >= balancerLag && n.gateway.InFlight() == 0 && n.planner.Jobs() == 0 {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	srv.SetKeepAlivesEnabled(false)
+	n.opts.Log.Info("Entry stopped.", "requests", n.gateway.InFlight(), "after", time.Since(begin))
+}
+
+// listen listens on an address that may be held for a moment.
+func listen(address string) (net.Listener, error) {
+	var err error
+	for range listenTries {
+		var lis net.Listener
+		if lis, err = net.Listen("tcp", address); err == nil {
+			return lis, nil
+		}
+		time.Sleep(listenRetry)
+	}
+	return nil, errors.Wrapf(err, "listen on %s", address)
+}
--- /dev/null
+++ b/internal/node/registry.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/peer"
+	"github.com/magnoliawheel/magnoliawheel/platform"
+)
+
+const (
+	// registerRetry is the time between two tries to register.
+	registerRetry = 300 * time.Millisecond
+	// registryPause is the time between two looks at the other entries. An entry
+	// needs to know only those registered before it, which it learns at its start;
+	// the later looks remove those that left.
+	registryPause = 15 * time.Second
+	leaveTimeout  = 500 * time.Millisecond
+)
+
+// registration is the record of an entry in the store.
+type registration struct {
+	Address string `json:"address"`
+	// Start tells two starts of one entry apart.
+	Start int64 `json:"start"`
+}
+
+// registry keeps the entry's record and learns the entries registered before it.
+// The order is that of the records' offsets: it is the same for all entries, and a
+// restarted entry comes last.
+type registry struct {
+	store   *platform.Store
+	links   *peer.Links
+	log     logr.Logger
+	name    string
+	address string
+}
+
+func (r *registry) run(ctx context.Context) {
+	start := time.Now().UnixNano()
+	value, err := json.Marshal(registration{Address: r.address, Start: start})
+	if err != nil {
+		r.log.Error(err, "Entry not registered.")
+		return
+	}
+	for ctx.Err() == nil {
+		if _, err := r.store.AppendKeyed(ctx, platform.EntriesTopic, r.name, value, platform.Condition{}); err == nil {
+			break
+		}
+		pause(ctx, registerRetry)
+	}
+	for ctx.Err() == nil {
+		wait := registryPause
+		if !r.look(ctx, start) {
+			wait = registerRetry
+		}
+		pause(ctx, wait)
+	}
+}
+
+// look reads the records; false if the store did not answer.
+func (r *registry) look(ctx context.Context, start int64) bool {
+	records, _, err := r.store.Newest(ctx, platform.EntriesTopic)
+	if err != nil {
+		return false
+	}
+	var own int64 = -1
+	entries := make([]peer.Entry, 0, len(records))
+	for _, rec := range records {
+		var reg registration
+		if err := json.Unmarshal(rec.Value, &reg); err != nil {
+			r.log.Info("Entry's record not understood.", "entry", rec.Key, "cause", err.Error())
+			continue
+		}
+		if rec.Key == r.name {
+			if reg.Start == start {
+				own = rec.Offset
+			}
+			continue
+		}
+		entries = append(entries, peer.Entry{Name: rec.Key, Address: reg.Address, Order: rec.Offset})
+	}
+	if own < 0 {
+		// A late write of an earlier start of this entry; the own one follows.
+		return false
+	}
+	before := entries[:0]
+	for _, e := range entries {
+		if e.Order < own {
+			before = append(before, e)
+		}
+	}
+	r.log.Info("Entries known.", "before", len(before), "order", own)
+	r.links.SetEntries(before)
+	return true
+}
+
+// leave drops the entry's record.
+func (r *registry) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if _, err := r.store.AppendKeyed(ctx, platform.EntriesTopic, r.name, nil, platform.Condition{}); err != nil {
+		r.log.Info("Entry's record not dropped.", "cause", err.Error())
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/peer/links.go
@@ -0,0 +1,284 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/peer/peerpb"
+	"github.com/magnoliawheel/magnoliawheel/internal/planner"
+)
+
+const (
+	// liveLinks is the number of entries to which an entry keeps sessions: the first
+	// ones in order that answer.
+	liveLinks = 2
+	// redialAfter is the time between two tries to reach an entry; it doubles with
+	// each failure, up to longestRedial.
+	redialAfter   = 500 * time.Millisecond
+	longestRedial = 4 * time.Second
+	dialTimeout   = 600 * time.Millisecond
+	// settle is how long an entry that could not be reached must answer before it
+	// is used again.
+	settle = 500 * time.Millisecond
+)
+
+// Entry is another entry: its name, its address and its place in the order.
+type Entry struct {
+	Name, Address string
+	Order         int64
+}
+
+// Links keeps sessions to the entries that come before this one.
+type Links struct {
+	ready func() bool
+	log   logr.Logger
+
+	mu    sync.Mutex
+	links []*Link
+}
+
+// NewLinks returns links to no entry; ready tells whether this entry can plan.
+func NewLinks(ready func() bool, log logr.Logger) *Links { return &Links{ready: ready, log: log} }
+
+// SetEntries sets the entries that come before this one.
+func (l *Links) SetEntries(entries []Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var kept []*Link
+	for _, e := range entries {
+		i := slices.IndexFunc(l.links, func(k *Link) bool { return k.entry == e })
+		if i >= 0 {
+			kept = append(kept, l.links[i])
+			continue
+		}
+		kept = append(kept, &Link{entry: e, owner: l, pending: map[string]func(planner.Placed, bool){}})
+	}
+	for _, old := range l.links {
+		if !slices.Contains(kept, old) {
+			old.close()
+		}
+	}
+	slices.SortFunc(kept, func(a, b *Link) int { return int(a.entry.Order - b.entry.Order) })
+	l.links = kept
+}
+
+// Run keeps the sessions until ctx ends.
+func (l *Links) Run(ctx context.Context) {
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	for {
+		l.maintain(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// maintain dials the first entries in order until enough of them answer.
+func (l *Links) maintain(ctx context.Context) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	live := 0
+	for _, k := range l.links {
+		if live >= liveLinks {
+			k.close()
+			continue
+		}
+		if k.alive() {
+			live++
+			continue
+		}
+		k.dial(ctx)
+	}
+}
+
+// First returns the first entry that is ready to place requests, or nil if this
+// entry comes before all of them. If none is ready, and this one is not either, it
+// returns the first that is alive.
+func (l *Links) First() *Link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var first *Link
+	for _, k := range l.links {
+		if !k.usable() {
+			continue
+		}
+		if k.isReady() {
+			return k
+		}
+		if first == nil {
+			first = k
+		}
+	}
+	if l.ready() {
+		return nil
+	}
+	return first
+}
+
+// Link is the connection to one entry.
+type Link struct {
+	entry Entry
+	owner *Links
+
+	mu       sync.Mutex
+	session  *session
+	dialling bool
+	dialAt   time.Time
+	failures int
+	since    time.Time
+	again    bool
+	ready    bool
+	// pending holds what is called with the answer; false means that the link was lost.
+	pending map[string]func(planner.Placed, bool)
+}
+
+func (k *Link) alive() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.session != nil
+}
+
+func (k *Link) usable() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.session != nil && !k.session.silent() && (!k.again || time.Since(k.since) > settle)
+}
+
+func (k *Link) isReady() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ready
+}
+
+func (k *Link) close() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.session != nil {
+		k.session.cancel()
+	}
+}
+
+// Name returns the name of the entry.
+func (k *Link) Name() string { return k.entry.Name }
+
+// Place sends a request to the entry. reply is called once: with the answer, or
+// with false if the link was lost before.
+func (k *Link) Place(req *planner.Request, reply func(p planner.Placed, ok bool)) {
+	k.mu.Lock()
+	s := k.session
+	if s == nil {
+		k.mu.Unlock()
+		reply(planner.Placed{}, false)
+		return
+	}
+	k.pending[req.ID] = reply
+	k.mu.Unlock()
+	s.send(encodePlace(req))
+}
+
+// Progress tells the entry how far a request got.
+func (k *Link) Progress(id string, phase planner.Phase) {
+	k.mu.Lock()
+	s := k.session
+	if phase != planner.Started {
+		delete(k.pending, id)
+	}
+	k.mu.Unlock()
+	if s != nil {
+		s.send(encodeProgress(id, phase))
+	}
+}
+
+// dial starts a session unless one is being started.
+func (k *Link) dial(ctx context.Context) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.dialling || time.Now().Before(k.dialAt) {
+		return
+	}
+	k.dialling = true
+	go k.run(ctx)
+}
+
+func (k *Link) run(ctx context.Context) {
+	err := k.connect(ctx)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.dialling = false
+	if err != nil {
+		k.dialAt = time.Now().Add(min(redialAfter<<min(k.failures, 6), longestRedial))
+		k.failures++
+		k.again = true
+		return
+	}
+	k.failures = 0
+	k.dialAt = time.Now().Add(redialAfter)
+}
+
+// connect dials the entry and runs a session to its end. The error tells that
+// there was none.
+func (k *Link) connect(ctx context.Context) error {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	raw, err := d.DialContext(ctx, "tcp", k.entry.Address)
+	if err != nil {
+		return err
+	}
+	conn := drpcconn.New(raw)
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	st, err := peerpb.NewDRPCPlannerClient(conn).Session(ctx)
+	if err != nil {
+		return err
+	}
+	s := newSession(ctx, st)
+	k.mu.Lock()
+	k.session, k.since, k.ready = s, time.Now(), false
+	k.mu.Unlock()
+	k.owner.log.Info("Entry reached.", "entry", k.entry.Name, "order", k.entry.Order)
+	s.run(k.owner.ready, k.receive)
+	k.lost()
+	return nil
+}
+
+func (k *Link) receive(m *peerpb.Message) {
+	if st := m.GetStatus(); st != nil {
+		k.mu.Lock()
+		if k.ready != st.GetReady() {
+			k.owner.log.Info("Entry's state changed.", "entry", k.entry.Name, "ready", st.GetReady())
+		}
+		k.ready = st.GetReady()
+		k.mu.Unlock()
+	}
+	if p := m.GetPlaced(); p != nil {
+		k.mu.Lock()
+		reply := k.pending[p.GetId()]
+		delete(k.pending, p.GetId())
+		k.mu.Unlock()
+		if reply != nil {
+			reply(decodePlaced(p), true)
+		}
+	}
+}
+
+// lost answers all that is pending.
+func (k *Link) lost() {
+	k.mu.Lock()
+	k.session, k.again = nil, true
+	pending := k.pending
+	k.pending = map[string]func(planner.Placed, bool){}
+	k.mu.Unlock()
+	k.owner.log.Info("Entry lost.", "entry", k.entry.Name, "pending", len(pending))
+	for _, reply := range pending {
+		reply(planner.Placed{}, false)
+	}
+}
--- /dev/null
+++ b/internal/peer/session.go
@@ -0,0 +1,179 @@
+// Package peer connects entries: one of them places the requests of all, so that
+// their stages share calls. The entries are ordered by the offset at which each one
+// registered in the store; the first that is alive and ready places the requests.
+// Views may differ for a while; two entries that place at once use the same servers
+// less well, and break nothing.
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/staging"
+	"github.com/magnoliawheel/magnoliawheel/internal/peer/peerpb"
+	"github.com/magnoliawheel/magnoliawheel/internal/planner"
+)
+
+const (
+	// statusInterval is the time between two messages on a session without traffic.
+	statusInterval = 250 * time.Millisecond
+	// silence is how long a session may be silent before it is taken as lost: three
+	// statuses, and one more for a delayed one.
+	silence = 4 * statusInterval
+	// queued bounds the messages that wait to be sent; a session that is so far
+	// behind is lost.
+	queued = 1024
+)
+
+type stream interface {
+	drpc.Stream
+	Send(*peerpb.Message) error
+	Recv() (*peerpb.Message, error)
+}
+
+// session carries messages over a stream until it ends.
+type session struct {
+	stream stream
+	out    chan *peerpb.Message
+	cancel context.CancelFunc
+	ctx    context.Context
+
+	mu    sync.Mutex
+	heard time.Time
+}
+
+func newSession(ctx context.Context, s stream) *session {
+	ctx, cancel := context.WithCancel(ctx)
+	return &session{stream: s, out: make(chan *peerpb.Message, queued), ctx: ctx, cancel: cancel, heard: time.Now()}
+}
+
+// send queues a message; a session that can't take it ends.
+func (s *session) send(m *peerpb.Message) {
+	select {
+	case s.out <- m:
+	default:
+		s.cancel()
+	}
+}
+
+// run sends and receives until the stream breaks, goes silent or its context ends.
+// ready gives the status to send.
+func (s *session) run(ready func() bool, receive func(*peerpb.Message)) {
+	defer s.cancel()
+	go s.receive(receive)
+	go s.transmit(ready)
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	for !s.silent() {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *session) transmit(ready func() bool) {
+	defer s.cancel()
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	m := status(ready())
+	for s.stream.Send(m) == nil {
+		select {
+		case <-s.ctx.Done():
+			return
+		case m = <-s.out:
+		case <-ticker.C:
+			m = status(ready())
+		}
+	}
+}
+
+func (s *session) receive(take func(*peerpb.Message)) {
+	defer s.cancel()
+	for {
+		m, err := s.stream.Recv()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.heard = time.Now()
+		s.mu.Unlock()
+		take(m)
+	}
+}
+
+func (s *session) silent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.heard) > silence
+}
+
+func status(ready bool) *peerpb.Message {
+	return &peerpb.Message{Body: &peerpb.Message_Status{Status: &peerpb.Status{Ready: ready}}}
+}
+
+func encodePlace(r *planner.Request) *peerpb.Message {
+	p := &peerpb.Place{
+		Id: r.ID, Key: r.Key, Rank: uint32(r.Rank), DueMs: r.Due.Milliseconds(), DeadlineMs: r.Deadline.Milliseconds(),
+		Pool: r.Pool, Zone: r.Zone, MaxTokens: uint32(r.MaxTokens), Avoid: r.Avoid,
+	}
+	for _, st := range r.Stages {
+		m := &peerpb.Stage{Pool: st.Pool, Bytes: uint64(st.Bytes), Pieces: uint32(st.Pieces)}
+		for _, a := range st.After {
+			m.After = append(m.After, uint32(a))
+		}
+		p.Stages = append(p.Stages, m)
+	}
+	for _, part := range r.Parts {
+		p.Parts = append(p.Parts, &peerpb.Part{Id: part.ID, Tokens: uint32(part.Tokens)})
+	}
+	return &peerpb.Message{Body: &peerpb.Message_Place{Place: p}}
+}
+
+// decodePlace returns the request; false if its stages name each other wrongly.
+func decodePlace(p *peerpb.Place) (planner.Request, bool) {
+	r := planner.Request{
+		ID: p.GetId(), Key: p.GetKey(), Rank: int(p.GetRank()),
+		Due: milliseconds(p.GetDueMs()), Deadline: milliseconds(p.GetDeadlineMs()),
+		Pool: p.GetPool(), Zone: p.GetZone(), MaxTokens: int(p.GetMaxTokens()), Avoid: p.GetAvoid(),
+	}
+	for _, m := range p.GetStages() {
+		st := staging.Stage{Pool: m.GetPool(), Bytes: int64(m.GetBytes()), Pieces: int(m.GetPieces())}
+		for _, a := range m.GetAfter() {
+			if int(a) >= len(p.GetStages()) {
+				return r, false
+			}
+			st.After = append(st.After, int(a))
+		}
+		r.Stages = append(r.Stages, st)
+	}
+	for _, part := range p.GetParts() {
+		r.Parts = append(r.Parts, placement.Part{ID: part.GetId(), Tokens: int(part.GetTokens())})
+	}
+	return r, r.ID != ""
+}
+
+func encodePlaced(p planner.Placed) *peerpb.Message {
+	return &peerpb.Message{Body: &peerpb.Message_Placed{Placed: &peerpb.Placed{
+		Id: p.ID, Reason: uint32(p.Reason), RetryAfterMs: p.RetryAfter.Milliseconds(),
+		Inputs: p.Inputs, Server: p.Server, Address: p.Address,
+	}}}
+}
+
+func decodePlaced(p *peerpb.Placed) planner.Placed {
+	return planner.Placed{
+		ID: p.GetId(), Reason: staging.Reason(p.GetReason()), RetryAfter: milliseconds(p.GetRetryAfterMs()),
+		Inputs: p.GetInputs(), Server: p.GetServer(), Address: p.GetAddress(),
+	}
+}
+
+func encodeProgress(id string, phase planner.Phase) *peerpb.Message {
+	return &peerpb.Message{Body: &peerpb.Message_Progress{Progress: &peerpb.Progress{Id: id, Phase: peerpb.Phase(phase)}}}
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,286 @@
+// Package planner places requests: it runs their stages on servers that entries
+// share, and chooses the server that runs the request itself. It is the I/O around
+// core/staging and core/placement.
+package planner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/staging"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+)
+
+const (
+	// tick is the time between two looks at what can be started while there is work.
+	tick = 10 * time.Millisecond
+	// readGrace is how long the results of a request that was placed for a lost
+	// entry are kept, since its server may be about to read them.
+	readGrace = 2 * time.Second
+)
+
+// Stages carries out calls to the servers of stages.
+type Stages interface {
+	Make(ctx context.Context, c staging.Call) (staging.CallEnd, []staging.Result, error)
+	Free(ctx context.Context, f staging.Free) error
+}
+
+// Pool is a set of servers. Spec is set for servers of stages.
+type Pool struct {
+	Name    string
+	Spec    *staging.Spec
+	Stage   []staging.Server
+	Servers []placement.Server
+}
+
+// Request asks for the placement of one request. Due and Deadline are times left.
+type Request struct {
+	ID            string
+	Key           string
+	Stages        []staging.Stage
+	Rank          int
+	Due, Deadline time.Duration
+	Pool          string
+	Zone          string
+	Parts         []placement.Part
+	MaxTokens     int
+	Avoid         []string
+}
+
+// NoServer is the reason of a refusal when no server of the pool can be used.
+const NoServer staging.Reason = 100
+
+// Placed is the answer to a Request.
+type Placed struct {
+	ID string
+	// Reason is 0 if the request was placed.
+	Reason     staging.Reason
+	RetryAfter time.Duration
+	Inputs     []string
+	Server     string
+	Address    string
+}
+
+// Phase is how far a placed request got.
+type Phase uint8
+
+// The phases after the placement.
+const (
+	// Started requests have read their inputs.
+	Started Phase = iota + 1
+	Complete
+	Failed
+	Unreached
+	Cancelled
+)
+
+var phaseEnds = map[Phase]placement.End{
+	Complete: placement.Complete, Failed: placement.Failed,
+	Unreached: placement.Unreached, Cancelled: placement.Cancelled,
+}
+
+type waiting struct {
+	req   Request
+	reply func(Placed)
+	at    time.Duration
+}
+
+// Planner places requests. It is safe for concurrent use.
+type Planner struct {
+	stages Stages
+	log    logr.Logger
+
+	mu      sync.Mutex
+	sched   *staging.Scheduler
+	servers *placement.Table
+	waiting map[string]*waiting
+	wake    chan struct{}
+}
+
+// New returns a planner without pools.
+func New(stages Stages, log logr.Logger) *Planner {
+	return &Planner{
+		stages: stages, log: log, sched: staging.New(), servers: placement.New(),
+		waiting: map[string]*waiting{}, wake: make(chan struct{}, 1),
+	}
+}
+
+// Run keeps the planner going until ctx ends.
+func (p *Planner) Run(ctx context.Context) {
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.wake:
+		case <-timer.C:
+			p.step(func(now time.Duration) { p.sched.Tick(now) })
+		}
+		if !p.idle() {
+			timer.Reset(tick)
+		}
+	}
+}
+
+func (p *Planner) idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sched.Idle()
+}
+
+// SetPools sets the servers that can be used.
+func (p *Planner) SetPools(pools []Pool) {
+	p.step(func(time.Duration) {
+		for _, pool := range pools {
+			if pool.Spec != nil {
+				p.sched.SetPool(pool.Name, *pool.Spec, pool.Stage)
+			} else {
+				p.servers.SetServers(pool.Name, pool.Servers)
+			}
+		}
+	})
+}
+
+// Place places a request; reply is called once with the outcome, unless the
+// request is cancelled before.
+func (p *Planner) Place(req Request, reply func(Placed)) {
+	p.step(func(now time.Duration) {
+		p.sched.Release(now, req.ID)
+		p.waiting[req.ID] = &waiting{req: req, reply: reply, at: now}
+		parts := placementRequest(&req)
+		p.sched.Submit(now, staging.Job{
+			ID: req.ID, Key: req.Key, Stages: req.Stages, Rank: req.Rank,
+			Due: now + req.Due, Deadline: now + req.Deadline, After: placement.Expected(parts),
+			Zone: p.servers.Likely(now, parts),
+		})
+	})
+}
+
+// Progress takes how far a placed request got.
+func (p *Planner) Progress(id string, phase Phase) {
+	p.step(func(now time.Duration) {
+		if phase == Started {
+			p.servers.Started(now, id)
+			p.sched.Release(now, id)
+			return
+		}
+		delete(p.waiting, id)
+		p.servers.Finish(now, id, phaseEnds[phase])
+		p.sched.Release(now, id)
+	})
+}
+
+// Abandon ends a request whose entry was lost. Results that were handed out are
+// kept for a while.
+func (p *Planner) Abandon(id string) {
+	p.mu.Lock()
+	_, pending := p.waiting[id]
+	p.mu.Unlock()
+	if pending {
+		p.Progress(id, Cancelled)
+		return
+	}
+	time.AfterFunc(readGrace, func() { p.Progress(id, Cancelled) })
+}
+
+func placementRequest(req *Request) placement.Request {
+	return placement.Request{
+		ID: req.ID, Pool: req.Pool, Zone: req.Zone, Parts: req.Parts, MaxTokens: req.MaxTokens, Avoid: req.Avoid,
+	}
+}
+
+// step changes the state and carries out the actions that follow.
+func (p *Planner) step(change func(now time.Duration)) {
+	p.mu.Lock()
+	now := clock.Now()
+	change(now)
+	acts := p.sched.Take()
+	replies := p.replies(now, acts)
+	p.mu.Unlock()
+	for _, reply := range replies {
+		reply()
+	}
+	for _, c := range acts.Calls {
+		go p.make(c)
+	}
+	for _, f := range acts.Frees {
+		go p.free(f)
+	}
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// replies chooses the servers of the jobs that are done and returns the answers.
+func (p *Planner) replies(now time.Duration, acts staging.Actions) []func() {
+	var all []func()
+	answer := func(w *waiting, placed Placed) {
+		delete(p.waiting, placed.ID)
+		all = append(all, func() { w.reply(placed) })
+	}
+	for _, r := range acts.Refused {
+		if w := p.waiting[r.JobID]; w != nil {
+			p.log.Info("Request refused.", "request", r.JobID, "reason", r.Reason.String(),
+				"expected", r.Expected, "waited", now-w.at, "retry_after", r.RetryAfter, "jobs", p.sched.Jobs())
+			answer(w, Placed{ID: r.JobID, Reason: r.Reason, RetryAfter: r.RetryAfter})
+		}
+	}
+	for _, d := range acts.Done {
+		w := p.waiting[d.JobID]
+		if w == nil {
+			continue
+		}
+		srv, ok := p.servers.Choose(now, placementRequest(&w.req))
+		if !ok {
+			p.sched.Release(now, d.JobID)
+			answer(w, Placed{ID: d.JobID, Reason: NoServer, RetryAfter: time.Second})
+			continue
+		}
+		p.log.Info("Request placed.", "request", d.JobID, "server", srv.ID, "waited", now-w.at, "results", len(d.Handles))
+		answer(w, Placed{ID: d.JobID, Inputs: d.Handles, Server: srv.ID, Address: srv.Address})
+	}
+	return all
+}
+
+// make carries out a call and takes its end.
+func (p *Planner) make(c staging.Call) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	start := clock.Now()
+	end, results, err := p.stages.Make(ctx, c)
+	took := clock.Now() - start
+	if end != staging.Answered {
+		p.log.Info("Stage call failed.", "call", c.ID, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "cause", errText(err))
+	} else {
+		p.log.V(1).Info("Stage call done.", "call", c.ID, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "expected", c.Expected)
+	}
+	p.step(func(now time.Duration) { p.sched.CallDone(now, c.ID, end, results) })
+}
+
+func (p *Planner) free(f staging.Free) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := p.stages.Free(ctx, f); err != nil {
+		p.log.V(1).Info("Results not given up.", "server", f.Server.ID, "results", len(f.Handles), "cause", errText(err))
+	}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// Jobs returns the number of requests whose stages run or whose results are kept.
+func (p *Planner) Jobs() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sched.Jobs()
+}
--- /dev/null
+++ b/internal/watch/config.go
@@ -0,0 +1,165 @@
+// Package watch follows the platform's records: the configuration and the servers.
+// What it knows never goes back to an older state.
+package watch
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/magnoliawheel/magnoliawheel/core/routes"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+	"github.com/magnoliawheel/magnoliawheel/platform"
+)
+
+const (
+	// configWait is how long a read of the configuration waits for a change.
+	configWait = 800 * time.Millisecond
+	// firstBackoff doubles with each failure in a row, up to longestBackoff.
+	firstBackoff   = 50 * time.Millisecond
+	longestBackoff = 500 * time.Millisecond
+)
+
+// Store is what the watchers need of the store.
+type Store interface {
+	Newest(ctx context.Context, topic string) ([]platform.KeyedRecord, int64, error)
+	ReadKeyed(ctx context.Context, topic string, from int64, wait time.Duration) ([]platform.KeyedRecord, int64, error)
+}
+
+// Config follows the configuration.
+type Config struct {
+	store   Store
+	log     logr.Logger
+	changed func(*routes.Table)
+	table   atomic.Pointer[routes.Table]
+	// contact is the time, by clock.Now, at which the newest successful read began.
+	contact atomic.Int64
+}
+
+// NewConfig returns a watcher; changed is called after each new version.
+func NewConfig(store Store, log logr.Logger, changed func(*routes.Table)) *Config {
+	return &Config{store: store, log: log, changed: changed}
+}
+
+// Table returns the newest version known, or nil.
+func (c *Config) Table() *routes.Table { return c.table.Load() }
+
+// Age returns how long ago the store confirmed the newest version known.
+func (c *Config) Age() time.Duration {
+	at := c.contact.Load()
+	if at == 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	return clock.Now() - time.Duration(at)
+}
+
+// Run follows the configuration until ctx ends.
+func (c *Config) Run(ctx context.Context) {
+	follow(ctx, follower{
+		store: c.store, topic: platform.ConfigTopic, wait: configWait, log: c.log,
+		take: c.take, done: func(start time.Duration) { c.contact.Store(int64(start)) },
+	})
+}
+
+func (c *Config) take(records []platform.KeyedRecord, _ bool) {
+	for _, rec := range records {
+		if rec.Key != platform.ConfigKey || rec.Dropped {
+			continue
+		}
+		t, err := platform.DecodeConfig(rec.Value)
+		if err != nil {
+			c.log.Error(err, "Configuration not understood.", "offset", rec.Offset)
+			continue
+		}
+		old := c.table.Load()
+		if old != nil && t.Version <= old.Version {
+			continue
+		}
+		c.table.Store(t)
+		c.log.Info("Configuration in force.", "version", t.Version, "offset", rec.Offset)
+		c.changed(t)
+	}
+}
+
+// follower reads one topic: first the newest record of each key, then what follows.
+type follower struct {
+	store Store
+	topic string
+	// wait is how long a read waits for records, pause the time between two reads.
+	wait, pause time.Duration
+	log         logr.Logger
+	// take takes records; whole is true if they are all that there is.
+	take func(records []platform.KeyedRecord, whole bool)
+	// done takes the time at which a successful read began.
+	done func(start time.Duration)
+	// failed, if set, takes the time of a failed read.
+	failed func(now time.Duration)
+}
+
+func follow(ctx context.Context, f follower) {
+	next := int64(-1)
+	backoff := firstBackoff
+	lost := false
+	for ctx.Err() == nil {
+		start := clock.Now()
+		var err error
+		next, err = f.read(ctx, next)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if !lost {
+				f.log.Info("Store lost.", "topic", f.topic, "cause", err.Error())
+			}
+			lost = true
+			if f.failed != nil {
+				f.failed(clock.Now())
+			}
+			sleep(ctx, backoff)
+			backoff = min(2*backoff, longestBackoff)
+			continue
+		}
+		if lost {
+			f.log.Info("Store regained.", "topic", f.topic)
+		}
+		lost, backoff = false, firstBackoff
+		f.done(start)
+		sleep(ctx, f.pause)
+	}
+}
+
+// read makes one read and returns the offset to go on from.
+func (f *follower) read(ctx context.Context, next int64) (int64, error) {
+	if next < 0 {
+		records, end, err := f.store.Newest(ctx, f.topic)
+		if err != nil {
+			return -1, err
+		}
+		f.take(records, true)
+		return end, nil
+	}
+	records, end, err := f.store.ReadKeyed(ctx, f.topic, next, f.wait)
+	if errors.Is(err, platform.ErrExpired) {
+		return f.read(ctx, -1)
+	}
+	if err != nil {
+		return next, err
+	}
+	f.take(records, false)
+	return end, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
