Order entries by their present start; let results of others lapse in the account of memory

A session now tells the order of the present start. Results that a lost planner left are taken to lapse over the time that servers keep them.

--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -155,7 +155,7 @@
 // batch picks the pieces of a call at a server.
 func (s *Scheduler) batch(m *server, waiting []*run, now time.Duration) []item {
 	var items []item
-	left := m.pool.spec.Memory - m.used
+	left := m.memoryLeft(now)
 	for _, r := range waiting {
 		if r.bytes > left || !r.job.started && !s.mayStart(r.job) {
 			continue
--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -150,13 +150,13 @@
 }
 
 func (s *Scheduler) pieceFailed(it item, c *call, outcome Outcome, now time.Duration) {
-	if outcome == NoMemory {
-		c.server.noMemory(now)
-	}
 	if outcome == InputGone && s.jobs[it.run.job.def.ID] == it.run.job {
 		s.remakeInputs(it.run, now)
 	}
 	s.repeat(it, c, now, outcome != NoMemory)
+	if outcome == NoMemory {
+		c.server.noMemory(now)
+	}
 }
 
 // repeat asks for a piece again unless another call is making it.
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -90,6 +90,10 @@
 	calls  []*call
 	// used is the size of the results kept or being made, in bytes.
 	used int64
+	// foreign is the size of the results that this scheduler does not know of, at
+	// foreignAt; they lapse one by one.
+	foreign   int64
+	foreignAt time.Duration
 	// ratio is the time of its calls relative to the described one.
 	ratio   float64
 	lastEnd time.Duration
@@ -175,8 +179,21 @@
 	m.ratio += ratioWeight * (seen - m.ratio)
 }
 
-// noMemory takes the server's word that it has no memory for a result.
-func (m *server) noMemory(now time.Duration) { m.pausedUntil = now + fullPause }
+// noMemory takes the server's word that it has no memory for a result: the rest is
+// taken by results of others.
+func (m *server) noMemory(now time.Duration) {
+	m.foreign = max(0, m.pool.spec.Memory-m.used)
+	m.foreignAt = now
+}
+
+// memoryLeft is the memory that can be claimed, in bytes.
+func (m *server) memoryLeft(now time.Duration) int64 {
+	left := m.pool.spec.Memory - m.used
+	if age := now - m.foreignAt; m.foreign > 0 && age < m.pool.spec.Keep {
+		left -= int64(float64(m.foreign) * (1 - float64(age)/float64(m.pool.spec.Keep)))
+	}
+	return left
+}
 
 // free gathers a result to be given up.
 func (m *server) free(handle string, bytes int64, now time.Duration) {
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -18,6 +18,8 @@
 	CallTime, ItemTime time.Duration
 	// Memory bounds the results kept, in bytes.
 	Memory int64
+	// Keep is how long a result that nobody gives up is kept.
+	Keep time.Duration
 }
 
 // Server is a member of a pool. Started tells two starts under one ID apart.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -93,7 +93,7 @@
 		list := g.Servers.Usable(svc.Name)
 		pool := planner.Pool{Name: svc.Name}
 		if b := svc.Batch; b != nil {
-			pool.Spec = &staging.Spec{Slots: b.Slots, Batch: b.Size, CallTime: b.CallTime, ItemTime: b.ItemTime, Memory: b.Memory}
+			pool.Spec = &staging.Spec{Slots: b.Slots, Batch: b.Size, CallTime: b.CallTime, ItemTime: b.ItemTime, Memory: b.Memory, Keep: b.Keep}
 			for _, s := range list {
 				pool.Stage = append(pool.Stage, staging.Server{ID: s.ID, Address: s.Address, Zone: s.Zone, Started: s.Started})
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,7 @@
 	config   *watch.Config
 	servers  *watch.Servers
 	planner  *planner.Planner
+	self     *peer.Self
 	links    *peer.Links
 	gateway  *gateway.Gateway
 	registry *registry
@@ -68,13 +69,14 @@
 	n.config = watch.NewConfig(n.store, o.Log.WithName("config"), func(*routes.Table) { n.poolsChanged() })
 	stages := &gateway.Stages{Client: client, Takes: n.servers.Takes}
 	n.planner = planner.New(stages, o.Log.WithName("planner"))
-	n.links = peer.NewLinks(func() bool { return n.gateway.CanPlan() }, o.Log.WithName("peer"))
+	n.self = &peer.Self{Ready: func() bool { return n.gateway.CanPlan() }}
+	n.links = peer.NewLinks(n.self, o.Log.WithName("peer"))
 	n.gateway = gateway.New(gateway.Options{
 		Config: n.config, Servers: n.servers, Planner: n.planner, Links: n.links, Upstream: client,
 		Settings: o.Settings, Log: o.Log.WithName("gateway"), Scope: o.Scope,
 	})
 	n.registry = &registry{
-		store: n.store, links: n.links, log: o.Log.WithName("registry"),
+		store: n.store, links: n.links, self: n.self, log: o.Log.WithName("registry"),
 		name: o.Settings.Node, address: n.peerAddress(),
 	}
 	return n
@@ -112,7 +114,7 @@
 	go n.planner.Run(ctx)
 	go n.links.Run(ctx)
 	go n.registry.run(ctx)
-	ps := peer.NewServer(n.planner, n.gateway.CanPlan, n.opts.Log.WithName("peer"))
+	ps := peer.NewServer(n.planner, n.self, n.opts.Log.WithName("peer"))
 	go func() { _ = ps.Serve(ctx, peers) }()
 	go func() { _ = http.Serve(ready, n.readiness()) }()
 	n.serveMetrics()
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -34,6 +34,7 @@
 type registry struct {
 	store   *platform.Store
 	links   *peer.Links
+	self    *peer.Self
 	log     logr.Logger
 	name    string
 	address string
@@ -94,6 +95,7 @@
 		}
 	}
 	r.log.Info("Entries known.", "before", len(before), "order", own)
+	r.self.Registered(own)
 	r.links.SetEntries(before)
 	return true
 }
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -36,15 +36,15 @@
 
 // Links keeps sessions to the entries that come before this one.
 type Links struct {
-	ready func() bool
-	log   logr.Logger
+	self *Self
+	log  logr.Logger
 
 	mu    sync.Mutex
 	links []*Link
 }
 
-// NewLinks returns links to no entry; ready tells whether this entry can plan.
-func NewLinks(ready func() bool, log logr.Logger) *Links { return &Links{ready: ready, log: log} }
+// NewLinks returns links to no entry.
+func NewLinks(self *Self, log logr.Logger) *Links { return &Links{self: self, log: log} }
 
 // SetEntries sets the entries that come before this one.
 func (l *Links) SetEntries(entries []Entry) {
@@ -92,11 +92,9 @@
 			k.close()
 			continue
 		}
-		if k.alive() {
+		if k.alive() || k.dial(ctx) {
 			live++
-			continue
 		}
-		k.dial(ctx)
 	}
 }
 
@@ -118,7 +116,7 @@
 			first = k
 		}
 	}
-	if l.ready() {
+	if l.self.Ready() {
 		return nil
 	}
 	return first
@@ -136,21 +134,26 @@
 	failures int
 	since    time.Time
 	again    bool
-	ready    bool
+	// ready and order are what the entry said last.
+	heard bool
+	ready bool
+	order int64
 	// pending holds what is called with the answer; false means that the link was lost.
 	pending map[string]func(planner.Placed, bool)
 }
 
+// alive tells whether there is a session with an entry that comes before this one.
+// At the address of an entry that was restarted there is one that comes later.
 func (k *Link) alive() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.session != nil
+	return k.session != nil && (!k.heard || k.owner.self.before(k.order))
 }
 
 func (k *Link) usable() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.session != nil && !k.session.silent() && (!k.again || time.Since(k.since) > settle)
+	return k.session != nil && !k.session.silent() && k.owner.self.before(k.order) && (!k.again || time.Since(k.since) > settle)
 }
 
 func (k *Link) isReady() bool {
@@ -198,15 +201,18 @@
 	}
 }
 
-// dial starts a session unless one is being started.
-func (k *Link) dial(ctx context.Context) {
+// dial starts a session unless there is one; false if it is not yet time to.
+func (k *Link) dial(ctx context.Context) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.dialling || time.Now().Before(k.dialAt) {
-		return
+	if k.session != nil || time.Now().Before(k.dialAt) {
+		return false
+	}
+	if !k.dialling {
+		k.dialling = true
+		go k.run(ctx)
 	}
-	k.dialling = true
-	go k.run(ctx)
+	return true
 }
 
 func (k *Link) run(ctx context.Context) {
@@ -242,10 +248,11 @@
 	}
 	s := newSession(ctx, st)
 	k.mu.Lock()
-	k.session, k.since, k.ready = s, time.Now(), false
+	k.session, k.since = s, time.Now()
+	k.heard, k.ready, k.order = false, false, 0
 	k.mu.Unlock()
 	k.owner.log.Info("Entry reached.", "entry", k.entry.Name, "order", k.entry.Order)
-	s.run(k.owner.ready, k.receive)
+	s.run(k.owner.self.status, k.receive)
 	k.lost()
 	return nil
 }
@@ -256,7 +263,7 @@
 		if k.ready != st.GetReady() {
 			k.owner.log.Info("Entry's state changed.", "entry", k.entry.Name, "ready", st.GetReady())
 		}
-		k.ready = st.GetReady()
+		k.heard, k.ready, k.order = true, st.GetReady(), st.GetOrder()
 		k.mu.Unlock()
 	}
 	if p := m.GetPlaced(); p != nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -16,13 +16,13 @@
 // Server places requests for other entries.
 type Server struct {
 	planner *planner.Planner
-	ready   func() bool
+	self    *Self
 	log     logr.Logger
 }
 
-// NewServer returns a server; ready tells whether this entry can plan.
-func NewServer(p *planner.Planner, ready func() bool, log logr.Logger) *Server {
-	return &Server{planner: p, ready: ready, log: log}
+// NewServer returns a server that places with p.
+func NewServer(p *planner.Planner, self *Self, log logr.Logger) *Server {
+	return &Server{planner: p, self: self, log: log}
 }
 
 // Serve accepts sessions until ctx ends.
@@ -42,7 +42,7 @@
 func (s *Server) Session(st peerpb.DRPCPlanner_SessionStream) error {
 	sess := newSession(st.Context(), st)
 	g := &guest{server: s, session: sess, open: map[string]bool{}}
-	sess.run(s.ready, g.receive)
+	sess.run(s.self.status, g.receive)
 	g.end()
 	return nil
 }
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc"
@@ -61,11 +62,11 @@
 }
 
 // run sends and receives until the stream breaks, goes silent or its context ends.
-// ready gives the status to send.
-func (s *session) run(ready func() bool, receive func(*peerpb.Message)) {
+// status gives the status to send.
+func (s *session) run(status func() *peerpb.Message, receive func(*peerpb.Message)) {
 	defer s.cancel()
 	go s.receive(receive)
-	go s.transmit(ready)
+	go s.transmit(status)
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
 	for !s.silent() {
@@ -77,18 +78,18 @@
 	}
 }
 
-func (s *session) transmit(ready func() bool) {
+func (s *session) transmit(status func() *peerpb.Message) {
 	defer s.cancel()
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
-	m := status(ready())
+	m := status()
 	for s.stream.Send(m) == nil {
 		select {
 		case <-s.ctx.Done():
 			return
 		case m = <-s.out:
 		case <-ticker.C:
-			m = status(ready())
+			m = status()
 		}
 	}
 }
@@ -113,8 +114,25 @@
 	return time.Since(s.heard) > silence
 }
 
-func status(ready bool) *peerpb.Message {
-	return &peerpb.Message{Body: &peerpb.Message_Status{Status: &peerpb.Status{Ready: ready}}}
+// Self is what an entry says of itself on all its sessions.
+type Self struct {
+	// Ready tells whether the entry can plan.
+	Ready func() bool
+	order atomic.Int64
+}
+
+// Registered sets the offset at which the entry registered in this start.
+func (s *Self) Registered(offset int64) { s.order.Store(offset + 1) }
+
+// before tells whether an entry with that order comes before this one. An entry
+// that is not registered comes last.
+func (s *Self) before(order int64) bool {
+	own := s.order.Load()
+	return order > 0 && (own == 0 || order < own)
+}
+
+func (s *Self) status() *peerpb.Message {
+	return &peerpb.Message{Body: &peerpb.Message_Status{Status: &peerpb.Status{Ready: s.Ready(), Order: s.order.Load()}}}
 }
 
 func encodePlace(r *planner.Request) *peerpb.Message {
