Make pieces in the zone where they are read while there is time to wait for it

The choice of the model server counts the bytes that would cross. Requests with long prompts come sooner in the order, since their time after the stages is longer.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -19,6 +19,9 @@
 	runningCostMS = 3.0
 	// zoneCostMS is the cost of another availability zone: its distance and traffic.
 	zoneCostMS = 40.0
+	// resultCostMS is the cost of reading a megabyte from another availability zone.
+	resultCostMS = 15.0
+	bytesPerMB   = 1e6
 	// failureCostMS is the cost of a server all of whose recent requests failed.
 	failureCostMS = 4000.0
 	// overdueCostMS is the cost of each request without a first event in time.
@@ -64,6 +67,8 @@
 	MaxTokens int
 	// Avoid lists servers that must not be chosen.
 	Avoid []string
+	// Results are the sizes in bytes, by availability zone, of what the server reads.
+	Results map[string]int64
 }
 
 // End tells how a placed request ended.
@@ -228,6 +233,11 @@
 	if s.def.Zone != r.Zone {
 		cost += zoneCostMS
 	}
+	for zone, bytes := range r.Results {
+		if zone != s.def.Zone {
+			cost += resultCostMS * float64(bytes) / bytesPerMB
+		}
+	}
 	if now < s.pausedUntil {
 		cost += fullCostMS
 	}
--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -19,8 +19,6 @@
 	memoryShare = 1.3
 	// callTimeout bounds a call.
 	callTimeout = 5 * time.Second
-	// zoneGain is how much later a batch may end to be made where it will be read.
-	zoneGain = 40 * time.Millisecond
 )
 
 // dispatch starts all calls that can be started.
@@ -58,7 +56,7 @@
 	for _, r := range waiting {
 		n += len(r.queued)
 	}
-	for _, m := range p.candidates(now, n, waiting[0].job.def.Zone) {
+	for _, m := range p.candidates(now, n) {
 		items := s.batch(m, waiting, now)
 		if len(items) > 0 {
 			s.begin(m, items, now)
@@ -105,13 +103,13 @@
 	if now+j.shortest()+j.def.After > j.def.Due {
 		u += missedPenalty
 	}
-	return u
+	return u - j.def.After
 }
 
 // candidates returns the servers that can begin a call now, the one that would end
 // it first in front. Slow servers are left out while the others can do the work
 // sooner.
-func (p *pool) candidates(now time.Duration, pieces int, zone string) []*server {
+func (p *pool) candidates(now time.Duration, pieces int) []*server {
 	fastest := p.fastest(now)
 	size := min(pieces, p.spec.Batch)
 	type option struct {
@@ -127,9 +125,6 @@
 		if m.slowness(now) > slowRatio*fastest && end > now+p.drainTime(pieces, m, now) {
 			continue
 		}
-		if zone != "" && m.def.Zone != zone {
-			end += zoneGain
-		}
 		options = append(options, option{m, end})
 	}
 	slices.SortFunc(options, func(a, b option) int {
@@ -156,8 +151,9 @@
 func (s *Scheduler) batch(m *server, waiting []*run, now time.Duration) []item {
 	var items []item
 	left := m.memoryLeft(now)
+	ahead := map[string]int{}
 	for _, r := range waiting {
-		if r.bytes > left || !r.job.started && !s.mayStart(r.job) {
+		if r.bytes > left || !r.job.started && !s.mayStart(r.job) || !r.mayLeaveZone(m, ahead, now) {
 			continue
 		}
 		for _, k := range r.queued {
@@ -213,6 +209,9 @@
 	c.begins = m.freeAt(now)
 	expected := time.Duration(float64(m.pool.callTime(len(items))) * m.slowness(now))
 	c.ends = c.begins + expected
+	for _, it := range items {
+		it.run.zone = cmp.Or(it.run.zone, m.def.Zone)
+	}
 	s.calls[c.id] = c
 	m.calls = append(m.calls, c)
 	act := Call{ID: c.id, Server: m.def, Timeout: callTimeout, Expected: c.ends - now}
--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -34,6 +34,8 @@
 	queued []int
 	made   int
 	freed  bool
+	// zone is where the first pieces were asked for.
+	zone string
 }
 
 // piece is one result of a run.
@@ -240,7 +242,7 @@
 		}
 	}
 	j.done = true
-	s.acts.Done = append(s.acts.Done, Done{JobID: j.def.ID, Handles: handles})
+	s.acts.Done = append(s.acts.Done, Done{JobID: j.def.ID, Handles: handles, Bytes: j.resultBytes()})
 }
 
 func (r *run) free(now time.Duration) {
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -83,6 +83,8 @@
 	JobID string
 	// Handles are the results that the request reads.
 	Handles []string
+	// Bytes are their sizes by availability zone.
+	Bytes map[string]int64
 }
 
 // Reason tells why a job was refused.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -236,7 +236,9 @@
 		if w == nil {
 			continue
 		}
-		srv, ok := p.servers.Choose(now, placementRequest(&w.req))
+		req := placementRequest(&w.req)
+		req.Results = d.Bytes
+		srv, ok := p.servers.Choose(now, req)
 		if !ok {
 			p.sched.Release(now, d.JobID)
 			answer(w, Placed{ID: d.JobID, Reason: NoServer, RetryAfter: time.Second})
