--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -65,6 +65,7 @@
 // Call is an action: make pieces at a server.
 type Call struct {
 	ID      uint64
+	Pool    string
 	Server  Server
 	Items   []Item
 	Timeout time.Duration
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -258,9 +258,9 @@
 	end, results, err := p.stages.Make(ctx, c)
 	took := clock.Now() - start
 	if end != staging.Answered {
-		p.log.Info("Stage call failed.", "call", c.ID, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "cause", errText(err))
+		p.log.Info("Stage call failed.", "call", c.ID, "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "cause", errText(err))
 	} else {
-		p.log.V(1).Info("Stage call done.", "call", c.ID, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "expected", c.Expected)
+		p.log.Info("Stage call done.", "call", c.ID, "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "expected", c.Expected)
 	}
 	p.step(func(now time.Duration) { p.sched.CallDone(now, c.ID, end, results) })
 }
