Go on with the results of a planner that is lost or stops; correct the admission by what jobs took

The planner now tells the asking entry each result; another planner takes them over, also from one that stops. Requests were taken though the stages took longer than expected: the expectation now follows the jobs that end, and what can't reach its objective is refused at once unless it is too large for it.

--- a/core/staging/admit.go
+++ b/core/staging/admit.go
@@ -6,9 +6,12 @@
 )
 
 const (
-	// lateShare is the part of the time to the deadline within which a job that
-	// can't reach its objective is still taken.
-	lateShare = 0.35
+	// waitShare is the part of the time to the objective that a job may wait though
+	// it can't reach its objective: it is too large for it.
+	waitShare = 0.25
+	// biasWeight is the weight of one job in the correction of expectations.
+	biasWeight  = 0.1
+	longestBias = time.Second
 	// shortestRetry and longestRetry bound when a refused caller is to come back.
 	shortestRetry = 200 * time.Millisecond
 	longestRetry  = 4 * time.Second
@@ -28,7 +31,16 @@
 		drain = max(drain, r.pool.backlog(j, now))
 	}
 	path = j.shortest()
-	return drain + path, true
+	return drain + path + s.bias, true
+}
+
+// learn corrects the expectation by a job that is done.
+func (s *Scheduler) learn(j *job, now time.Duration) {
+	if j.expected == 0 || len(j.def.Made) > 0 {
+		return
+	}
+	missed := now - j.submitted - j.expected
+	s.bias = min(max(0, s.bias+time.Duration(biasWeight*float64(missed))), longestBias)
 }
 
 // backlog is the time that the pool needs for the pieces of jobs that go before j.
@@ -55,14 +67,16 @@
 	return busy/time.Duration(max(usable, 1)) + time.Duration(float64(pieces)/rate*float64(time.Second))
 }
 
-// admissible tells whether a job with the expected time is worth taking.
-func admissible(j *job, now, expected time.Duration) bool {
-	end := now + expected + j.def.After
-	if end <= j.def.Due {
+// admissible tells whether a job with the expected time is worth taking: it reaches
+// its objective, or it would miss it hardly any less on idle servers.
+func (s *Scheduler) admissible(j *job, now, expected time.Duration) bool {
+	if now+expected+j.def.After > j.def.Deadline {
+		return false
+	}
+	if now+expected+j.def.After <= j.def.Due {
 		return true
 	}
-	left := j.def.Deadline - now
-	return expected+j.def.After <= time.Duration(lateShare*float64(left))
+	return expected-j.shortest() <= time.Duration(waitShare*float64(j.def.Due-now))
 }
 
 // retryAfter is when the work that waits now will be done, spread by the job's id
--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -18,7 +18,11 @@
 	runs    []*run
 	started bool
 	done    bool
+	// held jobs start no more calls.
+	held    bool
 	remakes int
+	// expected is the time that the stages were expected to take from submitted on.
+	submitted, expected time.Duration
 }
 
 // run is one stage of one job.
@@ -48,7 +52,7 @@
 }
 
 func (s *Scheduler) newJob(def Job) *job {
-	j := &job{def: def}
+	j := &job{def: def, started: len(def.Made) > 0}
 	for i, st := range def.Stages {
 		r := &run{job: j, stage: i, pool: s.pools[st.Pool], bytes: st.Bytes, pieces: make([]piece, st.Pieces)}
 		for k := range r.pieces {
@@ -65,6 +69,32 @@
 	return j
 }
 
+// takeMade takes the results that another scheduler had made, at servers that are
+// still listed.
+func (j *job) takeMade() {
+	for _, m := range j.def.Made {
+		if m.Stage < 0 || m.Stage >= len(j.runs) || m.Piece < 0 || m.Piece >= len(j.runs[m.Stage].pieces) {
+			continue
+		}
+		r := j.runs[m.Stage]
+		srv := r.pool.find(m.Server)
+		if srv == nil || r.pieces[m.Piece].handle != "" {
+			continue
+		}
+		r.pieces[m.Piece] = piece{handle: m.Handle, server: srv}
+		r.made++
+		r.unqueue(m.Piece)
+	}
+	for _, r := range j.runs {
+		r.freed = len(r.next) > 0 && len(r.pieces) > 0 && !slices.ContainsFunc(r.next, func(n *run) bool { return !n.complete() })
+		for i := range r.pieces {
+			if p := &r.pieces[i]; p.server != nil && !r.freed {
+				p.server.used += r.bytes
+			}
+		}
+	}
+}
+
 func (r *run) complete() bool { return r.made == len(r.pieces) }
 
 // ready tells whether the results that the run reads are all held.
@@ -90,6 +120,9 @@
 
 // requeue puts a piece back to be asked for, in the order of pieces.
 func (r *run) requeue(k int) {
+	if r.job.held {
+		return
+	}
 	at, found := slices.BinarySearch(r.queued, k)
 	if !found {
 		r.queued = slices.Insert(r.queued, at, k)
@@ -144,6 +177,7 @@
 		return
 	}
 	p.handle, p.server = res.Handle, c.server
+	s.noteMade(r, it.piece)
 	r.made++
 	r.unqueue(it.piece)
 	if r.complete() {
@@ -151,6 +185,15 @@
 	}
 }
 
+func (s *Scheduler) noteMade(r *run, k int) {
+	if s.acts.Made == nil {
+		s.acts.Made = map[string][]MadeResult{}
+	}
+	id := r.job.def.ID
+	p := &r.pieces[k]
+	s.acts.Made[id] = append(s.acts.Made[id], MadeResult{Stage: r.stage, Piece: k, Handle: p.handle, Server: p.server.def.ID})
+}
+
 func (s *Scheduler) pieceFailed(it item, c *call, outcome Outcome, now time.Duration) {
 	if outcome == InputGone && s.jobs[it.run.job.def.ID] == it.run.job {
 		s.remakeInputs(it.run, now)
@@ -222,10 +265,10 @@
 			a.free(now)
 		}
 	}
-	s.finishIfDone(r.job)
+	s.finishIfDone(r.job, now)
 }
 
-func (s *Scheduler) finishIfDone(j *job) {
+func (s *Scheduler) finishIfDone(j *job, now time.Duration) {
 	if j.done {
 		return
 	}
@@ -242,6 +285,7 @@
 		}
 	}
 	j.done = true
+	s.learn(j, now)
 	s.acts.Done = append(s.acts.Done, Done{JobID: j.def.ID, Handles: handles, Bytes: j.resultBytes()})
 }
 
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -48,6 +48,19 @@
 	return &server{def: def, pool: p, ratio: 1}
 }
 
+// find returns the listed server with that id, or nil.
+func (p *pool) find(id string) *server {
+	if p == nil {
+		return nil
+	}
+	for _, m := range p.servers {
+		if m.def.ID == id {
+			return m
+		}
+	}
+	return nil
+}
+
 func (p *pool) remove(r *run) {
 	if i := slices.Index(p.runs, r); i >= 0 {
 		p.runs = slices.Delete(p.runs, i, i+1)
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -51,6 +51,14 @@
 	After time.Duration
 	// Zone is the availability zone where the results will be read.
 	Zone string
+	// Made are results that another scheduler had made for the job.
+	Made []MadeResult
+}
+
+// MadeResult is one result of a job with the id of its maker.
+type MadeResult struct {
+	Stage, Piece   int
+	Handle, Server string
 }
 
 // Item is one piece of a call.
@@ -122,6 +130,8 @@
 	Frees   []Free
 	Done    []Done
 	Refused []Refused
+	// Made are the new results by job.
+	Made map[string][]MadeResult
 }
 
 // Outcome is what became of one piece of a call.
@@ -164,6 +174,8 @@
 	calls    map[uint64]*call
 	lastCall uint64
 	acts     Actions
+	// bias is how much longer jobs took lately than was expected.
+	bias time.Duration
 }
 
 // New returns a scheduler without pools.
@@ -203,17 +215,19 @@
 	}
 	j := s.newJob(def)
 	expected, ok := s.expect(j, now)
-	if !ok || !admissible(j, now, expected) {
+	if !ok || !j.started && !s.admissible(j, now, expected) {
 		s.refuse(j, now, Overloaded, expected)
 		return
 	}
+	j.submitted, j.expected = now, expected
 	s.jobs[def.ID] = j
+	j.takeMade()
 	for _, r := range j.runs {
-		if r.pool != nil && len(r.pieces) > 0 {
+		if len(r.queued) > 0 {
 			r.pool.runs = append(r.pool.runs, r)
 		}
 	}
-	s.finishIfDone(j)
+	s.finishIfDone(j, now)
 	s.dispatch(now)
 }
 
@@ -269,6 +283,42 @@
 	return acts
 }
 
+// Hold starts no more calls for a job: another scheduler will go on with it.
+func (s *Scheduler) Hold(jobID string) {
+	j := s.jobs[jobID]
+	if j == nil {
+		return
+	}
+	j.held = true
+	for _, r := range j.runs {
+		r.queued = nil
+	}
+}
+
+// Calling tells whether a call is making a piece of the job.
+func (s *Scheduler) Calling(jobID string) bool {
+	for _, c := range s.calls {
+		for _, it := range c.items {
+			if it.run.job.def.ID == jobID {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Forget ends a job without giving up its results, which another scheduler uses.
+func (s *Scheduler) Forget(jobID string) {
+	j := s.jobs[jobID]
+	if j == nil {
+		return
+	}
+	for _, r := range j.runs {
+		r.freed = true
+	}
+	s.drop(j, 0)
+}
+
 // Idle tells whether there is nothing that needs ticks.
 func (s *Scheduler) Idle() bool {
 	if len(s.calls) > 0 {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
@@ -15,24 +17,44 @@
 // there is none before it. When that entry is lost the next one is asked. The
 // function returned tells the placing entry what becomes of the request.
 func (g *Gateway) place(ctx context.Context, req *request, avoid []string) (planner.Placed, func(planner.Phase)) {
+	made := &madeResults{}
 	for {
 		pr := g.placementRequest(req, avoid)
+		pr.Made = made.all()
 		link := g.Links.First()
 		by := "self"
 		if link != nil {
 			by = link.Name()
 		}
 		start := clock.Now()
-		placed, ok := g.placeBy(ctx, link, &pr)
+		placed, ok := g.placeBy(ctx, link, &pr, made)
 		progress := func(phase planner.Phase) { g.progress(link, req.ID, phase) }
 		if ok || ctx.Err() != nil {
 			req.log.Info("Placement.", "by", by, "server", placed.Server, "reason", placed.Reason, "took", clock.Now()-start, "stages", len(pr.Stages))
 			return placed, progress
 		}
-		req.log.Info("Placing entry lost.", "by", by, "waited", clock.Now()-start)
+		req.log.Info("Placing entry lost.", "by", by, "waited", clock.Now()-start, "made", len(made.all()))
 	}
 }
 
+// madeResults gathers the results of one request while another entry places it.
+type madeResults struct {
+	mu      sync.Mutex
+	results []staging.MadeResult
+}
+
+func (m *madeResults) add(results []staging.MadeResult) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.results = append(m.results, results...)
+}
+
+func (m *madeResults) all() []staging.MadeResult {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.results)
+}
+
 func (g *Gateway) progress(link *peer.Link, id string, phase planner.Phase) {
 	if link == nil {
 		g.Planner.Progress(id, phase)
@@ -48,12 +70,12 @@
 
 // placeBy asks one entry; link is nil for this one. It returns false if the entry
 // was lost before it answered.
-func (g *Gateway) placeBy(ctx context.Context, link *peer.Link, pr *planner.Request) (planner.Placed, bool) {
+func (g *Gateway) placeBy(ctx context.Context, link *peer.Link, pr *planner.Request, made *madeResults) (planner.Placed, bool) {
 	answers := make(chan placedAnswer, 1)
 	if link == nil {
-		g.Planner.Place(*pr, func(p planner.Placed) { answers <- placedAnswer{p, true} })
+		g.Planner.Place(*pr, planner.Watcher{Placed: func(p planner.Placed) { answers <- placedAnswer{p, true} }})
 	} else {
-		link.Place(pr, func(p planner.Placed, ok bool) { answers <- placedAnswer{p, ok} })
+		link.Place(pr, func(p planner.Placed, ok bool) { answers <- placedAnswer{p, ok} }, made.add)
 	}
 	select {
 	case a := <-answers:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,7 +35,7 @@
 	// said that it is not ready.
 	balancerLag = 3200 * time.Millisecond
 	// stopReserve is left of the grace when the process ends at the latest.
-	stopReserve = 500 * time.Millisecond
+	stopReserve = 700 * time.Millisecond
 	stopPoll    = 50 * time.Millisecond
 )
 
@@ -160,7 +160,8 @@
 // that it stops.
 func (n *Node) drain(srv *http.Server) {
 	n.gateway.Stop()
-	n.registry.leave()
+	n.planner.Stop()
+	go n.registry.leave()
 	begin := time.Now()
 	n.opts.Log.Info("Entry stops.", "requests", n.gateway.InFlight())
 	latest := n.opts.Settings.Grace - stopReserve
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 	"storj.io/drpc/drpcconn"
 
+	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer/peerpb"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
 )
@@ -57,7 +58,7 @@
 			kept = append(kept, l.links[i])
 			continue
 		}
-		kept = append(kept, &Link{entry: e, owner: l, pending: map[string]func(planner.Placed, bool){}})
+		kept = append(kept, &Link{entry: e, owner: l, pending: map[string]*pending{}})
 	}
 	for _, old := range l.links {
 		if !slices.Contains(kept, old) {
@@ -135,11 +136,17 @@
 	since    time.Time
 	again    bool
 	// ready and order are what the entry said last.
-	heard bool
-	ready bool
-	order int64
-	// pending holds what is called with the answer; false means that the link was lost.
-	pending map[string]func(planner.Placed, bool)
+	heard   bool
+	ready   bool
+	order   int64
+	pending map[string]*pending
+}
+
+// pending is a request that the entry has not answered.
+type pending struct {
+	// reply takes the answer, or false if the link was lost.
+	reply func(planner.Placed, bool)
+	made  func([]staging.MadeResult)
 }
 
 // alive tells whether there is a session with an entry that comes before this one.
@@ -174,8 +181,8 @@
 func (k *Link) Name() string { return k.entry.Name }
 
 // Place sends a request to the entry. reply is called once: with the answer, or
-// with false if the link was lost before.
-func (k *Link) Place(req *planner.Request, reply func(p planner.Placed, ok bool)) {
+// with false if the link was lost before. made is called with new results.
+func (k *Link) Place(req *planner.Request, reply func(planner.Placed, bool), made func([]staging.MadeResult)) {
 	k.mu.Lock()
 	s := k.session
 	if s == nil {
@@ -183,7 +190,7 @@
 		reply(planner.Placed{}, false)
 		return
 	}
-	k.pending[req.ID] = reply
+	k.pending[req.ID] = &pending{reply, made}
 	k.mu.Unlock()
 	s.send(encodePlace(req))
 }
@@ -267,25 +274,42 @@
 		k.mu.Unlock()
 	}
 	if p := m.GetPlaced(); p != nil {
+		k.placed(decodePlaced(p))
+	}
+	if made := m.GetMade(); made != nil {
 		k.mu.Lock()
-		reply := k.pending[p.GetId()]
-		delete(k.pending, p.GetId())
+		w := k.pending[made.GetId()]
 		k.mu.Unlock()
-		if reply != nil {
-			reply(decodePlaced(p), true)
+		if w != nil {
+			w.made(decodeResults(made.GetResults()))
 		}
 	}
 }
 
+// placed takes an answer. An entry that hands requests over is not asked again
+// until it says that it is ready.
+func (k *Link) placed(p planner.Placed) {
+	k.mu.Lock()
+	w := k.pending[p.ID]
+	delete(k.pending, p.ID)
+	if p.Reason == planner.Moved {
+		k.ready = false
+	}
+	k.mu.Unlock()
+	if w != nil {
+		w.reply(p, p.Reason != planner.Moved)
+	}
+}
+
 // lost answers all that is pending.
 func (k *Link) lost() {
 	k.mu.Lock()
 	k.session, k.again = nil, true
-	pending := k.pending
-	k.pending = map[string]func(planner.Placed, bool){}
+	open := k.pending
+	k.pending = map[string]*pending{}
 	k.mu.Unlock()
-	k.owner.log.Info("Entry lost.", "entry", k.entry.Name, "pending", len(pending))
-	for _, reply := range pending {
-		reply(planner.Placed{}, false)
+	k.owner.log.Info("Entry lost.", "entry", k.entry.Name, "pending", len(open))
+	for _, w := range open {
+		w.reply(planner.Placed{}, false)
 	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer/peerpb"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
 )
@@ -85,16 +86,21 @@
 	}
 	g.open[req.ID] = true
 	g.mu.Unlock()
-	g.server.planner.Place(req, func(placed planner.Placed) {
-		if placed.Reason != 0 {
-			g.mu.Lock()
-			delete(g.open, placed.ID)
-			g.mu.Unlock()
-		}
-		g.session.send(encodePlaced(placed))
+	g.server.planner.Place(req, planner.Watcher{
+		Placed: g.placed,
+		Made:   func(made []staging.MadeResult) { g.session.send(encodeMade(req.ID, made)) },
 	})
 }
 
+func (g *guest) placed(p planner.Placed) {
+	if p.Reason != 0 {
+		g.mu.Lock()
+		delete(g.open, p.ID)
+		g.mu.Unlock()
+	}
+	g.session.send(encodePlaced(p))
+}
+
 // end abandons what was placed for the entry.
 func (g *guest) end() {
 	g.mu.Lock()
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -150,9 +150,30 @@
 	for _, part := range r.Parts {
 		p.Parts = append(p.Parts, &peerpb.Part{Id: part.ID, Tokens: uint32(part.Tokens)})
 	}
+	p.Made = encodeResults(r.Made)
 	return &peerpb.Message{Body: &peerpb.Message_Place{Place: p}}
 }
 
+func encodeResults(made []staging.MadeResult) []*peerpb.Result {
+	var all []*peerpb.Result
+	for _, m := range made {
+		all = append(all, &peerpb.Result{Stage: uint32(m.Stage), Piece: uint32(m.Piece), Handle: m.Handle, Server: m.Server})
+	}
+	return all
+}
+
+func decodeResults(results []*peerpb.Result) []staging.MadeResult {
+	var all []staging.MadeResult
+	for _, m := range results {
+		all = append(all, staging.MadeResult{Stage: int(m.GetStage()), Piece: int(m.GetPiece()), Handle: m.GetHandle(), Server: m.GetServer()})
+	}
+	return all
+}
+
+func encodeMade(id string, made []staging.MadeResult) *peerpb.Message {
+	return &peerpb.Message{Body: &peerpb.Message_Made{Made: &peerpb.Made{Id: id, Results: encodeResults(made)}}}
+}
+
 // decodePlace returns the request; false if its stages name each other wrongly.
 func decodePlace(p *peerpb.Place) (planner.Request, bool) {
 	r := planner.Request{
@@ -173,6 +194,7 @@
 	for _, part := range p.GetParts() {
 		r.Parts = append(r.Parts, placement.Part{ID: part.GetId(), Tokens: int(part.GetTokens())})
 	}
+	r.Made = decodeResults(p.GetMade())
 	return r, r.ID != ""
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -49,10 +49,25 @@
 	Parts         []placement.Part
 	MaxTokens     int
 	Avoid         []string
+	// Made are results that an entry which placed the request before had made.
+	Made []staging.MadeResult
 }
 
-// NoServer is the reason of a refusal when no server of the pool can be used.
-const NoServer staging.Reason = 100
+// Reasons besides those of package staging.
+const (
+	// NoServer: no server of the pool can be used.
+	NoServer staging.Reason = 100 + iota
+	// Moved: this entry stops; another one goes on with what was made.
+	Moved
+)
+
+// Watcher hears of one request.
+type Watcher struct {
+	// Placed is called once, unless the request is cancelled before.
+	Placed func(Placed)
+	// Made, if set, is called with new results.
+	Made func([]staging.MadeResult)
+}
 
 // Placed is the answer to a Request.
 type Placed struct {
@@ -84,9 +99,9 @@
 }
 
 type waiting struct {
-	req   Request
-	reply func(Placed)
-	at    time.Duration
+	req Request
+	w   Watcher
+	at  time.Duration
 }
 
 // Planner places requests. It is safe for concurrent use.
@@ -99,6 +114,7 @@
 	servers *placement.Table
 	waiting map[string]*waiting
 	wake    chan struct{}
+	stopped bool
 }
 
 // New returns a planner without pools.
@@ -146,17 +162,19 @@
 	})
 }
 
-// Place places a request; reply is called once with the outcome, unless the
-// request is cancelled before.
-func (p *Planner) Place(req Request, reply func(Placed)) {
+// Place places a request.
+func (p *Planner) Place(req Request, w Watcher) {
 	p.step(func(now time.Duration) {
 		p.sched.Release(now, req.ID)
-		p.waiting[req.ID] = &waiting{req: req, reply: reply, at: now}
+		p.waiting[req.ID] = &waiting{req: req, w: w, at: now}
+		if p.stopped && w.Made != nil {
+			return
+		}
 		parts := placementRequest(&req)
 		p.sched.Submit(now, staging.Job{
 			ID: req.ID, Key: req.Key, Stages: req.Stages, Rank: req.Rank,
 			Due: now + req.Due, Deadline: now + req.Deadline, After: placement.Expected(parts),
-			Zone: p.servers.Likely(now, parts),
+			Zone: p.servers.Likely(now, parts), Made: req.Made,
 		})
 	})
 }
@@ -222,7 +240,12 @@
 	var all []func()
 	answer := func(w *waiting, placed Placed) {
 		delete(p.waiting, placed.ID)
-		all = append(all, func() { w.reply(placed) })
+		all = append(all, func() { w.w.Placed(placed) })
+	}
+	for id, made := range acts.Made {
+		if w := p.waiting[id]; w != nil && w.w.Made != nil {
+			all = append(all, func() { w.w.Made(made) })
+		}
 	}
 	for _, r := range acts.Refused {
 		if w := p.waiting[r.JobID]; w != nil {
@@ -247,9 +270,35 @@
 		p.log.Info("Request placed.", "request", d.JobID, "server", srv.ID, "waited", now-w.at, "results", len(d.Handles))
 		answer(w, Placed{ID: d.JobID, Inputs: d.Handles, Server: srv.ID, Address: srv.Address})
 	}
+	if p.stopped {
+		p.moved(answer)
+	}
 	return all
 }
 
+// Stop hands the requests of other entries over: each is answered with Moved once
+// no call makes pieces of it. Those of this entry, for which no Made is set, go on.
+func (p *Planner) Stop() {
+	p.step(func(time.Duration) {
+		p.stopped = true
+		for id, w := range p.waiting {
+			if w.w.Made != nil {
+				p.sched.Hold(id)
+			}
+		}
+	})
+}
+
+// moved answers the requests that are handed over and that no call works for.
+func (p *Planner) moved(answer func(*waiting, Placed)) {
+	for id, w := range p.waiting {
+		if w.w.Made != nil && !p.sched.Calling(id) {
+			p.sched.Forget(id)
+			answer(w, Placed{ID: id, Reason: Moved})
+		}
+	}
+}
+
 // make carries out a call and takes its end.
 func (p *Planner) make(c staging.Call) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
