Count the memory of results as free once their server was told

Unknown results now lapse within 0.6 of the time that servers keep them. The log tells for each stage call how long its first piece waited and what memory is left. A process that stopped wrote a log line after the writer's end and panicked; the writer takes late lines now.

--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -42,8 +42,10 @@
 }
 
 func (s *Scheduler) flushServer(m *server) {
-	s.acts.Frees = append(s.acts.Frees, Free{Server: m.def, Handles: m.frees})
-	m.frees = nil
+	s.lastFree++
+	s.frees[s.lastFree] = pendingFree{m, m.freeing}
+	s.acts.Frees = append(s.acts.Frees, Free{ID: s.lastFree, Server: m.def, Handles: m.frees})
+	m.frees, m.freeing = nil, 0
 }
 
 // startCall starts the most urgent call of a pool; false if none can be started.
@@ -220,7 +222,9 @@
 		it.run.pieces[it.piece].copies++
 		m.used += it.run.bytes
 		act.Items = append(act.Items, it.action(now))
+		act.Waited = max(act.Waited, now-it.run.readySince(now))
 	}
+	act.MemoryLeft = m.memoryLeft(now)
 	s.acts.Calls = append(s.acts.Calls, act)
 }
 
--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -40,6 +40,8 @@
 	freed  bool
 	// zone is where the first pieces were asked for.
 	zone string
+	// completed is when the last piece was made.
+	completed time.Duration
 }
 
 // piece is one result of a run.
@@ -107,6 +109,15 @@
 	return true
 }
 
+// readySince is when the last result that the run reads was made.
+func (r *run) readySince(now time.Duration) time.Duration {
+	since := r.job.submitted
+	for _, a := range r.after {
+		since = max(since, a.completed)
+	}
+	return min(since, now)
+}
+
 // inputs returns the handles of all results that the run reads.
 func (r *run) inputs() []string {
 	var all []string
@@ -260,6 +271,7 @@
 // runComplete frees the results that have no reader left and ends the job if this
 // was its last run.
 func (s *Scheduler) runComplete(r *run, now time.Duration) {
+	r.completed = now
 	for _, a := range r.after {
 		if !slices.ContainsFunc(a.next, func(n *run) bool { return !n.complete() }) {
 			a.free(now)
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -21,6 +21,9 @@
 	// firstPause doubles with each failure in a row, up to longestPause.
 	firstPause   = 300 * time.Millisecond
 	longestPause = 3 * time.Second
+	// foreignShare is the part of the time for which servers keep results within
+	// which unknown ones are taken to lapse.
+	foreignShare = 0.6
 	// fullPause is the time without calls after a server said that it is full or
 	// has no memory.
 	fullPause = 80 * time.Millisecond
@@ -114,7 +117,9 @@
 	failures    int
 	pausedUntil time.Duration
 
+	// frees are the results to be given up, freeing their size in bytes.
 	frees     []string
+	freeing   int64
 	freeSince time.Duration
 }
 
@@ -202,19 +207,20 @@
 // memoryLeft is the memory that can be claimed, in bytes.
 func (m *server) memoryLeft(now time.Duration) int64 {
 	left := m.pool.spec.Memory - m.used
-	if age := now - m.foreignAt; m.foreign > 0 && age < m.pool.spec.Keep {
-		left -= int64(float64(m.foreign) * (1 - float64(age)/float64(m.pool.spec.Keep)))
+	lapse := foreignShare * float64(m.pool.spec.Keep)
+	if age := float64(now - m.foreignAt); m.foreign > 0 && age < lapse {
+		left -= int64(float64(m.foreign) * (1 - age/lapse))
 	}
 	return left
 }
 
-// free gathers a result to be given up.
+// free gathers a result to be given up. Its memory is taken until the server was told.
 func (m *server) free(handle string, bytes int64, now time.Duration) {
-	m.used = max(0, m.used-bytes)
 	if len(m.frees) == 0 {
 		m.freeSince = now
 	}
 	m.frees = append(m.frees, handle)
+	m.freeing += bytes
 }
 
 // checkLate asks for the pieces of an overdue call elsewhere.
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -77,12 +77,16 @@
 	Server  Server
 	Items   []Item
 	Timeout time.Duration
-	// Expected is the time that the call is expected to take.
-	Expected time.Duration
+	// Expected is the time that the call is expected to take, Waited how long its
+	// first piece waited for it since its inputs were there.
+	Expected, Waited time.Duration
+	// MemoryLeft is what the server has left for results after the call, in bytes.
+	MemoryLeft int64
 }
 
 // Free is an action: give up results at a server.
 type Free struct {
+	ID      uint64
 	Server  Server
 	Handles []string
 }
@@ -173,14 +177,24 @@
 	jobs     map[string]*job
 	calls    map[uint64]*call
 	lastCall uint64
+	frees    map[uint64]pendingFree
+	lastFree uint64
 	acts     Actions
 	// bias is how much longer jobs took lately than was expected.
 	bias time.Duration
 }
 
+// pendingFree is the size of results that a server is being told to give up.
+type pendingFree struct {
+	server *server
+	bytes  int64
+}
+
 // New returns a scheduler without pools.
 func New() *Scheduler {
-	return &Scheduler{pools: map[string]*pool{}, jobs: map[string]*job{}, calls: map[uint64]*call{}}
+	return &Scheduler{
+		pools: map[string]*pool{}, jobs: map[string]*job{}, calls: map[uint64]*call{}, frees: map[uint64]pendingFree{},
+	}
 }
 
 // SetPool sets the description and the servers of a pool. Servers that are left
@@ -262,6 +276,17 @@
 	s.dispatch(now)
 }
 
+// FreeDone takes the end of a Free: the memory is there again.
+func (s *Scheduler) FreeDone(now time.Duration, id uint64) {
+	f, ok := s.frees[id]
+	if !ok {
+		return
+	}
+	delete(s.frees, id)
+	f.server.used = max(0, f.server.used-f.bytes)
+	s.dispatch(now)
+}
+
 // Tick starts what can be started and gives up what can't end in time.
 func (s *Scheduler) Tick(now time.Duration) {
 	for _, c := range s.calls {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -309,7 +309,8 @@
 	if end != staging.Answered {
 		p.log.Info("Stage call failed.", "call", c.ID, "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "cause", errText(err))
 	} else {
-		p.log.Info("Stage call done.", "call", c.ID, "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "expected", c.Expected)
+		p.log.Info("Stage call done.", "call", c.ID, "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "expected", c.Expected,
+			"waited", c.Waited, "memory_left", c.MemoryLeft)
 	}
 	p.step(func(now time.Duration) { p.sched.CallDone(now, c.ID, end, results) })
 }
@@ -320,6 +321,7 @@
 	if err := p.stages.Free(ctx, f); err != nil {
 		p.log.V(1).Info("Results not given up.", "server", f.Server.ID, "results", len(f.Handles), "cause", errText(err))
 	}
+	p.step(func(now time.Duration) { p.sched.FreeDone(now, f.ID) })
 }
 
 func errText(err error) string {
--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -23,12 +23,13 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Uint64
-	done    chan struct{}
+	// stop ends the writer; done is closed once it ended.
+	stop, done chan struct{}
 }
 
 // NewAsyncWriter returns a writer in front of out. Close ends it.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	w := &AsyncWriter{out: out, lines: make(chan []byte, asyncLines), done: make(chan struct{})}
+	w := &AsyncWriter{out: out, lines: make(chan []byte, asyncLines), stop: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -46,9 +47,9 @@
 // Dropped returns the number of lines dropped.
 func (w *AsyncWriter) Dropped() uint64 { return w.dropped.Load() }
 
-// Close writes what waits, for at most the given time. Nothing may be written after it.
+// Close writes what waits, for at most the given time. Lines written later are lost.
 func (w *AsyncWriter) Close(limit time.Duration) {
-	close(w.lines)
+	close(w.stop)
 	select {
 	case <-w.done:
 	case <-time.After(limit):
@@ -58,7 +59,11 @@
 func (w *AsyncWriter) run() {
 	defer close(w.done)
 	var reported uint64
-	for line := range w.lines {
+	for {
+		line, ok := w.next()
+		if !ok {
+			return
+		}
 		buf := w.gather(line)
 		if n := w.dropped.Load(); n > reported {
 			buf = fmt.Appendf(buf, "{\"level\":\"WARN\",\"msg\":\"Log lines dropped.\",\"lines\":%d}\n", n-reported)
@@ -68,6 +73,21 @@
 	}
 }
 
+// next waits for a line; false if the writer is closed and none waits.
+func (w *AsyncWriter) next() ([]byte, bool) {
+	select {
+	case line := <-w.lines:
+		return line, true
+	case <-w.stop:
+	}
+	select {
+	case line := <-w.lines:
+		return line, true
+	default:
+		return nil, false
+	}
+}
+
 // gather joins the lines that wait to line.
 func (w *AsyncWriter) gather(line []byte) []byte {
 	buf := line
@@ -75,11 +95,10 @@
 	defer timer.Stop()
 	for len(buf) < asyncWrite {
 		select {
-		case next, ok := <-w.lines:
-			if !ok {
-				return buf
-			}
+		case next := <-w.lines:
 			buf = append(buf, next...)
+		case <-w.stop:
+			return buf
 		case <-timer.C:
 			return buf
 		}
