--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -290,6 +290,7 @@
 // Tick starts what can be started and gives up what can't end in time.
 func (s *Scheduler) Tick(now time.Duration) {
 	for _, c := range s.calls {
+		s.checkRead(c, now)
 		s.checkLate(c, now)
 	}
 	for _, j := range s.jobs {
