Let one planner place soon after all entries started anew; admit by memory

An entry now waits up to 0.7 s after its start to learn which entry comes first, and hands over what it places once such an entry is ready. The admission also counts the memory that the jobs taken claim.

--- a/core/staging/admit.go
+++ b/core/staging/admit.go
@@ -12,6 +12,8 @@
 	// biasWeight is the weight of one job in the correction of expectations.
 	biasWeight  = 0.1
 	longestBias = time.Second
+	// holdTime is the time for which a job claims memory.
+	holdTime = time.Second
 	// shortestRetry and longestRetry bound when a refused caller is to come back.
 	shortestRetry = 200 * time.Millisecond
 	longestRetry  = 4 * time.Second
@@ -31,7 +33,25 @@
 		drain = max(drain, r.pool.backlog(j, now))
 	}
 	path = j.shortest()
-	return drain + path + s.bias, true
+	return max(drain, s.memoryWait(j, now)) + path + s.bias, true
+}
+
+// memoryWait is the time until there is memory for the results of the job, which
+// started jobs and those of others claim.
+func (s *Scheduler) memoryWait(j *job, now time.Duration) time.Duration {
+	claimed := map[*pool]int64{}
+	for _, o := range s.jobs {
+		o.claim(claimed)
+	}
+	j.claim(claimed)
+	var wait time.Duration
+	for p, bytes := range claimed {
+		total := memoryShare * float64(p.memory(now))
+		if over := float64(bytes) - total; over > 0 {
+			wait = max(wait, time.Duration(over/max(total, 1)*float64(holdTime)))
+		}
+	}
+	return min(wait, longestRetry)
 }
 
 // learn corrects the expectation by a job that is done.
--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -155,7 +155,7 @@
 	left := m.memoryLeft(now)
 	ahead := map[string]int{}
 	for _, r := range waiting {
-		if r.bytes > left || !r.job.started && !s.mayStart(r.job) || !r.mayLeaveZone(m, ahead, now) {
+		if r.bytes > left || !r.job.started && !s.mayStart(r.job, now) || !r.mayLeaveZone(m, ahead, now) {
 			continue
 		}
 		for _, k := range r.queued {
@@ -174,7 +174,7 @@
 }
 
 // mayStart tells whether there is memory for the results of all stages of a job.
-func (s *Scheduler) mayStart(j *job) bool {
+func (s *Scheduler) mayStart(j *job, now time.Duration) bool {
 	claimed := map[*pool]int64{}
 	for _, o := range s.jobs {
 		if o.started {
@@ -184,7 +184,7 @@
 	own := map[*pool]int64{}
 	j.claim(own)
 	for p, bytes := range own {
-		total := p.spec.Memory * int64(len(p.servers))
+		total := p.memory(now)
 		if claimed[p] > 0 && float64(claimed[p]+bytes) > memoryShare*float64(total) {
 			return false
 		}
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -224,6 +224,15 @@
 	m.foreignAt = now
 }
 
+// memory is what the servers of the pool have for the results of this scheduler.
+func (p *pool) memory(now time.Duration) int64 {
+	var sum int64
+	for _, m := range p.servers {
+		sum += max(0, m.used+m.memoryLeft(now))
+	}
+	return sum
+}
+
 // memoryLeft is the memory that can be claimed, in bytes.
 func (m *server) memoryLeft(now time.Duration) int64 {
 	left := m.pool.spec.Memory - m.used
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -18,6 +18,7 @@
 // function returned tells the placing entry what becomes of the request.
 func (g *Gateway) place(ctx context.Context, req *request, avoid []string) (planner.Placed, func(planner.Phase)) {
 	made := &madeResults{}
+	g.Links.WaitSettled(ctx)
 	for {
 		pr := g.placementRequest(req, avoid)
 		pr.Made = made.all()
@@ -33,7 +34,7 @@
 			req.log.Info("Placement.", "by", by, "server", placed.Server, "reason", placed.Reason, "took", clock.Now()-start, "stages", len(pr.Stages))
 			return placed, progress
 		}
-		req.log.Info("Placing entry lost.", "by", by, "waited", clock.Now()-start, "made", len(made.all()))
+		req.log.Info("Placed by another entry now.", "by", by, "waited", clock.Now()-start, "made", len(made.all()))
 	}
 }
 
@@ -73,7 +74,10 @@
 func (g *Gateway) placeBy(ctx context.Context, link *peer.Link, pr *planner.Request, made *madeResults) (planner.Placed, bool) {
 	answers := make(chan placedAnswer, 1)
 	if link == nil {
-		g.Planner.Place(*pr, planner.Watcher{Placed: func(p planner.Placed) { answers <- placedAnswer{p, true} }})
+		g.Planner.Place(*pr, planner.Watcher{
+			Placed: func(p planner.Placed) { answers <- placedAnswer{p, p.Reason != planner.Moved} },
+			Made:   made.add, Own: true,
+		})
 	} else {
 		link.Place(pr, func(p planner.Placed, ok bool) { answers <- placedAnswer{p, ok} }, made.add)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,7 +112,7 @@
 	go n.config.Run(ctx)
 	go n.servers.Run(ctx)
 	go n.planner.Run(ctx)
-	go n.links.Run(ctx)
+	go n.links.Run(ctx, n.planner.HandOver)
 	go n.registry.run(ctx)
 	ps := peer.NewServer(n.planner, n.self, n.opts.Log.WithName("peer"))
 	go func() { _ = ps.Serve(ctx, peers) }()
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -19,6 +19,11 @@
 	// liveLinks is the number of entries to which an entry keeps sessions: the first
 	// ones in order that answer.
 	liveLinks = 2
+	// linksInterval is the time between two looks at the sessions.
+	linksInterval = 100 * time.Millisecond
+	// longestSettling bounds the time after the start of the process in which
+	// requests wait to learn which entry places them.
+	longestSettling = 700 * time.Millisecond
 	// redialAfter is the time between two tries to reach an entry; it doubles with
 	// each failure, up to longestRedial.
 	redialAfter   = 500 * time.Millisecond
@@ -40,12 +45,18 @@
 	self *Self
 	log  logr.Logger
 
+	// settled is closed once it is known which entries come first.
+	settled chan struct{}
+
 	mu    sync.Mutex
 	links []*Link
+	known bool
 }
 
 // NewLinks returns links to no entry.
-func NewLinks(self *Self, log logr.Logger) *Links { return &Links{self: self, log: log} }
+func NewLinks(self *Self, log logr.Logger) *Links {
+	return &Links{self: self, log: log, settled: make(chan struct{})}
+}
 
 // SetEntries sets the entries that come before this one.
 func (l *Links) SetEntries(entries []Entry) {
@@ -67,14 +78,24 @@
 	}
 	slices.SortFunc(kept, func(a, b *Link) int { return int(a.entry.Order - b.entry.Order) })
 	l.links = kept
+	l.known = true
 }
 
-// Run keeps the sessions until ctx ends.
-func (l *Links) Run(ctx context.Context) {
-	ticker := time.NewTicker(statusInterval)
+// Run keeps the sessions until ctx ends. first is called while another entry comes
+// first and is ready.
+func (l *Links) Run(ctx context.Context, first func()) {
+	begin := time.Now()
+	ticker := time.NewTicker(linksInterval)
 	defer ticker.Stop()
-	for {
+	for settled := false; ; {
 		l.maintain(ctx)
+		if !settled && (time.Since(begin) > longestSettling || l.decided()) {
+			settled = true
+			close(l.settled)
+		}
+		if k := l.First(); k != nil && k.isReady() {
+			first()
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -83,6 +104,34 @@
 	}
 }
 
+// WaitSettled waits after the start of the process until it is known which entries
+// come first, for a short time at most.
+func (l *Links) WaitSettled(ctx context.Context) {
+	select {
+	case <-l.settled:
+	case <-ctx.Done():
+	}
+}
+
+// decided tells whether the entries are known and the first of them answered or
+// can't be reached.
+func (l *Links) decided() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.known {
+		return false
+	}
+	for _, k := range l.links {
+		if !k.tried() {
+			return false
+		}
+		if k.usable() && k.isReady() {
+			return true
+		}
+	}
+	return true
+}
+
 // maintain dials the first entries in order until enough of them answer.
 func (l *Links) maintain(ctx context.Context) {
 	l.mu.Lock()
@@ -163,6 +212,13 @@
 	return k.session != nil && !k.session.silent() && k.owner.self.before(k.order) && (!k.again || time.Since(k.since) > settle)
 }
 
+// tried tells whether the entry answered, or could not be reached, or need not be.
+func (k *Link) tried() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.heard || k.failures > 0 || !k.dialling
+}
+
 func (k *Link) isReady() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -65,8 +65,10 @@
 type Watcher struct {
 	// Placed is called once, unless the request is cancelled before.
 	Placed func(Placed)
-	// Made, if set, is called with new results.
+	// Made is called with new results.
 	Made func([]staging.MadeResult)
+	// Own marks requests of this entry.
+	Own bool
 }
 
 // Placed is the answer to a Request.
@@ -102,6 +104,8 @@
 	req Request
 	w   Watcher
 	at  time.Duration
+	// moving requests are being handed over to another entry.
+	moving bool
 }
 
 // Planner places requests. It is safe for concurrent use.
@@ -166,8 +170,8 @@
 func (p *Planner) Place(req Request, w Watcher) {
 	p.step(func(now time.Duration) {
 		p.sched.Release(now, req.ID)
-		p.waiting[req.ID] = &waiting{req: req, w: w, at: now}
-		if p.stopped && w.Made != nil {
+		p.waiting[req.ID] = &waiting{req: req, w: w, at: now, moving: p.stopped && !w.Own}
+		if p.waiting[req.ID].moving {
 			return
 		}
 		parts := placementRequest(&req)
@@ -243,7 +247,7 @@
 		all = append(all, func() { w.w.Placed(placed) })
 	}
 	for id, made := range acts.Made {
-		if w := p.waiting[id]; w != nil && w.w.Made != nil {
+		if w := p.waiting[id]; w != nil {
 			all = append(all, func() { w.w.Made(made) })
 		}
 	}
@@ -270,29 +274,39 @@
 		p.log.Info("Request placed.", "request", d.JobID, "server", srv.ID, "waited", now-w.at, "results", len(d.Handles))
 		answer(w, Placed{ID: d.JobID, Inputs: d.Handles, Server: srv.ID, Address: srv.Address})
 	}
-	if p.stopped {
-		p.moved(answer)
-	}
+	p.moved(answer)
 	return all
 }
 
-// Stop hands the requests of other entries over: each is answered with Moved once
-// no call makes pieces of it. Those of this entry, for which no Made is set, go on.
+// Stop hands the requests of other entries over. Those of this entry go on: it may
+// know no entry that comes after it.
 func (p *Planner) Stop() {
 	p.step(func(time.Duration) {
 		p.stopped = true
-		for id, w := range p.waiting {
-			if w.w.Made != nil {
-				p.sched.Hold(id)
-			}
-		}
+		p.handOver(func(w *waiting) bool { return !w.w.Own })
 	})
 }
 
+// HandOver hands all requests over, to an entry that comes before this one.
+func (p *Planner) HandOver() {
+	p.step(func(time.Duration) { p.handOver(func(*waiting) bool { return true }) })
+}
+
+// handOver starts no more calls for the requests that which names. Each is answered
+// with Moved once no call makes pieces of it.
+func (p *Planner) handOver(which func(*waiting) bool) {
+	for id, w := range p.waiting {
+		if !w.moving && which(w) {
+			w.moving = true
+			p.sched.Hold(id)
+		}
+	}
+}
+
 // moved answers the requests that are handed over and that no call works for.
 func (p *Planner) moved(answer func(*waiting, Placed)) {
 	for id, w := range p.waiting {
-		if w.w.Made != nil && !p.sched.Calling(id) {
+		if w.moving && !p.sched.Calling(id) {
 			p.sched.Forget(id)
 			answer(w, Placed{ID: id, Reason: Moved})
 		}
