--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -51,6 +51,8 @@
 	After time.Duration
 	// Zone is the availability zone where the results will be read.
 	Zone string
+	// Owner names who asked for the job.
+	Owner string
 	// Made are results that another scheduler had made for the job.
 	Made []MadeResult
 }
@@ -345,6 +347,35 @@
 	s.drop(j, 0)
 }
 
+// Held returns the results that servers keep for jobs, by owner of the job.
+func (s *Scheduler) Held() map[string][]Free {
+	held := map[string]map[Server][]string{}
+	for _, j := range s.jobs {
+		byServer := held[j.def.Owner]
+		if byServer == nil {
+			byServer = map[Server][]string{}
+			held[j.def.Owner] = byServer
+		}
+		for _, r := range j.runs {
+			if r.freed {
+				continue
+			}
+			for i := range r.pieces {
+				if p := &r.pieces[i]; p.handle != "" {
+					byServer[p.server.def] = append(byServer[p.server.def], p.handle)
+				}
+			}
+		}
+	}
+	all := map[string][]Free{}
+	for owner, byServer := range held {
+		for srv, handles := range byServer {
+			all[owner] = append(all[owner], Free{Server: srv, Handles: handles})
+		}
+	}
+	return all
+}
+
 // Idle tells whether there is nothing that needs ticks.
 func (s *Scheduler) Idle() bool {
 	if len(s.calls) > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,8 @@
 	Settings *platform.Settings
 	Log      logr.Logger
 	Scope    tally.Scope
+	// Owner names the present start of the entry.
+	Owner string
 }
 
 // Gateway serves clients' requests.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -93,7 +93,7 @@
 	now := clock.Now()
 	pr := planner.Request{
 		ID: req.ID, Key: req.PieceKey, Rank: req.rank, Due: req.due - now, Deadline: req.deadline - now,
-		Pool: req.service, Zone: g.Settings.Zone, MaxTokens: req.MaxTokens, Avoid: avoid,
+		Pool: req.service, Zone: g.Settings.Zone, MaxTokens: req.MaxTokens, Avoid: avoid, Owner: g.Owner,
 	}
 	for _, p := range req.Prompt {
 		pr.Parts = append(pr.Parts, placement.Part{ID: p.ID, Tokens: p.Tokens})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,8 @@
 	links    *peer.Links
 	gateway  *gateway.Gateway
 	registry *registry
+	// leftovers gives up what an earlier start left at the servers.
+	leftovers *leftovers
 }
 
 // New returns an entry that does not run yet.
@@ -69,15 +71,20 @@
 	n.config = watch.NewConfig(n.store, o.Log.WithName("config"), func(*routes.Table) { n.poolsChanged() })
 	stages := &gateway.Stages{Client: client, Takes: n.servers.Takes}
 	n.planner = planner.New(stages, o.Log.WithName("planner"))
-	n.self = &peer.Self{Ready: func() bool { return n.gateway.CanPlan() }}
+	start := time.Now().UnixNano()
+	owner := ownerName(o.Settings.Node, start)
+	n.self = &peer.Self{Ready: func() bool { return n.gateway.CanPlan() }, Owner: owner}
+	n.leftovers = &leftovers{
+		store: n.store, planner: n.planner, stages: stages, log: o.Log.WithName("leftovers"), node: o.Settings.Node, owner: owner,
+	}
 	n.links = peer.NewLinks(n.self, o.Log.WithName("peer"))
 	n.gateway = gateway.New(gateway.Options{
 		Config: n.config, Servers: n.servers, Planner: n.planner, Links: n.links, Upstream: client,
-		Settings: o.Settings, Log: o.Log.WithName("gateway"), Scope: o.Scope,
+		Settings: o.Settings, Log: o.Log.WithName("gateway"), Scope: o.Scope, Owner: owner,
 	})
 	n.registry = &registry{
 		store: n.store, links: n.links, self: n.self, log: o.Log.WithName("registry"),
-		name: o.Settings.Node, address: n.peerAddress(),
+		name: o.Settings.Node, address: n.peerAddress(), start: start,
 	}
 	return n
 }
@@ -114,6 +121,7 @@
 	go n.planner.Run(ctx)
 	go n.links.Run(ctx, n.planner.HandOver)
 	go n.registry.run(ctx)
+	go n.leftovers.run(ctx)
 	ps := peer.NewServer(n.planner, n.self, n.opts.Log.WithName("peer"))
 	go func() { _ = ps.Serve(ctx, peers) }()
 	go func() { _ = http.Serve(ready, n.readiness()) }()
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -38,11 +38,12 @@
 	log     logr.Logger
 	name    string
 	address string
+	// start tells two starts of this entry apart.
+	start int64
 }
 
 func (r *registry) run(ctx context.Context) {
-	start := time.Now().UnixNano()
-	value, err := json.Marshal(registration{Address: r.address, Start: start})
+	value, err := json.Marshal(registration{Address: r.address, Start: r.start})
 	if err != nil {
 		r.log.Error(err, "Entry not registered.")
 		return
@@ -55,7 +56,7 @@
 	}
 	for ctx.Err() == nil {
 		wait := registryPause
-		if !r.look(ctx, start) {
+		if !r.look(ctx) {
 			wait = registerRetry
 		}
 		pause(ctx, wait)
@@ -63,7 +64,7 @@
 }
 
 // look reads the records; false if the store did not answer.
-func (r *registry) look(ctx context.Context, start int64) bool {
+func (r *registry) look(ctx context.Context) bool {
 	records, _, err := r.store.Newest(ctx, platform.EntriesTopic)
 	if err != nil {
 		return false
@@ -77,7 +78,7 @@
 			continue
 		}
 		if rec.Key == r.name {
-			if reg.Start == start {
+			if reg.Start == r.start {
 				own = rec.Offset
 			}
 			continue
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -54,11 +54,17 @@
 	session *session
 
 	mu    sync.Mutex
+	owner string
 	open  map[string]bool
 	ended bool
 }
 
 func (g *guest) receive(m *peerpb.Message) {
+	if st := m.GetStatus(); st != nil {
+		g.mu.Lock()
+		g.owner = st.GetOwner()
+		g.mu.Unlock()
+	}
 	if p := m.GetPlace(); p != nil {
 		g.place(p)
 	}
@@ -85,6 +91,7 @@
 		return
 	}
 	g.open[req.ID] = true
+	req.Owner = g.owner
 	g.mu.Unlock()
 	g.server.planner.Place(req, planner.Watcher{
 		Placed: g.placed,
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -118,6 +118,8 @@
 type Self struct {
 	// Ready tells whether the entry can plan.
 	Ready func() bool
+	// Owner names the present start of the entry.
+	Owner string
 	order atomic.Int64
 }
 
@@ -132,7 +134,7 @@
 }
 
 func (s *Self) status() *peerpb.Message {
-	return &peerpb.Message{Body: &peerpb.Message_Status{Status: &peerpb.Status{Ready: s.Ready(), Order: s.order.Load()}}}
+	return &peerpb.Message{Body: &peerpb.Message_Status{Status: &peerpb.Status{Ready: s.Ready(), Order: s.order.Load(), Owner: s.Owner}}}
 }
 
 func encodePlace(r *planner.Request) *peerpb.Message {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -49,6 +49,8 @@
 	Parts         []placement.Part
 	MaxTokens     int
 	Avoid         []string
+	// Owner names the start of the entry that asks.
+	Owner string
 	// Made are results that an entry which placed the request before had made.
 	Made []staging.MadeResult
 }
@@ -178,7 +180,7 @@
 		p.sched.Submit(now, staging.Job{
 			ID: req.ID, Key: req.Key, Stages: req.Stages, Rank: req.Rank,
 			Due: now + req.Due, Deadline: now + req.Deadline, After: placement.Expected(parts),
-			Zone: p.servers.Likely(now, parts), Made: req.Made,
+			Zone: p.servers.Likely(now, parts), Owner: req.Owner, Made: req.Made,
 		})
 	})
 }
@@ -351,3 +353,10 @@
 	defer p.mu.Unlock()
 	return p.sched.Jobs()
 }
+
+// Held returns the results that servers keep for requests, by owner.
+func (p *Planner) Held() map[string][]staging.Free {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sched.Held()
+}
