Let sessions place both ways; give up the results of a lost planner; admit by the whole time

Either side of a session can place now. (2) When the placing entry died, the results of requests already placed were never given up: their progress went to the dead session (12 KB of 620 left at the servers of the last stage). (3) A quarter of the requests taken in a burst were late: the admission knew the time of the stages, not that of the model server. It now follows the time to the first event and its spread.

--- a/core/staging/admit.go
+++ b/core/staging/admit.go
@@ -9,9 +9,11 @@
 	// waitShare is the part of the time to the objective that a job may wait though
 	// it can't reach its objective: it is too large for it.
 	waitShare = 0.25
-	// biasWeight is the weight of one job in the correction of expectations.
-	biasWeight  = 0.1
-	longestBias = time.Second
+	// learnWeight is the weight of one job in the correction of expectations.
+	learnWeight = 0.08
+	longestLate = time.Second
+	// spreadShare is the part of the spread of expectations that is added to them.
+	spreadShare = 0.7
 	// holdTime is the time for which a job claims memory.
 	holdTime = time.Second
 	// shortestRetry and longestRetry bound when a refused caller is to come back.
@@ -33,7 +35,7 @@
 		drain = max(drain, r.pool.backlog(j, now))
 	}
 	path = j.shortest()
-	return max(drain, s.memoryWait(j, now)) + path + s.bias, true
+	return max(drain, s.memoryWait(j, now)) + path, true
 }
 
 // memoryWait is the time until there is memory for the results of the job, which
@@ -54,13 +56,20 @@
 	return min(wait, longestRetry)
 }
 
-// learn corrects the expectation by a job that is done.
+// learn corrects the expectation by a request that started.
 func (s *Scheduler) learn(j *job, now time.Duration) {
-	if j.expected == 0 || len(j.def.Made) > 0 {
+	if !j.done || len(j.def.Made) > 0 {
 		return
 	}
-	missed := now - j.submitted - j.expected
-	s.bias = min(max(0, s.bias+time.Duration(biasWeight*float64(missed))), longestBias)
+	late := now - j.submitted - j.expected - j.def.After
+	s.late += time.Duration(learnWeight * float64(late-s.late))
+	s.late = min(max(s.late, -longestLate), longestLate)
+	s.spread += time.Duration(learnWeight * float64((late-s.late).Abs()-s.spread))
+}
+
+// margin is added to expectations.
+func (s *Scheduler) margin() time.Duration {
+	return max(0, s.late+time.Duration(spreadShare*float64(s.spread)))
 }
 
 // backlog is the time that the pool needs for the pieces of jobs that go before j.
@@ -90,10 +99,11 @@
 // admissible tells whether a job with the expected time is worth taking: it reaches
 // its objective, or it would miss it hardly any less on idle servers.
 func (s *Scheduler) admissible(j *job, now, expected time.Duration) bool {
-	if now+expected+j.def.After > j.def.Deadline {
+	end := now + expected + j.def.After + s.margin()
+	if end > j.def.Deadline {
 		return false
 	}
-	if now+expected+j.def.After <= j.def.Due {
+	if end <= j.def.Due {
 		return true
 	}
 	return expected-j.shortest() <= time.Duration(waitShare*float64(j.def.Due-now))
--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -330,10 +330,10 @@
 			a.free(now)
 		}
 	}
-	s.finishIfDone(r.job, now)
+	s.finishIfDone(r.job)
 }
 
-func (s *Scheduler) finishIfDone(j *job, now time.Duration) {
+func (s *Scheduler) finishIfDone(j *job) {
 	if j.done {
 		return
 	}
@@ -350,7 +350,6 @@
 		}
 	}
 	j.done = true
-	s.learn(j, now)
 	s.acts.Done = append(s.acts.Done, Done{JobID: j.def.ID, Handles: handles, Bytes: j.resultBytes()})
 }
 
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -182,8 +182,9 @@
 	frees    map[uint64]pendingFree
 	lastFree uint64
 	acts     Actions
-	// bias is how much longer jobs took lately than was expected.
-	bias time.Duration
+	// late is how much longer jobs took lately than was expected, and spread how
+	// far they differed from that.
+	late, spread time.Duration
 }
 
 // pendingFree is the size of results that a server is being told to give up.
@@ -243,7 +244,7 @@
 			r.pool.runs = append(r.pool.runs, r)
 		}
 	}
-	s.finishIfDone(j, now)
+	s.finishIfDone(j)
 	s.dispatch(now)
 }
 
@@ -257,6 +258,26 @@
 	s.dispatch(now)
 }
 
+// Started takes the first event of a job's request, which has read its results.
+func (s *Scheduler) Started(now time.Duration, jobID string) {
+	if j := s.jobs[jobID]; j != nil {
+		s.learn(j, now)
+	}
+	s.Release(now, jobID)
+}
+
+// GiveUp frees results that another scheduler had made.
+func (s *Scheduler) GiveUp(now time.Duration, made []MadeResult) {
+	for _, m := range made {
+		for _, p := range s.pools {
+			if srv := p.find(m.Server); srv != nil {
+				srv.free(m.Handle, 0, now)
+			}
+		}
+	}
+	s.dispatch(now)
+}
+
 // CallDone takes the end of a call. results has one entry per piece if the call
 // was answered.
 func (s *Scheduler) CallDone(now time.Duration, id uint64, end CallEnd, results []Result) {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -22,22 +22,25 @@
 	for {
 		pr := g.placementRequest(req, avoid)
 		pr.Made = made.all()
-		link := g.Links.First()
-		by := "self"
-		if link != nil {
-			by = link.Name()
-		}
+		by := g.Links.First()
 		start := clock.Now()
-		placed, ok := g.placeBy(ctx, link, &pr, made)
-		progress := func(phase planner.Phase) { g.progress(link, req.ID, phase) }
+		placed, ok := g.placeBy(ctx, by, &pr, made)
+		progress := func(phase planner.Phase) { g.progress(by, req.ID, phase, made) }
 		if ok || ctx.Err() != nil {
-			req.log.Info("Placement.", "by", by, "server", placed.Server, "reason", placed.Reason, "took", clock.Now()-start, "stages", len(pr.Stages))
+			req.log.Info("Placement.", "by", peerName(by), "server", placed.Server, "reason", placed.Reason, "took", clock.Now()-start, "stages", len(pr.Stages))
 			return placed, progress
 		}
-		req.log.Info("Placed by another entry now.", "by", by, "waited", clock.Now()-start, "made", len(made.all()))
+		req.log.Info("Placed by another entry now.", "by", peerName(by), "waited", clock.Now()-start, "made", len(made.all()))
 	}
 }
 
+func peerName(p *peer.Peer) string {
+	if p == nil {
+		return "self"
+	}
+	return p.Name()
+}
+
 // madeResults gathers the results of one request while another entry places it.
 type madeResults struct {
 	mu      sync.Mutex
@@ -50,18 +53,31 @@
 	m.results = append(m.results, results...)
 }
 
+// take returns the results and forgets them.
+func (m *madeResults) take() []staging.MadeResult {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	results := m.results
+	m.results = nil
+	return results
+}
+
 func (m *madeResults) all() []staging.MadeResult {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return slices.Clone(m.results)
 }
 
-func (g *Gateway) progress(link *peer.Link, id string, phase planner.Phase) {
-	if link == nil {
+// progress tells the placing entry how far a request got. If that entry is lost, this
+// one gives up the results.
+func (g *Gateway) progress(by *peer.Peer, id string, phase planner.Phase, made *madeResults) {
+	if by == nil {
 		g.Planner.Progress(id, phase)
 		return
 	}
-	link.Progress(id, phase)
+	if !by.Progress(id, phase) {
+		g.Planner.GiveUp(made.take())
+	}
 }
 
 type placedAnswer struct {
@@ -69,17 +85,17 @@
 	ok     bool
 }
 
-// placeBy asks one entry; link is nil for this one. It returns false if the entry
+// placeBy asks one entry; nil is this one. It returns false if the entry
 // was lost before it answered.
-func (g *Gateway) placeBy(ctx context.Context, link *peer.Link, pr *planner.Request, made *madeResults) (planner.Placed, bool) {
+func (g *Gateway) placeBy(ctx context.Context, by *peer.Peer, pr *planner.Request, made *madeResults) (planner.Placed, bool) {
 	answers := make(chan placedAnswer, 1)
-	if link == nil {
+	if by == nil {
 		g.Planner.Place(*pr, planner.Watcher{
 			Placed: func(p planner.Placed) { answers <- placedAnswer{p, p.Reason != planner.Moved} },
 			Made:   made.add, Own: true,
 		})
 	} else {
-		link.Place(pr, func(p planner.Placed, ok bool) { answers <- placedAnswer{p, ok} }, made.add)
+		by.Place(pr, func(p planner.Placed, ok bool) { answers <- placedAnswer{p, ok} }, made.add)
 	}
 	select {
 	case a := <-answers:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,7 +77,7 @@
 	n.leftovers = &leftovers{
 		store: n.store, planner: n.planner, stages: stages, log: o.Log.WithName("leftovers"), node: o.Settings.Node, owner: owner,
 	}
-	n.links = peer.NewLinks(n.self, o.Log.WithName("peer"))
+	n.links = peer.NewLinks(n.self, n.planner, o.Log.WithName("peer"))
 	n.gateway = gateway.New(gateway.Options{
 		Config: n.config, Servers: n.servers, Planner: n.planner, Links: n.links, Upstream: client,
 		Settings: o.Settings, Log: o.Log.WithName("gateway"), Scope: o.Scope, Owner: owner,
@@ -122,8 +122,7 @@
 	go n.links.Run(ctx, n.planner.HandOver)
 	go n.registry.run(ctx)
 	go n.leftovers.run(ctx)
-	ps := peer.NewServer(n.planner, n.self, n.opts.Log.WithName("peer"))
-	go func() { _ = ps.Serve(ctx, peers) }()
+	go func() { _ = n.links.Serve(ctx, peers) }()
 	go func() { _ = http.Serve(ready, n.readiness()) }()
 	n.serveMetrics()
 	srv := n.clientServer()
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -9,14 +9,15 @@
 
 	"github.com/go-logr/logr"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
 
-	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer/peerpb"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
 )
 
 const (
-	// liveLinks is the number of entries to which an entry keeps sessions: the first
+	// liveLinks is the number of entries that an entry keeps sessions to: the first
 	// ones in order that answer.
 	liveLinks = 2
 	// linksInterval is the time between two looks at the sessions.
@@ -29,8 +30,7 @@
 	redialAfter   = 500 * time.Millisecond
 	longestRedial = 4 * time.Second
 	dialTimeout   = 600 * time.Millisecond
-	// settle is how long an entry that could not be reached must answer before it
-	// is used again.
+	// settle is how long an entry that was lost must answer before it is used again.
 	settle = 500 * time.Millisecond
 )
 
@@ -40,43 +40,72 @@
 	Order         int64
 }
 
-// Links keeps sessions to the entries that come before this one.
+// Links keeps sessions to the entries that come before this one, and takes those of
+// the entries after it.
 type Links struct {
-	self *Self
-	log  logr.Logger
-
+	self    *Self
+	planner *planner.Planner
+	log     logr.Logger
 	// settled is closed once it is known which entries come first.
 	settled chan struct{}
 
 	mu    sync.Mutex
-	links []*Link
+	links []*link
 	known bool
+	// guests are the entries that keep a session to this one.
+	guests map[*Peer]bool
+}
+
+// NewLinks returns links to no entry. Requests of others are placed by p.
+func NewLinks(self *Self, p *planner.Planner, log logr.Logger) *Links {
+	return &Links{self: self, planner: p, log: log, settled: make(chan struct{}), guests: map[*Peer]bool{}}
+}
+
+// Serve accepts sessions until ctx ends.
+func (l *Links) Serve(ctx context.Context, lis net.Listener) error {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPlanner(mux, l); err != nil {
+		return err
+	}
+	err := drpcserver.New(mux).Serve(ctx, lis)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
 }
 
-// NewLinks returns links to no entry.
-func NewLinks(self *Self, log logr.Logger) *Links {
-	return &Links{self: self, log: log, settled: make(chan struct{})}
+// Session implements peerpb.DRPCPlannerServer.
+func (l *Links) Session(st peerpb.DRPCPlanner_SessionStream) error {
+	p := newPeer(newSession(st.Context(), st), l.planner, l.log)
+	l.mu.Lock()
+	l.guests[p] = true
+	l.mu.Unlock()
+	p.run(l.self)
+	l.mu.Lock()
+	delete(l.guests, p)
+	l.mu.Unlock()
+	return nil
 }
 
 // SetEntries sets the entries that come before this one.
 func (l *Links) SetEntries(entries []Entry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var kept []*Link
+	var kept []*link
 	for _, e := range entries {
-		i := slices.IndexFunc(l.links, func(k *Link) bool { return k.entry == e })
+		i := slices.IndexFunc(l.links, func(k *link) bool { return k.entry == e })
 		if i >= 0 {
 			kept = append(kept, l.links[i])
 			continue
 		}
-		kept = append(kept, &Link{entry: e, owner: l, pending: map[string]*pending{}})
+		kept = append(kept, &link{entry: e, owner: l})
 	}
 	for _, old := range l.links {
 		if !slices.Contains(kept, old) {
 			old.close()
 		}
 	}
-	slices.SortFunc(kept, func(a, b *Link) int { return int(a.entry.Order - b.entry.Order) })
+	slices.SortFunc(kept, func(a, b *link) int { return int(a.entry.Order - b.entry.Order) })
 	l.links = kept
 	l.known = true
 }
@@ -93,8 +122,10 @@
 			settled = true
 			close(l.settled)
 		}
-		if k := l.First(); k != nil && k.isReady() {
-			first()
+		if p := l.First(); p != nil {
+			if ready, _, ok := p.status(); ready && ok {
+				first()
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -125,8 +156,10 @@
 		if !k.tried() {
 			return false
 		}
-		if k.usable() && k.isReady() {
-			return true
+		if p := k.usable(); p != nil {
+			if ready, _, _ := p.status(); ready {
+				return true
+			}
 		}
 	}
 	return true
@@ -142,133 +175,117 @@
 			k.close()
 			continue
 		}
-		if k.alive() || k.dial(ctx) {
+		if k.before() || k.dial(ctx) {
 			live++
 		}
 	}
 }
 
-// First returns the first entry that is ready to place requests, or nil if this
-// entry comes before all of them. If none is ready, and this one is not either, it
-// returns the first that is alive.
-func (l *Links) First() *Link {
+// First returns the entry that places this one's requests: the first one that is
+// ready, or nil for this one. If no other is ready, and this one is not either, it
+// is the first that is alive. An entry that stops takes the first that comes after it.
+func (l *Links) First() *Peer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var first *Link
+	var alive *Peer
 	for _, k := range l.links {
-		if !k.usable() {
+		p := k.usable()
+		if p == nil {
 			continue
 		}
-		if k.isReady() {
-			return k
+		if ready, _, _ := p.status(); ready {
+			return p
 		}
-		if first == nil {
-			first = k
+		if alive == nil {
+			alive = p
 		}
 	}
 	if l.self.Ready() {
 		return nil
 	}
+	if p := l.firstGuest(); p != nil {
+		return p
+	}
+	return alive
+}
+
+// firstGuest returns the first entry after this one that is ready, or nil.
+func (l *Links) firstGuest() *Peer {
+	var first *Peer
+	var least int64
+	for p := range l.guests {
+		ready, order, ok := p.status()
+		if ok && ready && order > 0 && (first == nil || order < least) {
+			first, least = p, order
+		}
+	}
 	return first
 }
 
-// Link is the connection to one entry.
-type Link struct {
+// link keeps a session to one entry.
+type link struct {
 	entry Entry
 	owner *Links
 
 	mu       sync.Mutex
-	session  *session
+	peer     *Peer
 	dialling bool
 	dialAt   time.Time
 	failures int
 	since    time.Time
-	again    bool
-	// ready and order are what the entry said last.
-	heard   bool
-	ready   bool
-	order   int64
-	pending map[string]*pending
-}
-
-// pending is a request that the entry has not answered.
-type pending struct {
-	// reply takes the answer, or false if the link was lost.
-	reply func(planner.Placed, bool)
-	made  func([]staging.MadeResult)
+	// lost is set once a session ended or could not be made.
+	lost bool
 }
 
-// alive tells whether there is a session with an entry that comes before this one.
-// At the address of an entry that was restarted there is one that comes later.
-func (k *Link) alive() bool {
+// before tells whether there is a session with an entry that may come before this
+// one. At the address of an entry that was restarted there is one that comes later.
+func (k *link) before() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.session != nil && (!k.heard || k.owner.self.before(k.order))
+	if k.peer == nil {
+		return false
+	}
+	_, order, ok := k.peer.status()
+	return !ok || k.owner.self.before(order)
 }
 
-func (k *Link) usable() bool {
+// usable returns the entry if it comes before this one and answers, or nil.
+func (k *link) usable() *Peer {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.session != nil && !k.session.silent() && k.owner.self.before(k.order) && (!k.again || time.Since(k.since) > settle)
+	if k.peer == nil || k.lost && time.Since(k.since) < settle {
+		return nil
+	}
+	if _, order, ok := k.peer.status(); !ok || !k.owner.self.before(order) {
+		return nil
+	}
+	return k.peer
 }
 
 // tried tells whether the entry answered, or could not be reached, or need not be.
-func (k *Link) tried() bool {
+func (k *link) tried() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.heard || k.failures > 0 || !k.dialling
-}
-
-func (k *Link) isReady() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.ready
-}
-
-func (k *Link) close() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.session != nil {
-		k.session.cancel()
+	if k.peer != nil {
+		_, _, ok := k.peer.status()
+		return ok
 	}
+	return k.failures > 0 || !k.dialling
 }
 
-// Name returns the name of the entry.
-func (k *Link) Name() string { return k.entry.Name }
-
-// Place sends a request to the entry. reply is called once: with the answer, or
-// with false if the link was lost before. made is called with new results.
-func (k *Link) Place(req *planner.Request, reply func(planner.Placed, bool), made func([]staging.MadeResult)) {
+func (k *link) close() {
 	k.mu.Lock()
-	s := k.session
-	if s == nil {
-		k.mu.Unlock()
-		reply(planner.Placed{}, false)
-		return
-	}
-	k.pending[req.ID] = &pending{reply, made}
-	k.mu.Unlock()
-	s.send(encodePlace(req))
-}
-
-// Progress tells the entry how far a request got.
-func (k *Link) Progress(id string, phase planner.Phase) {
-	k.mu.Lock()
-	s := k.session
-	if phase != planner.Started {
-		delete(k.pending, id)
-	}
-	k.mu.Unlock()
-	if s != nil {
-		s.send(encodeProgress(id, phase))
+	defer k.mu.Unlock()
+	if k.peer != nil {
+		k.peer.session.cancel()
 	}
 }
 
 // dial starts a session unless there is one; false if it is not yet time to.
-func (k *Link) dial(ctx context.Context) bool {
+func (k *link) dial(ctx context.Context) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.session != nil || time.Now().Before(k.dialAt) {
+	if k.peer != nil || time.Now().Before(k.dialAt) {
 		return false
 	}
 	if !k.dialling {
@@ -278,15 +295,14 @@
 	return true
 }
 
-func (k *Link) run(ctx context.Context) {
+func (k *link) run(ctx context.Context) {
 	err := k.connect(ctx)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.dialling = false
+	k.dialling, k.lost, k.peer = false, true, nil
 	if err != nil {
 		k.dialAt = time.Now().Add(min(redialAfter<<min(k.failures, 6), longestRedial))
 		k.failures++
-		k.again = true
 		return
 	}
 	k.failures = 0
@@ -295,7 +311,7 @@
 
 // connect dials the entry and runs a session to its end. The error tells that
 // there was none.
-func (k *Link) connect(ctx context.Context) error {
+func (k *link) connect(ctx context.Context) error {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	raw, err := d.DialContext(ctx, "tcp", k.entry.Address)
 	if err != nil {
@@ -309,63 +325,11 @@
 	if err != nil {
 		return err
 	}
-	s := newSession(ctx, st)
+	p := newPeer(newSession(ctx, st), k.owner.planner, k.owner.log)
 	k.mu.Lock()
-	k.session, k.since = s, time.Now()
-	k.heard, k.ready, k.order = false, false, 0
+	k.peer, k.since = p, time.Now()
 	k.mu.Unlock()
 	k.owner.log.Info("Entry reached.", "entry", k.entry.Name, "order", k.entry.Order)
-	s.run(k.owner.self.status, k.receive)
-	k.lost()
+	p.run(k.owner.self)
 	return nil
 }
-
-func (k *Link) receive(m *peerpb.Message) {
-	if st := m.GetStatus(); st != nil {
-		k.mu.Lock()
-		if k.ready != st.GetReady() {
-			k.owner.log.Info("Entry's state changed.", "entry", k.entry.Name, "ready", st.GetReady())
-		}
-		k.heard, k.ready, k.order = true, st.GetReady(), st.GetOrder()
-		k.mu.Unlock()
-	}
-	if p := m.GetPlaced(); p != nil {
-		k.placed(decodePlaced(p))
-	}
-	if made := m.GetMade(); made != nil {
-		k.mu.Lock()
-		w := k.pending[made.GetId()]
-		k.mu.Unlock()
-		if w != nil {
-			w.made(decodeResults(made.GetResults()))
-		}
-	}
-}
-
-// placed takes an answer. An entry that hands requests over is not asked again
-// until it says that it is ready.
-func (k *Link) placed(p planner.Placed) {
-	k.mu.Lock()
-	w := k.pending[p.ID]
-	delete(k.pending, p.ID)
-	if p.Reason == planner.Moved {
-		k.ready = false
-	}
-	k.mu.Unlock()
-	if w != nil {
-		w.reply(p, p.Reason != planner.Moved)
-	}
-}
-
-// lost answers all that is pending.
-func (k *Link) lost() {
-	k.mu.Lock()
-	k.session, k.again = nil, true
-	open := k.pending
-	k.pending = map[string]*pending{}
-	k.mu.Unlock()
-	k.owner.log.Info("Entry lost.", "entry", k.entry.Name, "pending", len(open))
-	for _, w := range open {
-		w.reply(planner.Placed{}, false)
-	}
-}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -190,7 +190,7 @@
 	p.step(func(now time.Duration) {
 		if phase == Started {
 			p.servers.Started(now, id)
-			p.sched.Release(now, id)
+			p.sched.Started(now, id)
 			return
 		}
 		delete(p.waiting, id)
@@ -199,6 +199,11 @@
 	})
 }
 
+// GiveUp gives up results that another entry had made and no longer knows of.
+func (p *Planner) GiveUp(made []staging.MadeResult) {
+	p.step(func(now time.Duration) { p.sched.GiveUp(now, made) })
+}
+
 // Abandon ends a request whose entry was lost. Results that were handed out are
 // kept for a while.
 func (p *Planner) Abandon(id string) {
