Place unknown prompts at a home; let refused callers return when a burst has passed

A prompt that no server is known to have goes to the server that every entry would choose; a caller that can't reach its objective any more is told to come back after up to a third of its time, spread.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -7,6 +7,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -15,6 +17,9 @@
 	// reuseWeight multiplies the cost of reading parts that another server has
 	// cached: reading them twice takes memory and time from other requests.
 	reuseWeight = 2.0
+	// homeShare is the part of a prompt that its home is taken to have to read while
+	// no server is known to have it cached.
+	homeShare = 0.5
 	// runningCostMS is the delay that each running request adds to a new one.
 	runningCostMS = 3.0
 	// zoneCostMS is the cost of another availability zone: its distance and traffic.
@@ -167,11 +172,12 @@
 func (t *Table) best(now time.Duration, r *Request) *server {
 	var best *server
 	var least float64
+	home := t.home(r)
 	for _, s := range t.pools[r.Pool] {
 		if slices.Contains(r.Avoid, s.def.ID) {
 			continue
 		}
-		cost := s.cost(now, r)
+		cost := s.cost(now, r, s == home)
 		if best == nil || cost < least || cost == least && cmp.Less(s.def.ID, best.def.ID) {
 			best, least = s, cost
 		}
@@ -179,6 +185,30 @@
 	return best
 }
 
+// home returns the server that every entry chooses first for the shared parts of a
+// prompt that none is known to have cached; nil if one has, or nothing is shared.
+// Another entry may have placed such prompts before.
+func (t *Table) home(r *Request) *server {
+	if len(r.Parts) < 2 {
+		return nil
+	}
+	key := ""
+	for _, p := range r.Parts[:len(r.Parts)-1] {
+		key += "/" + p.ID
+	}
+	var home *server
+	var most uint64
+	for _, s := range t.pools[r.Pool] {
+		if s.cached[key] != nil {
+			return nil
+		}
+		if h := xxhash.Sum64String(key + "@" + s.def.ID); home == nil || h > most {
+			home, most = s, h
+		}
+	}
+	return home
+}
+
 // Started takes the first event of a request: its prompt is read.
 func (t *Table) Started(now time.Duration, id string) {
 	if p := t.placed[id]; p != nil {
@@ -225,9 +255,12 @@
 
 // cost is the expected time to the first event in milliseconds, with what a choice
 // costs others.
-func (s *server) cost(now time.Duration, r *Request) float64 {
-	unread := s.unread(r)
-	cost := s.pendingMS() + reuseWeight*float64(unread)/prefillTokensPerMS
+func (s *server) cost(now time.Duration, r *Request, home bool) float64 {
+	unread := float64(s.unread(r))
+	if home {
+		unread *= homeShare
+	}
+	cost := s.pendingMS() + reuseWeight*unread/prefillTokensPerMS
 	cost += runningCostMS * float64(len(s.running))
 	cost += failureCostMS * s.share(now)
 	if s.def.Zone != r.Zone {
--- a/core/staging/admit.go
+++ b/core/staging/admit.go
@@ -16,9 +16,16 @@
 	spreadShare = 0.7
 	// holdTime is the time for which a job claims memory.
 	holdTime = time.Second
-	// shortestRetry and longestRetry bound when a refused caller is to come back.
+	// shortestRetry is the least time after which a refused caller is to come back.
 	shortestRetry = 200 * time.Millisecond
-	longestRetry  = 4 * time.Second
+	// retryShare is the part of the time to the deadline after which a caller comes
+	// back at the latest; callers don't wait longer than a third.
+	retryShare = 0.32
+	// retrySpread is the part of that time over which returns are spread.
+	retrySpread = 0.4
+	// longestWait is the expected wait for a pool without usable servers, and for
+	// memory at most.
+	longestWait = 4 * time.Second
 )
 
 // expect returns the time to the expected end of the job's stages if it were taken
@@ -53,7 +60,7 @@
 			wait = max(wait, time.Duration(over/max(total, 1)*float64(holdTime)))
 		}
 	}
-	return min(wait, longestRetry)
+	return min(wait, longestWait)
 }
 
 // learn corrects the expectation by a request that started.
@@ -76,7 +83,7 @@
 func (p *pool) backlog(j *job, now time.Duration) time.Duration {
 	rate := p.rate(now)
 	if rate == 0 {
-		return longestRetry
+		return longestWait
 	}
 	pieces := 0
 	mine := j.urgency(now)
@@ -109,8 +116,10 @@
 	return expected-j.shortest() <= time.Duration(waitShare*float64(j.def.Due-now))
 }
 
-// retryAfter is when the work that waits now will be done, spread by the job's id
-// so that refused callers don't come back together.
+// retryAfter is when there will be room: after the work that waits now if the job
+// can reach its objective then, else late enough for a burst to pass, within what
+// callers wait. It is spread by the job's id, so that refused callers don't come
+// back together.
 func (s *Scheduler) retryAfter(j *job, now time.Duration) time.Duration {
 	var drain time.Duration
 	for _, r := range j.runs {
@@ -118,8 +127,12 @@
 			drain = max(drain, r.pool.backlog(j, now))
 		}
 	}
-	after := min(max(drain, shortestRetry), longestRetry)
-	return after + time.Duration(spread(j.def.ID)*float64(after))
+	longest := time.Duration(retryShare * float64(j.def.Deadline-now))
+	after := min(max(drain, shortestRetry), longest)
+	if now+after+j.shortest()+j.def.After > j.def.Due {
+		after = longest
+	}
+	return after - time.Duration(retrySpread*spread(j.def.ID)*float64(after))
 }
 
 // spread maps an id to [0, 1) by FNV-1a.
