Put lapses of records down to an outage of the store only right after it

The entry had lost its own way to the store 3 and 5 seconds before, took the dropped record for a lapse and kept the server for two more seconds. Ruled out: the interval of reads (0.9 s, the drop was read in time both times). Change: lapses count as such within 0.8 s of the last failed read, which is when the first read shows them.

--- a/core/backends/backends.go
+++ b/core/backends/backends.go
@@ -12,8 +12,9 @@
 	// lapseGrace is how long a server whose record lapsed around an outage of the
 	// store stays in use: its record is back within that time if it lives.
 	lapseGrace = 2 * time.Second
-	// outageMemory is how long after an outage of the store lapses are put down to it.
-	outageMemory = 6 * time.Second
+	// outageMemory is how long after the last failed read of the store lapses are put
+	// down to its outage: the first read after it shows them.
+	outageMemory = 800 * time.Millisecond
 	// keepLeft is how long a server that left is remembered, so that a record that
 	// arrives late does not bring it back.
 	keepLeft = 60 * time.Second
