Begin a stage as a whole where memory is scarce, and finish what is begun first

A stage whose pieces don't all fit is not begun while the server has under half of its memory, and stages that are begun go before all others.

--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -17,6 +17,9 @@
 	// memoryShare is the part of the servers' memory that started jobs may claim in
 	// all their stages together. Jobs use it at different times, so it exceeds 1.
 	memoryShare = 1.3
+	// wholeShare is the part of a server's memory below which a run is begun only as
+	// a whole.
+	wholeShare = 0.5
 	// callTimeout bounds a call.
 	callTimeout = 5 * time.Second
 )
@@ -68,7 +71,19 @@
 	return false
 }
 
-// waiting returns the runs with pieces that can be asked for, most urgent first.
+// first orders what is true before what is not.
+func first(a, b bool) int {
+	if a == b {
+		return 0
+	}
+	if a {
+		return -1
+	}
+	return 1
+}
+
+// waiting returns the runs with pieces that can be asked for: those that are begun,
+// whose results take memory meanwhile, then the most urgent.
 func (p *pool) waiting(s *Scheduler, now time.Duration) []*run {
 	p.runs = slices.DeleteFunc(p.runs, func(r *run) bool { return len(r.queued) == 0 })
 	var ready []*run
@@ -78,7 +93,7 @@
 		}
 	}
 	slices.SortStableFunc(ready, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.job.urgency(now), b.job.urgency(now)), cmp.Compare(a.job.def.ID, b.job.def.ID), cmp.Compare(a.stage, b.stage))
+		return cmp.Or(first(a.begun(), b.begun()), cmp.Compare(a.job.urgency(now), b.job.urgency(now)), cmp.Compare(a.job.def.ID, b.job.def.ID), cmp.Compare(a.stage, b.stage))
 	})
 	return ready
 }
@@ -155,17 +170,15 @@
 	left := m.memoryLeft(now)
 	ahead := map[string]int{}
 	for _, r := range waiting {
-		if r.bytes > left || !r.job.started && !s.mayStart(r.job, now) || !r.mayLeaveZone(m, ahead, now) {
+		if !r.job.started && !s.mayStart(r.job, now) || !r.mayLeaveZone(m, ahead, now) {
 			continue
 		}
-		for _, k := range r.queued {
-			if len(items) == m.pool.spec.Batch || r.bytes > left {
-				break
-			}
+		n := m.fitting(r, m.pool.spec.Batch-len(items), left)
+		for _, k := range r.queued[:n] {
 			items = append(items, item{r, k})
-			left -= r.bytes
 		}
-		r.job.started = len(items) > 0 && items[len(items)-1].run == r || r.job.started
+		left -= int64(n) * r.bytes
+		r.job.started = r.job.started || n > 0
 		if len(items) == m.pool.spec.Batch {
 			break
 		}
@@ -173,6 +186,22 @@
 	return items
 }
 
+// fitting is the number of pieces of a run that a call with room for that many and
+// a server with that much memory can take. Where memory is scarce a run is begun
+// only as a whole, as far as one call goes: its results are of use to no reader
+// before the last one is made.
+func (m *server) fitting(r *run, room int, left int64) int {
+	n := min(len(r.queued), room)
+	if r.bytes > 0 {
+		n = int(min(int64(n), left/r.bytes))
+	}
+	whole := min(len(r.queued), m.pool.spec.Batch)
+	if n < whole && !r.begun() && float64(left) < wholeShare*float64(m.pool.spec.Memory) {
+		return 0
+	}
+	return max(n, 0)
+}
+
 // mayStart tells whether there is memory for the results of all stages of a job.
 func (s *Scheduler) mayStart(j *job, now time.Duration) bool {
 	claimed := map[*pool]int64{}
--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -99,6 +99,9 @@
 	}
 }
 
+// begun tells whether a call was sent for some of the pieces.
+func (r *run) begun() bool { return len(r.queued) < len(r.pieces) }
+
 func (r *run) complete() bool { return r.made == len(r.pieces) }
 
 // ready tells whether the results that the run reads are all held.
