--- a/cmd/magnoliawheel/main.go
+++ b/cmd/magnoliawheel/main.go
@@ -43,7 +43,8 @@
 }
 
 type gatewayCommand struct {
-	LogLevel string `long:"log-level" default:"info" description:"Least level of the lines logged"`
+	LogLevel    string `long:"log-level" default:"info" description:"Least level of the lines logged"`
+	MetricsPort int    `long:"metrics-port" description:"Port on which metrics are served at /metrics; none by default"`
 }
 
 type checkCommand struct {
@@ -115,7 +116,7 @@
 		<-signals
 		close(stop)
 	}()
-	return node.New(node.Options{Settings: s, Log: log, Scope: scope, Metrics: metrics}).Run(stop)
+	return node.New(node.Options{Settings: s, Log: log, Scope: scope, Metrics: metrics, MetricsPort: c.MetricsPort}).Run(stop)
 }
 
 // Execute checks the file.
--- a/cmd/mwctl/main.go
+++ b/cmd/mwctl/main.go
@@ -25,6 +25,7 @@
 	addConfig(parser)
 	addCall(parser)
 	addStatus(parser)
+	addExplain(parser)
 	addBurn(parser)
 	addLoad(parser)
 }
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -7,8 +7,10 @@
 import "time"
 
 const (
-	// slots is the number of parts of the window that are counted by themselves.
-	slots = 20
+	// parts is the number of parts of the window that are counted by themselves. One
+	// more is kept, since the oldest one lies in the window in part.
+	parts = 20
+	slots = parts + 1
 	// safety is the share of the ratio that is spent; the rest covers entries whose
 	// windows begin at other times.
 	safety = 0.8
@@ -61,7 +63,7 @@
 
 // advance clears the slots that have left the window.
 func (b *Budget) advance(now time.Duration) {
-	slot := int64(now / (b.opts.Window / slots))
+	slot := int64(now / (b.opts.Window / parts))
 	if slot-b.slot >= slots {
 		b.requests, b.repeats = [slots]int{}, [slots]int{}
 		b.slot = slot
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -153,7 +154,7 @@
 		return Server{}, false
 	}
 	t.Finish(now, r.ID, Cancelled)
-	p := &placed{server: best, at: now, unread: best.unread(&r), tokens: promptTokens(&r) + r.MaxTokens}
+	p := &placed{server: best, at: now, unread: best.unread(&r, prefixKeys(&r)), tokens: promptTokens(&r) + r.MaxTokens}
 	best.running[r.ID] = p
 	t.placed[r.ID] = p
 	p.reading = time.Duration(best.pendingMS() * float64(time.Millisecond))
@@ -172,12 +173,13 @@
 func (t *Table) best(now time.Duration, r *Request) *server {
 	var best *server
 	var least float64
-	home := t.home(r)
+	keys := prefixKeys(r)
+	home := t.home(r, keys)
 	for _, s := range t.pools[r.Pool] {
 		if slices.Contains(r.Avoid, s.def.ID) {
 			continue
 		}
-		cost := s.cost(now, r, s == home)
+		cost := s.cost(now, r, keys, s == home)
 		if best == nil || cost < least || cost == least && cmp.Less(s.def.ID, best.def.ID) {
 			best, least = s, cost
 		}
@@ -188,27 +190,33 @@
 // home returns the server that every entry chooses first for the shared parts of a
 // prompt that none is known to have cached; nil if one has, or nothing is shared.
 // Another entry may have placed such prompts before.
-func (t *Table) home(r *Request) *server {
-	if len(r.Parts) < 2 {
+func (t *Table) home(r *Request, keys []string) *server {
+	if len(keys) < 2 {
 		return nil
 	}
-	key := ""
-	for _, p := range r.Parts[:len(r.Parts)-1] {
-		key += "/" + p.ID
-	}
+	key := keys[len(keys)-2]
 	var home *server
 	var most uint64
 	for _, s := range t.pools[r.Pool] {
 		if s.cached[key] != nil {
 			return nil
 		}
-		if h := xxhash.Sum64String(key + "@" + s.def.ID); home == nil || h > most {
+		if h := rendezvous(key, s.def.ID); home == nil || h > most {
 			home, most = s, h
 		}
 	}
 	return home
 }
 
+// rendezvous is the weight of a server for a key.
+func rendezvous(key, server string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString(server)
+	return d.Sum64()
+}
+
 // Started takes the first event of a request: its prompt is read.
 func (t *Table) Started(now time.Duration, id string) {
 	if p := t.placed[id]; p != nil {
@@ -250,13 +258,13 @@
 
 // share is the share of failures, forgotten with time.
 func (s *server) share(now time.Duration) float64 {
-	return s.failing / (1 + float64(now-s.failedAt)/float64(failureHalf))
+	return s.failing * math.Exp2(-float64(now-s.failedAt)/float64(failureHalf))
 }
 
 // cost is the expected time to the first event in milliseconds, with what a choice
 // costs others.
-func (s *server) cost(now time.Duration, r *Request, home bool) float64 {
-	unread := float64(s.unread(r))
+func (s *server) cost(now time.Duration, r *Request, keys []string, home bool) float64 {
+	unread := float64(s.unread(r, keys))
 	if home {
 		unread *= homeShare
 	}
@@ -315,31 +323,39 @@
 }
 
 // unread is the number of prompt tokens that the server has not cached.
-func (s *server) unread(r *Request) int {
+func (s *server) unread(r *Request, keys []string) int {
 	left := promptTokens(r)
-	key := ""
-	for _, p := range r.Parts {
-		key += "/" + p.ID
+	for i, key := range keys {
 		if s.cached[key] == nil {
 			break
 		}
-		left -= p.Tokens
+		left -= r.Parts[i].Tokens
 	}
 	return left
 }
 
+// prefixKeys returns a key for each prefix of the prompt that ends with a part.
+func prefixKeys(r *Request) []string {
+	keys := make([]string, len(r.Parts))
+	key := ""
+	for i, p := range r.Parts {
+		key += "/" + p.ID
+		keys[i] = key
+	}
+	return keys
+}
+
 // remember notes the parts of the prompt as cached and forgets the oldest ones
 // beyond the server's memory.
 func (s *server) remember(now time.Duration, r *Request) {
-	key := ""
-	for _, p := range r.Parts {
-		key += "/" + p.ID
+	for i, key := range prefixKeys(r) {
 		if c := s.cached[key]; c != nil {
 			c.used = now
 			continue
 		}
-		s.cached[key] = &prefix{tokens: p.Tokens, used: now}
-		s.tokens += p.Tokens
+		tokens := r.Parts[i].Tokens
+		s.cached[key] = &prefix{tokens: tokens, used: now}
+		s.tokens += tokens
 	}
 	bound := int(cacheShare * float64(s.def.CacheTokens))
 	for bound > 0 && s.tokens > bound && len(s.cached) > 0 {
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -69,6 +69,7 @@
 	NotYourRequest   Code = 1014
 	KeyRequired      Code = 1015
 	KeyNotAllowed    Code = 1016
+	BadHeader        Code = 1017
 
 	Overloaded        Code = 2001
 	DeadlineTooShort  Code = 2002
@@ -86,6 +87,8 @@
 	ModelNotLoaded    Code = 2014
 	RetryBudgetSpent  Code = 2015
 	Paused            Code = 2016
+	KeysNotConfirmed  Code = 2017
+	ConfigMayBeOld    Code = 2018
 
 	DeadlineExceeded Code = 3001
 	ServerFailed     Code = 3002
--- a/core/staging/admit.go
+++ b/core/staging/admit.go
@@ -132,11 +132,11 @@
 	if now+after+j.shortest()+j.def.After > j.def.Due {
 		after = longest
 	}
-	return after - time.Duration(retrySpread*spread(j.def.ID)*float64(after))
+	return after - time.Duration(retrySpread*Spread(j.def.ID)*float64(after))
 }
 
-// spread maps an id to [0, 1) by FNV-1a.
-func spread(id string) float64 {
+// Spread maps an id to [0, 1), evenly over ids, by FNV-1a.
+func Spread(id string) float64 {
 	h := uint32(2166136261)
 	for i := range len(id) {
 		h = (h ^ uint32(id[i])) * 16777619
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -33,6 +33,8 @@
 	// fullPause is the time without calls after a server said that it is full or
 	// has no memory.
 	fullPause = 80 * time.Millisecond
+	// maxSlots is the number of calls at a server up to which no memory is allocated.
+	maxSlots = 16
 	// freeDelay is how long freed results are gathered for one call.
 	freeDelay = 25 * time.Millisecond
 	// freeBatch is the number of freed results that are sent at once.
@@ -168,15 +170,18 @@
 
 // freeAt is the expected time at which the server can begin another call.
 func (m *server) freeAt(now time.Duration) time.Duration {
-	if len(m.calls) < m.pool.spec.Slots {
+	over := len(m.calls) - m.pool.spec.Slots
+	if over < 0 {
 		return now
 	}
-	ends := make([]time.Duration, len(m.calls))
-	for i, c := range m.calls {
-		ends[i] = c.ends
+	// The slot is free once all calls but Slots-1 have ended.
+	var bound [maxSlots]time.Duration
+	ends := bound[:0]
+	for _, c := range m.calls {
+		ends = append(ends, c.ends)
 	}
 	slices.Sort(ends)
-	return max(now, ends[len(ends)-m.pool.spec.Slots])
+	return max(now, ends[over])
 }
 
 // ended takes the end of a call.
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -117,7 +117,11 @@
 
 // String returns the reason in words.
 func (r Reason) String() string {
-	return [...]string{"", "overloaded", "too late", "failing"}[r]
+	names := [...]string{"", "overloaded", "too late", "failing"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "no server"
 }
 
 // Refused is an action: a job was given up; its request has not run.
@@ -225,6 +229,16 @@
 // Jobs returns the number of jobs that are not released.
 func (s *Scheduler) Jobs() int { return len(s.jobs) }
 
+// Expected returns the time that the stages of a job were expected to take; false
+// if it was not taken.
+func (s *Scheduler) Expected(jobID string) (time.Duration, bool) {
+	j := s.jobs[jobID]
+	if j == nil {
+		return 0, false
+	}
+	return j.expected, true
+}
+
 // Submit takes a job, or refuses it if its stages would not end in time.
 func (s *Scheduler) Submit(now time.Duration, def Job) {
 	if s.jobs[def.ID] != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,7 +18,9 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/budget"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
+	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
@@ -42,6 +44,9 @@
 	// readyShare is the part of a key's validity from which the entry asks for no
 	// new clients.
 	readyShare = 0.5
+	// planAge is the age of the configuration from which an entry that reached the
+	// store later places requests better.
+	planAge = 2500 * time.Millisecond
 	// unreadyRetry is when to come back to an entry that can't serve now.
 	unreadyRetry = 400 * time.Millisecond
 )
@@ -81,6 +86,8 @@
 	// stopAt is the time, by clock.Now, at which the gateway began to stop; 0 before.
 	stopAt atomic.Int64
 
+	metrics *metrics
+
 	mu      sync.Mutex
 	plain   *placement.Table
 	budgets map[string]*budget.Budget
@@ -88,7 +95,7 @@
 
 // New returns a gateway.
 func New(o Options) *Gateway {
-	return &Gateway{Options: o, plain: placement.New(), budgets: map[string]*budget.Budget{}}
+	return &Gateway{Options: o, metrics: newMetrics(o.Scope), plain: placement.New(), budgets: map[string]*budget.Budget{}}
 }
 
 // request is a client's request on its way.
@@ -96,6 +103,7 @@
 	platform.ClientRequest
 	route    *routes.Route
 	version  uint64
+	limits   routes.Limits
 	service  string
 	customer string
 	rank     int
@@ -146,7 +154,7 @@
 		log: g.Log.WithValues("request", cr.ID),
 	}
 	if err != nil {
-		return req, &refusal{status: http.StatusBadRequest, cause: err.Error()}
+		return req, &refusal{code: result.BadHeader, cause: err.Error()}
 	}
 	if r := g.match(req); r != nil {
 		return req, r
@@ -160,14 +168,14 @@
 // match finds the route and checks the key.
 func (g *Gateway) match(req *request) *refusal {
 	t := g.Config.Table()
-	if t == nil || !g.Servers.Loaded() {
-		return &refusal{status: http.StatusServiceUnavailable, after: unreadyRetry, cause: "no configuration yet"}
+	if !g.known() {
+		return refused(result.NotReady, "no configuration yet", unreadyRetry)
 	}
-	req.version = t.Version
+	req.version, req.limits = t.Version, t.Limits
 	path, _, _ := strings.Cut(req.target, "?")
 	route := t.Match(req.host, path)
 	if route == nil {
-		return g.unknown(http.StatusNotFound, "no such route")
+		return g.unknown(result.UnknownCall, "no such route")
 	}
 	req.route, req.rank = route, route.Priority
 	req.keyed = t.Keyed() && !route.Public
@@ -185,17 +193,17 @@
 	}
 	req.deadline = req.arrived + wait
 	req.due = req.arrived + route.Objective
-	req.service = route.Service(spread(req.ID))
+	req.service = route.Service(staging.Spread(req.ID))
 	return nil
 }
 
 func (g *Gateway) checkKey(t *routes.Table, req *request) *refusal {
 	if !g.keysValid() {
-		return &refusal{status: http.StatusServiceUnavailable, after: unreadyRetry, cause: "keys not confirmed by the store", close: true}
+		return &refusal{code: result.KeysNotConfirmed, after: unreadyRetry, cause: "keys not confirmed by the store", close: true}
 	}
 	c := t.Customer(req.Key)
 	if c == nil {
-		return g.unknown(http.StatusUnauthorized, "unknown key")
+		return g.unknown(result.BadCustomer, "unknown key")
 	}
 	req.customer = c.Name
 	if c.Priority != nil {
@@ -206,21 +214,29 @@
 
 // keysValid tells whether the keys known are recent enough to be honoured.
 func (g *Gateway) keysValid() bool {
-	limit := g.Settings.KeyValidity
-	return limit == 0 || g.Config.Age() < time.Duration(keyShare*float64(limit))
+	return g.fresh(keyShare, g.Settings.KeyValidity)
+}
+
+// fresh tells whether the store confirmed the configuration within a share of the
+// limit; 0 is no limit.
+func (g *Gateway) fresh(share float64, limit time.Duration) bool {
+	return limit == 0 || g.Config.Age() < time.Duration(share*float64(limit))
 }
 
 // unknown answers for what the configuration does not have. An entry that may lack
 // a newer version does not say so for good.
-func (g *Gateway) unknown(status int, cause string) *refusal {
+func (g *Gateway) unknown(code result.Code, cause string) *refusal {
 	if g.Config.Age() > staleAfter {
-		return &refusal{status: http.StatusServiceUnavailable, after: unreadyRetry, cause: cause + " in a configuration that may be old"}
+		return refused(result.ConfigMayBeOld, cause, unreadyRetry)
 	}
-	return &refusal{status: status, cause: cause}
+	return &refusal{code: code, cause: cause}
 }
 
 func (g *Gateway) readBody(w http.ResponseWriter, hr *http.Request, req *request) *refusal {
-	limit := g.Config.Table().Limits.BodyBytes
+	if limit := req.limits.HeaderBytes; limit > 0 && headerBytes(hr) > limit {
+		return &refusal{code: result.HeaderTooLarge, cause: "header too large"}
+	}
+	limit := req.limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBody
 	}
@@ -230,33 +246,38 @@
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return &refusal{status: http.StatusRequestEntityTooLarge, cause: "body too large"}
+		return &refusal{code: result.BodyTooLarge, cause: "body too large"}
 	}
 	if err != nil {
-		return &refusal{status: http.StatusRequestTimeout, cause: "body not received: " + err.Error(), close: true}
+		return &refusal{code: result.SlowCaller, cause: "body not received: " + err.Error(), close: true}
 	}
 	req.body = body
 	return nil
 }
 
+// headerBytes is the size of the request line and the headers.
+func headerBytes(hr *http.Request) int {
+	n := len(hr.Method) + len(hr.RequestURI) + len(hr.Host)
+	for name, values := range hr.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 // Ready tells whether the entry asks for new clients.
 func (g *Gateway) Ready() bool {
-	return g.CanPlan() && (g.Settings.KeyValidity == 0 || g.Config.Age() < time.Duration(readyShare*float64(g.Settings.KeyValidity)))
+	return g.known() && !g.stopping() && g.fresh(readyShare, g.Settings.KeyValidity)
 }
 
 // CanPlan tells whether the entry can place requests for others.
 func (g *Gateway) CanPlan() bool {
-	return !g.stopping() && g.Config.Table() != nil && g.Servers.Loaded() && g.Config.Age() < time.Duration(readyShare*float64(max(g.Settings.KeyValidity, 4*time.Second)))
+	return g.known() && !g.stopping() && g.Config.Age() < planAge
 }
 
-// spread maps an id to [0, 1).
-func spread(id string) float64 {
-	h := uint32(2166136261)
-	for i := range len(id) {
-		h = (h ^ uint32(id[i])) * 16777619
-	}
-	return float64(h) / (1 << 32)
-}
+// known tells whether there is a configuration and the list of servers.
+func (g *Gateway) known() bool { return g.Config.Table() != nil && g.Servers.Loaded() }
 
 // count counts a first call for the retry budget.
 func (g *Gateway) count(service string) {
@@ -269,7 +290,11 @@
 func (g *Gateway) mayRepeat(service string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budget(service).Repeat(clock.Now())
+	ok := g.budget(service).Repeat(clock.Now())
+	if ok {
+		g.metrics.repeats.Inc(1)
+	}
+	return ok
 }
 
 func (g *Gateway) budget(service string) *budget.Budget {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -26,6 +26,7 @@
 		start := clock.Now()
 		placed, ok := g.placeBy(ctx, by, &pr, made)
 		progress := func(phase planner.Phase) { g.progress(by, req.ID, phase, made) }
+		g.metrics.placing.RecordDuration(clock.Now() - start)
 		if ok || ctx.Err() != nil {
 			req.log.Info("Placement.", "by", peerName(by), "server", placed.Server, "reason", placed.Reason, "took", clock.Now()-start, "stages", len(pr.Stages))
 			return placed, progress
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
@@ -36,6 +37,27 @@
 	cause  string
 }
 
+// code is the result for a request that has not run.
+func (o outcome) code() result.Code {
+	switch o.cause {
+	case causeFull:
+		return result.QueueFull
+	case causeLeaves:
+		return result.ServerLeaving
+	case causeKeys:
+		return result.KeysNotConfirmed
+	}
+	return result.NoServer
+}
+
+// Causes of outcomes where the request was not sent or not run.
+const (
+	causeFull   = "server full"
+	causeLeaves = "server leaves"
+	causeKeys   = "keys not confirmed by the store"
+	causeOther  = "another server has the address"
+)
+
 // answer is a whole answer of a server.
 type answer struct {
 	status int
@@ -68,6 +90,7 @@
 		}
 	}
 	if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
+		g.metrics.left.Inc(1)
 		req.log.Info("Client left.", "held", clock.Now()-req.arrived, "tries", req.tries)
 		return
 	}
@@ -87,7 +110,7 @@
 	case last.answer != nil:
 		g.relayWhole(w, req, last.answer)
 	case !sent:
-		g.refuse(w, req, notRun(last.cause, busyRetry))
+		g.refuse(w, req, refused(last.code(), last.cause, busyRetry))
 	case req.remaining() <= 0:
 		g.refuse(w, req, timedOut(last.cause))
 	default:
@@ -147,9 +170,6 @@
 	return placement.Failed
 }
 
-// causeFull is the cause of an outcome where the server refused for its load.
-const causeFull = "server full"
-
 func (g *Gateway) exchangePlain(ctx context.Context, req *request, srv placement.Server) outcome {
 	if r := g.stillAllowed(req, srv.ID); r != "" {
 		return outcome{notRun: true, cause: r}
@@ -163,7 +183,7 @@
 	if info.NotRun {
 		cause := causeFull
 		if resp.StatusCode == http.StatusMisdirectedRequest {
-			cause = "another server has the address"
+			cause = causeOther
 		}
 		return outcome{notRun: true, cause: cause}
 	}
@@ -181,10 +201,10 @@
 // "" means that it may be sent.
 func (g *Gateway) stillAllowed(req *request, server string) string {
 	if req.keyed && !g.keysValid() {
-		return "keys not confirmed by the store"
+		return causeKeys
 	}
 	if !g.Servers.Takes(server) {
-		return "server leaves"
+		return causeLeaves
 	}
 	return ""
 }
@@ -210,7 +230,8 @@
 	}
 	w.WriteHeader(a.status)
 	_, err := w.Write(a.body)
-	g.Scope.Counter("answered").Inc(1)
+	g.metrics.answered.Inc(1)
+	g.metrics.held.RecordDuration(clock.Now() - req.arrived)
 	req.log.Info("Request answered.", "status", a.status, "bytes", len(a.body), "held", clock.Now()-req.arrived, "tries", req.tries, "cause", errText(err))
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
@@ -20,6 +21,8 @@
 	maxPlacements = 4
 	// lateStreams is how long after the signal to stop new streams are still taken.
 	lateStreams = 3 * time.Second
+	// stopRetry is when to come back to another entry.
+	stopRetry = 50 * time.Millisecond
 	// resumeReserve is the least time left in which a broken stream is resumed.
 	resumeReserve = 500 * time.Millisecond
 )
@@ -39,7 +42,7 @@
 // serveStream serves a request that is answered by a series of events.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, req *request) {
 	if g.stoppingFor() > lateStreams {
-		g.refuse(w, req, &refusal{status: http.StatusServiceUnavailable, after: 50 * time.Millisecond, cause: "entry stops", close: true})
+		g.refuse(w, req, &refusal{code: result.EntryDraining, after: stopRetry, cause: "entry stops", close: true})
 		return
 	}
 	s := &streamRun{g: g, req: req, w: w, relay: newRelay(w, req.route.Resumable)}
@@ -66,6 +69,7 @@
 // expire ends a stream whose client left or whose time is over.
 func (s *streamRun) expire(ctx context.Context) {
 	if errors.Is(ctx.Err(), context.Canceled) {
+		s.g.metrics.left.Inc(1)
 		s.req.log.Info("Client left.", "held", clock.Now()-s.req.arrived, "tries", s.req.tries, "events", s.relay.events)
 		panic(http.ErrAbortHandler)
 	}
@@ -73,7 +77,7 @@
 		s.abort("deadline reached")
 	}
 	if s.sends == 0 {
-		s.g.refuse(s.w, s.req, notRun("deadline reached before the request was sent", 0))
+		s.g.refuse(s.w, s.req, refused(result.Overloaded, "deadline reached before the request was sent", 0))
 		return
 	}
 	s.g.refuse(s.w, s.req, timedOut("deadline reached"))
@@ -81,7 +85,7 @@
 
 // abort breaks off an answer so that it can't be taken for a whole one.
 func (s *streamRun) abort(cause string) {
-	s.g.Scope.Counter("broken_off").Inc(1)
+	s.g.metrics.broken.Inc(1)
 	s.req.log.Info("Stream broken off.", "cause", cause, "events", s.relay.events, "held", clock.Now()-s.req.arrived, "tries", s.req.tries)
 	panic(http.ErrAbortHandler)
 }
@@ -91,7 +95,7 @@
 func (s *streamRun) attempt(ctx context.Context) (bool, *refusal) {
 	s.placed++
 	if s.placed > maxPlacements {
-		return false, s.giveUp("placed too often", busyRetry)
+		return false, s.giveUp(result.NoServer, "placed too often", busyRetry)
 	}
 	p, progress := s.g.place(ctx, s.req, s.avoid)
 	if ctx.Err() != nil {
@@ -99,24 +103,24 @@
 		return false, nil
 	}
 	if p.Reason != 0 {
-		return false, s.giveUp(reasonText(p.Reason), p.RetryAfter)
+		return false, s.giveUp(reasonCode(p.Reason), p.Reason.String(), p.RetryAfter)
 	}
 	return s.send(ctx, p, progress)
 }
 
 // giveUp refuses a request that has not run, or fails one that may have.
-func (s *streamRun) giveUp(cause string, after time.Duration) *refusal {
+func (s *streamRun) giveUp(code result.Code, cause string, after time.Duration) *refusal {
 	if s.sends > 0 {
 		return failed(cause)
 	}
-	return notRun(cause, after)
+	return refused(code, cause, after)
 }
 
-func reasonText(r staging.Reason) string {
+func reasonCode(r staging.Reason) result.Code {
 	if r == planner.NoServer {
-		return "no server"
+		return result.NoServer
 	}
-	return r.String()
+	return result.Overloaded
 }
 
 // send sends the request to the server chosen and relays its answer.
@@ -145,12 +149,14 @@
 		return s.otherAnswer(resp, info, progress)
 	}
 	err = s.relay.copy(resp, func() {
+		s.g.metrics.first.RecordDuration(clock.Now() - req.arrived)
 		req.log.Info("First event.", "server", p.Server, "route", req.route.Name, "version", req.version, "held", clock.Now()-req.arrived, "took", clock.Now()-start)
 		progress(planner.Started)
 	})
 	if err == nil {
 		progress(planner.Complete)
-		s.g.Scope.Counter("answered").Inc(1)
+		s.g.metrics.answered.Inc(1)
+		s.g.metrics.held.RecordDuration(clock.Now() - req.arrived)
 		req.log.Info("Stream answered.", "server", p.Server, "events", s.relay.events, "held", clock.Now()-req.arrived, "tries", req.tries)
 		return true, nil
 	}
@@ -185,11 +191,11 @@
 	s.avoid = append(s.avoid, p.Server)
 	if status == http.StatusMisdirectedRequest {
 		progress(planner.Unreached)
-		return false, s.afterNotRun("another server has the address")
+		return false, s.afterNotRun(causeOther)
 	}
 	progress(planner.Failed)
 	if s.req.tries >= s.req.route.MaxAttempts {
-		return false, s.giveUp(causeFull, busyRetry)
+		return false, s.giveUp(result.QueueFull, causeFull, busyRetry)
 	}
 	return false, s.afterNotRun(causeFull)
 }
@@ -197,7 +203,7 @@
 // afterNotRun places a request again that has not run, if the budget allows.
 func (s *streamRun) afterNotRun(cause string) *refusal {
 	if s.req.remaining() < resumeReserve || !s.g.mayRepeat(s.req.service) {
-		return s.giveUp(cause, busyRetry)
+		return s.giveUp(outcome{cause: cause}.code(), cause, busyRetry)
 	}
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,8 +44,9 @@
 	Settings *platform.Settings
 	Log      logr.Logger
 	Scope    tally.Scope
-	// Metrics serves the metrics; it may be nil.
-	Metrics http.Handler
+	// Metrics serves the metrics on MetricsPort; 0 serves none.
+	Metrics     http.Handler
+	MetricsPort int
 }
 
 // Node is one entry.
@@ -95,10 +96,6 @@
 	return net.JoinHostPort(n.opts.Settings.IP, strconv.Itoa(n.opts.Settings.FirstPort))
 }
 
-func (n *Node) metricsAddress() string {
-	return net.JoinHostPort(n.opts.Settings.IP, strconv.Itoa(n.opts.Settings.FirstPort+1))
-}
-
 // Run serves until stop is closed and the last request is answered, or the grace
 // is over.
 func (n *Node) Run(stop <-chan struct{}) error {
@@ -150,10 +147,10 @@
 }
 
 func (n *Node) serveMetrics() {
-	if n.opts.Metrics == nil {
+	if n.opts.MetricsPort == 0 {
 		return
 	}
-	lis, err := listen(n.metricsAddress())
+	lis, err := listen(net.JoinHostPort(n.opts.Settings.IP, strconv.Itoa(n.opts.MetricsPort)))
 	if err != nil {
 		n.opts.Log.Error(err, "Metrics not served.")
 		return
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -182,6 +182,10 @@
 			Due: now + req.Due, Deadline: now + req.Deadline, After: placement.Expected(parts),
 			Zone: p.servers.Likely(now, parts), Owner: req.Owner, Made: req.Made,
 		})
+		if expected, ok := p.sched.Expected(req.ID); ok {
+			p.log.Info("Request taken.", "request", req.ID, "owner", req.Owner, "expected", expected, "due", req.Due,
+				"made", len(req.Made), "jobs", p.sched.Jobs())
+		}
 	})
 }
 
