--- a/cmd/magnoliawheel/main.go
+++ b/cmd/magnoliawheel/main.go
@@ -116,7 +116,9 @@
 		<-signals
 		close(stop)
 	}()
-	return node.New(node.Options{Settings: s, Log: log, Scope: scope, Metrics: metrics, MetricsPort: c.MetricsPort}).Run(stop)
+	return node.New(node.Options{
+		Settings: s, Log: log, Scope: scope, Metrics: metrics, MetricsPort: c.MetricsPort, BalancerLag: node.BalancerLag,
+	}).Run(stop)
 }
 
 // Execute checks the file.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,9 +31,9 @@
 	idleTimeout   = 60 * time.Second
 	// maxHeaderBytes bounds the head of a request.
 	maxHeaderBytes = 64 << 10
-	// balancerLag is how long the balancer may send new clients after the entry
-	// said that it is not ready.
-	balancerLag = 3200 * time.Millisecond
+	// BalancerLag is how long the platform's balancer may send new clients after the
+	// entry said that it is not ready: two of its questions, and their answers.
+	BalancerLag = 3200 * time.Millisecond
 	// stopReserve is left of the grace when the process ends at the latest.
 	stopReserve = 700 * time.Millisecond
 	stopPoll    = 50 * time.Millisecond
@@ -47,6 +47,8 @@
 	// Metrics serves the metrics on MetricsPort; 0 serves none.
 	Metrics     http.Handler
 	MetricsPort int
+	// BalancerLag is how long new clients may come after the entry began to stop.
+	BalancerLag time.Duration
 }
 
 // Node is one entry.
@@ -170,7 +172,7 @@
 	n.opts.Log.Info("Entry stops.", "requests", n.gateway.InFlight())
 	latest := n.opts.Settings.Grace - stopReserve
 	for time.Since(begin) < latest {
-		if time.Since(begin) >= balancerLag && n.gateway.InFlight() == 0 && n.planner.Jobs() == 0 {
+		if time.Since(begin) >= n.opts.BalancerLag && n.gateway.InFlight() == 0 && n.planner.Jobs() == 0 {
 			break
 		}
 		time.Sleep(stopPoll)
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -96,7 +96,7 @@
 		}
 	}
 	r.log.Info("Entries known.", "before", len(before), "order", own)
-	r.self.Registered(own)
+	r.self.Register(own)
 	r.links.SetEntries(before)
 	return true
 }
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -123,8 +123,11 @@
 	order atomic.Int64
 }
 
-// Registered sets the offset at which the entry registered in this start.
-func (s *Self) Registered(offset int64) { s.order.Store(offset + 1) }
+// Register sets the offset at which the entry registered in this start.
+func (s *Self) Register(offset int64) { s.order.Store(offset + 1) }
+
+// Registered tells whether the entry registered in this start.
+func (s *Self) Registered() bool { return s.order.Load() > 0 }
 
 // before tells whether an entry with that order comes before this one. An entry
 // that is not registered comes last.
--- /dev/null
+++ b/internal/telemetry/async_test.go
@@ -0,0 +1,35 @@
+package telemetry
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestAsyncWriterDoesNotWaitForItsReader(t *testing.T) {
+	r, w := io.Pipe()
+	a := NewAsyncWriter(w)
+	const lines = 4 * asyncLines
+	line := []byte(strings.Repeat("x", 95) + "line\n")
+	for range lines {
+		n, err := a.Write(line)
+		assert.NilError(t, err)
+		assert.Equal(t, n, len(line))
+	}
+	assert.Assert(t, a.Dropped() > 0)
+	done := make(chan string)
+	go func() {
+		data, _ := io.ReadAll(r)
+		done <- string(data)
+	}()
+	a.Close(time.Minute)
+	_, err := a.Write([]byte("late\n"))
+	assert.NilError(t, err)
+	assert.NilError(t, w.Close())
+	got := <-done
+	assert.Equal(t, uint64(strings.Count(got, "line\n"))+a.Dropped(), uint64(lines))
+	assert.Assert(t, strings.Contains(got, "Log lines dropped."), "the reader is not told")
+}
