Let equal events give equal actions in staging; never tell a negative time to come back

Found by the property test in the whole run of the tests: a request refused after its deadline was told to come back before now (the header was left out, the planner's answer was wrong), and the failure could not be reproduced since jobs, calls and pools were gone through in the random order of maps. They are kept in order now.

--- a/core/staging/admit.go
+++ b/core/staging/admit.go
@@ -49,7 +49,7 @@
 // started jobs and those of others claim.
 func (s *Scheduler) memoryWait(j *job, now time.Duration) time.Duration {
 	claimed := map[*pool]int64{}
-	for _, o := range s.jobs {
+	for _, o := range s.queue {
 		o.claim(claimed)
 	}
 	j.claim(claimed)
@@ -127,7 +127,7 @@
 			drain = max(drain, r.pool.backlog(j, now))
 		}
 	}
-	longest := time.Duration(retryShare * float64(j.def.Deadline-now))
+	longest := time.Duration(retryShare * float64(max(0, j.def.Deadline-now)))
 	after := min(max(drain, shortestRetry), longest)
 	if now+after+j.shortest()+j.def.After > j.def.Due {
 		after = longest
--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -27,7 +27,7 @@
 // dispatch starts all calls that can be started.
 func (s *Scheduler) dispatch(now time.Duration) {
 	s.flush(now)
-	for _, p := range s.pools {
+	for _, p := range s.order {
 		for s.startCall(p, now) {
 		}
 	}
@@ -35,7 +35,7 @@
 
 // flush gives up the results that were gathered long enough.
 func (s *Scheduler) flush(now time.Duration) {
-	for _, p := range s.pools {
+	for _, p := range s.order {
 		for _, m := range p.servers {
 			if len(m.frees) >= freeBatch || len(m.frees) > 0 && now-m.freeSince >= freeDelay {
 				s.flushServer(m)
@@ -205,7 +205,7 @@
 // mayStart tells whether there is memory for the results of all stages of a job.
 func (s *Scheduler) mayStart(j *job, now time.Duration) bool {
 	claimed := map[*pool]int64{}
-	for _, o := range s.jobs {
+	for _, o := range s.queue {
 		if o.started {
 			o.claim(claimed)
 		}
--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -371,6 +371,7 @@
 // drop ends a job: its results are freed and its pieces are not asked for.
 func (s *Scheduler) drop(j *job, now time.Duration) {
 	delete(s.jobs, j.def.ID)
+	s.queue = slices.DeleteFunc(s.queue, func(o *job) bool { return o == j })
 	for _, r := range j.runs {
 		r.free(now)
 		r.queued = nil
--- a/core/staging/session_test.go
+++ b/core/staging/session_test.go
@@ -20,7 +20,7 @@
 //
 // Each takes at=MS, the time, and prints the actions that follow.
 func TestSessions(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
 		s := &session{s: New(), calls: map[uint64]Call{}}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return s.run(t, d) })
 	})
@@ -154,7 +154,7 @@
 		lines = append(lines, fmt.Sprintf("free %d at %s: %s", f.ID, f.Server.ID, strings.Join(f.Handles, " ")))
 	}
 	for _, r := range acts.Refused {
-		lines = append(lines, fmt.Sprintf("refused %s: %s", r.JobID, r.Reason))
+		lines = append(lines, fmt.Sprintf("refused %s: %s, return %v", r.JobID, r.Reason, r.RetryAfter > 0))
 	}
 	for _, j := range acts.Done {
 		lines = append(lines, fmt.Sprintf("done %s: %s", j.JobID, strings.Join(j.Handles, " ")))
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -9,6 +9,9 @@
 package staging
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -179,8 +182,13 @@
 
 // Scheduler runs the stages of jobs. It is not safe for concurrent use.
 type Scheduler struct {
-	pools    map[string]*pool
-	jobs     map[string]*job
+	pools map[string]*pool
+	// order holds the pools in the order of their names, so that equal events give
+	// equal actions.
+	order []*pool
+	jobs  map[string]*job
+	// queue holds the jobs in the order in which they came.
+	queue    []*job
 	calls    map[uint64]*call
 	lastCall uint64
 	frees    map[uint64]pendingFree
@@ -211,6 +219,8 @@
 	if p == nil {
 		p = &pool{name: name}
 		s.pools[name] = p
+		s.order = append(s.order, p)
+		slices.SortFunc(s.order, func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
 	}
 	p.spec = spec
 	kept := make([]*server, 0, len(servers))
@@ -252,6 +262,7 @@
 	}
 	j.submitted, j.expected = now, expected
 	s.jobs[def.ID] = j
+	s.queue = append(s.queue, j)
 	j.takeMade()
 	for _, r := range j.runs {
 		if len(r.queued) > 0 {
@@ -283,7 +294,7 @@
 // GiveUp frees results that another scheduler had made.
 func (s *Scheduler) GiveUp(now time.Duration, made []MadeResult) {
 	for _, m := range made {
-		for _, p := range s.pools {
+		for _, p := range s.order {
 			if srv := p.find(m.Server); srv != nil {
 				srv.free(m.Handle, 0, now)
 			}
@@ -326,11 +337,11 @@
 
 // Tick starts what can be started and gives up what can't end in time.
 func (s *Scheduler) Tick(now time.Duration) {
-	for _, c := range s.calls {
-		s.checkRead(c, now)
-		s.checkLate(c, now)
+	for _, id := range slices.Sorted(maps.Keys(s.calls)) {
+		s.checkRead(s.calls[id], now)
+		s.checkLate(s.calls[id], now)
 	}
-	for _, j := range s.jobs {
+	for _, j := range slices.Clone(s.queue) {
 		if !j.done && now+j.shortest() > j.def.Deadline {
 			s.refuse(j, now, TooLate, 0)
 			s.drop(j, now)
@@ -416,7 +427,7 @@
 	if len(s.calls) > 0 {
 		return false
 	}
-	for _, p := range s.pools {
+	for _, p := range s.order {
 		if len(p.runs) > 0 {
 			return false
 		}
