--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -215,7 +215,7 @@
 }
 
 func (s *Scheduler) pieceFailed(it item, c *call, outcome Outcome, now time.Duration) {
-	if outcome == InputGone && s.jobs[it.run.job.def.ID] == it.run.job {
+	if outcome == InputGone && s.jobs[it.run.job.def.ID] == it.run.job && it.run.pieces[it.piece].handle == "" {
 		s.remakeInputs(it.run, now)
 	}
 	s.repeat(it, c, now, outcome != NoMemory)
@@ -265,6 +265,10 @@
 
 // remake gives up the results for which lost is true and asks for them again.
 func (r *run) remake(lost func(*piece) bool, now time.Duration) {
+	if r.freed {
+		r.restore()
+		return
+	}
 	for k := range r.pieces {
 		p := &r.pieces[k]
 		if p.handle == "" || !lost(p) {
--- a/core/staging/property_test.go
+++ b/core/staging/property_test.go
@@ -128,8 +128,9 @@
 	}
 	results := make([]Result, len(c.Items))
 	for i, it := range c.Items {
-		if n := rapid.IntRange(0, 29).Draw(w.t, "outcome"); n < 2 {
-			results[i] = Result{Outcome: []Outcome{NoMemory, Failed}[n]}
+		n := rapid.IntRange(0, 29).Draw(w.t, "outcome")
+		if n < 2 || n == 2 && len(it.Inputs) > 0 {
+			results[i] = Result{Outcome: []Outcome{NoMemory, Failed, InputGone}[n]}
 			continue
 		}
 		results[i] = Result{Handle: fmt.Sprintf("%s/%s.%d.%d.%d", c.Server.ID, it.JobID, it.Stage, it.Piece, c.ID)}
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -257,9 +257,10 @@
 	m.freeing += bytes
 }
 
-// checkRead notes that the inputs of a call were read.
+// checkRead notes that the inputs of a call were read. The pieces of a late call are
+// asked for elsewhere: there the inputs are needed still.
 func (s *Scheduler) checkRead(c *call, now time.Duration) {
-	if c.read || c.began == 0 || now < c.began+readTime {
+	if c.read || c.late || c.began == 0 || now < c.began+readTime {
 		return
 	}
 	c.read = true
