--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -74,7 +74,7 @@
 		return Line{}, false
 	}
 	fields := map[string]any{}
-	if err := json.Unmarshal(raw[at:], &fields); err != nil || fields["request"] != id {
+	if err := json.Unmarshal(raw[at:], &fields); err != nil || !about(fields, id) {
 		return Line{}, false
 	}
 	line := Line{Source: source, Fields: fields}
@@ -89,6 +89,15 @@
 	return line, true
 }
 
+// about tells whether a line is about the request, alone or with others.
+func about(fields map[string]any, id string) bool {
+	if fields["request"] == id {
+		return true
+	}
+	ids, _ := fields["requests"].([]any)
+	return slices.Contains(ids, any(id))
+}
+
 func text(v any) string {
 	s, _ := v.(string)
 	return s
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -332,20 +333,31 @@
 	end, results, err := p.stages.Make(ctx, c)
 	took := clock.Now() - start
 	if end != staging.Answered {
-		p.log.Info("Stage call failed.", "call", c.ID, "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "cause", errText(err))
+		p.log.Info("Stage call failed.", "call", c.ID, "requests", requestsOf(c), "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "cause", errText(err))
 	} else {
-		p.log.Info("Stage call done.", "call", c.ID, "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "expected", c.Expected,
+		p.log.Info("Stage call done.", "call", c.ID, "requests", requestsOf(c), "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "expected", c.Expected,
 			"waited", c.Waited, "memory_left", c.MemoryLeft)
 	}
 	p.step(func(now time.Duration) { p.sched.CallDone(now, c.ID, end, results) })
 }
 
+// requestsOf returns the ids of the requests that a call makes pieces of.
+func requestsOf(c staging.Call) []string {
+	var ids []string
+	for _, it := range c.Items {
+		if !slices.Contains(ids, it.JobID) {
+			ids = append(ids, it.JobID)
+		}
+	}
+	return ids
+}
+
 func (p *Planner) free(f staging.Free) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	if err := p.stages.Free(ctx, f); err != nil {
-		p.log.V(1).Info("Results not given up.", "server", f.Server.ID, "results", len(f.Handles), "cause", errText(err))
-	}
+	start := clock.Now()
+	err := p.stages.Free(ctx, f)
+	p.log.Info("Results given up.", "server", f.Server.ID, "results", len(f.Handles), "took", clock.Now()-start, "cause", errText(err))
 	p.step(func(now time.Duration) { p.sched.FreeDone(now, f.ID) })
 }
 
