--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -245,7 +245,6 @@
 	}
 	s.calls[c.id] = c
 	m.calls = append(m.calls, c)
-	m.nextTurn(now)
 	act := Call{ID: c.id, Pool: m.pool.name, Server: m.def, Timeout: callTimeout, Expected: c.ends - now}
 	for _, it := range items {
 		it.run.unqueue(it.piece)
--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -51,8 +51,6 @@
 	// copies is the number of calls that are making the piece.
 	copies int
 	tries  int
-	// read is set once the server that makes the piece has read its inputs.
-	read bool
 }
 
 func (s *Scheduler) newJob(def Job) *job {
@@ -139,7 +137,6 @@
 	if r.job.held {
 		return
 	}
-	r.pieces[k].read = false
 	for _, a := range r.after {
 		a.restore()
 	}
@@ -295,39 +292,6 @@
 	r.made = 0
 }
 
-// allRead tells whether the servers have read the inputs of all pieces.
-func (r *run) allRead() bool {
-	for i := range r.pieces {
-		if p := &r.pieces[i]; p.handle == "" && !p.read {
-			return false
-		}
-	}
-	return true
-}
-
-// freeInputs gives up the inputs of a run whose servers have read them, where
-// memory is scarce.
-func (r *run) freeInputs(now time.Duration) {
-	if !r.allRead() {
-		return
-	}
-	for _, a := range r.after {
-		if a.scarce(now) && !slices.ContainsFunc(a.next, func(n *run) bool { return !n.allRead() }) {
-			a.free(now)
-		}
-	}
-}
-
-// scarce tells whether the servers that keep the run's results lack memory.
-func (r *run) scarce(now time.Duration) bool {
-	for i := range r.pieces {
-		if m := r.pieces[i].server; m != nil && float64(m.memoryLeft(now)) < scarceShare*float64(m.pool.spec.Memory) {
-			return true
-		}
-	}
-	return false
-}
-
 // runComplete frees the results that have no reader left and ends the job if this
 // was its last run.
 func (s *Scheduler) runComplete(r *run, now time.Duration) {
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -21,12 +21,6 @@
 	// firstPause doubles with each failure in a row, up to longestPause.
 	firstPause   = 300 * time.Millisecond
 	longestPause = 3 * time.Second
-	// readTime is the time after the beginning of a call within which its server has
-	// read the inputs: the way there, and a fetch from each of their makers.
-	readTime = 70 * time.Millisecond
-	// scarceShare is the part of a server's memory below which inputs are given up
-	// as soon as they were read, though a failed piece would need them again.
-	scarceShare = 0.3
 	// foreignShare is the part of the time for which servers keep results within
 	// which unknown ones are taken to lapse.
 	foreignShare = 0.6
@@ -138,10 +132,6 @@
 	items  []item
 	// begins and ends are the expected times of its turn and its end.
 	begins, ends time.Duration
-	// began is when its turn came, as far as is known.
-	began time.Duration
-	// read is set once its inputs are taken to be read.
-	read bool
 	// late calls have had their pieces asked for elsewhere.
 	late bool
 }
@@ -200,16 +190,6 @@
 		m.failures++
 	}
 	m.lastEnd = now
-	m.nextTurn(now)
-}
-
-// nextTurn notes the calls that the server begins.
-func (m *server) nextTurn(now time.Duration) {
-	for i, c := range m.calls {
-		if i < m.pool.spec.Slots && c.began == 0 {
-			c.began = now
-		}
-	}
 }
 
 func (m *server) measure(c *call, now time.Duration) {
@@ -257,21 +237,6 @@
 	m.freeing += bytes
 }
 
-// checkRead notes that the inputs of a call were read. The pieces of a late call are
-// asked for elsewhere: there the inputs are needed still.
-func (s *Scheduler) checkRead(c *call, now time.Duration) {
-	if c.read || c.late || c.began == 0 || now < c.began+readTime {
-		return
-	}
-	c.read = true
-	for _, it := range c.items {
-		it.run.pieces[it.piece].read = true
-	}
-	for _, it := range c.items {
-		it.run.freeInputs(now)
-	}
-}
-
 // checkLate asks for the pieces of an overdue call elsewhere.
 func (s *Scheduler) checkLate(c *call, now time.Duration) {
 	if c.late {
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -338,7 +338,6 @@
 // Tick starts what can be started and gives up what can't end in time.
 func (s *Scheduler) Tick(now time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(s.calls)) {
-		s.checkRead(s.calls[id], now)
 		s.checkLate(s.calls[id], now)
 	}
 	for _, j := range slices.Clone(s.queue) {
