Read the store less often; take a waited read as word of its end

With the longer wait the age of the configuration, counted from the start of a read, lay between 1.1 and 2.2 s, so that unknown routes were answered 503 in place of 404 half of the time. A read that waited in vain confirms what is known as of its end. Keys are honoured for 0.75 of their validity (0.85 before), since a waiting read may hear of a change late.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,8 +39,9 @@
 	// answer for good that a route or a key does not exist.
 	staleAfter = 1500 * time.Millisecond
 	// keyShare is the part of a key's validity after which it is not honoured
-	// without word from the store; the rest covers the way to the server.
-	keyShare = 0.85
+	// without word from the store. The rest covers the way to the server and a read
+	// that waited for records which the store had but did not tell at once.
+	keyShare = 0.75
 	// readyShare is the part of a key's validity from which the entry asks for no
 	// new clients.
 	readyShare = 0.5
--- a/internal/watch/config.go
+++ b/internal/watch/config.go
@@ -17,7 +17,7 @@
 
 const (
 	// configWait is how long a read of the configuration waits for a change.
-	configWait = 800 * time.Millisecond
+	configWait = 1100 * time.Millisecond
 	// firstBackoff doubles with each failure in a row, up to longestBackoff.
 	firstBackoff   = 50 * time.Millisecond
 	longestBackoff = 500 * time.Millisecond
@@ -35,7 +35,7 @@
 	log     logr.Logger
 	changed func(*routes.Table)
 	table   atomic.Pointer[routes.Table]
-	// contact is the time, by clock.Now, at which the newest successful read began.
+	// contact is the time, by clock.Now, as of which the store confirmed the table.
 	contact atomic.Int64
 }
 
@@ -60,7 +60,7 @@
 func (c *Config) Run(ctx context.Context) {
 	follow(ctx, follower{
 		store: c.store, topic: platform.ConfigTopic, wait: configWait, log: c.log,
-		take: c.take, done: func(start time.Duration) { c.contact.Store(int64(start)) },
+		take: c.take, done: func(asOf time.Duration) { c.contact.Store(int64(asOf)) },
 	})
 }
 
@@ -93,8 +93,8 @@
 	log         logr.Logger
 	// take takes records; whole is true if they are all that there is.
 	take func(records []platform.KeyedRecord, whole bool)
-	// done takes the time at which a successful read began.
-	done func(start time.Duration)
+	// done takes the time as of which the store confirmed what is known.
+	done func(asOf time.Duration)
 	// failed, if set, takes the time of a failed read.
 	failed func(now time.Duration)
 }
@@ -106,7 +106,8 @@
 	for ctx.Err() == nil {
 		start := clock.Now()
 		var err error
-		next, err = f.read(ctx, next)
+		var waited time.Duration
+		next, waited, err = f.read(ctx, next)
 		if ctx.Err() != nil {
 			return
 		}
@@ -126,30 +127,34 @@
 			f.log.Info("Store regained.", "topic", f.topic)
 		}
 		lost, backoff = false, firstBackoff
-		f.done(start)
+		f.done(start + waited)
 		sleep(ctx, f.pause)
 	}
 }
 
-// read makes one read and returns the offset to go on from.
-func (f *follower) read(ctx context.Context, next int64) (int64, error) {
+// read makes one read and returns the offset to go on from, and how long the store
+// waited in vain for records: the answer holds as of the end of that wait.
+func (f *follower) read(ctx context.Context, next int64) (int64, time.Duration, error) {
 	if next < 0 {
 		records, end, err := f.store.Newest(ctx, f.topic)
 		if err != nil {
-			return -1, err
+			return -1, 0, err
 		}
 		f.take(records, true)
-		return end, nil
+		return end, 0, nil
 	}
 	records, end, err := f.store.ReadKeyed(ctx, f.topic, next, f.wait)
 	if errors.Is(err, platform.ErrExpired) {
 		return f.read(ctx, -1)
 	}
 	if err != nil {
-		return next, err
+		return next, 0, err
 	}
 	f.take(records, false)
-	return end, nil
+	if end == next {
+		return end, f.wait, nil
+	}
+	return end, 0, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/watch/servers.go
+++ b/internal/watch/servers.go
@@ -15,7 +15,7 @@
 )
 
 // serversPause is the time between two reads of the servers' records.
-const serversPause = 900 * time.Millisecond
+const serversPause = time.Second
 
 // Servers follows the records of the backend servers.
 type Servers struct {
