Let small machines place requests last

Entries with under a quarter of a core come behind all others in the order.

On sites/ all entries have 0.304 of a core and nothing changes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,7 +87,7 @@
 	})
 	n.registry = &registry{
 		store: n.store, links: n.links, self: n.self, log: o.Log.WithName("registry"),
-		name: o.Settings.Node, address: n.peerAddress(), start: start,
+		name: o.Settings.Node, address: n.peerAddress(), start: start, small: o.Settings.Cores > 0 && o.Settings.Cores < smallCores,
 	}
 	return n
 }
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -19,6 +19,11 @@
 	// the later looks remove those that left.
 	registryPause = 15 * time.Second
 	leaveTimeout  = 500 * time.Millisecond
+	// smallCores is the number of processor cores under which an entry is small:
+	// placing the requests of many entries takes about a tenth of a core.
+	smallCores = 0.25
+	// smallOrder puts small entries behind all others; offsets stay below it.
+	smallOrder = 1 << 40
 )
 
 // registration is the record of an entry in the store.
@@ -26,6 +31,16 @@
 	Address string `json:"address"`
 	// Start tells two starts of one entry apart.
 	Start int64 `json:"start"`
+	// Small entries place requests only if all others are lost.
+	Small bool `json:"small,omitempty"`
+}
+
+// order is the entry's place in the order of all entries.
+func (r registration) order(offset int64) int64 {
+	if r.Small {
+		return offset + smallOrder
+	}
+	return offset
 }
 
 // registry keeps the entry's record and learns the entries registered before it.
@@ -40,10 +55,11 @@
 	address string
 	// start tells two starts of this entry apart.
 	start int64
+	small bool
 }
 
 func (r *registry) run(ctx context.Context) {
-	value, err := json.Marshal(registration{Address: r.address, Start: r.start})
+	value, err := json.Marshal(registration{Address: r.address, Start: r.start, Small: r.small})
 	if err != nil {
 		r.log.Error(err, "Entry not registered.")
 		return
@@ -79,11 +95,11 @@
 		}
 		if rec.Key == r.name {
 			if reg.Start == r.start {
-				own = rec.Offset
+				own = reg.order(rec.Offset)
 			}
 			continue
 		}
-		entries = append(entries, peer.Entry{Name: rec.Key, Address: reg.Address, Order: rec.Offset})
+		entries = append(entries, peer.Entry{Name: rec.Key, Address: reg.Address, Order: reg.order(rec.Offset)})
 	}
 	if own < 0 {
 		// A late write of an earlier start of this entry; the own one follows.
