--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -88,7 +88,7 @@
 	p.runs = slices.DeleteFunc(p.runs, func(r *run) bool { return len(r.queued) == 0 })
 	var ready []*run
 	for _, r := range p.runs {
-		if r.ready() && !r.early(now) {
+		if r.ready() && !r.early() {
 			ready = append(ready, r)
 		}
 	}
@@ -100,7 +100,7 @@
 
 // early tells whether a run would only hold memory while the job's other stages
 // go on: no stage reads its results, and the others take longer than it does.
-func (r *run) early(time.Duration) bool {
+func (r *run) early() bool {
 	if len(r.next) > 0 || len(r.after) > 0 {
 		return false
 	}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -16,3 +17,16 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// Sleep waits for d or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -306,3 +306,20 @@
 	}
 	return b
 }
+
+// stoppingFor is the time since the gateway began to stop; 0 if it did not.
+func (g *Gateway) stoppingFor() time.Duration {
+	at := g.stopAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return clock.Now() - time.Duration(at)
+}
+
+func (g *Gateway) stopping() bool { return g.stopAt.Load() != 0 }
+
+// Stop makes the gateway take its last requests.
+func (g *Gateway) Stop() { g.stopAt.CompareAndSwap(0, int64(clock.Now())) }
+
+// InFlight returns the number of requests that are not answered.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
@@ -124,48 +123,3 @@
 	}
 	return pr
 }
-
-// Pools returns the servers that the planner uses, by the configuration in force.
-func (g *Gateway) Pools() []planner.Pool {
-	t := g.Config.Table()
-	if t == nil {
-		return nil
-	}
-	var all []planner.Pool
-	for _, svc := range t.Services() {
-		list := g.Servers.Usable(svc.Name)
-		pool := planner.Pool{Name: svc.Name}
-		if b := svc.Batch; b != nil {
-			pool.Spec = &staging.Spec{Slots: b.Slots, Batch: b.Size, CallTime: b.CallTime, ItemTime: b.ItemTime, Memory: b.Memory, Keep: b.Keep}
-			for _, s := range list {
-				pool.Stage = append(pool.Stage, staging.Server{ID: s.ID, Address: s.Address, Zone: s.Zone, Started: s.Started})
-			}
-		} else {
-			pool.Servers = placementServers(list)
-			for i := range pool.Servers {
-				if svc.Model != nil {
-					pool.Servers[i].Slots, pool.Servers[i].CacheTokens = svc.Model.Slots, svc.Model.CacheTokens
-				}
-			}
-		}
-		all = append(all, pool)
-	}
-	return all
-}
-
-// stoppingFor is the time since the gateway began to stop; 0 if it did not.
-func (g *Gateway) stoppingFor() time.Duration {
-	at := g.stopAt.Load()
-	if at == 0 {
-		return 0
-	}
-	return clock.Now() - time.Duration(at)
-}
-
-func (g *Gateway) stopping() bool { return g.stopAt.Load() != 0 }
-
-// Stop makes the gateway take its last requests.
-func (g *Gateway) Stop() { g.stopAt.CompareAndSwap(0, int64(clock.Now())) }
-
-// InFlight returns the number of requests that are not answered.
-func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -12,6 +12,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+	"github.com/magnoliawheel/magnoliawheel/internal/telemetry"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
@@ -232,7 +233,7 @@
 	_, err := w.Write(a.body)
 	g.metrics.answered.Inc(1)
 	g.metrics.held.RecordDuration(clock.Now() - req.arrived)
-	req.log.Info("Request answered.", "status", a.status, "bytes", len(a.body), "held", clock.Now()-req.arrived, "tries", req.tries, "cause", errText(err))
+	req.log.Info("Request answered.", "status", a.status, "bytes", len(a.body), "held", clock.Now()-req.arrived, "tries", req.tries, "cause", telemetry.Cause(err))
 }
 
 func placementServers(list []platform.Server) []placement.Server {
@@ -242,10 +243,3 @@
 	}
 	return all
 }
-
-func errText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- /dev/null
+++ b/internal/gateway/pools.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"github.com/magnoliawheel/magnoliawheel/core/routes"
+	"github.com/magnoliawheel/magnoliawheel/core/staging"
+	"github.com/magnoliawheel/magnoliawheel/internal/planner"
+	"github.com/magnoliawheel/magnoliawheel/platform"
+)
+
+// Pools returns the servers that the planner uses, by the configuration in force.
+func (g *Gateway) Pools() []planner.Pool {
+	t := g.Config.Table()
+	if t == nil {
+		return nil
+	}
+	var all []planner.Pool
+	for _, svc := range t.Services() {
+		all = append(all, pool(svc, g.Servers.Usable(svc.Name)))
+	}
+	return all
+}
+
+func pool(svc *routes.Service, list []platform.Server) planner.Pool {
+	p := planner.Pool{Name: svc.Name}
+	if svc.Batch != nil {
+		p.Spec = spec(svc.Batch)
+		for _, s := range list {
+			p.Stage = append(p.Stage, staging.Server{ID: s.ID, Address: s.Address, Zone: s.Zone, Started: s.Started})
+		}
+		return p
+	}
+	p.Servers = placementServers(list)
+	if svc.Model == nil {
+		return p
+	}
+	for i := range p.Servers {
+		p.Servers[i].Slots, p.Servers[i].CacheTokens = svc.Model.Slots, svc.Model.CacheTokens
+	}
+	return p
+}
+
+func spec(b *routes.Batch) *staging.Spec {
+	return &staging.Spec{
+		Slots: b.Slots, Batch: b.Size, CallTime: b.CallTime, ItemTime: b.ItemTime, Memory: b.Memory, Keep: b.Keep,
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -167,17 +167,18 @@
 func (s *streamRun) sendFailed(ctx context.Context, p planner.Placed, progress func(planner.Phase), err error) (bool, *refusal) {
 	s.req.log.Info("No answer.", "server", p.Server, "cause", err.Error())
 	s.avoid = append(s.avoid, p.Server)
-	if ctx.Err() != nil {
+	sent := !errors.Is(err, upstream.ErrNotSent)
+	if sent {
 		s.sends++
+	}
+	if ctx.Err() != nil {
 		progress(planner.Cancelled)
 		return false, nil
 	}
-	if errors.Is(err, upstream.ErrNotSent) {
-		progress(planner.Unreached)
+	progress(planner.Unreached)
+	if !sent {
 		return false, s.afterNotRun("server not reached")
 	}
-	s.sends++
-	progress(planner.Unreached)
 	return false, s.afterRun("no answer from the server")
 }
 
--- a/internal/node/leftovers.go
+++ b/internal/node/leftovers.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
@@ -95,7 +96,7 @@
 	for range giveUpTries {
 		records, _, err := l.store.Newest(ctx, platform.ResultsTopic)
 		if err != nil {
-			pause(ctx, registerRetry)
+			clock.Sleep(ctx, registerRetry)
 			continue
 		}
 		for _, rec := range records {
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer"
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
@@ -68,14 +69,14 @@
 		if _, err := r.store.AppendKeyed(ctx, platform.EntriesTopic, r.name, value, platform.Condition{}); err == nil {
 			break
 		}
-		pause(ctx, registerRetry)
+		clock.Sleep(ctx, registerRetry)
 	}
 	for ctx.Err() == nil {
 		wait := registryPause
 		if !r.look(ctx) {
 			wait = registerRetry
 		}
-		pause(ctx, wait)
+		clock.Sleep(ctx, wait)
 	}
 }
 
@@ -125,12 +126,3 @@
 		r.log.Info("Entry's record not dropped.", "cause", err.Error())
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -14,6 +14,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+	"github.com/magnoliawheel/magnoliawheel/internal/telemetry"
 )
 
 const (
@@ -333,7 +334,7 @@
 	end, results, err := p.stages.Make(ctx, c)
 	took := clock.Now() - start
 	if end != staging.Answered {
-		p.log.Info("Stage call failed.", "call", c.ID, "requests", requestsOf(c), "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "cause", errText(err))
+		p.log.Info("Stage call failed.", "call", c.ID, "requests", requestsOf(c), "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "cause", telemetry.Cause(err))
 	} else {
 		p.log.Info("Stage call done.", "call", c.ID, "requests", requestsOf(c), "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", took, "expected", c.Expected,
 			"waited", c.Waited, "memory_left", c.MemoryLeft)
@@ -357,17 +358,10 @@
 	defer cancel()
 	start := clock.Now()
 	err := p.stages.Free(ctx, f)
-	p.log.Info("Results given up.", "server", f.Server.ID, "results", len(f.Handles), "took", clock.Now()-start, "cause", errText(err))
+	p.log.Info("Results given up.", "server", f.Server.ID, "results", len(f.Handles), "took", clock.Now()-start, "cause", telemetry.Cause(err))
 	p.step(func(now time.Duration) { p.sched.FreeDone(now, f.ID) })
 }
 
-func errText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // Jobs returns the number of requests whose stages run or whose results are kept.
 func (p *Planner) Jobs() int {
 	p.mu.Lock()
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -42,3 +42,11 @@
 	}, reportInterval)
 	return scope, reporter.HTTPHandler(), closer
 }
+
+// Cause returns the text of an error for a log line; "" for none.
+func Cause(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/internal/watch/config.go
+++ b/internal/watch/config.go
@@ -119,7 +119,7 @@
 			if f.failed != nil {
 				f.failed(clock.Now())
 			}
-			sleep(ctx, backoff)
+			clock.Sleep(ctx, backoff)
 			backoff = min(2*backoff, longestBackoff)
 			continue
 		}
@@ -128,7 +128,7 @@
 		}
 		lost, backoff = false, firstBackoff
 		f.done(start + waited)
-		sleep(ctx, f.pause)
+		clock.Sleep(ctx, f.pause)
 	}
 }
 
@@ -156,15 +156,3 @@
 	}
 	return end, 0, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
