Let the reads of the store follow from the bounds of the settings

On the grown deployments, whose bounds are 4 s, calls to the store were the largest price. A read waits 0.44 of the bound for configurations, and the servers' records are read each 0.4 of the bound for leaving ones; when a configuration is too old to deny a route follows from its bound too.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,9 +35,9 @@
 	defaultBody = 4 << 20
 	// bodyTimeout bounds the time in which a client must send its body.
 	bodyTimeout = 5 * time.Second
-	// staleAfter is the age of the configuration from which the entry does not
-	// answer for good that a route or a key does not exist.
-	staleAfter = 1500 * time.Millisecond
+	// staleShare is the part of the bound for a configuration, as its age, from which
+	// the entry does not answer for good that a route or a key does not exist.
+	staleShare = 0.9
 	// keyShare is the part of a key's validity after which it is not honoured
 	// without word from the store. The rest covers the way to the server and a read
 	// that waited for records which the store had but did not tell at once.
@@ -45,9 +45,9 @@
 	// readyShare is the part of a key's validity from which the entry asks for no
 	// new clients.
 	readyShare = 0.5
-	// planAge is the age of the configuration from which an entry that reached the
-	// store later places requests better.
-	planAge = 2500 * time.Millisecond
+	// planShare is the part of that bound, as the age of the configuration, from which
+	// an entry that reached the store later places requests better.
+	planShare = 1.0
 	// unreadyRetry is when to come back to an entry that can't serve now.
 	unreadyRetry = 400 * time.Millisecond
 )
@@ -227,7 +227,7 @@
 // unknown answers for what the configuration does not have. An entry that may lack
 // a newer version does not say so for good.
 func (g *Gateway) unknown(code result.Code, cause string) *refusal {
-	if g.Config.Age() > staleAfter {
+	if !g.fresh(staleShare, g.Settings.ConfigBound) {
 		return refused(result.ConfigMayBeOld, cause, unreadyRetry)
 	}
 	return &refusal{code: code, cause: cause}
@@ -274,7 +274,7 @@
 
 // CanPlan tells whether the entry can place requests for others.
 func (g *Gateway) CanPlan() bool {
-	return g.known() && !g.stopping() && g.Config.Age() < planAge
+	return g.known() && !g.stopping() && g.fresh(planShare, g.Settings.ConfigBound)
 }
 
 // known tells whether there is a configuration and the list of servers.
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -72,6 +72,7 @@
 	settings := &platform.Settings{
 		Node: name, Zone: "z", IP: "127.0.0.1", ClientAddress: freeAddress(f.t), ReadinessAddress: freeAddress(f.t),
 		FirstPort: freePort(f.t), StoreAddress: f.store.Address(), Grace: 30 * time.Second, KeyValidity: keyValidity,
+		ConfigBound: 2500 * time.Millisecond, LeaveBound: 2500 * time.Millisecond,
 		Retry: platform.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Allowance: 80},
 	}
 	n := New(Options{Settings: settings, Log: logr.Discard(), Scope: tally.NoopScope})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,8 +70,8 @@
 func New(o Options) *Node {
 	n := &Node{opts: o, store: platform.NewStore(o.Settings.StoreAddress)}
 	client := upstream.New()
-	n.servers = watch.NewServers(n.store, o.Log.WithName("servers"), n.poolsChanged)
-	n.config = watch.NewConfig(n.store, o.Log.WithName("config"), func(*routes.Table) { n.poolsChanged() })
+	n.servers = watch.NewServers(n.store, o.Settings.LeaveBound, o.Log.WithName("servers"), n.poolsChanged)
+	n.config = watch.NewConfig(n.store, o.Settings.ConfigBound, o.Log.WithName("config"), func(*routes.Table) { n.poolsChanged() })
 	stages := &gateway.Stages{Client: client, Takes: n.servers.Takes}
 	n.planner = planner.New(stages, o.Log.WithName("planner"))
 	start := time.Now().UnixNano()
--- a/internal/watch/config.go
+++ b/internal/watch/config.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// configWait is how long a read of the configuration waits for a change.
-	configWait = 1100 * time.Millisecond
+	// configShare is the part of the bound for a configuration that one read waits
+	// for a change; a read may miss one, and the next must still be in time.
+	configShare = 0.44
 	// firstBackoff doubles with each failure in a row, up to longestBackoff.
 	firstBackoff   = 50 * time.Millisecond
 	longestBackoff = 500 * time.Millisecond
@@ -34,14 +35,17 @@
 	store   Store
 	log     logr.Logger
 	changed func(*routes.Table)
-	table   atomic.Pointer[routes.Table]
+	// wait is how long a read waits for a change.
+	wait  time.Duration
+	table atomic.Pointer[routes.Table]
 	// contact is the time, by clock.Now, as of which the store confirmed the table.
 	contact atomic.Int64
 }
 
-// NewConfig returns a watcher; changed is called after each new version.
-func NewConfig(store Store, log logr.Logger, changed func(*routes.Table)) *Config {
-	return &Config{store: store, log: log, changed: changed}
+// NewConfig returns a watcher; bound is the time within which a version must be in
+// force, and changed is called after each new one.
+func NewConfig(store Store, bound time.Duration, log logr.Logger, changed func(*routes.Table)) *Config {
+	return &Config{store: store, wait: time.Duration(configShare * float64(bound)), log: log, changed: changed}
 }
 
 // Table returns the newest version known, or nil.
@@ -59,7 +63,7 @@
 // Run follows the configuration until ctx ends.
 func (c *Config) Run(ctx context.Context) {
 	follow(ctx, follower{
-		store: c.store, topic: platform.ConfigTopic, wait: configWait, log: c.log,
+		store: c.store, topic: platform.ConfigTopic, wait: c.wait, log: c.log,
 		take: c.take, done: func(asOf time.Duration) { c.contact.Store(int64(asOf)) },
 	})
 }
--- a/internal/watch/servers.go
+++ b/internal/watch/servers.go
@@ -14,14 +14,17 @@
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
 
-// serversPause is the time between two reads of the servers' records.
-const serversPause = time.Second
+// leaveShare is the part of the bound for leaving servers that lies between two
+// reads of the records; a lost read must not break the bound.
+const leaveShare = 0.4
 
 // Servers follows the records of the backend servers.
 type Servers struct {
 	store   Store
 	log     logr.Logger
 	changed func()
+	// pause is the time between two reads.
+	pause time.Duration
 
 	mu      sync.Mutex
 	set     *backends.Set
@@ -29,15 +32,17 @@
 	loaded  bool
 }
 
-// NewServers returns a watcher; changed is called after each change.
-func NewServers(store Store, log logr.Logger, changed func()) *Servers {
-	return &Servers{store: store, log: log, changed: changed, set: backends.New(), records: map[string]platform.Server{}}
+// NewServers returns a watcher; bound is the time within which a leaving server must
+// get nothing new, and changed is called after each change.
+func NewServers(store Store, bound time.Duration, log logr.Logger, changed func()) *Servers {
+	pause := time.Duration(leaveShare * float64(bound))
+	return &Servers{store: store, pause: pause, log: log, changed: changed, set: backends.New(), records: map[string]platform.Server{}}
 }
 
 // Run follows the records until ctx ends.
 func (s *Servers) Run(ctx context.Context) {
 	follow(ctx, follower{
-		store: s.store, topic: platform.ServersTopic, pause: serversPause, log: s.log,
+		store: s.store, topic: platform.ServersTopic, pause: s.pause, log: s.log,
 		take: s.take,
 		done: func(time.Duration) { s.expire() },
 		failed: func(now time.Duration) {
