Count results that are handed over for their new scheduler; take lost results back

A scheduler that handed jobs over went on to count their results as its own; when it placed requests again, that memory was missing for good. Ruled out: results of others (they lapse), frees without an answer (they end).

The property test now hands jobs over at random and ends with the memory that counts as used: it failed with 7,650 bytes left.

--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -14,6 +14,7 @@
 
 // job is a request whose stages are being run or whose results are kept.
 type job struct {
+	sched   *Scheduler
 	def     Job
 	runs    []*run
 	started bool
@@ -54,7 +55,7 @@
 }
 
 func (s *Scheduler) newJob(def Job) *job {
-	j := &job{def: def, started: len(def.Made) > 0}
+	j := &job{sched: s, def: def, started: len(def.Made) > 0}
 	for i, st := range def.Stages {
 		r := &run{job: j, stage: i, pool: s.pools[st.Pool], bytes: st.Bytes, pieces: make([]piece, st.Pieces)}
 		for k := range r.pieces {
@@ -79,13 +80,10 @@
 			continue
 		}
 		r := j.runs[m.Stage]
-		srv := r.pool.find(m.Server)
-		if srv == nil || r.pieces[m.Piece].handle != "" {
-			continue
-		}
-		r.pieces[m.Piece] = piece{handle: m.Handle, server: srv}
-		r.made++
-		r.unqueue(m.Piece)
+		r.pieces[m.Piece] = piece{handle: m.Handle, server: r.pool.find(m.Server)}
+	}
+	for _, r := range j.runs {
+		r.countMade()
 	}
 	for _, r := range j.runs {
 		r.freed = len(r.next) > 0 && len(r.pieces) > 0 && !slices.ContainsFunc(r.next, func(n *run) bool { return !n.complete() })
@@ -100,6 +98,19 @@
 // begun tells whether a call was sent for some of the pieces.
 func (r *run) begun() bool { return len(r.queued) < len(r.pieces) }
 
+// countMade takes the results that were told as made, where their makers are listed.
+func (r *run) countMade() {
+	for k := range r.pieces {
+		p := &r.pieces[k]
+		if p.handle == "" || p.server == nil {
+			*p = piece{}
+			continue
+		}
+		r.made++
+		r.unqueue(k)
+	}
+}
+
 func (r *run) complete() bool { return r.made == len(r.pieces) }
 
 // ready tells whether the results that the run reads are all held.
@@ -134,12 +145,12 @@
 
 // requeue puts a piece back to be asked for, in the order of pieces.
 func (r *run) requeue(k int) {
-	if r.job.held {
-		return
-	}
 	for _, a := range r.after {
 		a.restore()
 	}
+	if r.job.held {
+		return
+	}
 	at, found := slices.BinarySearch(r.queued, k)
 	if !found {
 		r.queued = slices.Insert(r.queued, at, k)
@@ -202,13 +213,20 @@
 	}
 }
 
+// noteMade tells a new result, noteLost that one is lost.
 func (s *Scheduler) noteMade(r *run, k int) {
+	p := &r.pieces[k]
+	s.note(r, MadeResult{Stage: r.stage, Piece: k, Handle: p.handle, Server: p.server.def.ID})
+}
+
+func (s *Scheduler) noteLost(r *run, k int) { s.note(r, MadeResult{Stage: r.stage, Piece: k}) }
+
+func (s *Scheduler) note(r *run, m MadeResult) {
 	if s.acts.Made == nil {
 		s.acts.Made = map[string][]MadeResult{}
 	}
 	id := r.job.def.ID
-	p := &r.pieces[k]
-	s.acts.Made[id] = append(s.acts.Made[id], MadeResult{Stage: r.stage, Piece: k, Handle: p.handle, Server: p.server.def.ID})
+	s.acts.Made[id] = append(s.acts.Made[id], m)
 }
 
 func (s *Scheduler) pieceFailed(it item, c *call, outcome Outcome, now time.Duration) {
@@ -272,6 +290,7 @@
 			continue
 		}
 		p.server.free(p.handle, r.bytes, now)
+		r.job.sched.noteLost(r, k)
 		p.handle, p.server = "", nil
 		r.made--
 		r.requeue(k)
@@ -286,6 +305,7 @@
 	}
 	r.freed = false
 	for k := range r.pieces {
+		r.job.sched.noteLost(r, k)
 		r.pieces[k].handle, r.pieces[k].server = "", nil
 		r.requeue(k)
 	}
@@ -336,6 +356,19 @@
 	}
 }
 
+// forget leaves the results to another scheduler: they count for it from now on.
+func (r *run) forget() {
+	if r.freed {
+		return
+	}
+	r.freed = true
+	for i := range r.pieces {
+		if p := &r.pieces[i]; p.handle != "" {
+			p.server.used = max(0, p.server.used-r.bytes)
+		}
+	}
+}
+
 // drop ends a job: its results are freed and its pieces are not asked for.
 func (s *Scheduler) drop(j *job, now time.Duration) {
 	delete(s.jobs, j.def.ID)
--- a/core/staging/property_test.go
+++ b/core/staging/property_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,6 +26,11 @@
 	kept  map[string]string
 	taken map[string]bool
 	ended map[string]string
+	// jobs are the jobs as submitted, made their results told so far, and moving those
+	// that are handed over.
+	jobs   map[string]Job
+	made   map[string][]MadeResult
+	moving map[string]bool
 }
 
 // TestProperties checks for random loads and faults: a job ends once; calls hold at
@@ -54,6 +61,14 @@
 		w.take()
 		assert.Equal(rt, len(w.kept), 0, "results left: %v", w.kept)
 		assert.Equal(rt, w.s.Jobs(), 0)
+		for _, id := range w.frees {
+			w.s.FreeDone(w.now, id)
+		}
+		for _, p := range w.s.order {
+			for _, m := range p.servers {
+				assert.Equal(rt, m.used, int64(0), "memory that %s is taken to use", m.def.ID)
+			}
+		}
 	})
 }
 
@@ -61,6 +76,7 @@
 	w := &world{
 		t: t, s: New(), specs: map[string]Spec{}, pool: map[string]string{}, calls: map[uint64]Call{},
 		kept: map[string]string{}, taken: map[string]bool{}, ended: map[string]string{},
+		jobs: map[string]Job{}, made: map[string][]MadeResult{}, moving: map[string]bool{},
 	}
 	for _, name := range []string{"a", "b", "c"} {
 		spec := Spec{
@@ -88,13 +104,38 @@
 		{Pool: "a", Pieces: rapid.IntRange(0, 2).Draw(w.t, "pieces"), Bytes: 150},
 	}
 	w.taken[id] = true
-	w.s.Submit(w.now, Job{
+	w.jobs[id] = Job{
 		ID: id, Key: id, Stages: stages, Rank: rapid.IntRange(0, 2).Draw(w.t, "rank"),
 		Due: w.now + 2*time.Second, Deadline: w.now + 20*time.Second, Zone: "z0",
-	})
+	}
+	w.s.Submit(w.now, w.jobs[id])
 	w.take()
 }
 
+// handOver forgets a job at one scheduler and gives it to the next one, which here is
+// the same.
+func (w *world) handOver() {
+	ids := slices.Sorted(maps.Keys(w.taken))
+	if id := rapid.SampledFrom(ids).Draw(w.t, "moved"); w.ended[id] == "" && rapid.IntRange(0, 9).Draw(w.t, "move") == 0 {
+		w.s.Hold(id)
+		w.moving[id] = true
+	}
+	for _, id := range ids {
+		if !w.moving[id] || w.s.Calling(id) {
+			continue
+		}
+		delete(w.moving, id)
+		if w.ended[id] != "" {
+			continue
+		}
+		w.s.Forget(id)
+		job := w.jobs[id]
+		job.Made = w.made[id]
+		w.s.Submit(w.now, job)
+		w.take()
+	}
+}
+
 func (w *world) idle() bool {
 	return len(w.calls) == 0 && len(w.ended) == len(w.taken)
 }
@@ -117,6 +158,7 @@
 		w.endCall(c)
 		return
 	}
+	w.handOver()
 	w.s.Tick(w.now)
 	w.take()
 }
@@ -144,6 +186,9 @@
 
 func (w *world) take() {
 	acts := w.s.Take()
+	for id, made := range acts.Made {
+		w.made[id] = append(w.made[id], made...)
+	}
 	for _, f := range acts.Frees {
 		for _, h := range f.Handles {
 			_, there := w.kept[h]
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -129,6 +129,9 @@
 // GiveUp frees results that another scheduler had made.
 func (s *Scheduler) GiveUp(now time.Duration, made []MadeResult) {
 	for _, m := range made {
+		if m.Handle == "" {
+			continue
+		}
 		for _, p := range s.order {
 			if srv := p.find(m.Server); srv != nil {
 				srv.free(m.Handle, 0, now)
@@ -222,7 +225,7 @@
 		return
 	}
 	for _, r := range j.runs {
-		r.freed = true
+		r.forget()
 	}
 	s.drop(j, 0)
 }
--- a/core/staging/types.go
+++ b/core/staging/types.go
@@ -47,7 +47,8 @@
 	Made []MadeResult
 }
 
-// MadeResult is one result of a job with the id of its maker.
+// MadeResult is one result of a job with the id of its maker. Without a handle it
+// takes back what was told of the piece before: its result is lost.
 type MadeResult struct {
 	Stage, Piece   int
 	Handle, Server string
