--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -27,18 +27,22 @@
 // run that goes on elsewhere begins at an event.
 type relay struct {
 	w         http.ResponseWriter
+	control   *http.ResponseController
 	resumable bool
 	started   bool
 	events    int
-	lastEvent string
-	rest      []byte
-	buf       []byte
+	// last is the id of the last event forwarded.
+	last []byte
+	rest []byte
+	buf  []byte
 }
 
 func newRelay(w http.ResponseWriter, resumable bool) *relay {
-	return &relay{w: w, resumable: resumable}
+	return &relay{w: w, control: http.NewResponseController(w), resumable: resumable}
 }
 
+func (r *relay) lastEvent() string { return string(r.last) }
+
 // copy relays one run's answer. first is called at its first byte. A nil error means
 // that the answer was complete.
 func (r *relay) copy(resp *upstream.Response, first func()) error {
@@ -119,16 +123,15 @@
 		return
 	}
 	line, _, _ := bytes.Cut(events[at+len(idField):], []byte("\n"))
-	r.lastEvent = string(bytes.TrimSpace(line))
+	r.last = append(r.last[:0], bytes.TrimSpace(line)...)
 }
 
 func (r *relay) write(p []byte) error {
-	rc := http.NewResponseController(r.w)
-	_ = rc.SetWriteDeadline(time.Now().Add(clientWrite))
+	_ = r.control.SetWriteDeadline(time.Now().Add(clientWrite))
 	if _, err := r.w.Write(p); err != nil {
 		return errors.Mark(err, errClient)
 	}
-	if err := rc.Flush(); err != nil {
+	if err := r.control.Flush(); err != nil {
 		return errors.Mark(err, errClient)
 	}
 	return nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -230,8 +230,8 @@
 	}
 	progress(planner.Failed)
 	s.avoid = append(s.avoid, p.Server)
-	if s.relay.lastEvent != "" {
-		s.req.LastEvent = s.relay.lastEvent
+	if last := s.relay.lastEvent(); last != "" {
+		s.req.LastEvent = last
 	}
 	return false, s.afterRun("stream broken")
 }
