Let other events not put the planner's ticks off

Found by reading: each event set the timer anew, so that with events more often than each 10 ms no tick came: calls without an answer were not noticed and requests past their deadline not refused. Test: TestTicksComeAlsoWhileMuchHappens, which failed before after 30 s.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -133,20 +133,22 @@
 	}
 }
 
-// Run keeps the planner going until ctx ends.
+// Run keeps the planner going until ctx ends. Other events do not put ticks off.
 func (p *Planner) Run(ctx context.Context) {
 	timer := time.NewTimer(tick)
 	defer timer.Stop()
-	for {
+	for armed := true; ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.wake:
 		case <-timer.C:
+			armed = false
 			p.step(func(now time.Duration) { p.sched.Tick(now) })
 		}
-		if !p.idle() {
+		if !armed && !p.idle() {
 			timer.Reset(tick)
+			armed = true
 		}
 	}
 }
