Log what a changed settings file means

SIGHUP was ignored without a word. The file is read and the line says whether it changed; values are taken at the start of a process.

--- a/cmd/magnoliawheel/main.go
+++ b/cmd/magnoliawheel/main.go
@@ -111,7 +111,7 @@
 	stop := make(chan struct{})
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	signal.Ignore(syscall.SIGHUP)
+	go watchSettings(s, log.WithName("settings"))
 	go func() {
 		<-signals
 		close(stop)
@@ -121,6 +121,21 @@
 	}).Run(stop)
 }
 
+// watchSettings logs what a changed settings file means. Addresses and bounds are
+// taken at the start of a process; the platform starts it anew to change them.
+func watchSettings(current *platform.Settings, log logr.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	for range hangups {
+		s, err := platform.LoadSettings()
+		if err != nil {
+			log.Error(err, "Settings not understood; the old ones stay.")
+			continue
+		}
+		log.Info("Settings read.", "changed", *s != *current, "takes_effect", "at the next start")
+	}
+}
+
 // Execute checks the file.
 func (c *checkCommand) Execute([]string) error {
 	var err error
