--- a/test/failure/config_test.go
+++ b/test/failure/config_test.go
@@ -84,8 +84,10 @@
 		}
 	}()
 	for range 3 {
+		before := f.answeredBy(newSchema)
 		f.succeeds(0, "apply", longer)
 		f.succeeds(1, "wait")
+		f.await("an answer by the longer pipeline", func() bool { return f.answeredBy(newSchema) > before })
 		f.succeeds(1, "apply", "testdata/schema.toml")
 		f.succeeds(0, "wait")
 	}
@@ -106,6 +108,14 @@
 	assert.Assert(t, len(old) > 0)
 }
 
+// answeredBy returns how many requests were answered by the other schema so far.
+func (f *fleet) answeredBy(other *schema.Schema) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, others := f.split(other)
+	return len(others)
+}
+
 // split returns the requests sent, with those whose answer is that of the other
 // schema apart.
 func (f *fleet) split(other *schema.Schema) (own, others []harness.Sent) {
