Tell the planner the servers in turn, and serve only once it has them

The watchers of the configuration and of the servers each worked out the pools and handed them over at the same time; an older list, without servers, could replace the newer one, and stayed until the next change. An entry also counted as ready a moment before its planner had any servers.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,10 @@
 
 	metrics *metrics
 
+	poolsMu sync.Mutex
+	// pooled is set once the planner has the servers.
+	pooled atomic.Bool
+
 	mu      sync.Mutex
 	plain   *placement.Table
 	budgets map[string]*budget.Budget
@@ -277,8 +281,9 @@
 	return g.known() && !g.stopping() && g.fresh(planShare, g.Settings.ConfigBound)
 }
 
-// known tells whether there is a configuration and the list of servers.
-func (g *Gateway) known() bool { return g.Config.Table() != nil && g.Servers.Loaded() }
+// known tells whether there is a configuration and a list of servers, and the planner
+// has them.
+func (g *Gateway) known() bool { return g.pooled.Load() }
 
 // count counts a first call for the retry budget.
 func (g *Gateway) count(service string) {
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -7,8 +7,21 @@
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
 
-// Pools returns the servers that the planner uses, by the configuration in force.
-func (g *Gateway) Pools() []planner.Pool {
+// UpdatePools tells the planner the servers that it uses, after each change of the
+// configuration or of the servers. Changes at the same time take turns, so that an
+// older list never replaces a newer one.
+func (g *Gateway) UpdatePools() {
+	g.poolsMu.Lock()
+	defer g.poolsMu.Unlock()
+	complete := g.Config.Table() != nil && g.Servers.Loaded()
+	g.Planner.SetPools(g.pools())
+	if complete {
+		g.pooled.Store(true)
+	}
+}
+
+// pools returns the servers that the planner uses, by the configuration in force.
+func (g *Gateway) pools() []planner.Pool {
 	t := g.Config.Table()
 	if t == nil {
 		return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,7 +92,7 @@
 	return n
 }
 
-func (n *Node) poolsChanged() { n.planner.SetPools(n.gateway.Pools()) }
+func (n *Node) poolsChanged() { n.gateway.UpdatePools() }
 
 func (n *Node) peerAddress() string {
 	return net.JoinHostPort(n.opts.Settings.IP, strconv.Itoa(n.opts.Settings.FirstPort))
