Take SIGHUP from the start; write an answer's head and read its body in one place

Found by reading the change: the handler of SIGHUP was set in its own goroutine, so that a signal in the first moment would have ended the process.

--- a/cmd/magnoliawheel/main.go
+++ b/cmd/magnoliawheel/main.go
@@ -111,7 +111,9 @@
 	stop := make(chan struct{})
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go watchSettings(s, log.WithName("settings"))
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go watchSettings(s, hangups, log.WithName("settings"))
 	go func() {
 		<-signals
 		close(stop)
@@ -123,9 +125,7 @@
 
 // watchSettings logs what a changed settings file means. Addresses and bounds are
 // taken at the start of a process; the platform starts it anew to change them.
-func watchSettings(current *platform.Settings, log logr.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func watchSettings(current *platform.Settings, hangups <-chan os.Signal, log logr.Logger) {
 	for range hangups {
 		s, err := platform.LoadSettings()
 		if err != nil {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -188,14 +187,14 @@
 		}
 		return outcome{notRun: true, cause: cause}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	a, err := readWhole(resp)
 	if err != nil {
 		return outcome{cause: "answer broken off: " + err.Error()}
 	}
 	if !info.Sealed {
 		return outcome{cause: "answer without the server's seal"}
 	}
-	return outcome{answer: &answer{resp.StatusCode, resp.Header, body}}
+	return outcome{answer: a}
 }
 
 // stillAllowed checks again what may have changed since the request was accepted;
@@ -224,18 +223,24 @@
 
 // relayWhole gives the client a server's whole answer.
 func (g *Gateway) relayWhole(w http.ResponseWriter, req *request, a *answer) {
-	closing := w.Header().Get("Connection")
-	platform.CopyAnswerHeader(w.Header(), a.header)
-	if closing != "" {
-		w.Header().Set("Connection", closing)
-	}
-	w.WriteHeader(a.status)
+	writeHead(w, a.status, a.header)
 	_, err := w.Write(a.body)
 	g.metrics.answered.Inc(1)
 	g.metrics.held.RecordDuration(clock.Now() - req.arrived)
 	req.log.Info("Request answered.", "status", a.status, "bytes", len(a.body), "held", clock.Now()-req.arrived, "tries", req.tries, "cause", telemetry.Cause(err))
 }
 
+// writeHead writes the status and headers of a server's answer. An entry that stops
+// keeps its word that the connection ends.
+func writeHead(w http.ResponseWriter, status int, header http.Header) {
+	closing := w.Header().Get("Connection")
+	platform.CopyAnswerHeader(w.Header(), header)
+	if closing != "" {
+		w.Header().Set("Connection", closing)
+	}
+	w.WriteHeader(status)
+}
+
 func placementServers(list []platform.Server) []placement.Server {
 	all := make([]placement.Server, len(list))
 	for i, s := range list {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
-	"github.com/magnoliawheel/magnoliawheel/platform"
 )
 
 const (
@@ -78,12 +77,7 @@
 		return
 	}
 	r.started = true
-	closing := r.w.Header().Get("Connection")
-	platform.CopyAnswerHeader(r.w.Header(), resp.Header)
-	if closing != "" {
-		r.w.Header().Set("Connection", closing)
-	}
-	r.w.WriteHeader(resp.StatusCode)
+	writeHead(r.w, resp.StatusCode, resp.Header)
 }
 
 // forward writes the whole events among what was gathered and p.
