Part the retry allowance by the registered entries; drop records of lost ones

Cause: the fixed allowance of the retry budget was divided by eight, whatever the number of entries: from the ninth on, all together could spend more than the whole. A property test with up to 60 entries fails at the old rule.

Ruled out: a counter in the store (a write for each repeat); a wait of a window for each start (a quiet service cannot resume a stream in its first ten seconds: TestBrokenStreams failed); records dropped on leaving (a newcomer would not know what the one that left has spent; the property test found it).

Change: core/roster, pure, reads the records: order, own place, refresh every 2 min that keeps the order, records of 15 min dropped by the first entry alone. core/budget.Share tells an entry's part. A stopping entry marks its record in place of dropping it.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -1,7 +1,7 @@
 // Package budget bounds the repeated calls to a service by a share of its requests
 // in a sliding window. All entries together keep the bound without a shared
-// counter: each one spends its share of the requests that it saw itself, and an
-// equal part of the fixed allowance. It has no clock and no I/O.
+// counter: each one spends its share of the requests that it saw itself, and its
+// part of the fixed allowance. It has no clock and no I/O.
 package budget
 
 import "time"
@@ -14,8 +14,6 @@
 	// safety is the share of the ratio that is spent; the rest covers entries whose
 	// windows begin at other times.
 	safety = 0.8
-	// entriesAssumed divides the fixed allowance; fewer entries leave a part of it unused.
-	entriesAssumed = 8
 )
 
 // Options are the bounds of the budget.
@@ -45,15 +43,16 @@
 	b.requests[b.slot%slots]++
 }
 
-// Repeat takes one repeat out of the budget and tells whether there was one.
-func (b *Budget) Repeat(now time.Duration) bool {
+// Repeat takes one repeat out of the budget and tells whether there was one. The part
+// is what this entry may spend of the allowance, as Share returns it.
+func (b *Budget) Repeat(now time.Duration, part float64) bool {
 	b.advance(now)
 	spent, seen := 0, 0
 	for i := range slots {
 		spent += b.repeats[i]
 		seen += b.requests[i]
 	}
-	allowed := safety*b.opts.Ratio*float64(seen) + b.opts.Allowance/entriesAssumed
+	allowed := safety*b.opts.Ratio*float64(seen) + b.opts.Allowance*part
 	if float64(spent+1) > allowed {
 		return false
 	}
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -16,13 +16,14 @@
 		b.Request(0)
 	}
 	n := 0
-	for b.Repeat(0) {
+	const part = 1.0 / 8
+	for b.Repeat(0, part) {
 		n++
 	}
 	// 0.8 of 20 in 100, and an eighth of 54.
 	assert.Equal(t, n, 22)
-	assert.Assert(t, !b.Repeat(9*time.Second))
-	assert.Assert(t, b.Repeat(11*time.Second))
+	assert.Assert(t, !b.Repeat(9*time.Second, part))
+	assert.Assert(t, b.Repeat(11*time.Second, part))
 }
 
 // TestEntriesTogetherKeepTheBound lets up to eight entries repeat whenever their
@@ -42,7 +43,7 @@
 				e.Request(now)
 				requests = append(requests, now)
 			}
-			for e.Repeat(now) {
+			for e.Repeat(now, 1.0/8) {
 				repeats = append(repeats, now)
 			}
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,8 @@
 	Scope    tally.Scope
 	// Owner names the present start of the entry.
 	Owner string
+	// LookInterval is the longest time between two looks at the registered entries.
+	LookInterval time.Duration
 }
 
 // Gateway serves clients' requests.
@@ -96,11 +98,29 @@
 	mu      sync.Mutex
 	plain   *placement.Table
 	budgets map[string]*budget.Budget
+	share   budget.Share
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
-	return &Gateway{Options: o, metrics: newMetrics(o.Scope), plain: placement.New(), budgets: map[string]*budget.Budget{}}
+	return &Gateway{
+		Options: o, metrics: newMetrics(o.Scope), plain: placement.New(), budgets: map[string]*budget.Budget{},
+		share: budget.Share{Window: o.Settings.Retry.Window, Interval: max(o.LookInterval, o.Settings.Retry.Window)},
+	}
+}
+
+// Restarted takes in that an earlier start of this entry was registered.
+func (g *Gateway) Restarted() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.share.Restarted(clock.Now())
+}
+
+// Entries takes in the number of registered entries, this one among them.
+func (g *Gateway) Entries(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.share.Look(clock.Now(), n)
 }
 
 // request is a client's request on its way.
@@ -296,7 +316,8 @@
 func (g *Gateway) mayRepeat(service string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	ok := g.budget(service).Repeat(clock.Now())
+	now := clock.Now()
+	ok := g.budget(service).Repeat(now, g.share.Part(now))
 	if ok {
 		g.metrics.repeats.Inc(1)
 	}
@@ -324,7 +345,12 @@
 func (g *Gateway) stopping() bool { return g.stopAt.Load() != 0 }
 
 // Stop makes the gateway take its last requests.
-func (g *Gateway) Stop() { g.stopAt.CompareAndSwap(0, int64(clock.Now())) }
+func (g *Gateway) Stop() {
+	g.stopAt.CompareAndSwap(0, int64(clock.Now()))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.share.Leave()
+}
 
 // InFlight returns the number of requests that are not answered.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,10 +84,12 @@
 	n.gateway = gateway.New(gateway.Options{
 		Config: n.config, Servers: n.servers, Planner: n.planner, Links: n.links, Upstream: client,
 		Settings: o.Settings, Log: o.Log.WithName("gateway"), Scope: o.Scope, Owner: owner,
+		LookInterval: lookInterval,
 	})
 	n.registry = &registry{
 		store: n.store, links: n.links, self: n.self, log: o.Log.WithName("registry"),
 		name: o.Settings.Node, address: n.peerAddress(), start: start, small: o.Settings.Cores > 0 && o.Settings.Cores < smallCores,
+		restarted: n.gateway.Restarted, entries: n.gateway.Entries,
 	}
 	return n
 }
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"github.com/magnoliawheel/magnoliawheel/core/roster"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer"
 	"github.com/magnoliawheel/magnoliawheel/platform"
@@ -20,30 +22,14 @@
 	// the later looks remove those that left.
 	registryPause = 15 * time.Second
 	leaveTimeout  = 500 * time.Millisecond
+	// lookInterval is the longest time between two looks that the store answers: the
+	// pause, an answer that is lost, and the tries that follow.
+	lookInterval = registryPause + 3*time.Second
 	// smallCores is the number of processor cores under which an entry is small:
 	// placing the requests of many entries takes about a tenth of a core.
 	smallCores = 0.25
-	// smallOrder puts small entries behind all others; offsets stay below it.
-	smallOrder = 1 << 40
 )
 
-// registration is the record of an entry in the store.
-type registration struct {
-	Address string `json:"address"`
-	// Start tells two starts of one entry apart.
-	Start int64 `json:"start"`
-	// Small entries place requests only if all others are lost.
-	Small bool `json:"small,omitempty"`
-}
-
-// order is the entry's place in the order of all entries.
-func (r registration) order(offset int64) int64 {
-	if r.Small {
-		return offset + smallOrder
-	}
-	return offset
-}
-
 // registry keeps the entry's record and learns the entries registered before it.
 // The order is that of the records' offsets: it is the same for all entries, and a
 // restarted entry comes last.
@@ -57,72 +43,103 @@
 	// start tells two starts of this entry apart.
 	start int64
 	small bool
+	// restarted is called if an earlier start left its record, entries with the number
+	// of records once the own one is among them.
+	restarted func()
+	entries   func(n int)
+	// left is set once the entry stops.
+	left atomic.Bool
 }
 
 func (r *registry) run(ctx context.Context) {
-	value, err := json.Marshal(registration{Address: r.address, Start: r.start, Small: r.small})
-	if err != nil {
-		r.log.Error(err, "Entry not registered.")
-		return
-	}
-	for ctx.Err() == nil {
-		if _, err := r.store.AppendKeyed(ctx, platform.EntriesTopic, r.name, value, platform.Condition{}); err == nil {
-			break
+	known := roster.New(r.name, r.start)
+	for ctx.Err() == nil && !r.left.Load() {
+		records, ok := r.read(ctx)
+		if !ok {
+			clock.Sleep(ctx, registerRetry)
+			continue
 		}
-		clock.Sleep(ctx, registerRetry)
-	}
-	for ctx.Err() == nil {
-		wait := registryPause
-		if !r.look(ctx) {
-			wait = registerRetry
+		v := known.Look(clock.Now(), records)
+		if r.left.Load() {
+			return
+		}
+		if !v.Registered {
+			r.register(ctx, v)
+			continue
 		}
-		clock.Sleep(ctx, wait)
+		r.take(ctx, v)
+		clock.Sleep(ctx, registryPause)
+	}
+}
+
+// register writes the record of this start. The next look tells whether it is there.
+func (r *registry) register(ctx context.Context, v roster.View) {
+	if v.Earlier {
+		r.restarted()
+	}
+	if !r.write(ctx, roster.Record{Name: r.name, Address: r.address, Start: r.start, Small: r.small}) {
+		clock.Sleep(ctx, registerRetry)
 	}
 }
 
-// look reads the records; false if the store did not answer.
-func (r *registry) look(ctx context.Context) bool {
-	records, _, err := r.store.Newest(ctx, platform.EntriesTopic)
+// read returns the newest record of each entry; false if the store did not answer.
+func (r *registry) read(ctx context.Context) ([]roster.Record, bool) {
+	items, _, err := r.store.Newest(ctx, platform.EntriesTopic)
 	if err != nil {
-		return false
+		return nil, false
 	}
-	var own int64 = -1
-	entries := make([]peer.Entry, 0, len(records))
-	for _, rec := range records {
-		var reg registration
-		if err := json.Unmarshal(rec.Value, &reg); err != nil {
-			r.log.Info("Entry's record not understood.", "entry", rec.Key, "cause", err.Error())
-			continue
-		}
-		if rec.Key == r.name {
-			if reg.Start == r.start {
-				own = reg.order(rec.Offset)
-			}
+	records := make([]roster.Record, 0, len(items))
+	for _, it := range items {
+		rec := roster.Record{}
+		if err := json.Unmarshal(it.Value, &rec); err != nil {
+			r.log.Info("Entry's record not understood.", "entry", it.Key, "cause", err.Error())
 			continue
 		}
-		entries = append(entries, peer.Entry{Name: rec.Key, Address: reg.Address, Order: reg.order(rec.Offset)})
+		rec.Name = it.Key
+		rec.Offset = it.Offset
+		records = append(records, rec)
+	}
+	return records, true
+}
+
+// take acts on a look at the records.
+func (r *registry) take(ctx context.Context, v roster.View) {
+	r.log.Info("Entries known.", "before", len(v.Before), "order", v.Order, "records", v.Count)
+	r.self.Register(v.Order)
+	r.entries(v.Count)
+	r.links.SetEntries(v.Before)
+	if v.Refresh != nil {
+		r.write(ctx, *v.Refresh)
+	}
+	for _, name := range v.Drop {
+		r.log.Info("Record of a lost entry dropped.", "entry", name)
+		r.append(ctx, name, nil)
 	}
-	if own < 0 {
-		// A late write of an earlier start of this entry; the own one follows.
+}
+
+// write writes the own record; false if it may not be there.
+func (r *registry) write(ctx context.Context, rec roster.Record) bool {
+	value, err := json.Marshal(rec)
+	if err != nil {
+		r.log.Error(err, "Entry's record not written.")
 		return false
 	}
-	before := entries[:0]
-	for _, e := range entries {
-		if e.Order < own {
-			before = append(before, e)
-		}
+	return r.append(ctx, r.name, value)
+}
+
+// append writes the record of an entry; no value drops it.
+func (r *registry) append(ctx context.Context, name string, value []byte) bool {
+	_, err := r.store.AppendKeyed(ctx, platform.EntriesTopic, name, value, platform.Condition{})
+	if err != nil {
+		r.log.Info("Entry's record not written.", "entry", name, "cause", err.Error())
 	}
-	r.log.Info("Entries known.", "before", len(before), "order", own)
-	r.self.Register(own)
-	r.links.SetEntries(before)
-	return true
+	return err == nil
 }
 
-// leave drops the entry's record.
+// leave marks the entry's record: it takes no requests of others any more.
 func (r *registry) leave() {
+	r.left.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if _, err := r.store.AppendKeyed(ctx, platform.EntriesTopic, r.name, nil, platform.Condition{}); err != nil {
-		r.log.Info("Entry's record not dropped.", "cause", err.Error())
-	}
+	r.write(ctx, roster.Record{Name: r.name, Address: r.address, Start: r.start, Left: true})
 }
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/magnoliawheel/magnoliawheel/core/roster"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer/peerpb"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
 )
@@ -34,12 +35,6 @@
 	settle = 500 * time.Millisecond
 )
 
-// Entry is another entry: its name, its address and its place in the order.
-type Entry struct {
-	Name, Address string
-	Order         int64
-}
-
 // Links keeps sessions to the entries that come before this one, and takes those of
 // the entries after it.
 type Links struct {
@@ -88,7 +83,7 @@
 }
 
 // SetEntries sets the entries that come before this one.
-func (l *Links) SetEntries(entries []Entry) {
+func (l *Links) SetEntries(entries []roster.Entry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var kept []*link
@@ -224,7 +219,7 @@
 
 // link keeps a session to one entry.
 type link struct {
-	entry Entry
+	entry roster.Entry
 	owner *Links
 
 	mu       sync.Mutex
