Test recovery of results, and two planners that do not reach each other

Change: three tests in internal/node. The stand-in server can take one call at a time. The first two fail with the give-up at the start taken out ("did not come: the result is given up"); the third pins that refusals of a server that two planners share cost no request and leave no result behind. It did not fail with a refusal taken for a lost server: the tries that follow cover it.

--- /dev/null
+++ b/internal/node/recovery_test.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/roster"
+	"github.com/magnoliawheel/magnoliawheel/platform"
+	"github.com/magnoliawheel/magnoliawheel/platform/standin"
+)
+
+// staged returns a request with one piece at each of two stages.
+func staged(id string) call {
+	return call{path: standin.PathStream, ClientHeader: standin.ClientHeader{ID: id, Key: "key-1", Pieces: "1,1", PieceKey: "k"}}
+}
+
+// newestOf returns the newest record of an entry in a topic, "" if there is none.
+func (f *fleet) newestOf(topic, name string) string {
+	records, _, err := platform.NewStore(f.store.Address()).Newest(f.t.Context(), topic)
+	assert.NilError(f.t, err)
+	for _, rec := range records {
+		if rec.Key == name {
+			return string(rec.Value)
+		}
+	}
+	return ""
+}
+
+// TestNewStartGivesUpWhatTheEarlierOneHeld starts an entry again while its earlier
+// start, which no longer answers for its clients, holds results at a server.
+func TestNewStartGivesUpWhatTheEarlierOneHeld(t *testing.T) {
+	f := newFleet(t)
+	a := f.server("a", "a1", 0)
+	working, finish := make(chan struct{}), make(chan struct{})
+	f.server("b", "b1", 0).Answer(func(_ http.ResponseWriter, r *http.Request) bool {
+		if r.URL.Path == platform.StageRunPath {
+			close(working)
+			<-finish
+			f.servers["b1"].Answer(nil)
+		}
+		return false
+	})
+	f.server("model", "m1", 2)
+	f.configure()
+	earlier := f.entry("e1", 0).ready()
+	done := make(chan reply)
+	go func() { done <- earlier.do(staged("r1")) }()
+	<-working
+	eventually(t, "the result held is recorded", func() bool {
+		return strings.Contains(f.newestOf(platform.ResultsTopic, "e1"), "r1.0.0")
+	})
+	assert.Equal(t, len(a.Freed()), 0)
+
+	f.entry("e1", 0).ready()
+	eventually(t, "the result is given up", func() bool { return len(a.Freed()) > 0 })
+	assert.Assert(t, strings.HasSuffix(a.Freed()[0], "r1.0.0"), a.Freed()[0])
+	close(finish)
+	<-done
+}
+
+// TestLeftoversOfOthersStay starts an entry while another one has results recorded.
+func TestLeftoversOfOthersStay(t *testing.T) {
+	f := newFleet(t)
+	a := f.server("a", "a1", 0)
+	held := func(handle string) []heldResults {
+		return []heldResults{{Server: "a1", Address: a.Address(), Handles: []string{handle}}}
+	}
+	value, err := json.Marshal(map[string][]heldResults{"e1#1": held("mine"), "e2#1": held("of e2"), "e11#1": held("of e11")})
+	assert.NilError(t, err)
+	f.store.Put(platform.ResultsTopic, "e2", value)
+	f.store.Put(platform.ResultsTopic, "odd", []byte("\x00not json"))
+	f.configure()
+	f.server("b", "b1", 0)
+	f.server("model", "m1", 2)
+	e := f.entry("e1", 0).ready()
+	eventually(t, "the own result is given up", func() bool { return len(a.Freed()) > 0 })
+	assert.Equal(t, e.do(staged("r1")).status, 200)
+	eventually(t, "the request's result is given up", func() bool { return len(a.Freed()) > 1 })
+	assert.Equal(t, a.Freed()[0], "mine")
+	assert.Assert(t, !slices.Contains(a.Freed(), "of e2") && !slices.Contains(a.Freed(), "of e11"))
+}
+
+// TestPlannersCutOff lets two entries place requests that do not reach each other. The
+// first stage's server takes one call at a time and refuses the others: all requests are answered,
+// each with its own results, and no result stays behind.
+func TestPlannersCutOff(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.server("a", "a1", 0), f.server("b", "b1", 0)
+	a.OneCall()
+	f.server("model", "m1", 2)
+	f.configure()
+	first := f.entry("e1", 0).ready()
+	eventually(t, "the first entry is registered", func() bool { return first.self.Registered() })
+	var rec roster.Record
+	assert.NilError(t, json.Unmarshal([]byte(f.newestOf(platform.EntriesTopic, "e1")), &rec))
+	rec.Address = "127.0.0.1:1"
+	cut, err := json.Marshal(rec)
+	assert.NilError(t, err)
+	f.store.Put(platform.EntriesTopic, "e1", cut)
+	second := f.entry("e2", 0).ready()
+	eventually(t, "the second entry places requests itself", func() bool { return second.self.Registered() && second.links.First() == nil })
+
+	const requests = 40
+	replies := make([]reply, requests)
+	var wg sync.WaitGroup
+	for i := range requests {
+		wg.Go(func() {
+			e := first
+			if i%2 == 1 {
+				e = second
+			}
+			replies[i] = e.do(staged(fmt.Sprint("r", i)))
+		})
+	}
+	wg.Wait()
+	for i, got := range replies {
+		assert.NilError(t, got.broken)
+		assert.Equal(t, got.status, 200, got.body)
+		assert.Equal(t, got.body, fmt.Sprintf("id: 1\ndata: token 1 of r%d\n\nid: 2\ndata: token 2 of r%d\n\n", i, i))
+	}
+	for _, s := range []*standin.Server{a, b} {
+		eventually(t, "all results are given up", func() bool {
+			made, freed := s.Pieces(), s.Freed()
+			return len(made) == len(freed)
+		})
+	}
+}
