--- /dev/null
+++ b/internal/node/clientconn_test.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/routes"
+)
+
+// serveLimited serves with limits that the test may change, and a handler that answers
+// once it may.
+func serveLimited(t *testing.T, limits *atomic.Pointer[routes.Limits], answer <-chan struct{}) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			<-answer
+			_, _ = io.WriteString(w, "ok")
+		}),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: clientState,
+	}
+	go func() {
+		_ = srv.Serve(&clientListener{Listener: lis, limits: func() routes.Limits { return *limits.Load() }})
+	}()
+	t.Cleanup(func() { _ = srv.Close() })
+	return lis.Addr().String()
+}
+
+// dial returns a connection and a reader of what comes back.
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c, bufio.NewReader(c)
+}
+
+func exchange(t *testing.T, c net.Conn, r *bufio.Reader) {
+	t.Helper()
+	_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+}
+
+func TestClientLimits(t *testing.T) {
+	const short, long = 50 * time.Millisecond, time.Hour
+	ready := make(chan struct{})
+	close(ready)
+	tests := []struct {
+		name   string
+		limits routes.Limits
+		// sent is sent before the close is awaited.
+		sent string
+		// requests are answered before.
+		requests int
+	}{
+		{"idle after a request", routes.Limits{IdleTimeout: short, HeaderTimeout: long}, "", 1},
+		{"idle after the second request", routes.Limits{IdleTimeout: short, HeaderTimeout: long}, "", 2},
+		{"nothing sent at all", routes.Limits{IdleTimeout: long, HeaderTimeout: short}, "", 0},
+		{"head not ended", routes.Limits{IdleTimeout: long, HeaderTimeout: short}, "GET / HTTP/1.1\r\nHo", 0},
+		{"second head not ended", routes.Limits{IdleTimeout: long, HeaderTimeout: short}, "GET / HTTP/1.1\r\nHo", 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			limits := &atomic.Pointer[routes.Limits]{}
+			limits.Store(&routes.Limits{IdleTimeout: long, HeaderTimeout: long})
+			if tt.requests == 0 {
+				limits.Store(&tt.limits)
+			}
+			c, r := dial(t, serveLimited(t, limits, ready))
+			for i := range tt.requests {
+				if i == tt.requests-1 {
+					limits.Store(&tt.limits)
+				}
+				exchange(t, c, r)
+			}
+			_, err := fmt.Fprint(c, tt.sent)
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, r)
+			assert.NilError(t, err, "the connection is closed")
+		})
+	}
+}
+
+// TestRequestAtWorkIsNotIdle answers long after the limits have passed.
+func TestRequestAtWorkIsNotIdle(t *testing.T) {
+	limits := &atomic.Pointer[routes.Limits]{}
+	limits.Store(&routes.Limits{IdleTimeout: time.Millisecond, HeaderTimeout: time.Hour})
+	answer := make(chan struct{})
+	c, r := dial(t, serveLimited(t, limits, answer))
+	time.AfterFunc(50*time.Millisecond, func() { close(answer) })
+	exchange(t, c, r)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,8 +25,9 @@
 const (
 	// listenRetry is the time between two tries to listen; a process that was
 	// killed may hold its address for a moment.
-	listenRetry   = 100 * time.Millisecond
-	listenTries   = 30
+	listenRetry = 100 * time.Millisecond
+	listenTries = 30
+	// headerTimeout and idleTimeout apply where the configuration has no limits.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
 	// maxHeaderBytes bounds the head of a request.
@@ -127,7 +128,7 @@
 	go func() { _ = http.Serve(ready, n.readiness()) }()
 	n.serveMetrics()
 	srv := n.clientServer()
-	go func() { _ = srv.Serve(clients) }()
+	go func() { _ = srv.Serve(&clientListener{Listener: clients, limits: n.clientLimits}) }()
 	n.opts.Log.Info("Entry started.", "node", n.opts.Settings.Node, "zone", n.opts.Settings.Zone, "clients", n.opts.Settings.ClientAddress)
 	<-stop
 	n.drain(srv)
@@ -137,9 +138,19 @@
 func (n *Node) clientServer() *http.Server {
 	return &http.Server{
 		Handler: n.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: clientState,
 	}
 }
 
+// clientLimits returns the limits in force; none before there is a configuration.
+func (n *Node) clientLimits() routes.Limits {
+	table := n.config.Table()
+	if table == nil {
+		return routes.Limits{}
+	}
+	return table.Limits
+}
+
 func (n *Node) readiness() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
