Take a stage server back by a trial when the answer to a call was lost

A server with a late call got no other one until that call's end, so that ten of sixteen servers stood idle for 5 s although they went on with what they had; and pieces with two calls at work were not asked for again.

Ruled out: a shorter limit for calls (a slow server is not a lost answer).

Change in core/staging: a late call no longer takes a slot; after a pause that doubles the server gets one call as a trial; an answer to a call behind the late one shows that the late one is lost. Pieces are asked for again once all calls that make them are late. Also the way to another region now costs more than to another zone of the same one (placement), and the soak's processes and stand-ins.

--- a/cmd/magnoliawheel/main.go
+++ b/cmd/magnoliawheel/main.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -132,7 +133,7 @@
 			log.Error(err, "Settings not understood; the old ones stay.")
 			continue
 		}
-		log.Info("Settings read.", "changed", *s != *current, "takes_effect", "at the next start")
+		log.Info("Settings read.", "changed", !reflect.DeepEqual(s, current), "takes_effect", "at the next start")
 	}
 }
 
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -23,8 +23,10 @@
 	homeShare = 0.5
 	// runningCostMS is the delay that each running request adds to a new one.
 	runningCostMS = 3.0
-	// zoneCostMS is the cost of another availability zone: its distance and traffic.
-	zoneCostMS = 40.0
+	// zoneCostMS and regionCostMS are the costs of another availability zone in the
+	// same region and of another region: distance and traffic.
+	zoneCostMS   = 4.0
+	regionCostMS = 40.0
 	// resultCostMS is the cost of reading a megabyte from another availability zone.
 	resultCostMS = 15.0
 	bytesPerMB   = 1e6
@@ -121,13 +123,15 @@
 
 // Table holds model servers and the requests at them. It is not safe for concurrent use.
 type Table struct {
-	pools  map[string][]*server
-	placed map[string]*placed
+	// regions maps availability zones to regions; a zone not in it is its own.
+	regions map[string]string
+	pools   map[string][]*server
+	placed  map[string]*placed
 }
 
-// New returns an empty table.
-func New() *Table {
-	return &Table{pools: map[string][]*server{}, placed: map[string]*placed{}}
+// New returns an empty table. The map holds the region of each availability zone.
+func New(regions map[string]string) *Table {
+	return &Table{regions: regions, pools: map[string][]*server{}, placed: map[string]*placed{}}
 }
 
 // SetServers sets the servers of a pool that take new requests.
@@ -179,7 +183,7 @@
 		if slices.Contains(r.Avoid, s.def.ID) {
 			continue
 		}
-		cost := s.cost(now, r, keys, s == home)
+		cost := s.cost(now, r, keys, s == home) + t.distance(r.Zone, s.def.Zone)
 		if best == nil || cost < least || cost == least && cmp.Less(s.def.ID, best.def.ID) {
 			best, least = s, cost
 		}
@@ -187,6 +191,17 @@
 	return best
 }
 
+// distance is the cost of the way between two availability zones.
+func (t *Table) distance(a, b string) float64 {
+	switch {
+	case a == b:
+		return 0
+	case t.regions[a] != "" && t.regions[a] == t.regions[b]:
+		return zoneCostMS
+	}
+	return regionCostMS
+}
+
 // home returns the server that every entry chooses first for the shared parts of a
 // prompt that none is known to have cached; nil if one has, or nothing is shared.
 // Another entry may have placed such prompts before.
@@ -262,7 +277,7 @@
 }
 
 // cost is the expected time to the first event in milliseconds, with what a choice
-// costs others.
+// costs others and without the way to the server.
 func (s *server) cost(now time.Duration, r *Request, keys []string, home bool) float64 {
 	unread := float64(s.unread(r, keys))
 	if home {
@@ -271,9 +286,6 @@
 	cost := s.pendingMS() + reuseWeight*unread/prefillTokensPerMS
 	cost += runningCostMS * float64(len(s.running))
 	cost += failureCostMS * s.share(now)
-	if s.def.Zone != r.Zone {
-		cost += zoneCostMS
-	}
 	for zone, bytes := range r.Results {
 		if zone != s.def.Zone {
 			cost += resultCostMS * float64(bytes) / bytesPerMB
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -11,7 +11,7 @@
 const ms = time.Millisecond
 
 func newTable(zones ...string) *Table {
-	t := New()
+	t := New(nil)
 	var defs []Server
 	for i, z := range zones {
 		defs = append(defs, Server{ID: fmt.Sprint("s", i), Address: fmt.Sprint("a", i), Zone: z, Slots: 4, CacheTokens: 100_000})
@@ -109,7 +109,7 @@
 		assert.Equal(t, choose(t, tab, 0, r), "s0")
 	}
 	assert.Equal(t, choose(t, tab, 0, request("next")), "s1")
-	_, ok = New().Choose(0, request("r"))
+	_, ok = New(nil).Choose(0, request("r"))
 	assert.Assert(t, !ok)
 }
 
@@ -154,3 +154,38 @@
 		tab.Choose(0, r)
 	}
 }
+
+// TestWayToTheServer places short requests: the own zone goes first, then the own
+// region; another region is taken only when the others are busier.
+func TestWayToTheServer(t *testing.T) {
+	regions := map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+	for _, tt := range []struct {
+		name    string
+		servers []string
+		busy    map[string]int
+		want    string
+	}{
+		{"own zone", []string{"b1", "a2", "a1"}, nil, "a1"},
+		{"own region", []string{"b1", "a2"}, nil, "a2"},
+		{"own region, a little busier", []string{"b1", "a2"}, map[string]int{"a2": 5}, "a2"},
+		{"other zone of the region before a busier own one", []string{"a1", "a2"}, map[string]int{"a1": 3}, "a2"},
+		{"other region before a much busier own one", []string{"b1", "a2"}, map[string]int{"a2": 20}, "b1"},
+	} {
+		tab := New(regions)
+		var defs []Server
+		for _, zone := range tt.servers {
+			defs = append(defs, Server{ID: zone, Zone: zone, Slots: 64, CacheTokens: 100000})
+		}
+		for zone, n := range tt.busy {
+			tab.SetServers("p", []Server{{ID: zone, Zone: zone, Slots: 64, CacheTokens: 100000}})
+			for i := range n {
+				tab.Choose(0, Request{ID: fmt.Sprint(i), Pool: "p", Zone: "a1"})
+				tab.Started(0, fmt.Sprint(i))
+			}
+		}
+		tab.SetServers("p", defs)
+		got, ok := tab.Choose(0, Request{ID: "r", Pool: "p", Zone: "a1"})
+		assert.Assert(t, ok)
+		assert.Equal(t, got.Zone, tt.want, tt.name)
+	}
+}
--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -124,7 +124,7 @@
 }
 
 // candidates returns the servers that can begin a call now, the one that would end
-// it first in front. Slow servers are left out while the others can do the work
+// it first in front and those on trial behind. Slow servers are left out while the others can do the work
 // sooner.
 func (p *pool) candidates(now time.Duration, pieces int) []*server {
 	fastest := p.fastest(now)
@@ -135,7 +135,7 @@
 	}
 	var options []option
 	for _, m := range p.servers {
-		if !m.usable(now) || len(m.calls) > p.spec.Slots || m.freeAt(now) > now+lead {
+		if !m.usable(now) || m.open() > p.spec.Slots || m.freeAt(now) > now+lead {
 			continue
 		}
 		end := m.freeAt(now) + time.Duration(float64(p.callTime(size))*m.slowness(now))
@@ -145,7 +145,7 @@
 		options = append(options, option{m, end})
 	}
 	slices.SortFunc(options, func(a, b option) int {
-		return cmp.Or(cmp.Compare(a.end, b.end), cmp.Compare(a.m.def.ID, b.m.def.ID))
+		return cmp.Or(first(!a.m.hasLate(), !b.m.hasLate()), cmp.Compare(a.end, b.end), cmp.Compare(a.m.def.ID, b.m.def.ID))
 	})
 	servers := make([]*server, len(options))
 	for i, o := range options {
--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -49,9 +49,9 @@
 type piece struct {
 	handle string
 	server *server
-	// copies is the number of calls that are making the piece.
-	copies int
-	tries  int
+	// copies is the number of calls that are making the piece, late of them are late.
+	copies, late int
+	tries        int
 }
 
 func (s *Scheduler) newJob(def Job) *job {
@@ -191,6 +191,14 @@
 	return before + r.pool.callTime(min(len(r.pieces)-r.made, r.pool.spec.Batch))
 }
 
+// end takes the end of a call that was to make the piece.
+func (p *piece) end(c *call) {
+	p.copies--
+	if c.late {
+		p.late--
+	}
+}
+
 // pieceDone takes the outcome of one piece.
 func (s *Scheduler) pieceDone(it item, c *call, res Result, now time.Duration) {
 	r := it.run
@@ -199,7 +207,7 @@
 		s.pieceFailed(it, c, res.Outcome, now)
 		return
 	}
-	p.copies--
+	p.end(c)
 	if s.jobs[r.job.def.ID] != r.job || p.handle != "" || r.freed {
 		c.server.free(res.Handle, r.bytes, now)
 		return
@@ -243,9 +251,9 @@
 func (s *Scheduler) repeat(it item, c *call, now time.Duration, counts bool) {
 	r := it.run
 	p := &r.pieces[it.piece]
-	p.copies--
+	p.end(c)
 	c.server.used = max(0, c.server.used-r.bytes)
-	if s.jobs[r.job.def.ID] != r.job || p.handle != "" || r.freed || p.copies > 0 {
+	if s.jobs[r.job.def.ID] != r.job || p.handle != "" || r.freed || p.copies > p.late {
 		return
 	}
 	if counts {
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -115,9 +115,11 @@
 	// ratio is the time of its calls relative to the described one.
 	ratio   float64
 	lastEnd time.Duration
-	// failures counts failed calls in a row; no call starts before pausedUntil.
+	// failures counts failed and late calls in a row; no call starts before pausedUntil.
 	failures    int
 	pausedUntil time.Duration
+	// answered is the latest begin of a call that was answered.
+	answered time.Duration
 
 	// frees are the results to be given up, freeing their size in bytes.
 	frees     []string
@@ -134,6 +136,9 @@
 	begins, ends time.Duration
 	// late calls have had their pieces asked for elsewhere.
 	late bool
+	// lost calls are late ones behind which the server answered another call: it works
+	// on them no more, and their answers were lost on the way.
+	lost bool
 }
 
 type item struct {
@@ -141,12 +146,26 @@
 	piece int
 }
 
+// usable tells whether the server takes calls. One with a late call takes a single
+// call at a time, as a trial.
 func (m *server) usable(now time.Duration) bool {
-	return m.listed && now >= m.pausedUntil && !m.hasLate()
+	return m.listed && now >= m.pausedUntil && (m.open() == 0 || !m.hasLate())
 }
 
+// hasLate tells whether the server may still work on a late call.
 func (m *server) hasLate() bool {
-	return slices.ContainsFunc(m.calls, func(c *call) bool { return c.late })
+	return slices.ContainsFunc(m.calls, func(c *call) bool { return c.late && !c.lost })
+}
+
+// open is the number of calls that are not late.
+func (m *server) open() int {
+	n := 0
+	for _, c := range m.calls {
+		if !c.late {
+			n++
+		}
+	}
+	return n
 }
 
 // slowness is the ratio, forgotten while the server has no calls.
@@ -160,7 +179,7 @@
 
 // freeAt is the expected time at which the server can begin another call.
 func (m *server) freeAt(now time.Duration) time.Duration {
-	over := len(m.calls) - m.pool.spec.Slots
+	over := m.open() - m.pool.spec.Slots
 	if over < 0 {
 		return now
 	}
@@ -168,7 +187,9 @@
 	var bound [maxSlots]time.Duration
 	ends := bound[:0]
 	for _, c := range m.calls {
-		ends = append(ends, c.ends)
+		if !c.late {
+			ends = append(ends, c.ends)
+		}
 	}
 	slices.Sort(ends)
 	return max(now, ends[over])
@@ -179,19 +200,34 @@
 	if i := slices.Index(m.calls, c); i >= 0 {
 		m.calls = slices.Delete(m.calls, i, i+1)
 	}
-	switch end {
-	case Answered:
+	switch {
+	case end == Answered:
 		m.failures = 0
 		m.measure(c, now)
-	case Full:
+		m.passLate(c)
+	case c.lost:
+	case end == Full:
 		m.pausedUntil = now + fullPause
 	default:
-		m.pausedUntil = now + min(firstPause<<min(m.failures, 6), longestPause)
-		m.failures++
+		m.pause(now)
 	}
 	m.lastEnd = now
 }
 
+// pause starts no call for a time that doubles with each failure in a row.
+func (m *server) pause(now time.Duration) {
+	m.pausedUntil = now + min(firstPause<<min(m.failures, 6), longestPause)
+	m.failures++
+}
+
+// passLate takes the late calls as lost that were to begin before an answered one.
+func (m *server) passLate(answered *call) {
+	m.answered = max(m.answered, answered.begins)
+	for _, c := range m.calls {
+		c.lost = c.lost || c.late && c.begins <= m.answered
+	}
+}
+
 func (m *server) measure(c *call, now time.Duration) {
 	described := m.pool.callTime(len(c.items))
 	took := now - max(c.begins, m.lastEnd)
@@ -248,9 +284,14 @@
 		return
 	}
 	c.late = true
+	c.lost = c.begins < c.server.answered
+	if !c.lost {
+		c.server.pause(now)
+	}
 	for _, it := range c.items {
 		p := &it.run.pieces[it.piece]
-		if s.jobs[it.run.job.def.ID] == it.run.job && p.handle == "" && !it.run.freed && p.copies == 1 {
+		p.late++
+		if s.jobs[it.run.job.def.ID] == it.run.job && p.handle == "" && !it.run.freed && p.late == p.copies {
 			it.run.requeue(it.piece)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,7 +104,7 @@
 // New returns a gateway.
 func New(o Options) *Gateway {
 	return &Gateway{
-		Options: o, metrics: newMetrics(o.Scope), plain: placement.New(), budgets: map[string]*budget.Budget{},
+		Options: o, metrics: newMetrics(o.Scope), plain: placement.New(o.Settings.Regions), budgets: map[string]*budget.Budget{},
 		share: budget.Share{Window: o.Settings.Retry.Window, Interval: max(o.LookInterval, o.Settings.Retry.Window)},
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,7 +74,7 @@
 	n.servers = watch.NewServers(n.store, o.Settings.LeaveBound, o.Log.WithName("servers"), n.poolsChanged)
 	n.config = watch.NewConfig(n.store, o.Settings.ConfigBound, o.Log.WithName("config"), func(*routes.Table) { n.poolsChanged() })
 	stages := &gateway.Stages{Client: client, Takes: n.servers.Takes}
-	n.planner = planner.New(stages, o.Log.WithName("planner"))
+	n.planner = planner.New(stages, o.Settings.Regions, o.Log.WithName("planner"))
 	start := time.Now().UnixNano()
 	owner := ownerName(o.Settings.Node, start)
 	n.self = &peer.Self{Ready: func() bool { return n.gateway.CanPlan() }, Owner: owner}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -125,10 +125,11 @@
 	stopped bool
 }
 
-// New returns a planner without pools.
-func New(stages Stages, log logr.Logger) *Planner {
+// New returns a planner without pools. The map holds the region of each availability
+// zone.
+func New(stages Stages, regions map[string]string, log logr.Logger) *Planner {
 	return &Planner{
-		stages: stages, log: log, sched: staging.New(), servers: placement.New(),
+		stages: stages, log: log, sched: staging.New(), servers: placement.New(regions),
 		waiting: map[string]*waiting{}, wake: make(chan struct{}, 1),
 	}
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -45,7 +45,7 @@
 	first <- struct{}{}
 	stages := &silentFirst{calls: make(chan string, 10), first: first, end: make(chan struct{})}
 	defer close(stages.end)
-	p := New(stages, logr.Discard())
+	p := New(stages, nil, logr.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go p.Run(ctx)
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -69,6 +69,11 @@
 // StartProcess starts a program with its output appended to dir/<name>.log. Stdout
 // goes to the same file unless stdout is given.
 func StartProcess(dir, name string, stdout *os.File, path string, args ...string) (*Process, error) {
+	return StartProcessWith(nil, dir, name, stdout, path, args...)
+}
+
+// StartProcessWith is StartProcess with variables, NAME=VALUE, added to the environment.
+func StartProcessWith(env []string, dir, name string, stdout *os.File, path string, args ...string) (*Process, error) {
 	logFile := filepath.Join(dir, name+".log")
 	out, err := os.OpenFile(logFile, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
@@ -76,6 +81,7 @@
 	}
 	defer func() { _ = out.Close() }()
 	p := &Process{Name: name, LogFile: logFile, cmd: exec.Command(path, args...), exited: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	if stdout != nil {
 		p.cmd.Stdout = stdout
@@ -110,6 +116,9 @@
 // Terminate asks the process to drain.
 func (p *Process) Terminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
 
+// Reload sends SIGHUP.
+func (p *Process) Reload() error { return p.cmd.Process.Signal(syscall.SIGHUP) }
+
 // Exited is closed once the process has ended.
 func (p *Process) Exited() <-chan struct{} { return p.exited }
 
