--- a/cmd/magnoliawheel/main.go
+++ b/cmd/magnoliawheel/main.go
@@ -96,6 +96,10 @@
 
 // Execute runs the entry on the users' platform.
 func (c *gatewayCommand) Execute([]string) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return settingsError{err}
@@ -110,10 +114,6 @@
 	scope, metrics, closer := telemetry.Metrics("gateway")
 	defer func() { _ = closer.Close() }()
 	stop := make(chan struct{})
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go watchSettings(s, hangups, log.WithName("settings"))
 	go func() {
 		<-signals
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnoliawheel/magnoliawheel/core/backoff"
 )
 
 const (
@@ -41,15 +43,15 @@
 	failureWeight = 0.35
 	// failureHalf is the time in which a share of failures halves without requests.
 	failureHalf = 2 * time.Second
-	// firstPause doubles with each server that could not be reached in a row.
-	firstPause   = 400 * time.Millisecond
-	longestPause = 3 * time.Second
 	// cacheShare is the part of a server's memory that is taken to hold cached parts.
 	cacheShare = 0.7
 	// fullCostMS is the cost of a server without a free slot or memory.
 	fullCostMS = 20_000.0
 )
 
+// pauses follow tries in a row to reach a server in vain.
+var pauses = backoff.Pauses{First: 400 * time.Millisecond, Longest: 3 * time.Second}
+
 // Server is a model server. Started tells two starts under one ID apart.
 type Server struct {
 	ID, Address, Zone string
@@ -258,7 +260,7 @@
 		s.fail(now, 1)
 	case Unreached:
 		s.fail(now, 1)
-		s.pausedUntil = now + min(firstPause<<min(s.unreached, 6), longestPause)
+		s.pausedUntil = now + pauses.After(s.unreached)
 		s.unreached++
 		clear(s.cached)
 		s.tokens = 0
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/backoff"
 )
 
 const (
@@ -18,9 +20,6 @@
 	// lateFactor and lateSlack tell from when a call's pieces are asked for elsewhere.
 	lateFactor = 2.0
 	lateSlack  = 250 * time.Millisecond
-	// firstPause doubles with each failure in a row, up to longestPause.
-	firstPause   = 300 * time.Millisecond
-	longestPause = 3 * time.Second
 	// foreignShare is the part of the time for which servers keep results within
 	// which unknown ones are taken to lapse.
 	foreignShare = 0.6
@@ -35,6 +34,9 @@
 	freeBatch = 32
 )
 
+// pauses follow failed and late calls in a row at a server.
+var pauses = backoff.Pauses{First: 300 * time.Millisecond, Longest: 3 * time.Second}
+
 // pool is the servers of one service.
 type pool struct {
 	name    string
@@ -216,7 +218,7 @@
 
 // pause starts no call for a time that doubles with each failure in a row.
 func (m *server) pause(now time.Duration) {
-	m.pausedUntil = now + min(firstPause<<min(m.failures, 6), longestPause)
+	m.pausedUntil = now + pauses.After(m.failures)
 	m.failures++
 }
 
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/magnoliawheel/magnoliawheel/core/backoff"
 	"github.com/magnoliawheel/magnoliawheel/core/roster"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer/peerpb"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
@@ -26,15 +27,14 @@
 	// longestSettling bounds the time after the start of the process in which
 	// requests wait to learn which entry places them.
 	longestSettling = 700 * time.Millisecond
-	// redialAfter is the time between two tries to reach an entry; it doubles with
-	// each failure, up to longestRedial.
-	redialAfter   = 500 * time.Millisecond
-	longestRedial = 4 * time.Second
-	dialTimeout   = 600 * time.Millisecond
+	dialTimeout     = 600 * time.Millisecond
 	// settle is how long an entry that was lost must answer before it is used again.
 	settle = 500 * time.Millisecond
 )
 
+// redials are the times between two tries to reach an entry.
+var redials = backoff.Pauses{First: 500 * time.Millisecond, Longest: 4 * time.Second}
+
 // Links keeps sessions to the entries that come before this one, and takes those of
 // the entries after it.
 type Links struct {
@@ -296,12 +296,12 @@
 	defer k.mu.Unlock()
 	k.dialling, k.lost, k.peer = false, true, nil
 	if err != nil {
-		k.dialAt = time.Now().Add(min(redialAfter<<min(k.failures, 6), longestRedial))
+		k.dialAt = time.Now().Add(redials.After(k.failures))
 		k.failures++
 		return
 	}
 	k.failures = 0
-	k.dialAt = time.Now().Add(redialAfter)
+	k.dialAt = time.Now().Add(redials.First)
 }
 
 // connect dials the entry and runs a session to its end. The error tells that
--- a/internal/watch/config.go
+++ b/internal/watch/config.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/magnoliawheel/magnoliawheel/core/backoff"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/platform"
@@ -19,11 +20,11 @@
 	// configShare is the part of the bound for a configuration that one read waits
 	// for a change; a read may miss one, and the next must still be in time.
 	configShare = 0.44
-	// firstBackoff doubles with each failure in a row, up to longestBackoff.
-	firstBackoff   = 50 * time.Millisecond
-	longestBackoff = 500 * time.Millisecond
 )
 
+// pauses follow failed reads in a row.
+var pauses = backoff.Pauses{First: 50 * time.Millisecond, Longest: 500 * time.Millisecond}
+
 // Store is what the watchers need of the store.
 type Store interface {
 	Newest(ctx context.Context, topic string) ([]platform.KeyedRecord, int64, error)
@@ -105,8 +106,7 @@
 
 func follow(ctx context.Context, f follower) {
 	next := int64(-1)
-	backoff := firstBackoff
-	lost := false
+	failures := 0
 	for ctx.Err() == nil {
 		start := clock.Now()
 		var err error
@@ -116,21 +116,20 @@
 			return
 		}
 		if err != nil {
-			if !lost {
+			if failures == 0 {
 				f.log.Info("Store lost.", "topic", f.topic, "cause", err.Error())
 			}
-			lost = true
 			if f.failed != nil {
 				f.failed(clock.Now())
 			}
-			clock.Sleep(ctx, backoff)
-			backoff = min(2*backoff, longestBackoff)
+			clock.Sleep(ctx, pauses.After(failures))
+			failures++
 			continue
 		}
-		if lost {
+		if failures > 0 {
 			f.log.Info("Store regained.", "topic", f.topic)
 		}
-		lost, backoff = false, firstBackoff
+		failures = 0
 		f.done(start + waited)
 		clock.Sleep(ctx, f.pause)
 	}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -212,6 +212,8 @@
 func (in *injector) reload(time.Duration) (string, func()) {
 	e := in.anyEntry()
 	return e.name, in.signalled(e, func() {
+		// Before it listens, the process may not have begun to take signals.
+		e.waitAnswers()
 		p, _ := e.now()
 		_ = p.Reload()
 	})
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -195,26 +195,46 @@
 
 // waitReady waits until the entry asks for clients.
 func (e *entry) waitReady() {
+	e.wait("ready", func(status int) bool { return status == http.StatusOK })
+}
+
+// waitAnswers waits until the entry answers whether it is ready.
+func (e *entry) waitAnswers() {
+	e.wait("there", func(status int) bool { return status != 0 })
+}
+
+func (e *entry) wait(what string, enough func(status int) bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	for !e.isReady(ctx) {
+	for !enough(e.readiness(ctx)) {
 		if ctx.Err() != nil {
-			e.f.t.Errorf("%s is not ready; its log is %s.log", e.name, e.name)
+			e.f.t.Errorf("%s is not %s; its log ends with\n%s", e.name, what, e.lastLines())
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
-func (e *entry) isReady(ctx context.Context) bool {
+// readiness returns the status of the entry's answer, 0 if there is none.
+func (e *entry) readiness(ctx context.Context) int {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.settings.ReadinessAddress+platform.ReadyPath, nil)
 	if err != nil {
-		return false
+		return 0
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return false
+		return 0
 	}
 	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return resp.StatusCode
+}
+
+// lastLines returns the end of the entry's log.
+func (e *entry) lastLines() string {
+	const shown = 2000
+	data, err := os.ReadFile(filepath.Join(e.f.dir, e.name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-shown):])
 }
