Look again at the entries' records when one turns out to have started anew

Small entries, which come last in the order, looked at the records before the others had registered anew; the old records put other entries first, and the next look was 15 s away.

Ruled out: sessions to all entries (65,000 of them at 360 nodes); a shorter time between looks (reads of the store for nothing in quiet times).

Change: an entry that answers with another place than its record has marks the records as stale; the next look follows after 0.5 s, doubling to 4 s while it stays so. TestOnePlannerAfterAllRestarted, with looks an hour apart, failed before.

--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -28,13 +28,19 @@
 	t       *testing.T
 	store   *standin.Store
 	servers map[string]*standin.Server
+	// ports are the ports of entries for other entries.
+	ports   map[string]int
 	version int
 	keys    []string
+	// cores is the part of a processor that entries have; pause the time between two
+	// looks at the records of entries, unless it is 0.
+	cores float64
+	pause time.Duration
 }
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: standin.NewStore(), servers: map[string]*standin.Server{}, keys: []string{"key-1"}}
+	f := &fleet{t: t, store: standin.NewStore(), servers: map[string]*standin.Server{}, ports: map[string]int{}, keys: []string{"key-1"}}
 	t.Cleanup(f.store.Close)
 	return f
 }
@@ -71,11 +77,15 @@
 func (f *fleet) entry(name string, keyValidity time.Duration) *entry {
 	settings := &platform.Settings{
 		Node: name, Zone: "z", IP: "127.0.0.1", ClientAddress: freeAddress(f.t), ReadinessAddress: freeAddress(f.t),
-		FirstPort: freePort(f.t), StoreAddress: f.store.Address(), Grace: 30 * time.Second, KeyValidity: keyValidity,
+		FirstPort: f.port(name), StoreAddress: f.store.Address(), Grace: 30 * time.Second, KeyValidity: keyValidity,
 		ConfigBound: 2500 * time.Millisecond, LeaveBound: 2500 * time.Millisecond,
+		Cores: f.cores,
 		Retry: platform.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Allowance: 80},
 	}
 	n := New(Options{Settings: settings, Log: logr.Discard(), Scope: tally.NoopScope})
+	if f.pause > 0 {
+		n.registry.pause = f.pause
+	}
 	stop := make(chan struct{})
 	e := &entry{Node: n, f: f, base: "http://" + settings.ClientAddress, done: make(chan struct{}), stop: sync.OnceFunc(func() { close(stop) })}
 	go func() {
@@ -89,6 +99,14 @@
 	return e
 }
 
+// port returns the port of an entry for other entries.
+func (f *fleet) port(name string) int {
+	if f.ports[name] == 0 {
+		f.ports[name] = freePort(f.t)
+	}
+	return f.ports[name]
+}
+
 func freePort(t *testing.T) int {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,7 +90,7 @@
 	n.registry = &registry{
 		store: n.store, links: n.links, self: n.self, log: o.Log.WithName("registry"),
 		name: o.Settings.Node, address: n.peerAddress(), start: start, small: o.Settings.Cores > 0 && o.Settings.Cores < smallCores,
-		restarted: n.gateway.Restarted, entries: n.gateway.Entries,
+		pause: registryPause, restarted: n.gateway.Restarted, entries: n.gateway.Entries,
 	}
 	return n
 }
--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -58,6 +59,8 @@
 	})
 	assert.Equal(t, len(a.Freed()), 0)
 
+	// The earlier start still holds its port.
+	delete(f.ports, "e1")
 	f.entry("e1", 0).ready()
 	eventually(t, "the result is given up", func() bool { return len(a.Freed()) > 0 })
 	assert.Assert(t, strings.HasSuffix(a.Freed()[0], "r1.0.0"), a.Freed()[0])
@@ -132,3 +135,36 @@
 		})
 	}
 }
+
+// TestOnePlannerAfterAllRestarted starts entries in another order than before, a small
+// one first, while the records of their earlier starts are still there. All soon have
+// their requests placed by the same entry, though the next look is far off.
+func TestOnePlannerAfterAllRestarted(t *testing.T) {
+	f := newFleet(t)
+	f.pause = time.Hour
+	f.server("plain", "p1", 0)
+	f.configure()
+	for _, name := range []string{"e1", "e2", "e3"} {
+		value, err := json.Marshal(roster.Record{Address: fmt.Sprint("127.0.0.1:", f.port(name)), Start: 1})
+		assert.NilError(t, err)
+		f.store.Put(platform.EntriesTopic, name, value)
+	}
+	f.cores = smallCores / 2
+	small := f.entry("small", 0).ready()
+	eventually(t, "the small entry is registered", func() bool { return small.self.Registered() })
+	f.cores = 1
+	var others []*entry
+	for _, name := range []string{"e3", "e2", "e1"} {
+		e := f.entry(name, 0).ready()
+		eventually(t, "the entry is registered", func() bool { return e.self.Registered() })
+		others = append(others, e)
+	}
+	first := others[0]
+	for _, e := range append(others[1:], small) {
+		eventually(t, "requests are placed by the entry that registered first", func() bool {
+			p := e.links.First()
+			return p != nil && p.Name() == first.self.Owner
+		})
+	}
+	assert.Assert(t, first.links.First() == nil)
+}
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/magnoliawheel/magnoliawheel/core/backoff"
 	"github.com/magnoliawheel/magnoliawheel/core/roster"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer"
@@ -30,6 +31,9 @@
 	smallCores = 0.25
 )
 
+// staleLooks are the times between looks while entries start anew.
+var staleLooks = backoff.Pauses{First: 500 * time.Millisecond, Longest: 4 * time.Second}
+
 // registry keeps the entry's record and learns the entries registered before it.
 // The order is that of the records' offsets: it is the same for all entries, and a
 // restarted entry comes last.
@@ -43,6 +47,8 @@
 	// start tells two starts of this entry apart.
 	start int64
 	small bool
+	// pause is the time between two looks.
+	pause time.Duration
 	// restarted is called if an earlier start left its record, entries with the number
 	// of records once the own one is among them.
 	restarted func()
@@ -53,6 +59,7 @@
 
 func (r *registry) run(ctx context.Context) {
 	known := roster.New(r.name, r.start)
+	again := 0
 	for ctx.Err() == nil && !r.left.Load() {
 		records, ok := r.read(ctx)
 		if !ok {
@@ -68,8 +75,29 @@
 			continue
 		}
 		r.take(ctx, v)
-		clock.Sleep(ctx, registryPause)
+		again = r.rest(ctx, again)
+	}
+}
+
+// rest waits until the next look: for the pause, or for a shorter time if an entry
+// turns out to have started anew. again is the number of looks for that in a row.
+func (r *registry) rest(ctx context.Context, again int) int {
+	shortest := time.NewTimer(staleLooks.After(again))
+	defer shortest.Stop()
+	longest := time.NewTimer(r.pause)
+	defer longest.Stop()
+	select {
+	case <-shortest.C:
+	case <-ctx.Done():
+		return 0
+	}
+	select {
+	case <-r.links.Stale():
+		return again + 1
+	case <-longest.C:
+	case <-ctx.Done():
 	}
+	return 0
 }
 
 // register writes the record of this start. The next look tells whether it is there.
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -43,6 +43,8 @@
 	log     logr.Logger
 	// settled is closed once it is known which entries come first.
 	settled chan struct{}
+	// stale holds a mark while an entry answers whose place is not the one known.
+	stale chan struct{}
 
 	mu    sync.Mutex
 	links []*link
@@ -53,7 +55,7 @@
 
 // NewLinks returns links to no entry. Requests of others are placed by p.
 func NewLinks(self *Self, p *planner.Planner, log logr.Logger) *Links {
-	return &Links{self: self, planner: p, log: log, settled: make(chan struct{}), guests: map[*Peer]bool{}}
+	return &Links{self: self, planner: p, log: log, settled: make(chan struct{}), stale: make(chan struct{}, 1), guests: map[*Peer]bool{}}
 }
 
 // Serve accepts sessions until ctx ends.
@@ -166,6 +168,9 @@
 	defer l.mu.Unlock()
 	live := 0
 	for _, k := range l.links {
+		if k.stale() {
+			l.markStale()
+		}
 		if live >= liveLinks {
 			k.close()
 			continue
@@ -176,6 +181,17 @@
 	}
 }
 
+// Stale receives while an entry answers whose place in the order is not the one set:
+// it has started anew since.
+func (l *Links) Stale() <-chan struct{} { return l.stale }
+
+func (l *Links) markStale() {
+	select {
+	case l.stale <- struct{}{}:
+	default:
+	}
+}
+
 // First returns the entry that places this one's requests: the first one that is
 // ready, or nil for this one. If no other is ready, and this one is not either, it
 // is the first that is alive. An entry that stops takes the first that comes after it.
@@ -244,6 +260,17 @@
 	return !ok || k.owner.self.before(order)
 }
 
+// stale tells whether the entry has another place than the one known.
+func (k *link) stale() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.peer == nil {
+		return false
+	}
+	_, order, ok := k.peer.status()
+	return ok && order != registeredAt(k.entry.Order)
+}
+
 // usable returns the entry if it comes before this one and answers, or nil.
 func (k *link) usable() *Peer {
 	k.mu.Lock()
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -124,7 +124,11 @@
 }
 
 // Register sets the offset at which the entry registered in this start.
-func (s *Self) Register(offset int64) { s.order.Store(offset + 1) }
+func (s *Self) Register(offset int64) { s.order.Store(registeredAt(offset)) }
+
+// registeredAt is the order that an entry reports that registered at an offset; one
+// that did not register reports 0.
+func registeredAt(offset int64) int64 { return offset + 1 }
 
 // Registered tells whether the entry registered in this start.
 func (s *Self) Registered() bool { return s.order.Load() > 0 }
