Pass over entries that stop when looking for the planner

Both sessions that an entry keeps went to entries that were stopping (up to 8 s each while machines restart in turn), so that no third one was asked.

Ruled out: counting only ready entries (while the store is away none is ready, and all would dial all).

Change: the status between entries says when the sender stops; such sessions are kept for their answers and not counted. TestStoppingEntriesArePassedOver failed before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,7 +152,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.stopping() {
+	if g.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	req, refusal := g.accept(w, hr)
@@ -293,12 +293,12 @@
 
 // Ready tells whether the entry asks for new clients.
 func (g *Gateway) Ready() bool {
-	return g.known() && !g.stopping() && g.fresh(readyShare, g.Settings.KeyValidity)
+	return g.known() && !g.Stopping() && g.fresh(readyShare, g.Settings.KeyValidity)
 }
 
 // CanPlan tells whether the entry can place requests for others.
 func (g *Gateway) CanPlan() bool {
-	return g.known() && !g.stopping() && g.fresh(planShare, g.Settings.ConfigBound)
+	return g.known() && !g.Stopping() && g.fresh(planShare, g.Settings.ConfigBound)
 }
 
 // known tells whether there is a configuration and a list of servers, and the planner
@@ -342,7 +342,8 @@
 	return clock.Now() - time.Duration(at)
 }
 
-func (g *Gateway) stopping() bool { return g.stopAt.Load() != 0 }
+// Stopping tells whether the gateway takes its last requests.
+func (g *Gateway) Stopping() bool { return g.stopAt.Load() != 0 }
 
 // Stop makes the gateway take its last requests.
 func (g *Gateway) Stop() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,7 +77,9 @@
 	n.planner = planner.New(stages, o.Settings.Regions, o.Log.WithName("planner"))
 	start := time.Now().UnixNano()
 	owner := ownerName(o.Settings.Node, start)
-	n.self = &peer.Self{Ready: func() bool { return n.gateway.CanPlan() }, Owner: owner}
+	n.self = &peer.Self{
+		Ready: func() bool { return n.gateway.CanPlan() }, Stopping: func() bool { return n.gateway.Stopping() }, Owner: owner,
+	}
 	n.leftovers = &leftovers{
 		store: n.store, planner: n.planner, stages: stages, log: o.Log.WithName("leftovers"), node: o.Settings.Node, owner: owner,
 	}
--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -168,3 +168,40 @@
 	}
 	assert.Assert(t, first.links.First() == nil)
 }
+
+// TestStoppingEntriesArePassedOver stops the first two entries while they still answer
+// requests: the others have theirs placed by the third.
+func TestStoppingEntriesArePassedOver(t *testing.T) {
+	f := newFleet(t)
+	f.pause = time.Hour
+	finish := make(chan struct{})
+	var held sync.WaitGroup
+	f.server("plain", "p1", 0).Answer(func(http.ResponseWriter, *http.Request) bool {
+		held.Done()
+		<-finish
+		return false
+	})
+	f.configure()
+	var all []*entry
+	for _, name := range []string{"e1", "e2", "e3", "e4", "e5"} {
+		e := f.entry(name, 0).ready()
+		eventually(t, "the entry is registered", func() bool { return e.self.Registered() })
+		all = append(all, e)
+	}
+	var answered sync.WaitGroup
+	for _, e := range all[:2] {
+		held.Add(1)
+		answered.Go(func() { assert.Check(t, e.do(keyed(standin.PathUnsafe, "r"+e.base, "key-1")).status == http.StatusOK) })
+	}
+	held.Wait()
+	all[0].stop()
+	all[1].stop()
+	for _, e := range all[3:] {
+		eventually(t, "requests are placed by the third entry", func() bool {
+			p := e.links.First()
+			return p != nil && p.Name() == all[2].self.Owner
+		})
+	}
+	close(finish)
+	answered.Wait()
+}
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -162,7 +162,8 @@
 	return true
 }
 
-// maintain dials the first entries in order until enough of them answer.
+// maintain dials the first entries in order until enough of them answer. Sessions with
+// entries that stop are kept, but not counted: they may have answers to give.
 func (l *Links) maintain(ctx context.Context) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -175,6 +176,9 @@
 			k.close()
 			continue
 		}
+		if k.stops() {
+			continue
+		}
 		if k.before() || k.dial(ctx) {
 			live++
 		}
@@ -271,6 +275,13 @@
 	return ok && order != registeredAt(k.entry.Order)
 }
 
+// stops tells whether the entry will not plan again.
+func (k *link) stops() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.peer != nil && k.peer.stops()
+}
+
 // usable returns the entry if it comes before this one and answers, or nil.
 func (k *link) usable() *Peer {
 	k.mu.Lock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,11 +17,11 @@
 	log     logr.Logger
 
 	mu sync.Mutex
-	// heard is set with the first status; ready, order and owner are what it says.
-	heard, ready bool
-	order        int64
-	owner        string
-	ended        bool
+	// heard is set with the first status; the others are what the newest one says.
+	heard, ready, stopping bool
+	order                  int64
+	owner                  string
+	ended                  bool
 	// pending are the requests that the other entry places for this one.
 	pending map[string]*pending
 	// open are the requests that this entry places for the other one.
@@ -59,6 +59,13 @@
 	return p.ready, p.order, p.heard && !p.ended && !p.session.silent()
 }
 
+// stops tells whether the other entry said that it will not plan again.
+func (p *Peer) stops() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stopping
+}
+
 // Place sends a request to the other entry. reply is called once: with the answer,
 // or with false if the session is lost or the other entry hands its requests over.
 // made is called with new results.
@@ -105,11 +112,12 @@
 
 func (p *Peer) takeStatus(st *peerpb.Status) {
 	p.mu.Lock()
-	changed := !p.heard || p.ready != st.GetReady()
+	changed := !p.heard || p.ready != st.GetReady() || p.stopping != st.GetStopping()
 	p.heard, p.ready, p.order, p.owner = true, st.GetReady(), st.GetOrder(), st.GetOwner()
+	p.stopping = st.GetStopping()
 	p.mu.Unlock()
 	if changed {
-		p.log.Info("Entry's state changed.", "entry", st.GetOwner(), "ready", st.GetReady(), "order", st.GetOrder())
+		p.log.Info("Entry's state changed.", "entry", st.GetOwner(), "ready", st.GetReady(), "stopping", st.GetStopping(), "order", st.GetOrder())
 	}
 }
 
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -118,6 +118,8 @@
 type Self struct {
 	// Ready tells whether the entry can plan.
 	Ready func() bool
+	// Stopping tells whether it will not plan again.
+	Stopping func() bool
 	// Owner names the present start of the entry.
 	Owner string
 	order atomic.Int64
@@ -140,8 +142,12 @@
 	return order > 0 && (own == 0 || order < own)
 }
 
+func (s *Self) message() *peerpb.Status {
+	return &peerpb.Status{Ready: s.Ready(), Order: s.order.Load(), Owner: s.Owner, Stopping: s.Stopping()}
+}
+
 func (s *Self) status() *peerpb.Message {
-	return &peerpb.Message{Body: &peerpb.Message_Status{Status: &peerpb.Status{Ready: s.Ready(), Order: s.order.Load(), Owner: s.Owner}}}
+	return &peerpb.Message{Body: &peerpb.Message_Status{Status: s.message()}}
 }
 
 func encodePlace(r *planner.Request) *peerpb.Message {
