An answer ends the pause after a late call; trials of late servers from 1 s

Cause: since servers with a late call are taken back by a trial, a server that was only slow once stayed without calls for the pause that began when the call became late, also after it was answered.

Ruled out: ending the pause while another call there is late (late_call_begins: a piece would be sent to the same server a second time).

Change: an answer ends the pause unless a call is still late; trials begin after 1 s, since a silent server costs each one's pieces their time.

--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -34,9 +34,13 @@
 	freeBatch = 32
 )
 
-// pauses follow failed and late calls in a row at a server.
+// pauses follow failed calls in a row at a server.
 var pauses = backoff.Pauses{First: 300 * time.Millisecond, Longest: 3 * time.Second}
 
+// trials are the times until a server with a late call gets another one: a server that
+// is silent for good costs each trial's pieces the time until they are late.
+var trials = backoff.Pauses{First: time.Second, Longest: 3 * time.Second}
+
 // pool is the servers of one service.
 type pool struct {
 	name    string
@@ -207,18 +211,21 @@
 		m.failures = 0
 		m.measure(c, now)
 		m.passLate(c)
+		if !m.hasLate() {
+			m.pausedUntil = now
+		}
 	case c.lost:
 	case end == Full:
 		m.pausedUntil = now + fullPause
 	default:
-		m.pause(now)
+		m.pause(now, pauses)
 	}
 	m.lastEnd = now
 }
 
-// pause starts no call for a time that doubles with each failure in a row.
-func (m *server) pause(now time.Duration) {
-	m.pausedUntil = now + pauses.After(m.failures)
+// pause starts no call for a time that grows with each failure in a row.
+func (m *server) pause(now time.Duration, p backoff.Pauses) {
+	m.pausedUntil = now + p.After(m.failures)
 	m.failures++
 }
 
@@ -288,7 +295,7 @@
 	c.late = true
 	c.lost = c.begins < c.server.answered
 	if !c.lost {
-		c.server.pause(now)
+		c.server.pause(now, trials)
 	}
 	for _, it := range c.items {
 		p := &it.run.pieces[it.piece]
