--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -105,13 +105,26 @@
 	}
 }
 
-// anyKey returns one of the newest keys.
+// oldKeys is the share of requests with keys that were taken away.
+const oldKeys = 0.2
+
+// anyKey returns one of the newest keys, or at times one that was taken away.
 func (c *caller) anyKey() string {
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
+	if n := len(c.f.once); n > 0 && c.rng.Float64() < oldKeys {
+		return c.f.once[n-1-c.rng.IntN(min(n, 3))]
+	}
 	return c.f.keys[c.rng.IntN(len(c.f.keys))]
 }
 
+// newestKey returns a key of the newest version.
+func (c *caller) newestKey() string {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	return c.f.keys[len(c.f.keys)-1]
+}
+
 // send sends one request and waits for its end.
 func (c *caller) send(kind int, key string) *request {
 	_, incarnation := c.entry.now()
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -60,14 +60,14 @@
 	{"pause", 2, (*injector).pause},
 	{"stop", 2, (*injector).stop},
 	{"reload", 1, (*injector).reload},
-	{"store away", 1, (*injector).storeAway},
+	{"store away", 2, (*injector).storeAway},
 	{"store loses answers", 1, (*injector).storeLoses},
 	{"store compacted", 1, (*injector).storeCompacted},
 	{"server misbehaves", 3, (*injector).misbehave},
 	{"server replaced", 2, (*injector).replace},
 	{"server leaves", 2, (*injector).leave},
-	{"key added", 2, (*injector).addKey},
-	{"key taken away", 2, (*injector).revoke},
+	{"key added", 4, (*injector).addKey},
+	{"key taken away", 4, (*injector).revoke},
 }
 
 // run injects faults for a time and waits until all have ended.
@@ -222,7 +222,7 @@
 func (in *injector) storeAway(lasts time.Duration) (string, func()) {
 	return "", func() {
 		in.f.store.Fail(func(string) int { return http.StatusServiceUnavailable })
-		time.Sleep(2 * lasts)
+		time.Sleep(4 * lasts)
 		in.f.store.Fail(nil)
 	}
 }
@@ -245,41 +245,47 @@
 // misbehave lets a server fail in one of several ways.
 func (in *injector) misbehave(lasts time.Duration) (string, func()) {
 	s := in.anyServer()
-	ways := []string{"hangs", "resets", "fails", "did not run", "answers without end", "answers without a seal"}
-	way := in.rng.IntN(len(ways))
-	return s.ID + " " + ways[way], func() {
-		s.Answer(answers[way])
+	way := misbehaviours[in.rng.IntN(len(misbehaviours))]
+	return s.ID + " " + way.name, func() {
+		s.Answer(func(w http.ResponseWriter, r *http.Request) bool {
+			if way.runs && r.URL.Path != platform.StageRunPath && r.URL.Path != platform.StageFreePath {
+				s.Run(r)
+			}
+			way.answer(w, r)
+			return true
+		})
 		time.Sleep(lasts)
 		s.Answer(nil)
 	}
 }
 
-// answers are the ways in which a server misbehaves.
-var answers = []func(w http.ResponseWriter, r *http.Request) bool{
-	func(_ http.ResponseWriter, r *http.Request) bool {
-		<-r.Context().Done()
-		return true
-	},
-	func(http.ResponseWriter, *http.Request) bool { panic(http.ErrAbortHandler) },
-	func(w http.ResponseWriter, _ *http.Request) bool {
+// misbehaviours are the ways in which a server misbehaves; runs tells whether it runs
+// the request.
+var misbehaviours = []struct {
+	name   string
+	runs   bool
+	answer func(w http.ResponseWriter, r *http.Request)
+}{
+	{"hangs", true, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }},
+	{"resets", false, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }},
+	{"runs and resets", true, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }},
+	{"fails", true, func(w http.ResponseWriter, _ *http.Request) {
+		standin.Seal(w.Header(), "x")
 		w.WriteHeader(http.StatusInternalServerError)
-		return true
-	},
-	func(w http.ResponseWriter, _ *http.Request) bool {
+	}},
+	{"did not run", false, func(w http.ResponseWriter, _ *http.Request) {
 		standin.NotRun(w.Header())
 		w.WriteHeader(http.StatusServiceUnavailable)
-		return true
-	},
-	func(w http.ResponseWriter, _ *http.Request) bool {
+	}},
+	{"answers without end", true, func(w http.ResponseWriter, _ *http.Request) {
 		standin.Seal(w.Header(), "x")
 		w.Header().Set("Content-Length", "1000")
 		_, _ = w.Write([]byte("half"))
 		panic(http.ErrAbortHandler)
-	},
-	func(w http.ResponseWriter, _ *http.Request) bool {
+	}},
+	{"answers without a seal", true, func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("anything"))
-		return true
-	},
+	}},
 }
 
 // replace lets a server crash; another one follows.
@@ -328,6 +334,7 @@
 			return keys
 		}
 		name = keys[0]
+		in.f.once = append(in.f.once, name)
 		return append([]string(nil), keys[1:]...)
 	})
 	in.mu.Lock()
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -22,7 +22,7 @@
 
 const (
 	// keyValidity is how long keys are honoured without the store.
-	keyValidity = 4 * time.Second
+	keyValidity = 2 * time.Second
 	// events is the number of events of a stream.
 	events = 6
 	// pace is the time before each event and each whole answer.
@@ -47,7 +47,8 @@
 	all     []*standin.Server
 	next    int
 	version int
-	keys    []string
+	// keys are those of the newest version, once the ones that it no longer has.
+	keys, once []string
 }
 
 // server is a backend server behind a link.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -137,7 +137,7 @@
 			c := newCaller(f, l, uint64(kind), shortTimeout)
 			c.entry = e
 			end := time.Now().Add(patience)
-			for c.send(kind, c.anyKey()).status != http.StatusOK {
+			for c.send(kind, c.newestKey()).status != http.StatusOK {
 				if time.Now().After(end) {
 					t.Errorf("%s does not serve %s after the faults have ended", e.name, kinds[kind].path)
 					break
