An entry that stops places its own requests when all others stop, too

With no ready entry the first one alive was asked, though it had said that it would not plan again.

Change: an entry that stops is never asked; if nobody is ready, an entry that stops places its own requests. After five moves a request is placed by its own entry, whichever comes first.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -12,16 +12,23 @@
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
 )
 
+// mostMoves is the number of entries that may hand a request over before this one
+// places it, whichever comes first.
+const mostMoves = 5
+
 // place has a request placed by the entry that places for all, or by this one if
 // there is none before it. When that entry is lost the next one is asked. The
 // function returned tells the placing entry what becomes of the request.
 func (g *Gateway) place(ctx context.Context, req *request, avoid []string) (planner.Placed, func(planner.Phase)) {
 	made := &madeResults{}
 	g.Links.WaitSettled(ctx)
-	for {
+	for moves := 0; ; moves++ {
 		pr := g.placementRequest(req, avoid)
 		pr.Made = made.all()
 		by := g.Links.First()
+		if moves >= mostMoves {
+			by = nil
+		}
 		start := clock.Now()
 		placed, ok := g.placeBy(ctx, by, &pr, made)
 		progress := func(phase planner.Phase) { g.progress(by, req.ID, phase, made) }
--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -205,3 +205,45 @@
 	close(finish)
 	answered.Wait()
 }
+
+// TestAllStopping sends a request with stages to entries all of which are stopping:
+// each places its own, and none asks another one again and again.
+func TestAllStopping(t *testing.T) {
+	f := newFleet(t)
+	f.server("a", "a1", 0)
+	f.server("b", "b1", 0)
+	f.server("model", "m1", 2)
+	finish := make(chan struct{})
+	var held, answered sync.WaitGroup
+	f.server("plain", "p1", 0).Answer(func(http.ResponseWriter, *http.Request) bool {
+		held.Done()
+		<-finish
+		return false
+	})
+	f.configure()
+	var all []*entry
+	for _, name := range []string{"e1", "e2", "e3"} {
+		e := f.entry(name, 0).ready()
+		eventually(t, "the entry is registered", func() bool { return e.self.Registered() })
+		held.Add(1)
+		answered.Go(func() { assert.Check(t, e.do(keyed(standin.PathUnsafe, "r"+name, "key-1")).status == http.StatusOK) })
+		all = append(all, e)
+	}
+	for _, e := range all[1:] {
+		eventually(t, "requests are placed by the first entry", func() bool { return e.links.First() != nil })
+	}
+	held.Wait()
+	for _, e := range all {
+		e.stop()
+	}
+	for _, e := range all {
+		eventually(t, "the entry stops", func() bool { return e.gateway.Stopping() })
+	}
+	for i, e := range all {
+		got := e.do(staged(fmt.Sprint("s", i)))
+		assert.NilError(t, got.broken)
+		assert.Equal(t, got.status, 200, got.body)
+	}
+	close(finish)
+	answered.Wait()
+}
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -198,7 +198,8 @@
 
 // First returns the entry that places this one's requests: the first one that is
 // ready, or nil for this one. If no other is ready, and this one is not either, it
-// is the first that is alive. An entry that stops takes the first that comes after it.
+// is the first that is alive and does not stop. An entry that stops takes the first
+// ready one that comes after it; if there is none it places its own requests.
 func (l *Links) First() *Peer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -211,7 +212,7 @@
 		if ready, _, _ := p.status(); ready {
 			return p
 		}
-		if alive == nil {
+		if alive == nil && !p.stops() {
 			alive = p
 		}
 	}
