Pass over entries that do not reach the store when looking for the planner

Ruled out: counting only ready entries without a bound (without the store none is ready, and all would dial all).

Change: an entry keeps sessions to the first two that are ready, and to eight at most; a session that is no longer needed ends once neither side places requests of the other. TestEntriesWithoutTheStoreArePassedOver failed before.

--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -39,7 +39,7 @@
 
 // trials are the times until a server with a late call gets another one: a server that
 // is silent for good costs each trial's pieces the time until they are late.
-var trials = backoff.Pauses{First: time.Second, Longest: 3 * time.Second}
+var trials = backoff.Pauses{First: 400 * time.Millisecond, Longest: 3 * time.Second}
 
 // pool is the servers of one service.
 type pool struct {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -36,6 +37,8 @@
 	// looks at the records of entries, unless it is 0.
 	cores float64
 	pause time.Duration
+	// storeAddress is where entries reach the store, unless it is "".
+	storeAddress string
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -77,7 +80,7 @@
 func (f *fleet) entry(name string, keyValidity time.Duration) *entry {
 	settings := &platform.Settings{
 		Node: name, Zone: "z", IP: "127.0.0.1", ClientAddress: freeAddress(f.t), ReadinessAddress: freeAddress(f.t),
-		FirstPort: f.port(name), StoreAddress: f.store.Address(), Grace: 30 * time.Second, KeyValidity: keyValidity,
+		FirstPort: f.port(name), StoreAddress: cmp.Or(f.storeAddress, f.store.Address()), Grace: 30 * time.Second, KeyValidity: keyValidity,
 		ConfigBound: 2500 * time.Millisecond, LeaveBound: 2500 * time.Millisecond,
 		Cores: f.cores,
 		Retry: platform.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Allowance: 80},
--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -4,9 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -247,3 +251,57 @@
 	close(finish)
 	answered.Wait()
 }
+
+// wayToStore is a way to the store that can be cut, for some entries only.
+func (f *fleet) wayToStore() (address string, cut *atomic.Bool) {
+	target, err := url.Parse(f.store.URL)
+	assert.NilError(f.t, err)
+	proxy := httputil.NewSingleHostReverseProxy(target)
+	cut = &atomic.Bool{}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		proxy.ServeHTTP(w, r)
+	}))
+	f.t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://"), cut
+}
+
+// TestEntriesWithoutTheStoreArePassedOver cuts the first two entries off from the store
+// but not from the others: requests of all are placed by the third.
+func TestEntriesWithoutTheStoreArePassedOver(t *testing.T) {
+	f := newFleet(t)
+	f.server("plain", "p1", 0)
+	f.configure()
+	way, cut := f.wayToStore()
+	var all []*entry
+	for _, name := range []string{"e1", "e2", "e3", "e4", "e5"} {
+		f.storeAddress = ""
+		if len(all) < 2 {
+			f.storeAddress = way
+		}
+		e := f.entry(name, 0).ready()
+		eventually(t, "the entry is registered", func() bool { return e.self.Registered() })
+		all = append(all, e)
+	}
+	cut.Store(true)
+	for _, e := range all[:2] {
+		eventually(t, "the entry does not place requests", func() bool { return !e.gateway.CanPlan() })
+	}
+	third := all[2]
+	for _, e := range []*entry{all[0], all[1], all[3], all[4]} {
+		eventually(t, "requests are placed by the third entry", func() bool {
+			p := e.links.First()
+			return p != nil && p.Name() == third.self.Owner
+		})
+	}
+	assert.Assert(t, third.links.First() == nil)
+	cut.Store(false)
+	for _, e := range all[1:] {
+		eventually(t, "requests are placed by the first entry again", func() bool {
+			p := e.links.First()
+			return p != nil && p.Name() == all[0].self.Owner
+		})
+	}
+}
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -20,8 +20,11 @@
 
 const (
 	// liveLinks is the number of entries that an entry keeps sessions to: the first
-	// ones in order that answer.
+	// ones in order that are ready.
 	liveLinks = 2
+	// mostLinks bounds the sessions while the first ones are not ready, as all of them
+	// are without the store.
+	mostLinks = 8
 	// linksInterval is the time between two looks at the sessions.
 	linksInterval = 100 * time.Millisecond
 	// longestSettling bounds the time after the start of the process in which
@@ -162,24 +165,25 @@
 	return true
 }
 
-// maintain dials the first entries in order until enough of them answer. Sessions with
-// entries that stop are kept, but not counted: they may have answers to give.
+// maintain dials the first entries in order until enough of them are ready. Sessions
+// with entries that stop are kept, but not counted: they may have answers to give.
 func (l *Links) maintain(ctx context.Context) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	live := 0
+	live, open := 0, 0
 	for _, k := range l.links {
 		if k.stale() {
 			l.markStale()
 		}
-		if live >= liveLinks {
-			k.close()
+		if live >= liveLinks || open >= mostLinks {
+			k.closeIdle()
 			continue
 		}
-		if k.stops() {
+		if k.stops() || !k.before() && !k.dial(ctx) {
 			continue
 		}
-		if k.before() || k.dial(ctx) {
+		open++
+		if k.mayPlan() {
 			live++
 		}
 	}
@@ -307,6 +311,27 @@
 	return k.failures > 0 || !k.dialling
 }
 
+// mayPlan tells whether the entry is ready, or has not said that it is not.
+func (k *link) mayPlan() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.peer == nil {
+		return true
+	}
+	ready, _, ok := k.peer.status()
+	return ready || !ok
+}
+
+// closeIdle ends the session unless the entry places requests of this one.
+func (k *link) closeIdle() {
+	k.mu.Lock()
+	idle := k.peer != nil && k.peer.idle()
+	k.mu.Unlock()
+	if idle {
+		k.close()
+	}
+}
+
 func (k *link) close() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -66,6 +66,13 @@
 	return p.stopping
 }
 
+// idle tells whether neither entry places requests of the other.
+func (p *Peer) idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.pending) == 0 && len(p.open) == 0
+}
+
 // Place sends a request to the other entry. reply is called once: with the answer,
 // or with false if the session is lost or the other entry hands its requests over.
 // made is called with new results.
