Without the store the planner stays the planner

Ruled out: a longer bound for the first entry (its state may hide a server that leaves; entries that reach the store must take over).

Change: an entry that has lost the store is ready only while it has requests to place. TestStoreAwayKeepsThePlanner failed before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,7 +78,7 @@
 	start := time.Now().UnixNano()
 	owner := ownerName(o.Settings.Node, start)
 	n.self = &peer.Self{
-		Ready: func() bool { return n.gateway.CanPlan() }, Stopping: func() bool { return n.gateway.Stopping() }, Owner: owner,
+		Ready: n.mayPlan, Stopping: func() bool { return n.gateway.Stopping() }, Owner: owner,
 	}
 	n.leftovers = &leftovers{
 		store: n.store, planner: n.planner, stages: stages, log: o.Log.WithName("leftovers"), node: o.Settings.Node, owner: owner,
@@ -97,6 +97,13 @@
 	return n
 }
 
+// mayPlan tells whether the entry is to place requests. Without the store it goes on
+// with those that it has while its state is new enough, but does not take them over
+// from an entry whose state is a little older.
+func (n *Node) mayPlan() bool {
+	return n.gateway.CanPlan() && (n.config.Reached() || n.planner.Jobs() > 0)
+}
+
 func (n *Node) poolsChanged() { n.gateway.UpdatePools() }
 
 func (n *Node) peerAddress() string {
--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -305,3 +305,44 @@
 		})
 	}
 }
+
+// TestStoreAwayKeepsThePlanner takes the store away from the first entry, then from the
+// others. These know a newer state for a while; the first one is asked nevertheless.
+func TestStoreAwayKeepsThePlanner(t *testing.T) {
+	f := newFleet(t)
+	f.server("plain", "p1", 0)
+	f.configure()
+	wayOfFirst, cutFirst := f.wayToStore()
+	way, cut := f.wayToStore()
+	var all []*entry
+	for _, name := range []string{"e1", "e2", "e3"} {
+		f.storeAddress = way
+		if len(all) == 0 {
+			f.storeAddress = wayOfFirst
+		}
+		e := f.entry(name, 0).ready()
+		eventually(t, "the entry is registered", func() bool { return e.self.Registered() })
+		all = append(all, e)
+	}
+	byFirst := func(e *entry) bool {
+		p := e.links.First()
+		return p != nil && p.Name() == all[0].self.Owner
+	}
+	for _, e := range all[1:] {
+		eventually(t, "requests are placed by the first entry", func() bool { return byFirst(e) })
+	}
+	cutFirst.Store(true)
+	eventually(t, "the first entry has lost the store", func() bool { return !all[0].config.Reached() })
+	cut.Store(true)
+	for _, e := range all[1:] {
+		eventually(t, "the others have lost the store, and heard it of each other", func() bool { return !e.config.Reached() && byFirst(e) })
+	}
+	eventually(t, "no entry knows a state that is new enough", func() bool {
+		none := true
+		for _, e := range all[1:] {
+			assert.Assert(t, byFirst(e), "another entry places requests")
+			none = none && !e.gateway.CanPlan()
+		}
+		return none && !all[0].gateway.CanPlan()
+	})
+}
--- a/internal/watch/config.go
+++ b/internal/watch/config.go
@@ -41,6 +41,8 @@
 	table atomic.Pointer[routes.Table]
 	// contact is the time, by clock.Now, as of which the store confirmed the table.
 	contact atomic.Int64
+	// lost is set while reads fail.
+	lost atomic.Bool
 }
 
 // NewConfig returns a watcher; bound is the time within which a version must be in
@@ -52,6 +54,9 @@
 // Table returns the newest version known, or nil.
 func (c *Config) Table() *routes.Table { return c.table.Load() }
 
+// Reached tells whether the store answered the last read.
+func (c *Config) Reached() bool { return !c.lost.Load() }
+
 // Age returns how long ago the store confirmed the newest version known.
 func (c *Config) Age() time.Duration {
 	at := c.contact.Load()
@@ -65,7 +70,11 @@
 func (c *Config) Run(ctx context.Context) {
 	follow(ctx, follower{
 		store: c.store, topic: platform.ConfigTopic, wait: c.wait, log: c.log,
-		take: c.take, done: func(asOf time.Duration) { c.contact.Store(int64(asOf)) },
+		take: c.take, done: func(asOf time.Duration) {
+			c.contact.Store(int64(asOf))
+			c.lost.Store(false)
+		},
+		failed: func(time.Duration) { c.lost.Store(true) },
 	})
 }
 
