Client: a deadline while connecting is "not sent", a refused one after a cut is not

Traced: the deadline came while a connection was being made; net/http then returns the bare end of the context, which was taken for a cut, so that the outcome was called unknown though nothing was sent. Reading on: a call that was cut, sent again and then found no entry was told "no entry can be reached", though its first request may have run.

Ruled out: another process on the port of the closed server (the message would be the same; both new tests fail without any).

Change: a request counts as sent once it had a connection; a call with a cut request never ends as not sent. TestDeadlineWhileConnectingIsNotRun and TestUnreachableAfterACutIsUnknown failed before.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -188,6 +190,39 @@
 	assert.ErrorIs(t, err, ErrNotSent)
 }
 
+// TestDeadlineWhileConnectingIsNotRun lets the deadline come before there is a
+// connection.
+func TestDeadlineWhileConnectingIsNotRun(t *testing.T) {
+	cl, err := New(Options{Entries: []string{"http://127.0.0.1:1"}})
+	assert.NilError(t, err)
+	defer cl.Close()
+	cl.http.Transport = &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+	_, err = cl.Do(context.Background(), &Call{Name: "c", Timeout: 50 * time.Millisecond})
+	assert.ErrorIs(t, err, ErrNotSent)
+}
+
+// TestUnreachableAfterACutIsUnknown cuts the first request and reaches no entry after
+// it: the first one may have run.
+func TestUnreachableAfterACutIsUnknown(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer srv.Close()
+	cl, err := New(Options{Entries: []string{srv.URL}})
+	assert.NilError(t, err)
+	defer cl.Close()
+	dials := 0
+	cl.http.Transport = &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if dials++; dials > 1 {
+			return nil, errors.New("refused")
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, addr)
+	}}
+	_, err = cl.Do(context.Background(), &Call{Name: "c", Idempotent: true, Timeout: 300 * time.Millisecond})
+	assert.ErrorIs(t, err, ErrOutcomeUnknown)
+}
+
 func TestNewKeyIsUUIDv7(t *testing.T) {
 	k, err := NewKey()
 	assert.NilError(t, err)
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -6,9 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,8 @@
 	// omitTimeout is set once an entry refused the timeout as longer than the
 	// call's deadline, which applies then.
 	omitTimeout bool
+	// cut is set once a request was cut: it may have run.
+	cut bool
 }
 
 // errCut marks the end of a connection before the end of an answer.
@@ -97,6 +100,7 @@
 		return 0, true
 	case errors.As(err, &told) && told.Code == codeUnknownRequest, errors.Is(err, errCut):
 		x.next()
+		x.cut = true
 		return reattachWait, x.call.Idempotent || x.call.IdempotencyKey != ""
 	case errors.As(err, &told):
 		wait = told.RetryAfter()
@@ -112,9 +116,9 @@
 	switch {
 	case errors.As(err, &told) && told.Code != codeUnknownRequest:
 		return told
-	case errors.Is(err, ErrNotSent):
+	case errors.Is(err, ErrNotSent) && !x.cut:
 		return err
-	case errors.As(err, &told), errors.Is(err, errCut):
+	case errors.As(err, &told), errors.Is(err, errCut), errors.Is(err, ErrNotSent):
 		return fmt.Errorf("%w: request %q: %w", ErrOutcomeUnknown, x.id, err)
 	case ctx.Err() != nil && x.id == "" && x.requests == 0:
 		return ctx.Err()
@@ -207,9 +211,11 @@
 	defer cancel()
 	watchdog := time.AfterFunc(silenceTimeout, cancel)
 	defer watchdog.Stop()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	res, err := x.client.http.Do(req.WithContext(ctx))
 	if err != nil {
-		return transportError(err)
+		return transportError(err, connected.Load())
 	}
 	defer func() { _ = res.Body.Close() }()
 	if err := readError(res); err != nil {
@@ -224,10 +230,10 @@
 	return x.answer.read(&watchedReader{r: res.Body, watchdog: watchdog})
 }
 
-// transportError tells a request that was never sent from one that was cut.
-func transportError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+// transportError tells a request that was never sent, since there was no connection
+// for it, from one that was cut.
+func transportError(err error, connected bool) error {
+	if !connected {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	return cutBy(err)
