One relay, one test main, one standing of an entry; ejections by backoff

Four methods of a session's link locked and took a status of three values apart.

Change: harness.Relay delays, resets and silences by direction and serves both; harness.Main builds and runs; core/routing uses core/backoff (the same lengths); a Peer has one standing, from which the questions of a link are answered; the registry's wait uses clock.Sleep. Behaviour and assertions are as before; a dial that fails behind a relay now closes in place of resetting in the soak, too.

Left: test/meter has a relay of its own that counts bytes; confsync's pause depends on its tick.

--- a/core/routing/health.go
+++ b/core/routing/health.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/magnoliawheel/magnoliawheel/core/backoff"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 )
 
@@ -21,7 +22,7 @@
 	ejectShare = 0.45
 	// ejectCap is the greatest share of a pool's servers that is ejected.
 	ejectCap = 1.0 / 3
-	// ejectBase and ejectMax bound the length of ejections, which doubles.
+	// ejectBase and ejectMax bound the length of ejections.
 	ejectBase = 2 * time.Second
 	ejectMax  = 30 * time.Second
 	// ejectForgotten is the time without ejection after which the length starts anew.
@@ -39,6 +40,9 @@
 	zoneBadShare = 0.5
 )
 
+// ejections are the lengths of ejections that follow on each other.
+var ejections = backoff.Pauses{First: ejectBase, Longest: ejectMax}
+
 // zoneHealth counts the servers of one zone.
 type zoneHealth struct {
 	name       string
@@ -150,7 +154,7 @@
 	if now.Sub(st.until) > ejectForgotten {
 		st.ejections = 0
 	}
-	length := min(ejectMax, ejectBase<<min(st.ejections, 8))
+	length := ejections.After(st.ejections)
 	st.ejections++
 	st.until = now.Add(length)
 	st.returned = st.until
--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -173,18 +173,24 @@
 	assert.Assert(t, first.links.First() == nil)
 }
 
-// TestStoppingEntriesArePassedOver stops the first two entries while they still answer
-// requests: the others have theirs placed by the third.
-func TestStoppingEntriesArePassedOver(t *testing.T) {
-	f := newFleet(t)
-	f.pause = time.Hour
-	finish := make(chan struct{})
-	var held sync.WaitGroup
+// holdPlain starts a plain server that counts a request down in held and answers once
+// finish is closed.
+func (f *fleet) holdPlain() (held *sync.WaitGroup, finish chan struct{}) {
+	held, finish = &sync.WaitGroup{}, make(chan struct{})
 	f.server("plain", "p1", 0).Answer(func(http.ResponseWriter, *http.Request) bool {
 		held.Done()
 		<-finish
 		return false
 	})
+	return held, finish
+}
+
+// TestStoppingEntriesArePassedOver stops the first two entries while they still answer
+// requests: the others have theirs placed by the third.
+func TestStoppingEntriesArePassedOver(t *testing.T) {
+	f := newFleet(t)
+	f.pause = time.Hour
+	held, finish := f.holdPlain()
 	f.configure()
 	var all []*entry
 	for _, name := range []string{"e1", "e2", "e3", "e4", "e5"} {
@@ -217,13 +223,8 @@
 	f.server("a", "a1", 0)
 	f.server("b", "b1", 0)
 	f.server("model", "m1", 2)
-	finish := make(chan struct{})
-	var held, answered sync.WaitGroup
-	f.server("plain", "p1", 0).Answer(func(http.ResponseWriter, *http.Request) bool {
-		held.Done()
-		<-finish
-		return false
-	})
+	var answered sync.WaitGroup
+	held, finish := f.holdPlain()
 	f.configure()
 	var all []*entry
 	for _, name := range []string{"e1", "e2", "e3"} {
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -82,13 +82,10 @@
 // rest waits until the next look: for the pause, or for a shorter time if an entry
 // turns out to have started anew. again is the number of looks for that in a row.
 func (r *registry) rest(ctx context.Context, again int) int {
-	shortest := time.NewTimer(staleLooks.After(again))
-	defer shortest.Stop()
 	longest := time.NewTimer(r.pause)
 	defer longest.Stop()
-	select {
-	case <-shortest.C:
-	case <-ctx.Done():
+	clock.Sleep(ctx, staleLooks.After(again))
+	if ctx.Err() != nil {
 		return 0
 	}
 	select {
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -123,7 +123,7 @@
 			close(l.settled)
 		}
 		if p := l.First(); p != nil {
-			if ready, _, ok := p.status(); ready && ok {
+			if s := p.standing(); s.ready && s.known {
 				first()
 			}
 		}
@@ -156,10 +156,8 @@
 		if !k.tried() {
 			return false
 		}
-		if p := k.usable(); p != nil {
-			if ready, _, _ := p.status(); ready {
-				return true
-			}
+		if p := k.usable(); p != nil && p.standing().ready {
+			return true
 		}
 	}
 	return true
@@ -213,10 +211,11 @@
 		if p == nil {
 			continue
 		}
-		if ready, _, _ := p.status(); ready {
+		s := p.standing()
+		if s.ready {
 			return p
 		}
-		if alive == nil && !p.stops() {
+		if alive == nil && !s.stopping {
 			alive = p
 		}
 	}
@@ -234,9 +233,9 @@
 	var first *Peer
 	var least int64
 	for p := range l.guests {
-		ready, order, ok := p.status()
-		if ok && ready && order > 0 && (first == nil || order < least) {
-			first, least = p, order
+		s := p.standing()
+		if s.known && s.ready && s.order > 0 && (first == nil || s.order < least) {
+			first, least = p, s.order
 		}
 	}
 	return first
@@ -257,34 +256,39 @@
 	lost bool
 }
 
-// before tells whether there is a session with an entry that may come before this
-// one. At the address of an entry that was restarted there is one that comes later.
-func (k *link) before() bool {
+// standing returns what the entry said of itself; false if there is no session.
+func (k *link) standing() (standing, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.peer == nil {
-		return false
+		return standing{}, false
 	}
-	_, order, ok := k.peer.status()
-	return !ok || k.owner.self.before(order)
+	return k.peer.standing(), true
+}
+
+// before tells whether there is a session with an entry that may come before this
+// one. At the address of an entry that was restarted there is one that comes later.
+func (k *link) before() bool {
+	s, open := k.standing()
+	return open && (!s.known || k.owner.self.before(s.order))
 }
 
 // stale tells whether the entry has another place than the one known.
 func (k *link) stale() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.peer == nil {
-		return false
-	}
-	_, order, ok := k.peer.status()
-	return ok && order != registeredAt(k.entry.Order)
+	s, _ := k.standing()
+	return s.known && s.order != registeredAt(k.entry.Order)
 }
 
 // stops tells whether the entry will not plan again.
 func (k *link) stops() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.peer != nil && k.peer.stops()
+	s, _ := k.standing()
+	return s.stopping
+}
+
+// mayPlan tells whether the entry is ready, or has not said that it is not.
+func (k *link) mayPlan() bool {
+	s, _ := k.standing()
+	return s.ready || !s.known
 }
 
 // usable returns the entry if it comes before this one and answers, or nil.
@@ -294,7 +298,7 @@
 	if k.peer == nil || k.lost && time.Since(k.since) < settle {
 		return nil
 	}
-	if _, order, ok := k.peer.status(); !ok || !k.owner.self.before(order) {
+	if s := k.peer.standing(); !s.known || !k.owner.self.before(s.order) {
 		return nil
 	}
 	return k.peer
@@ -305,30 +309,17 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.peer != nil {
-		_, _, ok := k.peer.status()
-		return ok
+		return k.peer.standing().known
 	}
 	return k.failures > 0 || !k.dialling
 }
 
-// mayPlan tells whether the entry is ready, or has not said that it is not.
-func (k *link) mayPlan() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.peer == nil {
-		return true
-	}
-	ready, _, ok := k.peer.status()
-	return ready || !ok
-}
-
-// closeIdle ends the session unless the entry places requests of this one.
+// closeIdle ends the session unless one of the two entries places requests of the other.
 func (k *link) closeIdle() {
 	k.mu.Lock()
-	idle := k.peer != nil && k.peer.idle()
-	k.mu.Unlock()
-	if idle {
-		k.close()
+	defer k.mu.Unlock()
+	if k.peer != nil && k.peer.idle() {
+		k.peer.session.cancel()
 	}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -52,18 +52,19 @@
 	return p.owner
 }
 
-// status returns what the other entry said of itself; ok is false if it is silent.
-func (p *Peer) status() (ready bool, order int64, ok bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.ready, p.order, p.heard && !p.ended && !p.session.silent()
+// standing is what an entry said of itself last.
+type standing struct {
+	ready, stopping bool
+	order           int64
+	// known is false until it has said anything, and once it is silent.
+	known bool
 }
 
-// stops tells whether the other entry said that it will not plan again.
-func (p *Peer) stops() bool {
+// standing returns what the other entry said of itself.
+func (p *Peer) standing() standing {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.stopping
+	return standing{p.ready, p.stopping, p.order, p.heard && !p.ended && !p.session.silent()}
 }
 
 // idle tells whether neither entry places requests of the other.
--- a/test/failure/fleet_test.go
+++ b/test/failure/fleet_test.go
@@ -33,21 +33,7 @@
 
 var binaries harness.Binaries
 
-func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
-
-func buildAndRun(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "magnoliawheel-failure-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	if binaries, err = harness.Build(context.Background(), dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(harness.Main(m, &binaries)) }
 
 // fleet is a running deployment with the requests that were sent to it.
 type fleet struct {
--- a/test/harness/relay.go
+++ b/test/harness/relay.go
@@ -3,16 +3,31 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 const relayBufferBytes = 32 << 10
 
-// Relay is a TCP relay in front of an address. Its open connections can go silent
-// for good while new ones work.
+// Way is a direction through a relay.
+type Way int
+
+// The ways through a relay: Up goes from the end that connected, Down back to it.
+const (
+	Up Way = iota
+	Down
+	ways
+)
+
+// Relay is a TCP relay in front of an address. Its connections can be delayed, reset
+// and made silent for good, all that are open or those that carry something meanwhile.
 type Relay struct {
 	target string
 	lis    net.Listener
 	wg     sync.WaitGroup
+	delay  atomic.Int64
+	// silent silences a connection in a direction with the next bytes or its end.
+	silent [ways]atomic.Bool
 
 	mu    sync.Mutex
 	pairs map[*pair]struct{}
@@ -20,11 +35,10 @@
 	accepted int
 }
 
-// pair is one relayed connection.
+// pair is one relayed connection, by the way that begins at each end.
 type pair struct {
-	near, far net.Conn
-	mu        sync.Mutex
-	silent    bool
+	ends   [ways]net.Conn
+	silent [ways]atomic.Bool
 }
 
 // StartRelay listens on a free port and relays to target.
@@ -47,14 +61,36 @@
 func (r *Relay) Silence() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := 0
 	for p := range r.pairs {
-		p.mu.Lock()
-		p.silent = true
-		p.mu.Unlock()
-		n++
+		p.silent[Up].Store(true)
+		p.silent[Down].Store(true)
+	}
+	return len(r.pairs)
+}
+
+// SetSilent sets whether connections that carry something in a direction fall silent
+// in it for good.
+func (r *Relay) SetSilent(on bool, in ...Way) {
+	for _, w := range in {
+		r.silent[w].Store(on)
+	}
+}
+
+// Delay delays what passes by that much more, or less if by is negative.
+func (r *Relay) Delay(by time.Duration) { r.delay.Add(int64(by)) }
+
+// Reset resets all connections, silent ones included.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		for _, c := range p.ends {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = c.Close()
+		}
 	}
-	return n
 }
 
 // Accepted returns the number of connections so far.
@@ -69,8 +105,7 @@
 	_ = r.lis.Close()
 	r.mu.Lock()
 	for p := range r.pairs {
-		_ = p.near.Close()
-		_ = p.far.Close()
+		p.close()
 	}
 	r.mu.Unlock()
 	r.wg.Wait()
@@ -88,37 +123,39 @@
 			_ = near.Close()
 			continue
 		}
-		p := &pair{near: near, far: far}
+		p := &pair{ends: [ways]net.Conn{near, far}}
 		r.mu.Lock()
 		r.pairs[p] = struct{}{}
 		r.accepted++
 		r.mu.Unlock()
-		var both sync.WaitGroup
-		both.Add(2)
-		r.wg.Add(1)
-		go p.copy(near, far, &both)
-		go p.copy(far, near, &both)
-		go func() {
-			defer r.wg.Done()
-			both.Wait()
-			_ = near.Close()
-			_ = far.Close()
-			r.mu.Lock()
-			delete(r.pairs, p)
-			r.mu.Unlock()
-		}()
+		r.wg.Go(func() { r.serve(p) })
+	}
+}
+
+// serve relays a connection until both ways have ended.
+func (r *Relay) serve(p *pair) {
+	var both sync.WaitGroup
+	for w := range ways {
+		both.Go(func() { r.pass(p, w) })
 	}
+	both.Wait()
+	p.close()
+	r.mu.Lock()
+	delete(r.pairs, p)
+	r.mu.Unlock()
 }
 
-// copy passes bytes on until either end is closed.
-func (p *pair) copy(to, from net.Conn, both *sync.WaitGroup) {
-	defer both.Done()
+// pass passes bytes on in one way until either end is closed.
+func (r *Relay) pass(p *pair, w Way) {
+	from, to := p.ends[w], p.ends[1-w]
 	buf := make([]byte, relayBufferBytes)
 	for {
 		n, err := from.Read(buf)
-		p.mu.Lock()
-		silent := p.silent
-		p.mu.Unlock()
+		time.Sleep(time.Duration(r.delay.Load()))
+		if r.silent[w].Load() {
+			p.silent[w].Store(true)
+		}
+		silent := p.silent[w].Load()
 		if silent && err == nil {
 			continue
 		}
@@ -134,3 +171,9 @@
 		}
 	}
 }
+
+func (p *pair) close() {
+	for _, c := range p.ends {
+		_ = c.Close()
+	}
+}
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -139,7 +139,7 @@
 func (c *caller) exchange(r *request) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
-	target := "http://" + c.entry.clients.address() + kinds[r.kind].path
+	target := "http://" + c.entry.clients.Addr() + kinds[r.kind].path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(r.body))
 	if err != nil {
 		r.broken = err
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/platform"
 	"github.com/magnoliawheel/magnoliawheel/platform/standin"
+	"github.com/magnoliawheel/magnoliawheel/test/harness"
 )
 
 const (
@@ -117,7 +118,7 @@
 }
 
 // anyLink returns a link to an entry, between entries, to the store or to a server.
-func (in *injector) anyLink() (*link, string) {
+func (in *injector) anyLink() (*harness.Relay, string) {
 	e := in.anyEntry()
 	switch in.rng.IntN(4) {
 	case 0:
@@ -133,26 +134,26 @@
 
 func (in *injector) delay(lasts time.Duration) (string, func()) {
 	l, name := in.anyLink()
-	by := in.rng.Int64N(int64(longestDelay))
+	by := time.Duration(in.rng.Int64N(int64(longestDelay)))
 	return name, func() {
-		l.delay.Add(by)
+		l.Delay(by)
 		time.Sleep(lasts)
-		l.delay.Add(-by)
+		l.Delay(-by)
 	}
 }
 
 func (in *injector) reset(time.Duration) (string, func()) {
 	l, name := in.anyLink()
-	return name, l.reset
+	return name, l.Reset
 }
 
 func (in *injector) silence(lasts time.Duration) (string, func()) {
 	l, name := in.anyLink()
-	ways := [][]direction{{up}, {down}, {up, down}}[in.rng.IntN(3)]
+	ways := [][]harness.Way{{harness.Up}, {harness.Down}, {harness.Up, harness.Down}}[in.rng.IntN(3)]
 	return fmt.Sprint(name, " ", ways), func() {
-		l.silence(true, ways...)
+		l.SetSilent(true, ways...)
 		time.Sleep(lasts)
-		l.silence(false, ways...)
+		l.SetSilent(false, ways...)
 	}
 }
 
@@ -288,13 +289,19 @@
 	}},
 }
 
-// replace lets a server crash; another one follows.
-func (in *injector) replace(lasts time.Duration) (string, func()) {
+// succeed takes a server out of those that faults choose, and starts one in its place.
+func (in *injector) succeed() *server {
 	s := in.anyServer()
 	in.f.mu.Lock()
 	delete(in.f.servers, s.ID)
 	in.f.mu.Unlock()
 	in.f.add(s.service)
+	return s
+}
+
+// replace lets a server crash; another one follows.
+func (in *injector) replace(lasts time.Duration) (string, func()) {
+	s := in.succeed()
 	return s.ID, func() {
 		s.CloseClientConnections()
 		_ = s.Listener.Close()
@@ -305,11 +312,7 @@
 
 // leave lets a server leave in order; another one follows.
 func (in *injector) leave(time.Duration) (string, func()) {
-	s := in.anyServer()
-	in.f.mu.Lock()
-	delete(in.f.servers, s.ID)
-	in.f.mu.Unlock()
-	in.f.add(s.service)
+	s := in.succeed()
 	return s.ID, func() {
 		in.f.record(s, true)
 		time.Sleep(drainTime)
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -55,7 +55,7 @@
 type server struct {
 	*standin.Server
 	service string
-	link    *link
+	link    *harness.Relay
 }
 
 // entry is an entry process with the links to it and from it to the store.
@@ -63,15 +63,24 @@
 	f        *fleet
 	name     string
 	settings standin.Settings
-	clients  *link
-	store    *link
-	peers    *link
+	clients  *harness.Relay
+	store    *harness.Relay
+	peers    *harness.Relay
 
 	mu          sync.Mutex
 	process     *harness.Process
 	incarnation int
 }
 
+// newLink starts a relay in front of an address.
+func newLink(t *testing.T, target string) *harness.Relay {
+	t.Helper()
+	r, err := harness.StartRelay(target)
+	assert.NilError(t, err)
+	t.Cleanup(r.Close)
+	return r
+}
+
 func newFleet(t *testing.T, entries int) *fleet {
 	f := &fleet{t: t, dir: t.TempDir(), store: standin.NewStore(), servers: map[string]*server{}}
 	t.Cleanup(f.store.Close)
@@ -105,7 +114,7 @@
 	}
 	for _, e := range f.entries {
 		if e.name == name {
-			rec["address"] = e.peers.address()
+			rec["address"] = e.peers.Addr()
 		}
 	}
 	changed, err := json.Marshal(rec)
@@ -133,7 +142,7 @@
 }
 
 func (f *fleet) record(s *server, leaving bool) {
-	f.store.Put(platform.ServersTopic, s.ID, standin.ServerRecord(s.service, s.link.address(), leaving))
+	f.store.Put(platform.ServersTopic, s.ID, standin.ServerRecord(s.service, s.link.Addr(), leaving))
 }
 
 // remove drops the record of a server.
@@ -158,7 +167,7 @@
 	e.store = newLink(f.t, f.store.Address())
 	e.settings = standin.Settings{
 		Node: name, ClientAddress: harness.FreeAddr(), ReadinessAddress: harness.FreeAddr(),
-		StoreAddress: e.store.address(), KeyValidity: keyValidity,
+		StoreAddress: e.store.Addr(), KeyValidity: keyValidity,
 	}
 	_, port, err := net.SplitHostPort(harness.FreeAddr())
 	assert.NilError(f.t, err)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -41,21 +41,7 @@
 
 var binaries harness.Binaries
 
-func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
-
-func buildAndRun(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "magnoliawheel-soak-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	if binaries, err = harness.Build(context.Background(), dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(harness.Main(m, &binaries)) }
 
 // seeds returns the seeds to run and how long each one injects faults.
 func seeds(t *testing.T) ([]uint64, time.Duration) {
