Choose servers and calls without scanning all requests

Cause: each event of the placing entry visited all requests: the memory claims of all jobs were summed for each run and each candidate server, critical paths were computed in each comparison of the sort, and each model server summed its running requests and searched its cache for the oldest prefix. So the processor time of a placement grew with the requests in progress, most of all in a burst. Ruled out: another choice of servers. Claims, critical paths and preferred zones are cached and compared with values computed anew by the property test. Results are freed together where memory is ample, at once where it is scarce: one call to a server in place of several.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -107,12 +107,15 @@
 
 // server is a model server with its state.
 type server struct {
-	def     Server
-	running map[string]*placedRequest
-	// cachedPrefixes are the prompt prefixes that the server is assumed to have cached,
-	// cachedTokens their total size.
-	cachedPrefixes map[string]*cachedPrefix
-	cachedTokens   int
+	def    Server
+	region string
+	// running is the number of requests on the server. pendingPrefillTokens and
+	// reservedTokens are the sums over these requests.
+	running, pendingPrefillTokens, reservedTokens int
+	// waiting are the requests without a first event.
+	waiting []*placedRequest
+	// cache holds the prompt prefixes that the server is assumed to have cached.
+	cache *prefixCache
 	// failureShare is the weighted share of recent requests that failed, at the time
 	// failureShareAt.
 	failureShare         float64
@@ -121,12 +124,6 @@
 	pausedUntil          time.Duration
 }
 
-// cachedPrefix is one entry of a server's cache; tokens counts only its last part.
-type cachedPrefix struct {
-	tokens   int
-	lastUsed time.Duration
-}
-
 // placedRequest is a request on a server.
 type placedRequest struct {
 	server   *server
@@ -139,7 +136,6 @@
 	pendingPrefillTokens int
 	// reservedTokens is the memory that the prompt and the longest answer take.
 	reservedTokens int
-	firstEventSeen bool
 }
 
 // Table holds model servers and the requests placed on them. It is not safe for
@@ -165,10 +161,10 @@
 	for _, def := range defs {
 		i := slices.IndexFunc(old, func(s *server) bool { return s.def.ID == def.ID && s.def.StartTime == def.StartTime })
 		if i < 0 {
-			servers = append(servers, &server{def: def, running: map[string]*placedRequest{}, cachedPrefixes: map[string]*cachedPrefix{}})
+			servers = append(servers, &server{def: def, region: t.regionByZone[def.Zone], cache: newPrefixCache()})
 			continue
 		}
-		old[i].def = def
+		old[i].def, old[i].region = def, t.regionByZone[def.Zone]
 		servers = append(servers, old[i])
 	}
 	t.serversByPool[pool] = servers
@@ -177,39 +173,59 @@
 // Choose returns the best server for a request and records the request there. It
 // returns false if there is none.
 func (t *Table) Choose(now time.Duration, r Request) (Server, bool) {
-	best := t.cheapest(now, &r)
+	c := newChoice(&r)
+	best := t.cheapest(now, c)
 	if best == nil {
 		return Server{}, false
 	}
 	t.Finish(now, r.ID, Cancelled)
-	p := &placedRequest{server: best, placedAt: now, pendingPrefillTokens: best.uncachedTokens(&r, prefixKeys(&r)), reservedTokens: promptTokens(&r) + r.MaxTokens}
-	best.running[r.ID] = p
+	p := &placedRequest{server: best, placedAt: now, pendingPrefillTokens: best.uncachedTokens(c), reservedTokens: c.promptTokens + r.MaxTokens}
 	t.requests[r.ID] = p
+	best.add(p)
 	p.expectedPrefillTime = time.Duration(best.pendingPrefillMS() * float64(time.Millisecond))
-	best.cachePrompt(now, &r)
+	best.cache.add(c.prefixes, int(cacheMemoryShare*float64(best.def.CacheTokens)))
 	return best.def, true
 }
 
 // LikelyZone returns the zone of the server that Choose would return now, or "" if
 // there is none.
 func (t *Table) LikelyZone(now time.Duration, r Request) string {
-	if best := t.cheapest(now, &r); best != nil {
+	if best := t.cheapest(now, newChoice(&r)); best != nil {
 		return best.def.Zone
 	}
 	return ""
 }
 
+// choice holds what is the same for all servers when a request is placed.
+type choice struct {
+	*Request
+	prefixes     []prefix
+	promptTokens int
+	inputBytes   int64
+}
+
+func newChoice(r *Request) *choice {
+	c := &choice{Request: r, prefixes: prefixesOf(r.Parts)}
+	for _, p := range r.Parts {
+		c.promptTokens += p.Tokens
+	}
+	for _, bytes := range r.InputBytesByZone {
+		c.inputBytes += bytes
+	}
+	return c
+}
+
 // cheapest returns the server with the least cost, or nil.
-func (t *Table) cheapest(now time.Duration, r *Request) *server {
+func (t *Table) cheapest(now time.Duration, c *choice) *server {
 	var cheapest *server
 	var leastCost float64
-	keys := prefixKeys(r)
-	affinity := t.affinityServer(r, keys)
-	for _, s := range t.serversByPool[r.Pool] {
-		if slices.Contains(r.Avoid, s.def.ID) {
+	affinity := t.affinityServer(c)
+	region := t.regionByZone[c.Zone]
+	for _, s := range t.serversByPool[c.Pool] {
+		if slices.Contains(c.Avoid, s.def.ID) {
 			continue
 		}
-		cost := s.cost(now, r, keys, s == affinity) + t.networkCost(r.Zone, s.def.Zone)
+		cost := s.cost(now, c, s == affinity) + s.networkCost(c.Zone, region)
 		if cheapest == nil || cost < leastCost || cost == leastCost && cmp.Less(s.def.ID, cheapest.def.ID) {
 			cheapest, leastCost = s, cost
 		}
@@ -217,12 +233,13 @@
 	return cheapest
 }
 
-// networkCost returns the cost of the network distance between two availability zones.
-func (t *Table) networkCost(a, b string) float64 {
+// networkCost returns the cost of the network distance from an availability zone and its
+// region.
+func (s *server) networkCost(zone, region string) float64 {
 	switch {
-	case a == b:
+	case zone == s.def.Zone:
 		return 0
-	case t.regionByZone[a] != "" && t.regionByZone[a] == t.regionByZone[b]:
+	case region != "" && region == s.region:
 		return otherZoneCostMS
 	}
 	return otherRegionCostMS
@@ -232,18 +249,18 @@
 // while no server is known to have them cached. It is the same at every instance, so
 // that prompts placed by other instances are probably cached there. It returns nil if a
 // server has the parts cached or nothing is shared.
-func (t *Table) affinityServer(r *Request, keys []string) *server {
-	if len(keys) < 2 {
+func (t *Table) affinityServer(c *choice) *server {
+	if len(c.prefixes) < 2 {
 		return nil
 	}
-	key := keys[len(keys)-2]
+	shared := c.prefixes[len(c.prefixes)-2]
 	var preferred *server
 	var highestWeight uint64
-	for _, s := range t.serversByPool[r.Pool] {
-		if s.cachedPrefixes[key] != nil {
+	for _, s := range t.serversByPool[c.Pool] {
+		if s.cache.has(shared.key) {
 			return nil
 		}
-		if h := rendezvousWeight(key, s.def.ID); preferred == nil || h > highestWeight {
+		if h := rendezvousWeight(shared.path, s.def.ID); preferred == nil || h > highestWeight {
 			preferred, highestWeight = s, h
 		}
 	}
@@ -259,11 +276,34 @@
 	return d.Sum64()
 }
 
+// add adds a request to the server.
+func (s *server) add(p *placedRequest) {
+	s.running++
+	s.pendingPrefillTokens += p.pendingPrefillTokens
+	s.reservedTokens += p.reservedTokens
+	s.waiting = append(s.waiting, p)
+}
+
+// remove removes a request from the server.
+func (s *server) remove(p *placedRequest) {
+	s.prefillDone(p)
+	s.running--
+	s.reservedTokens -= p.reservedTokens
+}
+
+// prefillDone records that the prompt of a request need not be processed any more.
+func (s *server) prefillDone(p *placedRequest) {
+	s.pendingPrefillTokens -= p.pendingPrefillTokens
+	p.pendingPrefillTokens = 0
+	if i := slices.Index(s.waiting, p); i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+	}
+}
+
 // RequestStarted handles the first event of a request: its prompt has been processed.
 func (t *Table) RequestStarted(now time.Duration, id string) {
 	if p := t.requests[id]; p != nil {
-		p.firstEventSeen = true
-		p.pendingPrefillTokens = 0
+		p.server.prefillDone(p)
 		p.server.consecutiveUnreached = 0
 	}
 }
@@ -276,7 +316,7 @@
 	}
 	delete(t.requests, id)
 	s := p.server
-	delete(s.running, id)
+	s.remove(p)
 	switch outcome {
 	case Complete:
 		s.recordOutcome(now, 0)
@@ -287,8 +327,7 @@
 		s.recordOutcome(now, 1)
 		s.pausedUntil = now + unreachedPauses.Delay(s.consecutiveUnreached)
 		s.consecutiveUnreached++
-		clear(s.cachedPrefixes)
-		s.cachedTokens = 0
+		s.cache.clear()
 	}
 }
 
@@ -303,32 +342,33 @@
 // currentFailureShare returns the failure share after exponential decay since its last
 // update.
 func (s *server) currentFailureShare(now time.Duration) float64 {
+	if s.failureShare == 0 {
+		return 0
+	}
 	return s.failureShare * math.Exp2(-float64(now-s.failureShareAt)/float64(failureHalfLife))
 }
 
 // cost returns the expected time to the first event in milliseconds, plus the costs that
 // this choice causes for other requests. It excludes the network distance.
-func (s *server) cost(now time.Duration, r *Request, keys []string, hasAffinity bool) float64 {
-	uncached := float64(s.uncachedTokens(r, keys))
+func (s *server) cost(now time.Duration, c *choice, hasAffinity bool) float64 {
+	uncached := float64(s.uncachedTokens(c))
 	if hasAffinity {
 		uncached *= affinityUncachedShare
 	}
 	cost := s.pendingPrefillMS() + uncachedPrefillWeight*uncached/prefillTokensPerMS
-	cost += runningCostMS * float64(len(s.running))
+	cost += runningCostMS * float64(s.running)
 	cost += failureCostMS * s.currentFailureShare(now)
-	for zone, bytes := range r.InputBytesByZone {
-		if zone != s.def.Zone {
-			cost += crossZoneCostMSPerMB * float64(bytes) / bytesPerMB
-		}
+	if c.inputBytes > 0 {
+		cost += crossZoneCostMSPerMB * float64(c.inputBytes-c.InputBytesByZone[s.def.Zone]) / bytesPerMB
 	}
 	if now < s.pausedUntil {
 		cost += unavailableCostMS
 	}
-	if s.isFull(r) {
+	if s.isFull(c) {
 		cost += unavailableCostMS
 	}
-	for _, p := range s.running {
-		if !p.firstEventSeen && now-p.placedAt > p.expectedPrefillTime+overdueAfter {
+	for _, p := range s.waiting {
+		if now-p.placedAt > p.expectedPrefillTime+overdueAfter {
 			cost += overdueCostMS
 		}
 	}
@@ -336,96 +376,41 @@
 }
 
 // isFull reports whether the server lacks a slot or memory for the request.
-func (s *server) isFull(r *Request) bool {
-	if s.def.Slots > 0 && len(s.running) >= s.def.Slots {
+func (s *server) isFull(c *choice) bool {
+	if s.def.Slots > 0 && s.running >= s.def.Slots {
 		return true
 	}
-	neededTokens := promptTokens(r) + r.MaxTokens
-	for _, p := range s.running {
-		neededTokens += p.reservedTokens
-	}
-	return s.def.CacheTokens > 0 && neededTokens > s.def.CacheTokens
+	return s.def.CacheTokens > 0 && s.reservedTokens+c.promptTokens+c.MaxTokens > s.def.CacheTokens
 }
 
 // pendingPrefillMS returns the time to process the pending prompt tokens of the running
 // requests, in milliseconds.
 func (s *server) pendingPrefillMS() float64 {
-	n := 0
-	for _, p := range s.running {
-		n += p.pendingPrefillTokens
-	}
-	return float64(n) / prefillTokensPerMS
-}
-
-func promptTokens(r *Request) int {
-	n := 0
-	for _, p := range r.Parts {
-		n += p.Tokens
-	}
-	return n
+	return float64(s.pendingPrefillTokens) / prefillTokensPerMS
 }
 
 // uncachedTokens returns the number of prompt tokens that the server has not cached.
-func (s *server) uncachedTokens(r *Request, keys []string) int {
-	uncached := promptTokens(r)
-	for i, key := range keys {
-		if s.cachedPrefixes[key] == nil {
+func (s *server) uncachedTokens(c *choice) int {
+	uncached := c.promptTokens
+	for _, p := range c.prefixes {
+		if !s.cache.has(p.key) {
 			break
 		}
-		uncached -= r.Parts[i].Tokens
+		uncached -= p.tokens
 	}
 	return uncached
 }
 
-// prefixKeys returns a key for each prefix of the prompt that ends with a part.
-func prefixKeys(r *Request) []string {
-	keys := make([]string, len(r.Parts))
-	key := ""
-	for i, p := range r.Parts {
-		key += "/" + p.ID
-		keys[i] = key
-	}
-	return keys
-}
-
-// cachePrompt records the parts of the prompt as cached and evicts the least recently
-// used ones that exceed the server's memory.
-func (s *server) cachePrompt(now time.Duration, r *Request) {
-	for i, key := range prefixKeys(r) {
-		if c := s.cachedPrefixes[key]; c != nil {
-			c.lastUsed = now
-			continue
-		}
-		tokens := r.Parts[i].Tokens
-		s.cachedPrefixes[key] = &cachedPrefix{tokens: tokens, lastUsed: now}
-		s.cachedTokens += tokens
-	}
-	maxCachedTokens := int(cacheMemoryShare * float64(s.def.CacheTokens))
-	for maxCachedTokens > 0 && s.cachedTokens > maxCachedTokens && len(s.cachedPrefixes) > 0 {
-		s.evictOldest()
-	}
-}
-
-// evictOldest removes the least recently used prefix. Of equally old ones it removes
-// the one with the greatest key, so that a prefix is removed after the longer ones that
-// begin with it.
-func (s *server) evictOldest() {
-	oldest := ""
-	for key, c := range s.cachedPrefixes {
-		if oldest == "" || c.lastUsed < s.cachedPrefixes[oldest].lastUsed || c.lastUsed == s.cachedPrefixes[oldest].lastUsed && key > oldest {
-			oldest = key
-		}
-	}
-	s.cachedTokens -= s.cachedPrefixes[oldest].tokens
-	delete(s.cachedPrefixes, oldest)
-}
-
 // firstEventTime is the time to the first event of a request whose prompt is processed.
 const firstEventTime = 130 * time.Millisecond
 
 // ExpectedFirstEvent returns the time to the first event on an idle server that has cached
 // nothing of the prompt.
 func ExpectedFirstEvent(r Request) time.Duration {
-	prefillMS := float64(promptTokens(&r)) / prefillTokensPerMS
+	promptTokens := 0
+	for _, p := range r.Parts {
+		promptTokens += p.Tokens
+	}
+	prefillMS := float64(promptTokens) / prefillTokensPerMS
 	return firstEventTime + time.Duration(prefillMS*float64(time.Millisecond))
 }
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -126,7 +126,7 @@
 	}
 	tab.SetServers("p", defs)
 	for _, s := range tab.serversByPool["p"] {
-		assert.Equal(t, len(s.cachedPrefixes), 0, first)
+		assert.Equal(t, s.cache.byUse.Len(), 0, first)
 	}
 }
 
@@ -138,8 +138,20 @@
 		tab.Finish(time.Duration(i)*ms, id, Complete)
 	}
 	s := tab.serversByPool["p"][0]
-	assert.Assert(t, s.cachedTokens <= int(cacheMemoryShare*100_000), s.cachedTokens)
-	assert.Assert(t, s.cachedPrefixes["/doc199"] != nil && s.cachedPrefixes["/doc0"] == nil)
+	assert.Assert(t, s.cache.tokens <= int(cacheMemoryShare*100_000), s.cache.tokens)
+	newest, oldest := prefixesOf([]PromptPart{{ID: "doc199"}}), prefixesOf([]PromptPart{{ID: "doc0"}})
+	assert.Assert(t, s.cache.has(newest[0].key) && !s.cache.has(oldest[0].key))
+}
+
+// TestLongerPrefixIsEvictedFirst checks that the parts that other prompts share are kept
+// longer than those that follow them in the same prompt.
+func TestLongerPrefixIsEvictedFirst(t *testing.T) {
+	c := newPrefixCache()
+	shared := prefixesOf([]PromptPart{{ID: "shared", Tokens: 10}, {ID: "own", Tokens: 10}})
+	c.add(shared, 30)
+	c.add(prefixesOf([]PromptPart{{ID: "other", Tokens: 15}}), 30)
+	assert.Assert(t, c.has(shared[0].key) && !c.has(shared[1].key))
+	assert.Equal(t, c.tokens, 25)
 }
 
 func BenchmarkChooseWith60Servers(b *testing.B) {
--- a/core/staging/admit.go
+++ b/core/staging/admit.go
@@ -51,15 +51,10 @@
 // memoryWait returns the expected time until there is memory for the results of the job,
 // given what all accepted jobs will use.
 func (s *Scheduler) memoryWait(j *job, now time.Duration) time.Duration {
-	claimed := map[*pool]int64{}
-	for _, o := range s.jobsByArrival {
-		o.addMemoryClaim(claimed)
-	}
-	j.addMemoryClaim(claimed)
 	var wait time.Duration
-	for p, bytes := range claimed {
+	for _, p := range s.sortedPools {
 		total := memoryOvercommit * float64(p.totalMemory(now))
-		if excess := float64(bytes) - total; excess > 0 {
+		if excess := float64(p.claimedBytes+j.resultBytesIn(p)) - total; excess > 0 {
 			wait = max(wait, time.Duration(excess/max(total, 1)*float64(memoryHoldTime)))
 		}
 	}
--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -31,7 +31,7 @@
 func (s *Scheduler) dispatch(now time.Duration) {
 	s.sendDueFreeRequests(now)
 	for _, p := range s.sortedPools {
-		for s.startCall(p, now) {
+		for len(p.queuedRuns) > 0 && s.startCall(p, now) {
 		}
 	}
 }
@@ -39,10 +39,15 @@
 // sendDueFreeRequests sends the collected FreeRequests that are due.
 func (s *Scheduler) sendDueFreeRequests(now time.Duration) {
 	for _, p := range s.sortedPools {
+		if !p.hasHandlesToFree {
+			continue
+		}
+		p.hasHandlesToFree = false
 		for _, m := range p.servers {
-			if len(m.handlesToFree) >= maxFreeBatch || len(m.handlesToFree) > 0 && now-m.freesQueuedSince >= freeDelay {
+			if m.isFreeDue(now) {
 				s.sendFreeRequest(m)
 			}
+			p.hasHandlesToFree = p.hasHandlesToFree || len(m.handlesToFree) > 0
 		}
 	}
 }
@@ -57,18 +62,17 @@
 // startCall starts the most urgent call of a pool. It returns false if none can be
 // started.
 func (s *Scheduler) startCall(p *pool, now time.Duration) bool {
-	ready := p.readyRuns(s, now)
-	if len(ready) == 0 {
+	if !p.hasFreeServer(now) {
 		return false
 	}
-	n := 0
-	for _, r := range ready {
-		n += len(r.queuedPieces)
+	ready, n := p.readyRuns(s, now)
+	if len(ready) == 0 {
+		return false
 	}
 	for _, m := range p.candidates(now, n) {
-		pieces := s.selectPieces(m, ready, now)
+		pieces := s.selectPieces(m.server, ready, now)
 		if len(pieces) > 0 {
-			s.sendCall(m, pieces, now)
+			s.sendCall(m.server, pieces, now)
 			return true
 		}
 	}
@@ -86,21 +90,46 @@
 	return 1
 }
 
-// readyRuns returns the runs with pieces that can be requested. Runs that are partly
-// requested come first, because their results occupy memory until the run is complete;
-// then the order is by urgency.
-func (p *pool) readyRuns(s *Scheduler, now time.Duration) []*stageRun {
+// hasFreeServer reports whether one of the pool's servers can start a call.
+func (p *pool) hasFreeServer(now time.Duration) bool {
+	return slices.ContainsFunc(p.servers, func(m *server) bool { return m.canStart(now) })
+}
+
+// canStart reports whether the server can start a call now, or soon enough for the call
+// to be sent ahead.
+func (m *server) canStart(now time.Duration) bool {
+	return m.usable(now) && m.activeCalls() <= m.pool.spec.Slots && m.availableAt(now) <= now+sendAhead
+}
+
+// readyRun is a run with pieces that can be requested, and its place in the order.
+type readyRun struct {
+	*stageRun
+	requested bool
+	deadline  time.Duration
+}
+
+// readyRuns returns the runs with pieces that can be requested, except those for whose
+// jobs there is no memory, and the number of all pieces that can be requested. Runs that
+// are partly requested come first, because their results occupy memory until the run is
+// complete; then the order is by urgency. The result is valid until the next call.
+func (p *pool) readyRuns(s *Scheduler, now time.Duration) ([]readyRun, int) {
 	p.queuedRuns = slices.DeleteFunc(p.queuedRuns, func(r *stageRun) bool { return len(r.queuedPieces) == 0 })
-	var ready []*stageRun
+	ready := p.readyBuffer[:0]
+	pieces := 0
 	for _, r := range p.queuedRuns {
-		if r.inputsReady() && !r.shouldDelay() {
-			ready = append(ready, r)
+		if !r.inputsReady() || r.shouldDelay() {
+			continue
+		}
+		pieces += len(r.queuedPieces)
+		if r.job.started || s.hasMemoryFor(r.job, now) {
+			ready = append(ready, readyRun{r, r.anyRequested(), r.job.schedulingDeadline(now)})
 		}
 	}
-	slices.SortStableFunc(ready, func(a, b *stageRun) int {
-		return cmp.Or(trueFirst(a.anyRequested(), b.anyRequested()), cmp.Compare(a.job.schedulingDeadline(now), b.job.schedulingDeadline(now)), cmp.Compare(a.job.def.ID, b.job.def.ID), cmp.Compare(a.stage, b.stage))
+	slices.SortFunc(ready, func(a, b readyRun) int {
+		return cmp.Or(trueFirst(a.requested, b.requested), cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.job.def.ID, b.job.def.ID), cmp.Compare(a.stage, b.stage))
 	})
-	return ready
+	p.readyBuffer = ready
+	return ready, pieces
 }
 
 // shouldDelay reports whether the results of a run would only occupy memory while the
@@ -130,35 +159,35 @@
 	return deadline - j.def.RequestDuration
 }
 
+// candidate is a server that can start a call, with the expected end of that call.
+type candidate struct {
+	*server
+	overdue bool
+	end     time.Duration
+}
+
 // candidates returns the servers that can start a call now, ordered by the expected end
 // of the call; servers with an overdue call come last. Slow servers are omitted if the
-// others would finish the queued pieces sooner.
-func (p *pool) candidates(now time.Duration, pieces int) []*server {
+// others would finish the queued pieces sooner. The result is valid until the next call.
+func (p *pool) candidates(now time.Duration, pieces int) []candidate {
 	lowest := p.lowestSlowness(now)
 	batchSize := min(pieces, p.spec.BatchSize)
-	type option struct {
-		m   *server
-		end time.Duration
-	}
-	var options []option
+	options := p.candidateBuffer[:0]
 	for _, m := range p.servers {
-		if !m.usable(now) || m.activeCalls() > p.spec.Slots || m.availableAt(now) > now+sendAhead {
+		if !m.canStart(now) {
 			continue
 		}
 		end := m.availableAt(now) + time.Duration(float64(p.normalCallTime(batchSize))*m.slowness(now))
 		if m.slowness(now) > slowThreshold*lowest && end > now+p.drainTime(pieces, m, now) {
 			continue
 		}
-		options = append(options, option{m, end})
+		options = append(options, candidate{m, m.hasOverdueCall(), end})
 	}
-	slices.SortFunc(options, func(a, b option) int {
-		return cmp.Or(trueFirst(!a.m.hasOverdueCall(), !b.m.hasOverdueCall()), cmp.Compare(a.end, b.end), cmp.Compare(a.m.def.ID, b.m.def.ID))
+	slices.SortFunc(options, func(a, b candidate) int {
+		return cmp.Or(trueFirst(!a.overdue, !b.overdue), cmp.Compare(a.end, b.end), cmp.Compare(a.def.ID, b.def.ID))
 	})
-	servers := make([]*server, len(options))
-	for i, o := range options {
-		servers[i] = o.m
-	}
-	return servers
+	p.candidateBuffer = options
+	return options
 }
 
 // drainTime returns how long the servers other than m take for the queued pieces.
@@ -172,20 +201,22 @@
 }
 
 // selectPieces selects the pieces of the next call to a server.
-func (s *Scheduler) selectPieces(m *server, ready []*stageRun, now time.Duration) []pieceRef {
+func (s *Scheduler) selectPieces(m *server, ready []readyRun, now time.Duration) []pieceRef {
 	var pieces []pieceRef
 	memoryLeft := m.availableMemory(now)
-	piecesAhead := map[string]int{}
+	clear(m.pool.piecesAhead)
 	for _, r := range ready {
-		if !r.job.started && !s.hasMemoryFor(r.job, now) || !r.mayRunOn(m, piecesAhead, now) {
+		if !r.job.started && !s.hasMemoryFor(r.job, now) || !r.mayRunOn(m, m.pool.piecesAhead, now) {
 			continue
 		}
-		n := m.fittingPieces(r, m.pool.spec.BatchSize-len(pieces), memoryLeft)
+		n := m.fittingPieces(r.stageRun, m.pool.spec.BatchSize-len(pieces), memoryLeft)
 		for _, k := range r.queuedPieces[:n] {
-			pieces = append(pieces, pieceRef{r, k})
+			pieces = append(pieces, pieceRef{r.stageRun, k})
 		}
 		memoryLeft -= int64(n) * r.resultBytes
-		r.job.started = r.job.started || n > 0
+		if n > 0 {
+			r.job.start()
+		}
 		if len(pieces) == m.pool.spec.BatchSize {
 			break
 		}
@@ -212,36 +243,21 @@
 // hasMemoryFor reports whether there is memory for the results of all stages of a job
 // besides those of the started jobs.
 func (s *Scheduler) hasMemoryFor(j *job, now time.Duration) bool {
-	claimed := map[*pool]int64{}
-	for _, o := range s.jobsByArrival {
-		if o.started {
-			o.addMemoryClaim(claimed)
+	for _, r := range j.runs {
+		p := r.pool
+		if p == nil || r.resultsFreed || p.startedBytes == 0 {
+			continue
 		}
-	}
-	needed := map[*pool]int64{}
-	j.addMemoryClaim(needed)
-	for p, bytes := range needed {
-		total := p.totalMemory(now)
-		if claimed[p] > 0 && float64(claimed[p]+bytes) > memoryOvercommit*float64(total) {
+		if float64(p.startedBytes+j.resultBytesIn(p)) > memoryOvercommit*float64(p.totalMemory(now)) {
 			return false
 		}
 	}
 	return true
 }
 
-// addMemoryClaim adds the sizes of the results that the job keeps or will produce to
-// the sums by pool.
-func (j *job) addMemoryClaim(sum map[*pool]int64) {
-	for _, r := range j.runs {
-		if r.pool != nil && !r.resultsFreed {
-			sum[r.pool] += r.resultBytes * int64(len(r.pieces))
-		}
-	}
-}
-
 // sendCall reserves the memory of a call's results and adds the call to the actions.
 func (s *Scheduler) sendCall(m *server, pieces []pieceRef, now time.Duration) {
-	if len(m.handlesToFree) > 0 {
+	if len(m.handlesToFree) > 0 && !m.hasAmpleMemory(now) {
 		s.sendFreeRequest(m)
 	}
 	s.lastCallID++
@@ -250,7 +266,7 @@
 	expected := time.Duration(float64(m.pool.normalCallTime(len(pieces))) * m.slowness(now))
 	c.expectedEnd = c.expectedStart + expected
 	for _, it := range pieces {
-		it.run.firstCallZone = cmp.Or(it.run.firstCallZone, m.def.Zone)
+		it.run.setFirstCallZone(m.def.Zone)
 	}
 	s.calls[c.id] = c
 	m.calls = append(m.calls, c)
--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -23,6 +23,12 @@
 	// suspended jobs start no more calls.
 	suspended      bool
 	recomputations int
+	// accepted is true from the submission of the job until its removal.
+	accepted bool
+	// remaining caches minRemainingTime while pathsVersion is the scheduler's
+	// specVersion.
+	remaining    time.Duration
+	pathsVersion uint64
 	// expectedDuration is how long the stages were expected to take from submittedAt
 	// on.
 	submittedAt, expectedDuration time.Duration
@@ -42,6 +48,14 @@
 	queuedPieces    []int
 	completedPieces int
 	resultsFreed    bool
+	// claimedBytes and startedBytes are the run's part of the sums of its pool.
+	claimedBytes, startedBytes int64
+	// pathTime caches criticalPathTime; see job.updatePaths.
+	pathTime  time.Duration
+	pathKnown bool
+	// zone caches preferredZone while zoneKnown is set.
+	zone      string
+	zoneKnown bool
 	// firstCallZone is the zone of the server that got the run's first call.
 	firstCallZone string
 	// completedAt is when the last piece was completed.
@@ -91,6 +105,7 @@
 	}
 	for _, r := range j.runs {
 		r.resultsFreed = len(r.dependents) > 0 && len(r.pieces) > 0 && !slices.ContainsFunc(r.dependents, func(n *stageRun) bool { return !n.isComplete() })
+		r.updateClaims()
 		for i := range r.pieces {
 			if p := &r.pieces[i]; p.server != nil && !r.resultsFreed {
 				p.server.usedBytes += r.resultBytes
@@ -114,6 +129,69 @@
 		r.completedPieces++
 		r.dequeue(k)
 	}
+	r.resultsChanged()
+}
+
+// resultsChanged invalidates what is cached about the run's results. It is called after
+// each change of completedPieces or of the location of a result.
+func (r *stageRun) resultsChanged() {
+	r.job.pathsVersion = 0
+	for _, n := range r.dependents {
+		n.zoneKnown = false
+	}
+}
+
+// setFirstCallZone records the zone of the run's first call.
+func (r *stageRun) setFirstCallZone(zone string) {
+	if r.firstCallZone == "" {
+		r.firstCallZone, r.zoneKnown = zone, false
+	}
+}
+
+// start marks the job as started.
+func (j *job) start() {
+	if j.started {
+		return
+	}
+	j.started = true
+	for _, r := range j.runs {
+		r.updateClaims()
+	}
+}
+
+// setFreed sets whether the run's results are freed.
+func (r *stageRun) setFreed(freed bool) {
+	r.resultsFreed = freed
+	r.updateClaims()
+}
+
+// updateClaims brings the memory sums of the pool in line with the state of the run.
+func (r *stageRun) updateClaims() {
+	if r.pool == nil {
+		return
+	}
+	var claimed, started int64
+	if r.job.accepted && !r.resultsFreed {
+		claimed = r.resultBytes * int64(len(r.pieces))
+	}
+	if r.job.started {
+		started = claimed
+	}
+	r.pool.claimedBytes += claimed - r.claimedBytes
+	r.pool.startedBytes += started - r.startedBytes
+	r.claimedBytes, r.startedBytes = claimed, started
+}
+
+// resultBytesIn returns the size of the results that the job keeps or will produce in a
+// pool.
+func (j *job) resultBytesIn(p *pool) int64 {
+	var sum int64
+	for _, r := range j.runs {
+		if r.pool == p && !r.resultsFreed {
+			sum += r.resultBytes * int64(len(r.pieces))
+		}
+	}
+	return sum
 }
 
 func (r *stageRun) isComplete() bool { return r.completedPieces == len(r.pieces) }
@@ -174,22 +252,48 @@
 
 // minRemainingTime returns the shortest time in which the job's incomplete stages can end.
 func (j *job) minRemainingTime() time.Duration {
-	var longest time.Duration
-	for _, r := range j.runs {
-		longest = max(longest, r.criticalPathTime())
-	}
-	return longest
+	j.updatePaths()
+	return j.remaining
 }
 
 // criticalPathTime returns the shortest time from now to the end of the run, on idle
 // servers and including the runs that it depends on.
 func (r *stageRun) criticalPathTime() time.Duration {
+	r.job.updatePaths()
+	return r.pathTime
+}
+
+// updatePaths computes the critical paths of the job's runs again if one of them made
+// progress or the description of a pool changed.
+func (j *job) updatePaths() {
+	if j.pathsVersion == j.scheduler.specVersion {
+		return
+	}
+	for _, r := range j.runs {
+		r.pathKnown = false
+	}
+	j.remaining = 0
+	for _, r := range j.runs {
+		j.remaining = max(j.remaining, r.updatePath())
+	}
+	j.pathsVersion = j.scheduler.specVersion
+}
+
+// updatePath computes the critical path of the run and of those that it depends on.
+func (r *stageRun) updatePath() time.Duration {
+	if !r.pathKnown {
+		r.pathTime, r.pathKnown = r.pathFromDependencies(), true
+	}
+	return r.pathTime
+}
+
+func (r *stageRun) pathFromDependencies() time.Duration {
 	if r.isComplete() {
 		return 0
 	}
 	var inputsTime time.Duration
 	for _, a := range r.dependencies {
-		inputsTime = max(inputsTime, a.criticalPathTime())
+		inputsTime = max(inputsTime, a.updatePath())
 	}
 	if r.pool == nil {
 		return inputsTime
@@ -221,6 +325,7 @@
 	p.handle, p.server = res.Handle, c.server
 	s.reportResult(r, it.piece)
 	r.completedPieces++
+	r.resultsChanged()
 	r.dequeue(it.piece)
 	if r.isComplete() {
 		s.runComplete(r, now)
@@ -311,6 +416,7 @@
 		r.job.scheduler.reportLostResult(r, k)
 		p.handle, p.server = "", nil
 		r.completedPieces--
+		r.resultsChanged()
 		r.requeue(k)
 	}
 }
@@ -321,13 +427,14 @@
 	if !r.resultsFreed {
 		return
 	}
-	r.resultsFreed = false
+	r.setFreed(false)
 	for k := range r.pieces {
 		r.job.scheduler.reportLostResult(r, k)
 		r.pieces[k].handle, r.pieces[k].server = "", nil
 		r.requeue(k)
 	}
 	r.completedPieces = 0
+	r.resultsChanged()
 }
 
 // runComplete frees the results that have no reader left, and ends the job if this was
@@ -366,7 +473,7 @@
 	if r.resultsFreed {
 		return
 	}
-	r.resultsFreed = true
+	r.setFreed(true)
 	for i := range r.pieces {
 		if p := &r.pieces[i]; p.handle != "" {
 			p.server.queueFree(p.handle, r.resultBytes, now)
@@ -380,7 +487,7 @@
 	if r.resultsFreed {
 		return
 	}
-	r.resultsFreed = true
+	r.setFreed(true)
 	for i := range r.pieces {
 		if p := &r.pieces[i]; p.handle != "" {
 			p.server.usedBytes = max(0, p.server.usedBytes-r.resultBytes)
@@ -391,7 +498,10 @@
 // removeJob removes a job, frees its results and cancels its queued pieces.
 func (s *Scheduler) removeJob(j *job, now time.Duration) {
 	delete(s.jobs, j.def.ID)
-	s.jobsByArrival = slices.DeleteFunc(s.jobsByArrival, func(o *job) bool { return o == j })
+	if i := slices.Index(s.jobsByArrival, j); i >= 0 {
+		s.jobsByArrival = slices.Delete(s.jobsByArrival, i, i+1)
+	}
+	j.accepted = false
 	for _, r := range j.runs {
 		r.freeResults(now)
 		r.queuedPieces = nil
--- a/core/staging/property_test.go
+++ b/core/staging/property_test.go
@@ -189,8 +189,40 @@
 	w.checkActions()
 }
 
+// checkCaches compares what the scheduler caches with values computed anew.
+func (w *simulation) checkCaches() {
+	claimed, started := map[*pool]int64{}, map[*pool]int64{}
+	for _, j := range w.scheduler.jobsByArrival {
+		var remaining time.Duration
+		for _, r := range j.runs {
+			cached := r.criticalPathTime()
+			assert.Equal(w.t, cached, r.pathFromDependencies())
+			assert.Equal(w.t, r.preferredZone(), r.findPreferredZone())
+			remaining = max(remaining, cached)
+			if !r.resultsFreed {
+				claimed[r.pool] += r.resultBytes * int64(len(r.pieces))
+			}
+			if !r.resultsFreed && j.started {
+				started[r.pool] += r.resultBytes * int64(len(r.pieces))
+			}
+		}
+		assert.Equal(w.t, j.minRemainingTime(), remaining)
+	}
+	for _, p := range w.scheduler.sortedPools {
+		assert.Equal(w.t, p.claimedBytes, claimed[p])
+		assert.Equal(w.t, p.startedBytes, started[p])
+		var total int64
+		for _, m := range p.servers {
+			total += max(0, m.usedBytes+m.availableMemory(w.now))
+			assert.Assert(w.t, len(m.handlesToFree) == 0 || p.hasHandlesToFree)
+		}
+		assert.Equal(w.t, p.totalMemory(w.now), total)
+	}
+}
+
 // checkActions takes the scheduler's actions, checks them and records their effects.
 func (w *simulation) checkActions() {
+	w.checkCaches()
 	actions := w.scheduler.TakeActions()
 	for id, changes := range actions.ResultChanges {
 		w.resultsByJob[id] = append(w.resultsByJob[id], changes...)
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -31,11 +31,15 @@
 	// maxSlotsOnStack is the number of calls of a server up to which they are sorted
 	// without a heap allocation.
 	maxSlotsOnStack = 16
-	// freeDelay is how long results to be freed are collected for one FreeRequest.
-	freeDelay = 25 * time.Millisecond
-	// maxFreeBatch is the number of collected results from which a FreeRequest is sent
-	// at once.
+	// freeDelay is how long results to be freed are collected for one FreeRequest, and
+	// maxFreeBatch the number of collected results from which it is sent at once.
+	freeDelay    = 25 * time.Millisecond
 	maxFreeBatch = 32
+	// ampleFreeDelay and maxAmpleFreeBatch apply to a server that has at least
+	// ampleMemoryShare of its memory left, where freeing can wait.
+	ampleFreeDelay    = 400 * time.Millisecond
+	maxAmpleFreeBatch = 256
+	ampleMemoryShare  = 0.6
 )
 
 // failurePauses are the pauses after consecutive failed calls to a server.
@@ -52,6 +56,18 @@
 	servers []*server
 	// queuedRuns are the stage runs with pieces to be requested.
 	queuedRuns []*stageRun
+	// claimedBytes is the size of the results that the accepted jobs keep or will
+	// produce, startedBytes the part of the started jobs.
+	claimedBytes, startedBytes int64
+	// unaccountedUntil is when the last results of other schedulers are assumed to have
+	// expired.
+	unaccountedUntil time.Duration
+	// hasHandlesToFree is false if no server has handles to free.
+	hasHandlesToFree bool
+	// The buffers are reused by each call of readyRuns, candidates and selectPieces.
+	readyBuffer     []readyRun
+	candidateBuffer []candidate
+	piecesAhead     map[string]int
 }
 
 // findOrCreateServer returns the pool's server with that definition, or a new one.
@@ -267,11 +283,21 @@
 func (m *server) recordOutOfMemory(now time.Duration) {
 	m.unaccountedBytes = max(0, m.pool.spec.MemoryBytes-m.usedBytes)
 	m.unaccountedSeenAt = now
+	m.pool.unaccountedUntil = max(m.pool.unaccountedUntil, now+m.pool.unaccountedExpiry())
+}
+
+// unaccountedExpiry is the time after which the results of other schedulers are assumed
+// to have expired.
+func (p *pool) unaccountedExpiry() time.Duration {
+	return time.Duration(unaccountedExpiryShare * float64(p.spec.ResultRetention))
 }
 
 // totalMemory returns the memory, in bytes, that the pool's servers have for the results of
 // this scheduler, whether in use or not.
 func (p *pool) totalMemory(now time.Duration) int64 {
+	if now > p.unaccountedUntil {
+		return int64(len(p.servers)) * p.spec.MemoryBytes
+	}
 	var sum int64
 	for _, m := range p.servers {
 		sum += max(0, m.usedBytes+m.availableMemory(now))
@@ -282,7 +308,7 @@
 // availableMemory returns the unused memory in bytes.
 func (m *server) availableMemory(now time.Duration) int64 {
 	available := m.pool.spec.MemoryBytes - m.usedBytes
-	expiryTime := unaccountedExpiryShare * float64(m.pool.spec.ResultRetention)
+	expiryTime := float64(m.pool.unaccountedExpiry())
 	if age := float64(now - m.unaccountedSeenAt); m.unaccountedBytes > 0 && age < expiryTime {
 		available -= int64(float64(m.unaccountedBytes) * (1 - age/expiryTime))
 	}
@@ -295,10 +321,29 @@
 	if len(m.handlesToFree) == 0 {
 		m.freesQueuedSince = now
 	}
+	m.pool.hasHandlesToFree = true
 	m.handlesToFree = append(m.handlesToFree, handle)
 	m.bytesToFree += bytes
 }
 
+// hasAmpleMemory reports whether the server has much more memory left than it needs for
+// the next calls.
+func (m *server) hasAmpleMemory(now time.Duration) bool {
+	return float64(m.availableMemory(now)) >= ampleMemoryShare*float64(m.pool.spec.MemoryBytes)
+}
+
+// isFreeDue reports whether the collected results are to be freed now.
+func (m *server) isFreeDue(now time.Duration) bool {
+	if len(m.handlesToFree) == 0 {
+		return false
+	}
+	delay, batch := freeDelay, maxFreeBatch
+	if m.hasAmpleMemory(now) {
+		delay, batch = ampleFreeDelay, maxAmpleFreeBatch
+	}
+	return len(m.handlesToFree) >= batch || now-m.freesQueuedSince >= delay
+}
+
 // checkOverdue requests the pieces of an overdue call from other servers.
 func (s *Scheduler) checkOverdue(c *call, now time.Duration) {
 	if c.overdue {
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -30,6 +30,8 @@
 	pendingFrees  map[uint64]pendingFree
 	lastFreeID    uint64
 	actions       Actions
+	// specVersion changes with the description of a pool; it is never 0.
+	specVersion uint64
 	// meanLateness is a moving average of how much longer jobs took than expected,
 	// latenessDeviation that of the distance from this average.
 	meanLateness, latenessDeviation time.Duration
@@ -45,6 +47,7 @@
 func New() *Scheduler {
 	return &Scheduler{
 		pools: map[string]*pool{}, jobs: map[string]*job{}, calls: map[uint64]*call{}, pendingFrees: map[uint64]pendingFree{},
+		specVersion: 1,
 	}
 }
 
@@ -53,12 +56,16 @@
 func (s *Scheduler) SetPool(name string, spec PoolSpec, servers []Server) {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{name: name}
+		p = &pool{name: name, piecesAhead: map[string]int{}}
 		s.pools[name] = p
 		s.sortedPools = append(s.sortedPools, p)
 		slices.SortFunc(s.sortedPools, func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
 	}
-	p.spec = spec
+	if p.spec != spec {
+		p.spec = spec
+		p.unaccountedUntil += p.unaccountedExpiry()
+		s.specVersion++
+	}
 	members := make([]*server, 0, len(servers))
 	for _, def := range servers {
 		members = append(members, p.findOrCreateServer(def))
@@ -99,6 +106,7 @@
 	j.submittedAt, j.expectedDuration = now, expected
 	s.jobs[def.ID] = j
 	s.jobsByArrival = append(s.jobsByArrival, j)
+	j.accepted = true
 	j.adoptPriorResults()
 	for _, r := range j.runs {
 		if len(r.queuedPieces) > 0 {
--- a/core/staging/zone.go
+++ b/core/staging/zone.go
@@ -18,6 +18,13 @@
 // preferredZone returns the availability zone where the run's pieces are best computed, or
 // "" if the zone does not matter.
 func (r *stageRun) preferredZone() string {
+	if !r.zoneKnown {
+		r.zone, r.zoneKnown = r.findPreferredZone(), true
+	}
+	return r.zone
+}
+
+func (r *stageRun) findPreferredZone() string {
 	var total, mostBytes int64
 	zone := ""
 	bytes := map[string]int64{}
@@ -74,13 +81,14 @@
 func (p *pool) expectedZoneWait(zone string, precedingPieces int, now time.Duration) time.Duration {
 	leastWait := callTimeout
 	n := 0
+	lowest := p.lowestSlowness(now)
 	for _, m := range p.servers {
 		if m.def.Zone != zone || !m.usable(now) {
 			continue
 		}
 		n++
 		wait := m.availableAt(now) - now
-		if m.slowness(now) > slowThreshold*p.lowestSlowness(now) {
+		if m.slowness(now) > slowThreshold*lowest {
 			wait += p.normalCallTime(p.spec.BatchSize)
 		}
 		leastWait = min(leastWait, wait)
