Planner: no scan for hand-overs, one line for each placement

Cause: each event looked through all pending requests for hand-overs, woke the goroutine that ticks, and two log lines told of one placement. Now hand-overs are counted, the ticking goroutine is woken when work begins, and 'Request placed.' and 'Request refused.' carry what 'Request accepted.' had; freed results are logged only when that failed.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -132,7 +132,12 @@
 	scheduler    *staging.Scheduler
 	modelServers *placement.Table
 	pending      map[string]*pendingRequest
-	wake         chan struct{}
+	// handingOver is the number of pending requests to hand over.
+	handingOver int
+	// ticking is true from the first event that needs ticks until a tick finds the
+	// scheduler idle. wake receives a value when it becomes true.
+	ticking bool
+	wake    chan struct{}
 	// stopping is set by Stop.
 	stopping bool
 }
@@ -145,31 +150,39 @@
 	}
 }
 
-// Run runs the scheduler until ctx ends. The timer is not reset by other events, so
-// that frequent events do not delay ticks.
+// Run runs the scheduler until ctx ends.
 func (p *Planner) Run(ctx context.Context) {
-	timer := time.NewTimer(tickInterval)
-	defer timer.Stop()
-	for armed := true; ; {
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.wake:
-		case <-timer.C:
-			armed = false
-			p.update(func(now time.Duration) { p.scheduler.Tick(now) })
-		}
-		if !armed && !p.idle() {
-			timer.Reset(tickInterval)
-			armed = true
+			p.tickUntilIdle(ctx)
 		}
 	}
 }
 
-func (p *Planner) idle() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.scheduler.Idle()
+// tickUntilIdle ticks at a fixed interval until a tick finds the scheduler idle. Other
+// events do not change the interval, so that frequent events do not delay ticks.
+func (p *Planner) tickUntilIdle(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		idle := false
+		p.update(func(now time.Duration) {
+			p.scheduler.Tick(now)
+			idle = p.scheduler.Idle()
+			p.ticking = !idle
+		})
+		if idle {
+			return
+		}
+	}
 }
 
 // SetPools sets the usable servers.
@@ -190,8 +203,11 @@
 func (p *Planner) Place(req Request, callbacks Callbacks) {
 	p.update(func(now time.Duration) {
 		p.scheduler.Release(now, req.ID)
-		p.pending[req.ID] = &pendingRequest{req: req, callbacks: callbacks, receivedAt: now, handingOver: p.stopping && !callbacks.Local}
-		if p.pending[req.ID].handingOver {
+		p.removePending(req.ID)
+		pr := &pendingRequest{req: req, callbacks: callbacks, receivedAt: now}
+		p.pending[req.ID] = pr
+		if p.stopping && !callbacks.Local {
+			p.markHandingOver(pr)
 			return
 		}
 		parts := placementRequest(&req)
@@ -200,13 +216,23 @@
 			ObjectiveDeadline: now + req.TimeToObjective, Deadline: now + req.TimeToDeadline, RequestDuration: placement.ExpectedFirstEvent(parts),
 			ReaderZone: p.modelServers.LikelyZone(now, parts), Owner: req.Owner, PriorResults: req.PriorResults,
 		})
-		if expected, ok := p.scheduler.ExpectedDuration(req.ID); ok {
-			p.log.Info("Request accepted.", "request", req.ID, "owner", req.Owner, "expected", expected, "due", req.TimeToObjective,
-				"made", len(req.PriorResults), "jobs", p.scheduler.JobCount())
-		}
 	})
 }
 
+// removePending removes a request that is answered, cancelled or replaced.
+func (p *Planner) removePending(id string) {
+	if pr := p.pending[id]; pr != nil && pr.handingOver {
+		p.handingOver--
+	}
+	delete(p.pending, id)
+}
+
+// markHandingOver marks a pending request to be handed over.
+func (p *Planner) markHandingOver(pr *pendingRequest) {
+	pr.handingOver = true
+	p.handingOver++
+}
+
 // UpdatePhase records the progress of a placed request.
 func (p *Planner) UpdatePhase(id string, phase Phase) {
 	p.update(func(now time.Duration) {
@@ -215,7 +241,7 @@
 			p.scheduler.RequestStarted(now, id)
 			return
 		}
-		delete(p.pending, id)
+		p.removePending(id)
 		p.modelServers.Finish(now, id, outcomeByPhase[phase])
 		p.scheduler.Release(now, id)
 	})
@@ -252,6 +278,8 @@
 	change(now)
 	actions := p.scheduler.TakeActions()
 	callbacks := p.collectCallbacks(now, actions)
+	wake := !p.ticking && !p.scheduler.Idle()
+	p.ticking = p.ticking || wake
 	p.mu.Unlock()
 	for _, callback := range callbacks {
 		callback()
@@ -262,9 +290,8 @@
 	for _, f := range actions.FreeRequests {
 		go p.freeOnServer(f)
 	}
-	select {
-	case p.wake <- struct{}{}:
-	default:
+	if wake {
+		p.wake <- struct{}{}
 	}
 }
 
@@ -273,7 +300,7 @@
 func (p *Planner) collectCallbacks(now time.Duration, actions staging.Actions) []func() {
 	var callbacks []func()
 	reply := func(pr *pendingRequest, answer Placement) {
-		delete(p.pending, answer.ID)
+		p.removePending(answer.ID)
 		callbacks = append(callbacks, func() { pr.callbacks.OnPlacement(answer) })
 	}
 	for id, results := range actions.ResultChanges {
@@ -283,7 +310,7 @@
 	}
 	for _, r := range actions.Refusals {
 		if pr := p.pending[r.JobID]; pr != nil {
-			p.log.Info("Request refused.", "request", r.JobID, "reason", r.Reason.String(),
+			p.log.Info("Request refused.", "request", r.JobID, "owner", pr.req.Owner, "reason", r.Reason.String(), "due", pr.req.TimeToObjective,
 				"expected", r.ExpectedTime, "waited", now-pr.receivedAt, "retry_after", r.RetryAfter, "jobs", p.scheduler.JobCount())
 			reply(pr, Placement{ID: r.JobID, RefusalReason: r.Reason, RetryAfter: r.RetryAfter})
 		}
@@ -293,6 +320,7 @@
 		if pr == nil {
 			continue
 		}
+		expected, _ := p.scheduler.ExpectedDuration(job.JobID)
 		req := placementRequest(&pr.req)
 		req.InputBytesByZone = job.BytesByZone
 		srv, ok := p.modelServers.Choose(now, req)
@@ -301,7 +329,8 @@
 			reply(pr, Placement{ID: job.JobID, RefusalReason: NoServer, RetryAfter: time.Second})
 			continue
 		}
-		p.log.Info("Request placed.", "request", job.JobID, "server", srv.ID, "waited", now-pr.receivedAt, "results", len(job.Handles))
+		p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "expected", expected, "due", pr.req.TimeToObjective,
+			"waited", now-pr.receivedAt, "results", len(job.Handles), "made", len(pr.req.PriorResults), "jobs", p.scheduler.JobCount())
 		reply(pr, Placement{ID: job.JobID, Inputs: job.Handles, Server: srv.ID, Address: srv.Address})
 	}
 	p.finishHandOvers(reply)
@@ -327,7 +356,7 @@
 func (p *Planner) handOver(selects func(*pendingRequest) bool) {
 	for id, pr := range p.pending {
 		if !pr.handingOver && selects(pr) {
-			pr.handingOver = true
+			p.markHandingOver(pr)
 			p.scheduler.SuspendJob(id)
 		}
 	}
@@ -335,6 +364,9 @@
 
 // finishHandOvers answers the requests to hand over that have no open call.
 func (p *Planner) finishHandOvers(reply func(*pendingRequest, Placement)) {
+	if p.handingOver == 0 {
+		return
+	}
 	for id, pr := range p.pending {
 		if pr.handingOver && !p.scheduler.HasOpenCall(id) {
 			p.scheduler.DetachJob(id)
@@ -373,9 +405,9 @@
 func (p *Planner) freeOnServer(f staging.FreeRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	start := clock.Now()
-	err := p.stages.Free(ctx, f)
-	p.log.Info("Results freed.", "server", f.Server.ID, "results", len(f.Handles), "took", clock.Now()-start, "cause", telemetry.ErrorText(err))
+	if err := p.stages.Free(ctx, f); err != nil {
+		p.log.Info("Results not freed.", "server", f.Server.ID, "results", len(f.Handles), "cause", err.Error())
+	}
 	p.update(func(now time.Duration) { p.scheduler.FreeDone(now, f.ID) })
 }
 
