Sessions: messages sent together, requests refused by the age of their message

Change: messages carry the sender's clock, and the receiver measures how much longer one took than the fastest (core/overload). A request in a message older than 200 to 350 ms, by its priority, is refused at once with a time to come back; its time left is counted from when it was sent. An entry that reports to be late may be silent for up to 1 s more before its session counts as lost. Results are reported within 25 ms, together with other messages.

--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -81,11 +81,11 @@
 
 // Session implements peerpb.DRPCPlannerServer.
 func (l *Links) Session(sessionStream peerpb.DRPCPlanner_SessionStream) error {
-	p := newPeer(newSession(sessionStream.Context(), sessionStream), l.planner, l.log)
+	p := newPeer(newSession(sessionStream.Context(), sessionStream), l.local, l.planner, l.log)
 	l.mu.Lock()
 	l.inboundPeers[p] = true
 	l.mu.Unlock()
-	p.run(l.local)
+	p.run()
 	l.mu.Lock()
 	delete(l.inboundPeers, p)
 	l.mu.Unlock()
@@ -390,11 +390,11 @@
 	if err != nil {
 		return err
 	}
-	p := newPeer(newSession(ctx, sessionStream), k.links.planner, k.links.log)
+	p := newPeer(newSession(ctx, sessionStream), k.links.local, k.links.planner, k.links.log)
 	k.mu.Lock()
 	k.peer, k.connectedAt = p, time.Now()
 	k.mu.Unlock()
 	k.links.log.Info("Session with an entry established.", "entry", k.entry.Name, "order", k.entry.Position)
-	p.run(k.links.local)
+	p.run()
 	return nil
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -2,10 +2,13 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 
+	"github.com/magnoliawheel/magnoliawheel/core/overload"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer/peerpb"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
 )
@@ -29,6 +32,10 @@
 	outgoing map[string]*outgoingRequest
 	// incoming holds the IDs of the requests that this entry places for the other one.
 	incoming map[string]bool
+	// local is this entry. age measures the age of the other entry's messages; only the
+	// goroutine that handles them uses it.
+	local *LocalEntry
+	age   overload.AgeMeter
 }
 
 // outgoingRequest is a request that the other entry has not finished placing.
@@ -39,13 +46,13 @@
 	onResultChanges func([]staging.ResultLocation)
 }
 
-func newPeer(s *session, p *planner.Planner, log logr.Logger) *Peer {
-	return &Peer{session: s, planner: p, log: log, outgoing: map[string]*outgoingRequest{}, incoming: map[string]bool{}}
+func newPeer(s *session, local *LocalEntry, p *planner.Planner, log logr.Logger) *Peer {
+	return &Peer{session: s, local: local, planner: p, log: log, outgoing: map[string]*outgoingRequest{}, incoming: map[string]bool{}}
 }
 
 // run exchanges messages until the session ends.
-func (p *Peer) run(local *LocalEntry) {
-	p.session.run(local.statusMessage, p.handleMessage)
+func (p *Peer) run() {
+	p.session.run(p.local.statusMessage, p.handleMessage)
 	p.endSession()
 }
 
@@ -123,6 +130,17 @@
 	case *peerpb.Message_Progress:
 		p.handleProgress(body.Progress.GetId(), planner.Phase(body.Progress.GetPhase()))
 	}
+	for _, part := range m.GetBatch() {
+		p.handleMessage(part)
+	}
+}
+
+// measureAge returns the age of a message, given the sender's clock when it was queued.
+func (p *Peer) measureAge(clockUs int64) time.Duration {
+	now := clock.Now()
+	age := p.age.Age(time.Duration(clockUs)*time.Microsecond, now)
+	p.local.lag.record(now, age)
+	return age
 }
 
 func (p *Peer) handleStatus(status *peerpb.Status) {
@@ -131,6 +149,8 @@
 	p.statusReceived, p.ready, p.order, p.owner = true, status.GetReady(), status.GetOrder(), status.GetOwner()
 	p.stopping = status.GetStopping()
 	p.mu.Unlock()
+	p.measureAge(status.GetClockUs())
+	p.session.setLag(milliseconds(status.GetLagMs()))
 	if changed {
 		p.log.Info("State of an entry changed.", "entry", status.GetOwner(), "ready", status.GetReady(), "stopping", status.GetStopping(), "order", status.GetOrder())
 	}
@@ -167,6 +187,13 @@
 		p.session.send(encodePlacement(planner.Placement{ID: req.ID, RefusalReason: planner.NoServer}))
 		return
 	}
+	age := p.measureAge(m.GetClockUs())
+	if overload.ShouldRefuse(age, req.Priority) {
+		p.refuseLate(&req, age)
+		return
+	}
+	req.TimeToObjective -= age
+	req.TimeToDeadline -= age
 	p.mu.Lock()
 	if p.ended {
 		p.mu.Unlock()
@@ -177,10 +204,19 @@
 	p.mu.Unlock()
 	p.planner.Place(req, planner.Callbacks{
 		OnPlacement:     p.sendPlacement,
-		OnResultChanges: func(results []staging.ResultLocation) { p.session.send(encodeResultChanges(req.ID, results)) },
+		OnResultChanges: func(results []staging.ResultLocation) { p.session.sendLater(encodeResultChanges(req.ID, results)) },
 	})
 }
 
+// refuseLate refuses a request whose message waited too long, because this entry is late
+// with its work.
+func (p *Peer) refuseLate(req *planner.Request, age time.Duration) {
+	retryAfter := overload.RetryAfter(req.ID, age, req.TimeToDeadline-age)
+	p.log.Info("Request refused.", "request", req.ID, "owner", p.Owner(), "reason", "placing entry is late", "age", age, "retry_after", retryAfter)
+	p.planner.FreeResults(req.PriorResults)
+	p.session.send(encodePlacement(planner.Placement{ID: req.ID, RefusalReason: staging.Overloaded, RetryAfter: retryAfter}))
+}
+
 func (p *Peer) sendPlacement(answer planner.Placement) {
 	if answer.RefusalReason != 0 {
 		p.removeIncoming(answer.ID)
--- /dev/null
+++ b/internal/peer/sender.go
@@ -0,0 +1,104 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/peer/peerpb"
+)
+
+const (
+	// sendQueueSize bounds the messages waiting to be sent; a session whose queue is
+	// full is closed.
+	sendQueueSize = 1024
+	// sendDelay is how long a message that is not urgent may wait for others, so that
+	// they are sent together.
+	sendDelay = 25 * time.Millisecond
+	// maxBatch bounds the messages that are sent together.
+	maxBatch = 64
+)
+
+// outgoingMessage is a message to be sent at once, or within sendDelay if it is not
+// urgent.
+type outgoingMessage struct {
+	*peerpb.Message
+	urgent bool
+}
+
+// send queues a message. If the queue is full, it closes the session.
+func (s *session) send(m *peerpb.Message) { s.enqueue(outgoingMessage{m, true}) }
+
+// sendLater queues a message that may wait for others.
+func (s *session) sendLater(m *peerpb.Message) { s.enqueue(outgoingMessage{m, false}) }
+
+func (s *session) enqueue(m outgoingMessage) {
+	select {
+	case s.sendQueue <- m:
+	default:
+		s.cancel()
+	}
+}
+
+// sender sends the messages of a session in the order in which they were queued, several
+// in one write if they are queued together.
+type sender struct {
+	*session
+	status func() *peerpb.Message
+	// pending are the messages to be sent in the next write; urgent is true if one of
+	// them is.
+	pending []*peerpb.Message
+	urgent  bool
+	// delay fires when the messages that are not urgent have waited for sendDelay.
+	delay *time.Timer
+}
+
+func newSender(s *session, status func() *peerpb.Message) *sender {
+	return &sender{session: s, status: status, delay: time.NewTimer(sendDelay)}
+}
+
+// run sends queued messages, and a status message at each interval, until the session
+// ends or a write fails.
+func (s *sender) run() {
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	defer s.delay.Stop()
+	err := s.add(outgoingMessage{s.status(), true})
+	for err == nil {
+		select {
+		case <-s.ctx.Done():
+			return
+		case m := <-s.sendQueue:
+			err = s.add(m)
+		case <-ticker.C:
+			err = s.add(outgoingMessage{s.status(), true})
+		case <-s.delay.C:
+			err = s.flush()
+		}
+	}
+}
+
+// add adds a message to the pending ones, and sends them unless they can wait or more
+// are queued.
+func (s *sender) add(m outgoingMessage) error {
+	if len(s.pending) == 0 {
+		s.delay.Reset(sendDelay)
+	}
+	s.pending = append(s.pending, m.Message)
+	s.urgent = s.urgent || m.urgent
+	if s.urgent && len(s.sendQueue) == 0 || len(s.pending) >= maxBatch {
+		return s.flush()
+	}
+	return nil
+}
+
+// flush sends the pending messages.
+func (s *sender) flush() error {
+	pending := s.pending
+	s.pending, s.urgent = nil, false
+	switch len(pending) {
+	case 0:
+		return nil
+	case 1:
+		return s.stream.Send(pending[0])
+	}
+	return s.stream.Send(&peerpb.Message{Batch: pending})
+}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -15,6 +15,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer/peerpb"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
 )
@@ -26,9 +27,9 @@
 	// silenceTimeout is the time without messages after which a session is considered
 	// lost: three status messages, and one more for a delayed one.
 	silenceTimeout = 4 * statusInterval
-	// sendQueueSize bounds the messages waiting to be sent; a session whose queue is
-	// full is closed.
-	sendQueueSize = 1024
+	// maxLagTolerance bounds how much longer the session with an entry that reported to
+	// be late with its work may be silent.
+	maxLagTolerance = silenceTimeout
 )
 
 // stream is the common part of the client and server streams of a session.
@@ -41,26 +42,19 @@
 // session exchanges messages over a stream until it ends.
 type session struct {
 	stream    stream
-	sendQueue chan *peerpb.Message
+	sendQueue chan outgoingMessage
 	cancel    context.CancelFunc
 	ctx       context.Context
 
 	mu           sync.Mutex
 	lastReceived time.Time
+	// lagTolerance is added to silenceTimeout.
+	lagTolerance time.Duration
 }
 
 func newSession(ctx context.Context, s stream) *session {
 	ctx, cancel := context.WithCancel(ctx)
-	return &session{stream: s, sendQueue: make(chan *peerpb.Message, sendQueueSize), ctx: ctx, cancel: cancel, lastReceived: time.Now()}
-}
-
-// send queues a message. If the queue is full, it closes the session.
-func (s *session) send(m *peerpb.Message) {
-	select {
-	case s.sendQueue <- m:
-	default:
-		s.cancel()
-	}
+	return &session{stream: s, sendQueue: make(chan outgoingMessage, sendQueueSize), ctx: ctx, cancel: cancel, lastReceived: time.Now()}
 }
 
 // run sends and receives messages until the stream fails, nothing is received for
@@ -68,7 +62,10 @@
 func (s *session) run(status func() *peerpb.Message, handle func(*peerpb.Message)) {
 	defer s.cancel()
 	go s.receiveLoop(handle)
-	go s.sendLoop(status)
+	go func() {
+		defer s.cancel()
+		newSender(s, status).run()
+	}()
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
 	for !s.isSilent() {
@@ -80,23 +77,6 @@
 	}
 }
 
-// sendLoop sends the queued messages, and a status message at each interval.
-func (s *session) sendLoop(status func() *peerpb.Message) {
-	defer s.cancel()
-	ticker := time.NewTicker(statusInterval)
-	defer ticker.Stop()
-	m := status()
-	for s.stream.Send(m) == nil {
-		select {
-		case <-s.ctx.Done():
-			return
-		case m = <-s.sendQueue:
-		case <-ticker.C:
-			m = status()
-		}
-	}
-}
-
 func (s *session) receiveLoop(handle func(*peerpb.Message)) {
 	defer s.cancel()
 	for {
@@ -115,7 +95,15 @@
 func (s *session) isSilent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.lastReceived) > silenceTimeout
+	return time.Since(s.lastReceived) > silenceTimeout+s.lagTolerance
+}
+
+// setLag sets how late the other entry is with its work. Its messages may then be late
+// as well, which does not mean that it is lost.
+func (s *session) setLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lagTolerance = min(2*lag, maxLagTolerance)
 }
 
 // LocalEntry is the state that this entry reports to others in all its sessions.
@@ -130,6 +118,8 @@
 	// order is the order of the entry, as orderOf returns it; 0 while it is not
 	// registered.
 	order atomic.Int64
+	// lag measures how late the entry is with the messages of others.
+	lag lagGauge
 }
 
 // Register sets the position at which the entry registered in this process start.
@@ -150,7 +140,10 @@
 }
 
 func (e *LocalEntry) wireStatus() *peerpb.Status {
-	return &peerpb.Status{Ready: e.Ready(), Order: e.order.Load(), Owner: e.Owner, Stopping: e.Stopping()}
+	now := clock.Now()
+	return &peerpb.Status{
+		Ready: e.Ready(), Order: e.order.Load(), Owner: e.Owner, Stopping: e.Stopping(), ClockUs: now.Microseconds(), LagMs: e.lag.read(now).Milliseconds(),
+	}
 }
 
 func (e *LocalEntry) statusMessage() *peerpb.Message {
@@ -160,7 +153,7 @@
 func encodeRequest(r *planner.Request) *peerpb.Message {
 	place := &peerpb.Place{
 		Id: r.ID, Key: r.PieceKey, Rank: uint32(r.Priority), DueMs: r.TimeToObjective.Milliseconds(), DeadlineMs: r.TimeToDeadline.Milliseconds(),
-		Pool: r.Pool, Zone: r.Zone, MaxTokens: uint32(r.MaxTokens), Avoid: r.Avoid,
+		Pool: r.Pool, Zone: r.Zone, MaxTokens: uint32(r.MaxTokens), Avoid: r.Avoid, ClockUs: clock.Now().Microseconds(),
 	}
 	for _, stage := range r.Stages {
 		wireStage := &peerpb.Stage{Pool: stage.Pool, Bytes: uint64(stage.ResultBytes), Pieces: uint32(stage.Pieces)}
