Mend what the wording of the code found

- A takeover whose attempts were all refused left the list of adopted attempts nil, which marks a new request: it was run again without its body until its deadline (TestTakeoverOfRequestThatNeverRan failed first; now the caller is told that the entry was lost).
- retry_share = 0 became 0.1; now it allows no retries (TestNoRetriesWithShareZero).
- A response over 16 MiB was cut without an error, and a cut answer was relayed as complete; now it is an error (package bounded).
- The deletion of an expired entry record is logged after it was written.
- Parameters that were never read: fairqueue.CostAhead and CostAheadIfBusy, admission.Finish.
Ruled out: Retry-After with decimals; the platform's page allows fractions.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -138,7 +138,7 @@
 }
 
 // Finish records the end of an admitted request.
-func (c *Controller) Finish(now time.Time, customer string, code result.Code, took time.Duration) {
+func (c *Controller) Finish(code result.Code) {
 	c.margin.update(code)
 }
 
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -230,12 +230,12 @@
 func TestMarginFollowsDeadlineMisses(t *testing.T) {
 	c := New(Options{Policy: Feasible})
 	for range 10 {
-		c.Finish(epoch, "a", result.DeadlineExceeded, time.Second)
+		c.Finish(result.DeadlineExceeded)
 	}
 	raised := c.Margin()
 	assert.Assert(t, raised > initialMargin)
 	for range 10_000 {
-		c.Finish(epoch, "a", result.OK, time.Second)
+		c.Finish(result.OK)
 	}
 	assert.Equal(t, c.Margin(), minMargin)
 }
--- a/core/fairqueue/fairqueue.go
+++ b/core/fairqueue/fairqueue.go
@@ -177,7 +177,7 @@
 
 // CostAhead returns the cost that would be served before a new item of the customer if
 // nothing else arrived.
-func (q *Queue) CostAhead(customer string, weight int, cost float64) float64 {
+func (q *Queue) CostAhead(customer string, weight int) float64 {
 	if q.policy == FIFO {
 		return q.totalCost()
 	}
@@ -200,8 +200,8 @@
 // CostAheadIfBusy returns the cost that would be served before a new item of the
 // customer if the customers that wait now, or recently did, always had calls waiting,
 // so that each used its whole share. It is at least CostAhead.
-func (q *Queue) CostAheadIfBusy(now time.Time, customer string, weight int, cost float64) float64 {
-	ahead := q.CostAhead(customer, weight, cost)
+func (q *Queue) CostAheadIfBusy(now time.Time, customer string, weight int) float64 {
+	ahead := q.CostAhead(customer, weight)
 	if q.policy == FIFO {
 		return ahead
 	}
--- a/core/fairqueue/fairqueue_test.go
+++ b/core/fairqueue/fairqueue_test.go
@@ -46,7 +46,7 @@
 		assert.Assert(t, q.Push(epoch, Item{Key: i, Customer: c, Cost: 1}))
 	}
 	assert.Assert(t, !q.Push(epoch, Item{Key: 3, Customer: "c", Cost: 1}))
-	assert.Equal(t, q.CostAhead("c", 1, 1), 3.0)
+	assert.Equal(t, q.CostAhead("c", 1), 3.0)
 	for i := range 3 {
 		it, ok := q.Pop(epoch)
 		assert.Assert(t, ok)
@@ -139,17 +139,17 @@
 	q.Push(epoch, Item{Key: 1, Customer: "large", Weight: 9, Cost: 10})
 	q.Pop(epoch)
 	q.Push(epoch, Item{Key: 2, Customer: "small", Weight: 1, Cost: 10})
-	assert.Equal(t, q.CostAheadIfBusy(epoch, "small", 1, 10), 10.0, "the large customer did not wait")
+	assert.Equal(t, q.CostAheadIfBusy(epoch, "small", 1), 10.0, "the large customer did not wait")
 	q.Push(epoch, Item{Key: 3, Customer: "large", Weight: 9, Cost: 10})
 	now := epoch.Add(time.Second)
 	for range 2 {
 		q.Pop(now)
 	}
 	q.Push(now, Item{Key: 4, Customer: "small", Weight: 1, Cost: 10})
-	assert.Assert(t, q.CostAhead("small", 1, 10) <= 20)
-	assert.Assert(t, q.CostAheadIfBusy(now, "small", 1, 10) >= 100, "%v", q.CostAheadIfBusy(now, "small", 1, 10))
+	assert.Assert(t, q.CostAhead("small", 1) <= 20)
+	assert.Assert(t, q.CostAheadIfBusy(now, "small", 1) >= 100, "%v", q.CostAheadIfBusy(now, "small", 1))
 	later := now.Add(busyDuration + 1)
-	assert.Equal(t, q.CostAheadIfBusy(later, "small", 1, 10), q.CostAhead("small", 1, 10))
+	assert.Equal(t, q.CostAheadIfBusy(later, "small", 1), q.CostAhead("small", 1))
 }
 
 // TestCostAheadMatchesServiceOrder checks that CostAhead equals the cost that is
@@ -166,8 +166,8 @@
 			}
 		}
 		c := rapid.IntRange(0, 2).Draw(t, "new")
-		ahead := q.CostAhead(fmt.Sprint(c), weights[c], 3)
-		if busy := q.CostAheadIfBusy(epoch, fmt.Sprint(c), weights[c], 3); busy < ahead {
+		ahead := q.CostAhead(fmt.Sprint(c), weights[c])
+		if busy := q.CostAheadIfBusy(epoch, fmt.Sprint(c), weights[c]); busy < ahead {
 			t.Fatalf("CostAheadIfBusy %v is less than CostAhead %v", busy, ahead)
 		}
 		q.Push(epoch, Item{Key: "new", Customer: fmt.Sprint(c), Weight: weights[c], Cost: 3})
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -35,9 +35,9 @@
 // Options configures a Budget.
 type Options struct {
 	Policy Policy
-	// RetryShare is the number of retries and hedges allowed per first attempt; 0 selects
-	// defaultRetryShare.
-	RetryShare     float64
+	// RetryShare is the number of retries and hedges allowed per first attempt; nil
+	// selects defaultRetryShare, and 0 allows none.
+	RetryShare     *float64
 	HedgingEnabled bool
 }
 
@@ -57,12 +57,16 @@
 	stages map[string]*latencyStats
 }
 
-// New returns a Budget whose token bucket is full.
+// New returns a Budget whose token bucket is full, unless no retries are allowed.
 func New(o Options) *Budget {
-	if o.RetryShare <= 0 {
-		o.RetryShare = defaultRetryShare
+	bucket := tokenBucket{tokens: bucketCapacity, perRequest: defaultRetryShare}
+	if o.RetryShare != nil {
+		bucket.perRequest = *o.RetryShare
 	}
-	return &Budget{opts: o, bucket: tokenBucket{tokens: bucketCapacity, perRequest: o.RetryShare}, stages: map[string]*latencyStats{}}
+	if bucket.perRequest <= 0 {
+		bucket.tokens = 0
+	}
+	return &Budget{opts: o, bucket: bucket, stages: map[string]*latencyStats{}}
 }
 
 // RecordRequest records the first attempt at a stage.
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -47,7 +47,7 @@
 // stay within the bucket's capacity plus the retry share.
 func TestRetriesStayWithinBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := New(Options{Policy: Budgeted, RetryShare: 0.1, HedgingEnabled: true})
+		b := New(Options{Policy: Budgeted, RetryShare: new(0.1), HedgingEnabled: true})
 		requests, retries := 0, 0
 		codes := result.All()
 		for range rapid.IntRange(1, 400).Draw(t, "events") {
@@ -183,3 +183,13 @@
 		budget.RecordLatency("generate", time.Duration(i%1000)*ms)
 	}
 }
+
+// TestNoRetriesWithShareZero guards against 0 being taken for a share that is not set.
+func TestNoRetriesWithShareZero(t *testing.T) {
+	b := New(Options{Policy: Budgeted, RetryShare: new(0.0)})
+	for range 1000 {
+		b.RecordRequest(time.Time{})
+	}
+	_, ok := b.Retry(time.Time{}, &FailedAttempt{result.ServerFailed, result.RanYes, true, 1, 500 * ms, 100 * ms})
+	assert.Assert(t, !ok)
+}
--- a/core/schema/schema.go
+++ b/core/schema/schema.go
@@ -138,7 +138,7 @@
 	ReferenceThresholdBytes int64 `toml:"reference_bytes" json:"reference_bytes"`
 	// RetryShare is the number of retries and hedges that each first attempt adds to
 	// the retry budget.
-	RetryShare float64 `toml:"retry_share" json:"retry_share"`
+	RetryShare *float64 `toml:"retry_share" json:"retry_share"`
 }
 
 // Pool returns the pool with the given name, or nil.
--- a/core/schema/validate.go
+++ b/core/schema/validate.go
@@ -122,13 +122,16 @@
 	}
 }
 
-// Normalize sets the limits that are zero to their defaults.
+// defaultRetryShare is the number of retries per first attempt if the schema sets none.
+const defaultRetryShare = 0.1
+
+// Normalize sets the limits that are not set to their defaults.
 func (l *Limits) Normalize() {
 	setDefault(&l.KeyValidity, Duration(10*time.Minute))
 	setDefault(&l.MaxKeySkew, Duration(5*time.Second))
 	setDefault(&l.ResultRetention, Duration(30*time.Second))
 	setDefault(&l.ReferenceThresholdBytes, 64<<10)
-	setDefault(&l.RetryShare, 0.1)
+	setDefault(&l.RetryShare, new(defaultRetryShare))
 }
 
 // Normalize replaces an empty list of models by nil, so that both forms compare
@@ -340,8 +343,8 @@
 	c.checkDuration("limits.key_skew", l.MaxKeySkew, time.Minute)
 	c.checkDuration("limits.result_retention", l.ResultRetention, MaxRetention)
 	c.checkRange("limits.reference_bytes", l.ReferenceThresholdBytes, 1, MaxBodyBytes)
-	if !(l.RetryShare >= 0 && l.RetryShare <= 1) {
-		c.add("limits.retry_share", "%g is not between 0 and 1", l.RetryShare)
+	if s := l.RetryShare; s != nil && !(*s >= 0 && *s <= 1) {
+		c.add("limits.retry_share", "%g is not between 0 and 1", *s)
 	}
 }
 
--- a/internal/agent/accept.go
+++ b/internal/agent/accept.go
@@ -181,8 +181,7 @@
 	if w.runningCount < w.limiter.Limit() {
 		return 0
 	}
-	cost := w.timing.expected(req)
-	return w.timeToServe(w.queue.CostAhead(req.Customer, int(req.Weight), cost.Seconds()))
+	return w.timeToServe(w.queue.CostAhead(req.Customer, int(req.Weight)))
 }
 
 // fairQueueWaitMargin scales the expected wait in a fair queue, where later
@@ -193,8 +192,7 @@
 // assumption that all customers with queued calls keep sending. For a fair
 // queue it includes a margin. The caller holds mu.
 func (w *worker) expectedWaitIfBusy(now time.Time, req *wire.RunRequest) time.Duration {
-	cost := w.timing.expected(req)
-	wait := w.timeToServe(w.queue.CostAheadIfBusy(now, req.Customer, int(req.Weight), cost.Seconds()))
+	wait := w.timeToServe(w.queue.CostAheadIfBusy(now, req.Customer, int(req.Weight)))
 	if fairqueue.Policy(w.process.settings.Limits.QueuePolicy) == fairqueue.FIFO {
 		return wait
 	}
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -34,8 +34,8 @@
 	routers   map[string]*poolRouter
 	admission *admission.Controller
 	budget    *retry.Budget
-	// retryShare is the share that budget was created with.
-	retryShare float64
+	// retryShare is the share that budget was created with; nil is the default.
+	retryShare *float64
 	entryCount int
 	// claimOutages tracks the servers that recently could not record claims on
 	// idempotency keys.
@@ -56,17 +56,14 @@
 	s := p.opts.Settings
 	d := &decider{p: p, settings: s, seed: xxhash.Sum64String(s.Instance.ID), routers: map[string]*poolRouter{}}
 	d.admission = admission.New(admission.Options{Policy: s.Policy.Admission, Seed: d.seed})
-	d.setRetryShare(defaultRetryShare)
+	d.setRetryShare(nil)
 	return d
 }
 
-// defaultRetryShare is used until a schema is in force.
-const defaultRetryShare = 0.1
-
 // setRetryShare replaces the retry budget if the schema's retry share has changed.
 // The caller holds the lock.
-func (d *decider) setRetryShare(share float64) {
-	if d.budget != nil && share == d.retryShare {
+func (d *decider) setRetryShare(share *float64) {
+	if d.budget != nil && (share == d.retryShare || share != nil && d.retryShare != nil && *share == *d.retryShare) {
 		return
 	}
 	d.retryShare = share
@@ -197,10 +194,10 @@
 	return homeServer(d.statusBuf, uint64(slot), exclude)
 }
 
-func (d *decider) finishRequest(now time.Time, customer string, code result.Code, elapsed time.Duration) {
+func (d *decider) finishRequest(code result.Code) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.admission.Finish(now, customer, code, elapsed)
+	d.admission.Finish(code)
 }
 
 func (d *decider) startAttempt(now time.Time, pool, serverID string) {
--- a/internal/entry/reattach_test.go
+++ b/internal/entry/reattach_test.go
@@ -196,6 +196,21 @@
 	}
 }
 
+// TestTakeoverOfRequestThatNeverRan guards against a request whose attempts were all
+// refused being run again without its body by the entry that takes it over.
+func TestTakeoverOfRequestThatNeverRan(t *testing.T) {
+	b := startTestBench(t)
+	other := b.startSecondEntry()
+	b.encoder.acceptThen(0, staySilent)
+	s := b.openCall("draft")
+	waitFor(t, func() bool { return len(b.encoder.runs()) == 1 })
+	b.crash()
+	b.encoder.setFoundAttempts(newFoundAttempt(s.id, 0, 1, "draft", wire.AttemptState_ATTEMPT_STATE_NOT_RUN))
+	r := other.do(other.newAnswerRequest(s.id, 0))
+	assert.Equal(t, result.Code(r.errorData(t).Code), result.EntryLost, r.body)
+	assert.Equal(t, len(b.encoder.runs()), 1, "the request was run again without its body")
+}
+
 func TestStreamContinuesAfterEntryCrash(t *testing.T) {
 	b := startTestBench(t)
 	other := b.startSecondEntry()
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -159,7 +159,7 @@
 	r.summary.Timeout = r.req.Timeout
 	r.summary.Stages = append([]pipeline.StageUsage(nil), r.machine.Usage()...)
 	if r.adopted == nil {
-		r.p.decider.finishRequest(now, r.req.Customer.Name, r.summary.Code, r.summary.Elapsed)
+		r.p.decider.finishRequest(r.summary.Code)
 	}
 	r.p.metrics.recordFinished(&r.summary)
 	for _, o := range r.p.opts.Observers {
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -188,7 +188,7 @@
 	r := p.newRequest(newRequestID(p.opts.Settings.Instance.ID), req, nil)
 	if resErr := p.table.add(r); resErr != nil {
 		r.discard()
-		p.decider.finishRequest(now, req.Customer.Name, resErr.Code, 0)
+		p.decider.finishRequest(resErr.Code)
 		p.reportRefusal(now, req, resErr)
 		return nil, resErr
 	}
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -124,7 +124,8 @@
 // refuses the request. If the request has already been adopted, it returns the
 // existing one.
 func (p *Process) adopt(req *callerapi.Request, id string, found []foundAttempt) *request {
-	var adopted []pipeline.AdoptedAttempt
+	// The list is not nil even if it is empty: nil marks a request that is new.
+	adopted := []pipeline.AdoptedAttempt{}
 	for _, f := range found {
 		if f.State == wire.AttemptState_ATTEMPT_STATE_NOT_RUN || int(f.Attempt.GetStage()) >= len(req.Pipeline.Stages) {
 			continue
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/magnoliawheel/magnoliawheel/internal/bounded"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
 )
 
@@ -143,7 +144,7 @@
 
 // readResponse reads a response to its end.
 func readResponse(resp *upstream.Response) (*response, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := bounded.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
+	"github.com/magnoliawheel/magnoliawheel/internal/bounded"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
@@ -48,7 +49,7 @@
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		return staging.ServerGone, nil, errors.New("address belongs to another server")
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := bounded.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return staging.Incomplete, nil, err
 	}
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -143,8 +143,9 @@
 		r.writeOwnRecord(ctx, *view.Refresh)
 	}
 	for _, name := range view.Drop {
-		r.log.Info("Expired entry record deleted.", "entry", name)
-		r.appendRecord(ctx, name, nil)
+		if r.appendRecord(ctx, name, nil) {
+			r.log.Info("Expired entry record deleted.", "entry", name)
+		}
 	}
 }
 
