--- a/core/backends/backends.go
+++ b/core/backends/backends.go
@@ -22,10 +22,19 @@
 	removedRetention = 60 * time.Second
 )
 
+// Record is what a server wrote about itself.
+type Record struct {
+	ID string
+	// StartTime distinguishes restarts under the same ID. Sequence rises with each record
+	// of one start.
+	StartTime, Sequence int64
+	Leaving             bool
+}
+
 // serverState is the last known state of a server.
 type serverState struct {
-	startTime int64
-	leaving   bool
+	startTime, sequence int64
+	leaving             bool
 	// recordMissing is true while the store has no record of the server; removed is
 	// true once RemoveExpired has returned the server.
 	recordMissing, removed bool
@@ -46,19 +55,48 @@
 // New returns an empty set.
 func New() *Set { return &Set{servers: map[string]*serverState{}} }
 
+// isNewer reports whether a record is newer than the known state of its server.
+func (st *serverState) isNewer(r Record) bool {
+	return r.StartTime > st.startTime || r.StartTime == st.startTime && r.Sequence > st.sequence
+}
+
+// StoreRestored prepares for the records of a store that was restored from an older copy.
+// Records that are missing there are written again by the servers, as after an outage.
+func (s *Set) StoreRestored(now time.Duration) { s.StoreReadFailed(now) }
+
+// IsNews reports whether a record is newer than what is known of its server. After the
+// store was restored, other records must be ignored, so that a server that left or was
+// removed does not come back by them.
+func (s *Set) IsNews(r Record) bool {
+	st := s.servers[r.ID]
+	return st == nil || st.isNewer(r)
+}
+
+// MarkLeaving records that a server has said to be leaving, and reports whether that is
+// new. Another start of the server is not affected.
+func (s *Set) MarkLeaving(id string, startTime int64) bool {
+	st := s.servers[id]
+	if st == nil || st.startTime != startTime || st.leaving {
+		return false
+	}
+	st.leaving = true
+	return true
+}
+
 // StoreReadFailed records a failed read of the store.
 func (s *Set) StoreReadFailed(now time.Duration) { s.lastReadFailure, s.readFailed = now, true }
 
 // RecordSeen handles a record of a server and reports whether the server's usability
-// may have changed. startTime distinguishes restarts under the same ID.
-func (s *Set) RecordSeen(id string, startTime int64, leaving bool) bool {
-	st := s.servers[id]
-	if st == nil || st.startTime != startTime {
-		s.servers[id] = &serverState{startTime: startTime, leaving: leaving}
+// may have changed.
+func (s *Set) RecordSeen(r Record) bool {
+	st := s.servers[r.ID]
+	if st == nil || st.startTime != r.StartTime {
+		s.servers[r.ID] = &serverState{startTime: r.StartTime, sequence: r.Sequence, leaving: r.Leaving}
 		return true
 	}
-	changed := leaving && !st.leaving || st.recordMissing
-	st.leaving = st.leaving || leaving
+	changed := r.Leaving && !st.leaving || st.recordMissing
+	st.leaving = st.leaving || r.Leaving
+	st.sequence = max(st.sequence, r.Sequence)
 	st.recordMissing, st.removed = false, false
 	return changed
 }
--- a/core/backends/backends_test.go
+++ b/core/backends/backends_test.go
@@ -74,7 +74,7 @@
 			for i, st := range tt.steps {
 				switch {
 				case st.recordSeen:
-					s.RecordSeen("a", st.startTime, st.leaving)
+					s.RecordSeen(Record{ID: "a", StartTime: st.startTime, Leaving: st.leaving})
 				case st.recordRemoved:
 					s.RecordRemoved("a", st.at)
 				case st.storeReadFailed:
@@ -90,8 +90,69 @@
 
 func TestForgetsRemovedServers(t *testing.T) {
 	s := New()
-	s.RecordSeen("a", 0, true)
+	s.RecordSeen(Record{ID: "a", Leaving: true})
 	s.RecordRemoved("a", 0)
 	s.RemoveExpired(removedRetention)
 	assert.Equal(t, len(s.servers), 0)
 }
+
+// TestStoreEraKeepsWhatIsKnownOfServers restores the store from a copy that is older than
+// what is known. Leaving servers and removed ones do not come back by it, and a running
+// one whose record is missing there stays in use until it has had time to write again.
+func TestStoreEraKeepsWhatIsKnownOfServers(t *testing.T) {
+	known := Record{ID: "a", StartTime: 5, Sequence: 9}
+	tests := []struct {
+		name   string
+		before func(s *Set)
+		copied Record
+		usable bool
+	}{
+		{"running", func(*Set) {}, Record{ID: "a", StartTime: 5, Sequence: 7}, true},
+		{"leaving", func(s *Set) { s.RecordSeen(Record{ID: "a", StartTime: 5, Sequence: 10, Leaving: true}) }, known, false},
+		{"said to be leaving in an answer", func(s *Set) { s.MarkLeaving("a", 5) }, known, false},
+		{"removed", func(s *Set) {
+			s.RecordRemoved("a", 0)
+			s.RemoveExpired(0)
+		}, known, false},
+		{"leaving at an earlier start", func(*Set) {}, Record{ID: "a", StartTime: 4, Sequence: 90, Leaving: true}, true},
+		{"removed, and written again", func(s *Set) {
+			s.RecordRemoved("a", 0)
+			s.RemoveExpired(0)
+		}, Record{ID: "a", StartTime: 5, Sequence: 11}, true},
+		{"leaving, and started anew", func(s *Set) { s.MarkLeaving("a", 5) }, Record{ID: "a", StartTime: 6}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := New()
+			s.RecordSeen(known)
+			tt.before(s)
+			s.StoreRestored(time.Second)
+			if s.IsNews(tt.copied) {
+				s.RecordSeen(tt.copied)
+			}
+			assert.Equal(t, s.Usable("a"), tt.usable)
+		})
+	}
+	s := New()
+	s.RecordSeen(known)
+	s.StoreRestored(time.Second)
+	s.RecordRemoved("a", time.Second)
+	assert.Assert(t, s.Usable("a"), "the record is missing in the copy")
+	s.RemoveExpired(time.Second + expiryGracePeriod)
+	assert.Assert(t, !s.Usable("a"), "the server did not write again")
+}
+
+// TestServerLeavingMarksOneStart checks that the word of a server that it leaves does not
+// hold for a later start under the same ID.
+func TestServerLeavingMarksOneStart(t *testing.T) {
+	s := New()
+	s.RecordSeen(Record{ID: "a", StartTime: 1})
+	assert.Assert(t, !s.MarkLeaving("a", 2) && !s.MarkLeaving("b", 1))
+	assert.Assert(t, s.Usable("a"))
+	assert.Assert(t, s.MarkLeaving("a", 1) && !s.MarkLeaving("a", 1))
+	assert.Assert(t, !s.Usable("a"))
+	s.RecordSeen(Record{ID: "a", StartTime: 1, Sequence: 5})
+	assert.Assert(t, !s.Usable("a"), "the server has not written yet that it leaves")
+	s.RecordSeen(Record{ID: "a", StartTime: 2})
+	assert.Assert(t, s.Usable("a"))
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -16,9 +16,12 @@
 	// RecordExpiry is the time after which a record that was not rewritten is dropped. It
 	// covers several refreshes and a long outage of the store.
 	RecordExpiry = 15 * time.Minute
-	// smallEntryOffset is added to the positions of small entries to place them after all
-	// others; offsets stay below it.
-	smallEntryOffset = 1 << 40
+	// A position is composed of these bits, the most significant first: one for small
+	// entries, which places them after all others, then the era, then the offset.
+	smallEntryBit = 1 << 62
+	eraShift      = 41
+	maxEra        = 1<<(62-eraShift) - 1
+	maxOffset     = 1<<eraShift - 1
 )
 
 // Record is the registration record of one entry.
@@ -29,6 +32,9 @@
 	Address string `json:"address"`
 	// StartID distinguishes process starts of the same entry.
 	StartID int64 `json:"start"`
+	// Era is the era of the log in which the first record of this process start was
+	// written. The log assigns offsets again in each era.
+	Era int64 `json:"era,omitempty"`
 	// FirstRecordNumber is the offset, plus 1, of the first record written by this process
 	// start. It is 0 in that record itself, whose offset is not known when it is written.
 	FirstRecordNumber int64 `json:"first,omitempty"`
@@ -41,12 +47,13 @@
 // position returns the entry's position in the order of all entries. Refreshing the
 // record keeps the position; a restarted entry goes last.
 func (r Record) position() int64 {
-	position := r.Offset
+	offset := r.Offset
 	if r.FirstRecordNumber > 0 {
-		position = r.FirstRecordNumber - 1
+		offset = r.FirstRecordNumber - 1
 	}
+	position := min(r.Era, maxEra)<<eraShift | min(offset, maxOffset)
 	if r.Small {
-		position += smallEntryOffset
+		position |= smallEntryBit
 	}
 	return position
 }
@@ -63,8 +70,13 @@
 	// written, was dropped, was replaced by a late write of an earlier start, or marks
 	// the entry as stopped.
 	Registered bool
-	// EarlierStart is set if the entry's record belongs to another process start.
+	// EarlierStart is set if the entry's record belongs to another process start, and this
+	// one was not registered yet.
 	EarlierStart bool
+	// Lost is the record to write again if this process start was registered and its
+	// record has disappeared, as it may when the store is restored from a copy. It keeps
+	// the position.
+	Lost *Record
 	// Position is the entry's own position in the order.
 	Position int64
 	// Count is the number of records, including those of stopped entries.
@@ -89,6 +101,9 @@
 	startID int64
 	// firstSeen maps the name of an entry to when its newest record was first seen.
 	firstSeen map[string]firstSeen
+	// registered is the record of this process start when it was last read, with its
+	// place in the order; nil before.
+	registered *Record
 }
 
 // New returns a Roster for a process start of the named entry.
@@ -103,13 +118,19 @@
 	v := View{Count: len(records)}
 	i := slices.IndexFunc(records, func(rec Record) bool { return rec.Name == r.name })
 	if i < 0 {
+		v.Lost = r.registered
 		return v
 	}
 	own := records[i]
-	v.EarlierStart = own.StartID != r.startID
-	if v.EarlierStart || own.Stopped {
+	if own.StartID != r.startID {
+		v.EarlierStart = r.registered == nil
+		v.Lost = r.registered
 		return v
 	}
+	if own.Stopped {
+		return v
+	}
+	r.registered = refreshedRecord(own)
 	v.Registered = true
 	v.Position = own.position()
 	if now-r.firstSeen[own.Name].seenAt >= RefreshInterval {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -120,3 +121,51 @@
 	v := r.Update(RecordExpiry, []Record{{Name: "a", StartID: 1}, own})
 	assert.Assert(t, slices.Equal(v.Drop, []string{"a"}))
 }
+
+// TestStoreEraKeepsOrder restores the records from a copy that lacks two of the four, while
+// a new entry registers at an offset that was assigned before. The entries that write their
+// records again keep their places, and all entries derive the same order.
+func TestStoreEraKeepsOrder(t *testing.T) {
+	names := []string{"a", "b", "c", "small"}
+	rosters := map[string]*Roster{}
+	records := map[string]Record{}
+	list := func() []Record { return slices.Collect(maps.Values(records)) }
+	for i, name := range names {
+		rosters[name] = New(name, 1)
+		records[name] = Record{Name: name, StartID: 1, Era: 1, Offset: int64(10 + i), Small: name == "small"}
+	}
+	for _, name := range names {
+		assert.Assert(t, rosters[name].Update(0, list()).Registered)
+	}
+	delete(records, "b")
+	delete(records, "c")
+	rosters["new"] = New("new", 1)
+	records["new"] = Record{Name: "new", StartID: 1, Era: 2, Offset: 11}
+	offset := int64(12)
+	for _, name := range []string{"c", "b"} {
+		v := rosters[name].Update(time.Second, list())
+		assert.Assert(t, !v.Registered && !v.EarlierStart && v.Lost != nil, name)
+		rec := *v.Lost
+		rec.Offset = offset
+		offset++
+		records[name] = rec
+	}
+	want := []string{"a", "b", "c", "new", "small"}
+	for i, name := range want {
+		v := rosters[name].Update(2*time.Second, list())
+		assert.Assert(t, v.Registered, name)
+		assert.DeepEqual(t, append(entryNames(v.Predecessors), name), want[:i+1])
+	}
+}
+
+// TestStoreEraRestoresEarlierStart restores a copy from before the entry restarted: the
+// record of its earlier start is no reason to register anew.
+func TestStoreEraRestoresEarlierStart(t *testing.T) {
+	r := New("a", 2)
+	assert.Assert(t, r.Update(0, []Record{{Name: "a", StartID: 1, Offset: 1}}).EarlierStart)
+	assert.Assert(t, r.Update(0, []Record{{Name: "a", StartID: 2, Offset: 5}}).Registered)
+	v := r.Update(time.Second, []Record{{Name: "a", StartID: 1, Offset: 1}})
+	assert.Assert(t, !v.Registered && !v.EarlierStart)
+	assert.Equal(t, v.Lost.StartID, int64(2))
+	assert.Equal(t, v.Lost.FirstRecordNumber, int64(6))
+}
--- a/core/staging/admit.go
+++ b/core/staging/admit.go
@@ -80,6 +80,9 @@
 // backlogTime returns the time that the pool needs for the queued pieces of started
 // jobs and of jobs at least as urgent as j.
 func (p *pool) backlogTime(j *job, now time.Duration) time.Duration {
+	if end, ok := p.suspensionEnd(now); ok {
+		return end - now
+	}
 	rate := p.piecesPerSecond(now)
 	if rate == 0 {
 		return maxExpectedWait
--- a/core/staging/bench_test.go
+++ b/core/staging/bench_test.go
@@ -26,7 +26,7 @@
 		s.Submit(now, Job{ID: "j", Key: "k", Stages: []Stage{{Pool: "a", Pieces: 10}}, ObjectiveDeadline: now + time.Hour, Deadline: now + time.Hour})
 		acts := s.TakeActions()
 		for _, c := range acts.Calls {
-			s.CallDone(now, c.ID, Answered, make([]Result, len(c.Items)))
+			s.CallDone(now, c.ID, CallResult{Status: Answered, Results: make([]Result, len(c.Items))})
 		}
 		s.Release(now, "j")
 		s.TakeActions()
--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -54,7 +54,7 @@
 
 func (s *Scheduler) sendFreeRequest(m *server) {
 	s.lastFreeID++
-	s.pendingFrees[s.lastFreeID] = pendingFree{m, m.bytesToFree}
+	s.pendingFrees[s.lastFreeID] = pendingFree{m, m.handlesToFree, m.bytesToFree}
 	s.actions.FreeRequests = append(s.actions.FreeRequests, FreeRequest{ID: s.lastFreeID, Server: m.def, Handles: m.handlesToFree})
 	m.handlesToFree, m.bytesToFree = nil, 0
 }
--- a/core/staging/property_test.go
+++ b/core/staging/property_test.go
@@ -24,6 +24,11 @@
 	calls       map[uint64]Call
 	openCallIDs []uint64
 	openFreeIDs []uint64
+	// frees are the open free requests; ownersByFree are the owners of their results.
+	frees        map[uint64]FreeRequest
+	ownersByFree map[uint64][]string
+	// suspendedUntil maps servers to the time until which they want no requests.
+	suspendedUntil map[string]time.Duration
 	// ownerByHandle maps the results that servers keep to the IDs of their jobs.
 	ownerByHandle map[string]string
 	// submitted is the set of submitted job IDs; outcomeByJob holds the outcome of each
@@ -66,7 +71,7 @@
 		assert.Equal(rt, len(w.ownerByHandle), 0, "results that were not freed: %v", w.ownerByHandle)
 		assert.Equal(rt, w.scheduler.JobCount(), 0)
 		for _, id := range w.openFreeIDs {
-			w.scheduler.FreeDone(w.now, id)
+			w.scheduler.FreeDone(w.now, id, 0)
 		}
 		for _, p := range w.scheduler.sortedPools {
 			for _, m := range p.servers {
@@ -81,6 +86,7 @@
 		t: t, scheduler: New(), specs: map[string]PoolSpec{}, poolByServer: map[string]string{}, calls: map[uint64]Call{},
 		ownerByHandle: map[string]string{}, submitted: map[string]bool{}, outcomeByJob: map[string]string{},
 		jobs: map[string]Job{}, resultsByJob: map[string][]ResultLocation{}, handingOver: map[string]bool{},
+		frees: map[uint64]FreeRequest{}, ownersByFree: map[uint64][]string{}, suspendedUntil: map[string]time.Duration{},
 	}
 	for _, name := range []string{"a", "b", "c"} {
 		spec := PoolSpec{
@@ -151,8 +157,7 @@
 func (w *simulation) randomStep() {
 	w.advance(time.Duration(rapid.IntRange(1, 120).Draw(w.t, "ms")) * time.Millisecond)
 	if len(w.openFreeIDs) > 0 {
-		w.scheduler.FreeDone(w.now, w.openFreeIDs[0])
-		w.openFreeIDs = w.openFreeIDs[1:]
+		w.endFree()
 		w.checkActions()
 	}
 	if len(w.openCallIDs) > 0 && rapid.IntRange(0, 2).Draw(w.t, "end a call") > 0 {
@@ -168,6 +173,28 @@
 	w.checkActions()
 }
 
+// suspend records that a server wants no requests for d.
+func (w *simulation) suspend(server string, d time.Duration) {
+	w.suspendedUntil[server] = max(w.suspendedUntil[server], w.now+d)
+}
+
+// endFree ends the oldest free request. Some are refused for a time.
+func (w *simulation) endFree() {
+	id := w.openFreeIDs[0]
+	w.openFreeIDs = w.openFreeIDs[1:]
+	if rapid.IntRange(0, 9).Draw(w.t, "refuse a free request") > 0 {
+		w.scheduler.FreeDone(w.now, id, 0)
+		return
+	}
+	f := w.frees[id]
+	for i, h := range f.Handles {
+		w.ownerByHandle[h] = w.ownersByFree[id][i]
+	}
+	retryAfter := time.Duration(rapid.IntRange(1, 400).Draw(w.t, "retry after")) * time.Millisecond
+	w.suspend(f.Server.ID, retryAfter)
+	w.scheduler.FreeDone(w.now, id, retryAfter)
+}
+
 func (w *simulation) endCallRandomly(c Call) {
 	status := Answered
 	if n := rapid.IntRange(0, 19).Draw(w.t, "call status"); n < 3 {
@@ -185,7 +212,12 @@
 			w.ownerByHandle[results[i].Handle] = it.JobID
 		}
 	}
-	w.scheduler.CallDone(w.now, c.ID, status, results)
+	retryAfter := time.Duration(0)
+	if status == ServerFull {
+		retryAfter = time.Duration(rapid.IntRange(0, 400).Draw(w.t, "retry after")) * time.Millisecond
+	}
+	w.suspend(c.Server.ID, retryAfter)
+	w.scheduler.CallDone(w.now, c.ID, CallResult{status, results, retryAfter})
 	w.checkActions()
 }
 
@@ -228,9 +260,12 @@
 		w.resultsByJob[id] = append(w.resultsByJob[id], changes...)
 	}
 	for _, f := range actions.FreeRequests {
+		assert.Assert(w.t, w.now >= w.suspendedUntil[f.Server.ID], "free request to server %s, which wants none", f.Server.ID)
+		w.frees[f.ID] = f
 		for _, h := range f.Handles {
-			_, found := w.ownerByHandle[h]
+			owner, found := w.ownerByHandle[h]
 			assert.Assert(w.t, found, "result %s freed twice or never computed", h)
+			w.ownersByFree[f.ID] = append(w.ownersByFree[f.ID], owner)
 			delete(w.ownerByHandle, h)
 		}
 		w.openFreeIDs = append(w.openFreeIDs, f.ID)
@@ -258,6 +293,7 @@
 	spec := w.specs[c.Pool]
 	assert.Equal(w.t, w.poolByServer[c.Server.ID], c.Pool)
 	assert.Assert(w.t, len(c.Items) > 0 && len(c.Items) <= spec.BatchSize, "%d pieces in a call", len(c.Items))
+	assert.Assert(w.t, w.now >= w.suspendedUntil[c.Server.ID], "call to server %s, which wants none", c.Server.ID)
 	seen := map[string]bool{}
 	for _, it := range c.Items {
 		name := fmt.Sprintf("%s.%d.%d", it.JobID, it.Stage, it.Piece)
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -149,6 +149,9 @@
 	// before pausedUntil.
 	consecutiveFailures int
 	pausedUntil         time.Duration
+	// suspendedUntil is the time until which the server wants no calls; answers to
+	// earlier calls do not change it.
+	suspendedUntil time.Duration
 	// lastAnsweredStart is the latest expectedStart of a call that was answered.
 	lastAnsweredStart time.Duration
 
@@ -182,7 +185,7 @@
 // usable reports whether the server accepts calls. A server with an overdue call
 // accepts one call at a time, as a trial.
 func (m *server) usable(now time.Duration) bool {
-	return m.listed && now >= m.pausedUntil && (m.activeCalls() == 0 || !m.hasOverdueCall())
+	return m.listed && now >= m.pausedUntil && now >= m.suspendedUntil && (m.activeCalls() == 0 || !m.hasOverdueCall())
 }
 
 // hasOverdueCall reports whether the server may still work on an overdue call.
@@ -251,6 +254,28 @@
 	m.lastCallEnd = now
 }
 
+// suspendCalls prevents calls to the server for the time that it asked for.
+func (m *server) suspendCalls(now, d time.Duration) {
+	if d > 0 {
+		m.suspendedUntil = max(m.suspendedUntil, now+d)
+	}
+}
+
+// suspensionEnd returns the time at which the first of the pool's servers may be called
+// again, and false if one of them is not suspended or there are none.
+func (p *pool) suspensionEnd(now time.Duration) (time.Duration, bool) {
+	var end time.Duration
+	for i, m := range p.servers {
+		if now >= m.suspendedUntil {
+			return 0, false
+		}
+		if i == 0 || m.suspendedUntil < end {
+			end = m.suspendedUntil
+		}
+	}
+	return end, len(p.servers) > 0
+}
+
 // pauseCalls prevents calls to the server for a time that grows with each consecutive
 // failure.
 func (m *server) pauseCalls(now time.Duration, p backoff.Policy) {
@@ -334,7 +359,7 @@
 
 // isFreeDue reports whether the collected results are to be freed now.
 func (m *server) isFreeDue(now time.Duration) bool {
-	if len(m.handlesToFree) == 0 {
+	if len(m.handlesToFree) == 0 || now < m.suspendedUntil {
 		return false
 	}
 	delay, batch := freeDelay, maxFreeBatch
@@ -344,6 +369,16 @@
 	return len(m.handlesToFree) >= batch || now-m.freesQueuedSince >= delay
 }
 
+// requeueFree collects the results of a refused FreeRequest again.
+func (m *server) requeueFree(f pendingFree, now time.Duration) {
+	if len(m.handlesToFree) == 0 {
+		m.freesQueuedSince = now
+	}
+	m.pool.hasHandlesToFree = true
+	m.handlesToFree = append(f.handles, m.handlesToFree...)
+	m.bytesToFree += f.bytes
+}
+
 // checkOverdue requests the pieces of an overdue call from other servers.
 func (s *Scheduler) checkOverdue(c *call, now time.Duration) {
 	if c.overdue {
--- a/core/staging/session_test.go
+++ b/core/staging/session_test.go
@@ -16,8 +16,8 @@
 //	pool name=P batch=N call=MS item=MS memory=BYTES keep=MS [slots=N]   servers as lines "ID ZONE"
 //	job id=J due=MS deadline=MS [rank=N] [after=MS] [zone=Z]             stages as lines "POOL PIECES BYTES [AFTER,..]",
 //	                                                                     prior results as "made STAGE PIECE HANDLE SERVER"
-//	done call=N [end=full|gone|broken] [outcomes=made+late+gone+memory+error] [at=MS]
-//	tick, started, release, hold, freed id=N
+//	done call=N [end=full|gone|broken] [outcomes=made+late+gone+memory+error] [retry=MS] [at=MS]
+//	tick, started, release, hold, freed id=N [retry=MS]
 //
 // Each command accepts at=MS, the current time, and prints the actions that follow. The
 // short words correspond to these identifiers:
@@ -27,6 +27,7 @@
 //	full, gone, broken           ServerFull, ServerGone, Incomplete
 //	made, late, gone, memory     Succeeded, DeadlinePassed, InputMissing, OutOfMemory
 //	hold, freed                  SuspendJob, FreeDone
+//	retry                        RetryAfter
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
 		s := &scriptRunner{scheduler: New(), calls: map[uint64]Call{}}
@@ -69,7 +70,7 @@
 		if err != nil {
 			d.Fatalf(t, "id: %v", err)
 		}
-		x.scheduler.FreeDone(x.now, uint64(n))
+		x.scheduler.FreeDone(x.now, uint64(n), millisArg(t, d, "retry", 0))
 	default:
 		d.Fatalf(t, "unknown command %s", d.Cmd)
 	}
@@ -139,7 +140,7 @@
 			results[i] = Result{Outcome: map[string]Outcome{"late": DeadlinePassed, "gone": InputMissing, "memory": OutOfMemory, "error": Failed}[outcomes[i]]}
 		}
 	}
-	x.scheduler.CallDone(x.now, callID, status, results)
+	x.scheduler.CallDone(x.now, callID, CallResult{status, results, millisArg(t, d, "retry", 0)})
 }
 
 // formatActions formats the actions since the last command and records the calls.
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -39,8 +39,9 @@
 
 // pendingFree is a FreeRequest that has not ended yet, with the size of its results.
 type pendingFree struct {
-	server *server
-	bytes  int64
+	server  *server
+	handles []string
+	bytes   int64
 }
 
 // New returns a scheduler without pools.
@@ -152,35 +153,42 @@
 	s.dispatch(now)
 }
 
-// CallDone handles the end of a call. If the call was answered, results has one entry
-// per piece.
-func (s *Scheduler) CallDone(now time.Duration, id uint64, status CallStatus, results []Result) {
+// CallDone handles the end of a call.
+func (s *Scheduler) CallDone(now time.Duration, id uint64, result CallResult) {
 	c := s.calls[id]
 	if c == nil {
 		return
 	}
 	delete(s.calls, id)
-	c.server.callEnded(c, now, status)
-	if status != Answered || len(results) != len(c.pieces) {
+	c.server.callEnded(c, now, result.Status)
+	c.server.suspendCalls(now, result.RetryAfter)
+	if result.Status != Answered || len(result.Results) != len(c.pieces) {
 		for _, it := range c.pieces {
-			s.retryPiece(it, c, now, status != ServerFull)
+			s.retryPiece(it, c, now, result.Status != ServerFull)
 		}
 	} else {
 		for i, it := range c.pieces {
-			s.pieceDone(it, c, results[i], now)
+			s.pieceDone(it, c, result.Results[i], now)
 		}
 	}
 	s.dispatch(now)
 }
 
-// FreeDone handles the end of a FreeRequest: the memory is available again.
-func (s *Scheduler) FreeDone(now time.Duration, id uint64) {
+// FreeDone handles the end of a FreeRequest. If the server refused it and wants no
+// requests for the time retryAfter, the results are freed later. Otherwise their memory is
+// available again.
+func (s *Scheduler) FreeDone(now time.Duration, id uint64, retryAfter time.Duration) {
 	f, ok := s.pendingFrees[id]
 	if !ok {
 		return
 	}
 	delete(s.pendingFrees, id)
-	f.server.usedBytes = max(0, f.server.usedBytes-f.bytes)
+	if retryAfter > 0 {
+		f.server.suspendCalls(now, retryAfter)
+		f.server.requeueFree(f, now)
+	} else {
+		f.server.usedBytes = max(0, f.server.usedBytes-f.bytes)
+	}
 	s.dispatch(now)
 }
 
--- a/core/staging/types.go
+++ b/core/staging/types.go
@@ -184,3 +184,12 @@
 	// Incomplete means that no complete answer arrived; pieces may have been computed.
 	Incomplete
 )
+
+// CallResult is how a call ended.
+type CallResult struct {
+	Status CallStatus
+	// Results has one entry per piece if the call was answered.
+	Results []Result
+	// RetryAfter is the time for which the server wants no calls; 0 if it does not say.
+	RetryAfter time.Duration
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/magnoliawheel/magnoliawheel/core/budget"
+	"github.com/magnoliawheel/magnoliawheel/core/cooldown"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
@@ -70,6 +71,11 @@
 	Takes(id string) bool
 	// Loaded reports whether the list of servers has been read.
 	Loaded() bool
+	// StartTime returns the start time of a server, or 0 if it is not known.
+	StartTime(id string) int64
+	// MarkLeaving records that a server has said to be leaving, and reports whether that
+	// is new.
+	MarkLeaving(id string, startTime int64) bool
 }
 
 // Options configures a Gateway.
@@ -107,12 +113,14 @@
 	plainServers   *placement.Table
 	retryBudgets   map[string]*budget.Budget
 	allowanceShare budget.AllowanceShare
+	cooldowns      *cooldown.Table
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
 	return &Gateway{
 		Options: o, metrics: newMetrics(o.Scope), plainServers: placement.New(o.Settings.Regions), retryBudgets: map[string]*budget.Budget{},
+		cooldowns:      cooldown.New(),
 		allowanceShare: budget.AllowanceShare{Window: o.Settings.RetryBudget.Window, Interval: max(o.RegistryReadInterval, o.Settings.RetryBudget.Window)},
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,9 @@
 	clientDisconnects tally.Counter
 	streamsAborted    tally.Counter
 	retries           tally.Counter
+	// cooldowns counts the responses with which servers asked for no requests,
+	// serversLeaving the servers that first said in a response that they are leaving.
+	cooldowns, serversLeaving tally.Counter
 	// requestTime is the time to the end of a response, firstEventTime that to the first
 	// event of a stream, placementTime that of the placement.
 	requestTime, firstEventTime, placementTime tally.Histogram
@@ -36,6 +39,8 @@
 		clientDisconnects: scope.Counter("clients_left"),
 		streamsAborted:    scope.Counter("streams_broken_off"),
 		retries:           scope.Counter("requests_repeated"),
+		cooldowns:         scope.Counter("server_cooldowns"),
+		serversLeaving:    scope.Counter("servers_leaving"),
 		requestTime:       scope.Histogram("request_seconds", buckets),
 		firstEventTime:    scope.Histogram("first_event_seconds", buckets),
 		placementTime:     scope.Histogram("placement_seconds", buckets),
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +37,9 @@
 	// notRun is true if the server cannot have run the request.
 	notRun bool
 	cause  string
+	// retryAfter is the Retry-After time of a request that has not run; 0 selects
+	// busyRetryAfter.
+	retryAfter time.Duration
 }
 
 // code returns the result code of a request that has not run.
@@ -44,6 +49,8 @@
 		return result.QueueFull
 	case causeServerLeaving:
 		return result.ServerLeaving
+	case causeServerCoolingDown:
+		return result.QueueFull
 	case causeKeysNotConfirmed:
 		return result.KeysNotConfirmed
 	}
@@ -52,10 +59,11 @@
 
 // Causes of attempts in which the request was not sent or not run.
 const (
-	causeServerFull       = "server full"
-	causeServerLeaving    = "server is leaving"
-	causeKeysNotConfirmed = "keys not confirmed by the store"
-	causeOtherServer      = "address belongs to another server"
+	causeServerFull        = "server full"
+	causeServerLeaving     = "server is leaving"
+	causeServerCoolingDown = "server wants no requests yet"
+	causeKeysNotConfirmed  = "keys not confirmed by the store"
+	causeOtherServer       = "address belongs to another server"
 )
 
 // response is a complete response of a server.
@@ -71,7 +79,14 @@
 	var last outcome
 	mayHaveRun := false
 	for {
-		srv, ok := g.choosePlainServer(req, avoid)
+		cooling, remaining := g.coolingDown(req.service)
+		if remaining > 0 {
+			if !mayHaveRun {
+				last = outcome{notRun: true, cause: causeServerCoolingDown, retryAfter: cooldownRetryAfter(req.ID, remaining)}
+			}
+			break
+		}
+		srv, ok := g.choosePlainServer(req, slices.Concat(avoid, cooling))
 		if !ok {
 			if !mayHaveRun {
 				last = outcome{notRun: true, cause: "no server available"}
@@ -110,7 +125,7 @@
 	case last.response != nil:
 		g.relayResponse(w, req, last.response)
 	case !mayHaveRun:
-		g.refuse(w, req, newRefusal(last.code(), last.cause, busyRetryAfter))
+		g.refuse(w, req, newRefusal(last.code(), last.cause, cmp.Or(last.retryAfter, busyRetryAfter)))
 	case req.remaining() <= 0:
 		g.refuse(w, req, deadlineFailure(last.cause))
 	default:
@@ -173,7 +188,7 @@
 }
 
 func (g *Gateway) sendPlain(ctx context.Context, req *request, srv placement.Server) outcome {
-	if r := g.blockingCause(req, srv.ID); r != "" {
+	if r := g.blockingCause(req, srv); r != "" {
 		return outcome{notRun: true, cause: r}
 	}
 	resp, err := g.Upstream.Do(ctx, g.encodeRequest(req, srv, nil, -1))
@@ -182,6 +197,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	info := platform.DecodeServerResponse(resp.StatusCode, resp.Header)
+	g.handleNotices(req, srv, info)
 	if info.NotExecuted {
 		cause := causeServerFull
 		if resp.StatusCode == http.StatusMisdirectedRequest {
@@ -201,12 +217,14 @@
 
 // blockingCause repeats, before each attempt, the checks whose result may have changed
 // since the request was accepted. It returns why the request must not be sent, or "".
-func (g *Gateway) blockingCause(req *request, server string) string {
-	if req.keyRequired && !g.keysValid() {
+func (g *Gateway) blockingCause(req *request, srv placement.Server) string {
+	switch {
+	case req.keyRequired && !g.keysValid():
 		return causeKeysNotConfirmed
-	}
-	if !g.Servers.Takes(server) {
+	case !g.Servers.Takes(srv.ID):
 		return causeServerLeaving
+	case g.isCoolingDown(srv):
+		return causeServerCoolingDown
 	}
 	return ""
 }
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,6 +19,8 @@
 	Client *upstream.Client
 	// AcceptsRequests reports whether a server accepts new requests.
 	AcceptsRequests func(id string) bool
+	// OnLeaving, if set, receives the servers that say to be leaving.
+	OnLeaving func(id string, startTime int64)
 }
 
 var stagingOutcomes = map[platform.PieceOutcome]staging.Outcome{
@@ -26,9 +29,9 @@
 }
 
 // Run implements planner.StageCaller.
-func (s *StageClient) Run(ctx context.Context, c staging.Call) (staging.CallStatus, []staging.Result, error) {
+func (s *StageClient) Run(ctx context.Context, c staging.Call) (staging.CallResult, error) {
 	if !s.AcceptsRequests(c.Server.ID) {
-		return staging.ServerGone, nil, errors.New("server is leaving")
+		return staging.CallResult{Status: staging.ServerGone}, errors.New("server is leaving")
 	}
 	pieces := make([]platform.Piece, len(c.Items))
 	for i, it := range c.Items {
@@ -36,57 +39,73 @@
 	}
 	body, err := platform.EncodeStageRun(pieces)
 	if err != nil {
-		return staging.Incomplete, nil, err
+		return staging.CallResult{Status: staging.Incomplete}, err
 	}
 	resp, err := s.post(ctx, c.Server, platform.StageRunPath, body)
 	if errors.Is(err, upstream.ErrNotSent) {
-		return staging.ServerGone, nil, err
+		return staging.CallResult{Status: staging.ServerGone}, err
 	}
 	if err != nil {
-		return staging.Incomplete, nil, err
+		return staging.CallResult{Status: staging.Incomplete}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode == http.StatusMisdirectedRequest {
-		return staging.ServerGone, nil, errors.New("address belongs to another server")
+		return staging.CallResult{Status: staging.ServerGone}, errors.New("address belongs to another server")
 	}
+	return s.readResult(resp, c)
+}
+
+// readResult reads the response to a call.
+func (s *StageClient) readResult(resp *upstream.Response, c staging.Call) (staging.CallResult, error) {
+	info := s.decodeResponse(resp, c.Server)
+	result := staging.CallResult{Status: staging.Incomplete, RetryAfter: info.RetryAfter}
 	data, err := bounded.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
-		return staging.Incomplete, nil, err
+		return result, err
 	}
-	if platform.DecodeServerResponse(resp.StatusCode, resp.Header).NotExecuted {
-		return staging.ServerFull, nil, errors.New(causeServerFull)
+	if info.NotExecuted {
+		result.Status = staging.ServerFull
+		return result, errors.New(causeServerFull)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return staging.Incomplete, nil, errors.Newf("status %d", resp.StatusCode)
+		return result, errors.Newf("status %d", resp.StatusCode)
 	}
-	return decodeResults(data, len(c.Items))
-}
-
-func decodeResults(data []byte, n int) (staging.CallStatus, []staging.Result, error) {
-	pieces, err := platform.DecodeStageRun(data, n)
+	outcomes, err := platform.DecodeStageRun(data, len(c.Items))
 	if err != nil {
-		return staging.Incomplete, nil, err
+		return result, err
 	}
-	results := make([]staging.Result, n)
-	for i, m := range pieces {
-		results[i] = staging.Result{Outcome: stagingOutcomes[m.Outcome], Handle: m.Handle}
+	result.Status = staging.Answered
+	for _, m := range outcomes {
+		result.Results = append(result.Results, staging.Result{Outcome: stagingOutcomes[m.Outcome], Handle: m.Handle})
 	}
-	return staging.Answered, results, nil
+	return result, nil
+}
+
+// decodeResponse decodes the head of a response and reports a server that is leaving.
+func (s *StageClient) decodeResponse(resp *upstream.Response, srv staging.Server) platform.ServerResponse {
+	info := platform.DecodeServerResponse(resp.StatusCode, resp.Header)
+	if info.Leaving && s.OnLeaving != nil {
+		s.OnLeaving(srv.ID, srv.StartTime)
+	}
+	return info
 }
 
 // Free implements planner.StageCaller.
-func (s *StageClient) Free(ctx context.Context, f staging.FreeRequest) error {
+func (s *StageClient) Free(ctx context.Context, f staging.FreeRequest) (time.Duration, error) {
 	body, err := platform.EncodeStageFree(f.Handles)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	resp, err := s.post(ctx, f.Server, platform.StageFreePath, body)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return err
+	info := s.decodeResponse(resp, f.Server)
+	if _, err = io.Copy(io.Discard, resp.Body); err == nil && info.RetryAfter > 0 {
+		err = errors.New(causeServerFull)
+	}
+	return info.RetryAfter, err
 }
 
 func (s *StageClient) post(ctx context.Context, srv staging.Server, path string, body []byte) (*upstream.Response, error) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -100,7 +101,11 @@
 	if s.placements > maxPlacements {
 		return false, s.refuseOrFail(result.NoServer, "too many placements", busyRetryAfter)
 	}
-	p, progress := s.gateway.place(ctx, s.req, s.avoid)
+	cooling, remaining := s.gateway.coolingDown(s.req.service)
+	if remaining > 0 {
+		return false, s.refuseOrFail(result.QueueFull, causeServerCoolingDown, cooldownRetryAfter(s.req.ID, remaining))
+	}
+	p, progress := s.gateway.place(ctx, s.req, slices.Concat(s.avoid, cooling))
 	if ctx.Err() != nil {
 		progress(planner.Cancelled)
 		return false, nil
@@ -129,20 +134,21 @@
 // send sends the request to the chosen server and relays its response.
 func (s *streamRequest) send(ctx context.Context, p planner.Placement, progress func(planner.Phase)) (bool, *refusal) {
 	req := s.req
-	if r := s.gateway.blockingCause(req, p.Server); r != "" {
+	srv := placement.Server{ID: p.Server, Address: p.Address, StartTime: s.gateway.Servers.StartTime(p.Server)}
+	if r := s.gateway.blockingCause(req, srv); r != "" {
 		progress(planner.Cancelled)
 		s.avoid = append(s.avoid, p.Server)
-		return false, s.retryNotRun(r)
+		return false, s.retryNotSent(r)
 	}
 	req.attempts++
 	start := clock.Now()
-	srv := placement.Server{ID: p.Server, Address: p.Address}
 	resp, err := s.gateway.Upstream.Do(ctx, s.gateway.encodeRequest(req, srv, p.Inputs, modelPriority(req)))
 	if err != nil {
 		return s.handleSendError(ctx, p, progress, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	info := platform.DecodeServerResponse(resp.StatusCode, resp.Header)
+	s.gateway.handleNotices(req, srv, info)
 	if info.NotExecuted {
 		req.log.Info("Server did not run the request.", "server", p.Server, "status", resp.StatusCode, "took", clock.Now()-start)
 		return s.handleNotRun(p, progress, resp.StatusCode)
@@ -204,6 +210,16 @@
 	return false, s.retryNotRun(causeServerFull)
 }
 
+// retryNotSent returns nil if a request that was not sent to the server chosen for it may
+// be placed again, and otherwise a refusal. Nothing reached a server, so the retry budget
+// is not used.
+func (s *streamRequest) retryNotSent(cause string) *refusal {
+	if s.req.remaining() < minRetryTime || cause == causeKeysNotConfirmed {
+		return s.refuseOrFail(outcome{cause: cause}.code(), cause, busyRetryAfter)
+	}
+	return nil
+}
+
 // retryNotRun returns nil if a request that has not run may be placed again, which the
 // remaining time and the retry budget limit, and otherwise a refusal.
 func (s *streamRequest) retryNotRun(cause string) *refusal {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,12 +80,14 @@
 	upstreamClient := upstream.New()
 	n.servers = watch.NewServers(n.store, o.Settings.MaxDrainDelay, o.Log.WithName("servers"), n.updatePools)
 	n.config = watch.NewConfig(n.store, o.Settings.MaxConfigDelay, o.Log.WithName("config"), func(*routes.Table) { n.updatePools() })
-	stages := &gateway.StageClient{Client: upstreamClient, AcceptsRequests: n.servers.Takes}
+	stages := &gateway.StageClient{Client: upstreamClient, AcceptsRequests: n.servers.Takes, OnLeaving: func(id string, startTime int64) { n.gateway.ReportLeaving(id, startTime) }}
 	n.planner = planner.New(stages, o.Settings.Regions, o.Log.WithName("planner"))
 	startID := time.Now().UnixNano()
 	owner := ownerName(o.Settings.Node, startID)
 	n.localEntry = &peer.LocalEntry{
 		Ready: n.canPlan, Stopping: func() bool { return n.gateway.Stopping() }, Owner: owner,
+		ConfigVersion: n.configVersion, OnConfigVersion: n.config.RequireVersion,
+		OnServerLeaving: func(server string, startTime int64) { n.servers.MarkLeaving(server, startTime) },
 	}
 	n.resultCleanup = &resultCleanup{
 		store: n.store, planner: n.planner, stages: stages, log: o.Log.WithName("leftovers"), entryName: o.Settings.Node, owner: owner,
@@ -112,6 +114,14 @@
 	return n.gateway.CanPlan() && (n.config.StoreReachable() || n.planner.JobCount() > 0)
 }
 
+// configVersion returns the newest known version of the configuration, or 0.
+func (n *Node) configVersion() uint64 {
+	if table := n.config.Table(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
 func (n *Node) updatePools() { n.gateway.UpdatePools() }
 
 func (n *Node) peerAddress() string {
@@ -140,6 +150,10 @@
 	go n.planner.Run(ctx)
 	go n.links.Run(ctx, n.planner.HandOver)
 	go n.registry.run(ctx)
+	go func() {
+		n.links.WaitSettled(ctx)
+		n.config.Release()
+	}()
 	go n.resultCleanup.run(ctx)
 	go func() { _ = n.links.Serve(ctx, peerLis) }()
 	go func() { _ = http.Serve(readinessLis, n.readinessHandler()) }()
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -10,6 +10,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/backoff"
 	"github.com/magnoliawheel/magnoliawheel/core/roster"
+	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer"
 	"github.com/magnoliawheel/magnoliawheel/platform"
@@ -33,6 +34,10 @@
 	smallEntryCores = 0.25
 )
 
+// eraReadSpread is the time over which the entries read the records again after the store
+// was restored.
+const eraReadSpread = 2 * time.Second
+
 // staleReadBackoff is the backoff between reads while other entries are restarting.
 var staleReadBackoff = backoff.Policy{Initial: 500 * time.Millisecond, Max: 4 * time.Second}
 
@@ -57,6 +62,10 @@
 	onEntryCount func(n int)
 	// stopped is set when the entry shuts down.
 	stopped atomic.Bool
+	// era is the era of the store before the last read of the records; eraChanged is
+	// closed once the store has a newer one.
+	era        int64
+	eraChanged <-chan struct{}
 }
 
 // run reads the records, and writes that of this entry, until ctx ends or the entry
@@ -65,6 +74,7 @@
 	entryRoster := roster.New(r.name, r.startID)
 	staleReads := 0
 	for ctx.Err() == nil && !r.stopped.Load() {
+		r.era, r.eraChanged = r.store.Era()
 		records, ok := r.readRecords(ctx)
 		if !ok {
 			clock.Sleep(ctx, storeRetryInterval)
@@ -96,6 +106,9 @@
 	select {
 	case <-r.links.StalePosition():
 		return staleReads + 1
+	case <-r.eraChanged:
+		r.log.Info("Store was restored; the entry record is checked.", "era_before", r.era)
+		clock.Sleep(ctx, time.Duration(staging.HashFraction(r.name)*float64(eraReadSpread)))
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -108,8 +121,21 @@
 	if view.EarlierStart {
 		r.onRestart()
 	}
-	if !r.writeOwnRecord(ctx, roster.Record{Name: r.name, Address: r.address, StartID: r.startID, Small: r.isSmall}) {
+	rec := roster.Record{Name: r.name, Address: r.address, StartID: r.startID, Small: r.isSmall}
+	rec.Era, _ = r.store.Era()
+	if view.Lost != nil {
+		r.log.Info("Lost entry record is written again.", "era", view.Lost.Era, "first", view.Lost.FirstRecordNumber)
+		rec = *view.Lost
+	}
+	position, ok := r.writeOwnRecord(ctx, rec)
+	if !ok {
 		clock.Sleep(ctx, storeRetryInterval)
+		return
+	}
+	if view.Lost == nil && position.Era != rec.Era {
+		// The store was restored meanwhile: the offset of the record is one of the new era.
+		rec.Era = position.Era
+		r.writeOwnRecord(ctx, rec)
 	}
 }
 
@@ -143,30 +169,30 @@
 		r.writeOwnRecord(ctx, *view.Refresh)
 	}
 	for _, name := range view.Drop {
-		if r.appendRecord(ctx, name, nil) {
+		if _, ok := r.appendRecord(ctx, name, nil); ok {
 			r.log.Info("Expired entry record deleted.", "entry", name)
 		}
 	}
 }
 
-// writeOwnRecord writes the record of this entry. It returns false if the record may not
-// have been stored.
-func (r *registry) writeOwnRecord(ctx context.Context, rec roster.Record) bool {
+// writeOwnRecord writes the record of this entry and returns its position. It returns
+// false if the record may not have been stored.
+func (r *registry) writeOwnRecord(ctx context.Context, rec roster.Record) (platform.Position, bool) {
 	value, err := json.Marshal(rec)
 	if err != nil {
 		r.log.Error(err, "Entry record not written.")
-		return false
+		return platform.Position{}, false
 	}
 	return r.appendRecord(ctx, r.name, value)
 }
 
 // appendRecord writes the record of an entry; a nil value deletes it.
-func (r *registry) appendRecord(ctx context.Context, name string, value []byte) bool {
-	_, err := r.store.AppendKeyed(ctx, platform.EntriesTopic, name, value, platform.AppendCondition{})
+func (r *registry) appendRecord(ctx context.Context, name string, value []byte) (platform.Position, bool) {
+	position, err := r.store.AppendKeyed(ctx, platform.EntriesTopic, name, value, platform.AppendCondition{})
 	if err != nil {
 		r.log.Info("Entry record not written.", "entry", name, "cause", err.Error())
 	}
-	return err == nil
+	return position, err == nil
 }
 
 // markStopped writes a record that marks the entry as stopped, so that others no longer
--- a/internal/node/result_cleanup.go
+++ b/internal/node/result_cleanup.go
@@ -137,7 +137,7 @@
 func (c *resultCleanup) freeAtServer(ctx context.Context, results heldResults) {
 	ctx, cancel := context.WithTimeout(ctx, cleanupTimeout)
 	defer cancel()
-	err := c.stages.Free(ctx, staging.FreeRequest{Server: staging.Server{ID: results.Server, Address: results.Address}, Handles: results.Handles})
+	_, err := c.stages.Free(ctx, staging.FreeRequest{Server: staging.Server{ID: results.Server, Address: results.Address}, Handles: results.Handles})
 	if err != nil {
 		c.log.Info("Results of an earlier start not freed.", "server", results.Server, "results", len(results.Handles), "cause", err.Error())
 		return
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -127,6 +127,10 @@
 		p.handlePlacement(decodePlacement(body.Placed))
 	case *peerpb.Message_Made:
 		p.handleResultChanges(body.Made)
+	case *peerpb.Message_Leaving:
+		if p.local.OnServerLeaving != nil {
+			p.local.OnServerLeaving(body.Leaving.GetServer(), body.Leaving.GetStartTime())
+		}
 	case *peerpb.Message_Progress:
 		p.handleProgress(body.Progress.GetId(), planner.Phase(body.Progress.GetPhase()))
 	}
@@ -135,6 +139,11 @@
 	}
 }
 
+// ReportLeaving tells the other entry that a server has said to be leaving.
+func (p *Peer) ReportLeaving(server string, startTime int64) {
+	p.session.send(&peerpb.Message{Body: &peerpb.Message_Leaving{Leaving: &peerpb.Leaving{Server: server, StartTime: startTime}}})
+}
+
 // measureAge returns the age of a message, given the sender's clock when it was queued.
 func (p *Peer) measureAge(clockUs int64) time.Duration {
 	now := clock.Now()
@@ -151,6 +160,9 @@
 	p.mu.Unlock()
 	p.measureAge(status.GetClockUs())
 	p.session.setLag(milliseconds(status.GetLagMs()))
+	if p.local.OnConfigVersion != nil {
+		p.local.OnConfigVersion(status.GetConfigVersion())
+	}
 	if changed {
 		p.log.Info("State of an entry changed.", "entry", status.GetOwner(), "ready", status.GetReady(), "stopping", status.GetStopping(), "order", status.GetOrder())
 	}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -115,6 +115,12 @@
 	Stopping func() bool
 	// Owner is the name of the current process start of the entry.
 	Owner string
+	// ConfigVersion returns the newest known version of the configuration; nil if the
+	// entry has none. OnConfigVersion, if set, receives the versions that others know.
+	ConfigVersion   func() uint64
+	OnConfigVersion func(version uint64)
+	// OnServerLeaving, if set, receives the servers that others report as leaving.
+	OnServerLeaving func(server string, startTime int64)
 	// order is the order of the entry, as orderOf returns it; 0 while it is not
 	// registered.
 	order atomic.Int64
@@ -141,8 +147,13 @@
 
 func (e *LocalEntry) wireStatus() *peerpb.Status {
 	now := clock.Now()
+	version := uint64(0)
+	if e.ConfigVersion != nil {
+		version = e.ConfigVersion()
+	}
 	return &peerpb.Status{
-		Ready: e.Ready(), Order: e.order.Load(), Owner: e.Owner, Stopping: e.Stopping(), ClockUs: now.Microseconds(), LagMs: e.lag.read(now).Milliseconds(),
+		ConfigVersion: version,
+		Ready:         e.Ready(), Order: e.order.Load(), Owner: e.Owner, Stopping: e.Stopping(), ClockUs: now.Microseconds(), LagMs: e.lag.read(now).Milliseconds(),
 	}
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -27,10 +27,12 @@
 
 // StageCaller performs calls to stage servers.
 type StageCaller interface {
-	// Run runs the pieces of a call on its server.
-	Run(ctx context.Context, c staging.Call) (staging.CallStatus, []staging.Result, error)
-	// Free frees results on a server.
-	Free(ctx context.Context, f staging.FreeRequest) error
+	// Run runs the pieces of a call on its server. The error is the cause of a call that
+	// was not answered.
+	Run(ctx context.Context, c staging.Call) (staging.CallResult, error)
+	// Free frees results on a server. If the server refuses and says when to come back,
+	// Free returns the time until then.
+	Free(ctx context.Context, f staging.FreeRequest) (retryAfter time.Duration, err error)
 }
 
 // Pool is a set of servers: StageServers if StageSpec is set, else ModelServers.
@@ -380,15 +382,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
 	start := clock.Now()
-	status, results, err := p.stages.Run(ctx, c)
+	result, err := p.stages.Run(ctx, c)
 	elapsed := clock.Now() - start
-	if status != staging.Answered {
-		p.log.Info("Stage call failed.", "call", c.ID, "requests", requestIDs(c), "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", elapsed, "cause", telemetry.ErrorText(err))
+	if result.Status != staging.Answered {
+		p.log.Info("Stage call failed.", "call", c.ID, "requests", requestIDs(c), "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", elapsed, "cause", telemetry.ErrorText(err), "retry_after", result.RetryAfter)
 	} else {
 		p.log.Info("Stage call completed.", "call", c.ID, "requests", requestIDs(c), "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", elapsed, "expected", c.ExpectedTime,
 			"waited", c.WaitTime, "memory_left", c.MemoryLeft)
 	}
-	p.update(func(now time.Duration) { p.scheduler.CallDone(now, c.ID, status, results) })
+	p.update(func(now time.Duration) { p.scheduler.CallDone(now, c.ID, result) })
 }
 
 // requestIDs returns the IDs of the requests whose pieces a call runs.
@@ -405,10 +407,11 @@
 func (p *Planner) freeOnServer(f staging.FreeRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	if err := p.stages.Free(ctx, f); err != nil {
-		p.log.Info("Results not freed.", "server", f.Server.ID, "results", len(f.Handles), "cause", err.Error())
+	retryAfter, err := p.stages.Free(ctx, f)
+	if err != nil {
+		p.log.Info("Results not freed.", "server", f.Server.ID, "results", len(f.Handles), "cause", err.Error(), "retry_after", retryAfter)
 	}
-	p.update(func(now time.Duration) { p.scheduler.FreeDone(now, f.ID) })
+	p.update(func(now time.Duration) { p.scheduler.FreeDone(now, f.ID, retryAfter) })
 }
 
 // JobCount returns the number of requests whose stages are running or whose results are
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -22,22 +22,24 @@
 	release   chan struct{}
 }
 
-func (s *hangingFirstCall) Run(ctx context.Context, c staging.Call) (staging.CallStatus, []staging.Result, error) {
+func (s *hangingFirstCall) Run(ctx context.Context, c staging.Call) (staging.CallResult, error) {
 	s.calls <- c.Server.ID
 	select {
 	case <-s.hangToken:
 		<-s.release
-		return staging.Incomplete, nil, ctx.Err()
+		return staging.CallResult{Status: staging.Incomplete}, ctx.Err()
 	default:
 	}
 	results := make([]staging.Result, len(c.Items))
 	for i := range results {
 		results[i].Handle = c.Server.ID + "/h"
 	}
-	return staging.Answered, results, nil
+	return staging.CallResult{Status: staging.Answered, Results: results}, nil
 }
 
-func (s *hangingFirstCall) Free(context.Context, staging.FreeRequest) error { return nil }
+func (s *hangingFirstCall) Free(context.Context, staging.FreeRequest) (time.Duration, error) {
+	return 0, nil
+}
 
 // Guards against updates that come faster than ticks and keep postponing them: the
 // overdue call would never be detected, and its piece never retried on another server.
--- a/internal/watch/servers.go
+++ b/internal/watch/servers.go
@@ -43,16 +43,38 @@
 
 // Run follows the records until ctx ends.
 func (s *Servers) Run(ctx context.Context) {
-	follow(ctx, follower{
+	f := follower{
 		store: s.store, topic: platform.ServersTopic, readInterval: s.readInterval, log: s.log,
 		applyRecords: s.applyRecords,
-		onConfirmed:  func(time.Duration) { s.removeExpired() },
+		onConfirmed:  func(time.Duration, platform.Position) { s.removeExpired() },
 		onReadFailed: func(now time.Duration) {
 			s.mu.Lock()
 			s.backendSet.StoreReadFailed(now)
 			s.mu.Unlock()
 		},
-	})
+	}
+	f.follow(ctx)
+}
+
+// StartTime returns the start time of a server, which distinguishes restarts under the
+// same ID, or 0 if it is not known.
+func (s *Servers) StartTime(id string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers[id].StartTime
+}
+
+// MarkLeaving records that a server has said to be leaving. It reports whether that is
+// new.
+func (s *Servers) MarkLeaving(id string, startTime int64) bool {
+	s.mu.Lock()
+	changed := s.backendSet.MarkLeaving(id, startTime)
+	s.mu.Unlock()
+	if changed {
+		s.log.Info("Server said to be leaving.", "server", id)
+		s.onChange()
+	}
+	return changed
 }
 
 // Loaded reports whether the records were read at least once.
@@ -83,27 +105,29 @@
 	return s.backendSet.Usable(id)
 }
 
-// applyRecords applies records read from the store. complete is true if they are the
-// newest records of all servers.
-func (s *Servers) applyRecords(records []platform.KeyedRecord, complete bool) {
+// applyRecords applies records read from the store.
+func (s *Servers) applyRecords(records []platform.KeyedRecord, set recordSet) {
 	now := clock.Now()
 	s.mu.Lock()
-	if complete {
+	if set == restoredRecords {
+		s.backendSet.StoreRestored(now)
+	}
+	if set != newRecords {
 		s.removeMissing(records, now)
 	}
 	changed := !s.loaded
 	for _, rec := range records {
-		changed = s.applyRecord(rec, now) || changed
+		changed = s.applyRecord(rec, set, now) || changed
 	}
 	s.loaded = true
 	s.mu.Unlock()
-	if changed || complete {
+	if changed || set != newRecords {
 		s.onChange()
 	}
 }
 
 // applyRecord applies one record and reports whether it changed anything.
-func (s *Servers) applyRecord(rec platform.KeyedRecord, now time.Duration) bool {
+func (s *Servers) applyRecord(rec platform.KeyedRecord, set recordSet, now time.Duration) bool {
 	if rec.Deleted {
 		s.log.Info("Server record deleted.", "server", rec.Key, "offset", rec.Offset)
 		return s.backendSet.RecordRemoved(rec.Key, now)
@@ -113,9 +137,15 @@
 		s.log.V(1).Info("Server record ignored.", "key", rec.Key, "offset", rec.Offset, "cause", err.Error())
 		return false
 	}
+	state := backends.Record{ID: server.ID, StartTime: server.StartTime, Sequence: server.Sequence, Leaving: server.Draining}
+	if set == restoredRecords && !s.backendSet.IsNews(state) {
+		return false
+	}
+	// The sequence number changes with each record, the rest rarely.
+	server.Sequence = 0
 	previous, existed := s.servers[server.ID]
 	s.servers[server.ID] = server
-	changed := s.backendSet.RecordSeen(server.ID, server.StartTime, server.Draining)
+	changed := s.backendSet.RecordSeen(state)
 	if changed {
 		s.log.Info("Server updated.", "server", server.ID, "address", server.Address, "leaving", server.Draining, "offset", rec.Offset)
 	}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -15,9 +15,9 @@
 
 // answer is the response of the scripted store to one call.
 type answer struct {
-	records    []platform.KeyedRecord
-	nextOffset int64
-	err        error
+	records []platform.KeyedRecord
+	next    platform.Position
+	err     error
 }
 
 // scriptedStore is a store that returns the given answers in order. Calls beyond the
@@ -28,10 +28,10 @@
 	calls chan call
 }
 
-// call is a call of a store method; fromOffset is the offset to read from.
+// call is a call of a store method; from is the position to read from.
 type call struct {
-	name       string
-	fromOffset int64
+	name string
+	from platform.Position
 	// hasWait is set if the store was asked to wait for records.
 	hasWait bool
 }
@@ -44,26 +44,26 @@
 	return s
 }
 
-func (s *scriptedStore) respond(ctx context.Context, c call) ([]platform.KeyedRecord, int64, error) {
+func (s *scriptedStore) respond(ctx context.Context, c call) ([]platform.KeyedRecord, platform.Position, error) {
 	select {
 	case s.calls <- c:
 	case <-ctx.Done():
 	}
 	select {
 	case a := <-s.answers:
-		return a.records, a.nextOffset, a.err
+		return a.records, a.next, a.err
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, platform.Position{}, ctx.Err()
 	}
 }
 
 // Newest implements Store.
-func (s *scriptedStore) Newest(ctx context.Context, _ string) ([]platform.KeyedRecord, int64, error) {
+func (s *scriptedStore) Newest(ctx context.Context, _ string) ([]platform.KeyedRecord, platform.Position, error) {
 	return s.respond(ctx, call{name: "newest"})
 }
 
 // ReadKeyed implements Store.
-func (s *scriptedStore) ReadKeyed(ctx context.Context, _ string, from int64, wait time.Duration) ([]platform.KeyedRecord, int64, error) {
+func (s *scriptedStore) ReadKeyed(ctx context.Context, _ string, from platform.Position, wait time.Duration) ([]platform.KeyedRecord, platform.Position, error) {
 	return s.respond(ctx, call{"read", from, wait > 0})
 }
 
@@ -102,36 +102,36 @@
 	}{
 		{
 			"newest record, then the following ones",
-			[]answer{{records: []platform.KeyedRecord{configRecord(3)}, nextOffset: 5}, {records: []platform.KeyedRecord{configRecord(4)}, nextOffset: 6}},
-			[]call{{name: "newest"}, {"read", 5, true}, {"read", 6, true}}, []uint64{3, 4},
+			[]answer{{records: []platform.KeyedRecord{configRecord(3)}, next: platform.Position{Offset: 5}}, {records: []platform.KeyedRecord{configRecord(4)}, next: platform.Position{Offset: 6}}},
+			[]call{{name: "newest"}, {"read", platform.Position{Offset: 5}, true}, {"read", platform.Position{Offset: 6}, true}}, []uint64{3, 4},
 		},
 		{
 			"older and repeated versions are ignored",
-			[]answer{{records: []platform.KeyedRecord{configRecord(3)}, nextOffset: 5}, {records: []platform.KeyedRecord{configRecord(2), configRecord(3)}, nextOffset: 7}},
-			[]call{{name: "newest"}, {"read", 5, true}, {"read", 7, true}}, []uint64{3},
+			[]answer{{records: []platform.KeyedRecord{configRecord(3)}, next: platform.Position{Offset: 5}}, {records: []platform.KeyedRecord{configRecord(2), configRecord(3)}, next: platform.Position{Offset: 7}}},
+			[]call{{name: "newest"}, {"read", platform.Position{Offset: 5}, true}, {"read", platform.Position{Offset: 7}, true}}, []uint64{3},
 		},
 		{
 			"invalid and deleted records and other keys are ignored",
 			[]answer{{records: []platform.KeyedRecord{
 				{Key: platform.ConfigKey, Value: []byte("\x00")}, {Key: "other", Value: []byte("{}")},
 				{Key: platform.ConfigKey, Deleted: true}, configRecord(1),
-			}, nextOffset: 4}},
-			[]call{{name: "newest"}, {"read", 4, true}}, []uint64{1},
+			}, next: platform.Position{Offset: 4}}},
+			[]call{{name: "newest"}, {"read", platform.Position{Offset: 4}, true}}, []uint64{1},
 		},
 		{
 			"failed reads are retried from the same offset without a wait",
-			[]answer{failedRead, failedRead, {nextOffset: 2}, failedRead, {records: []platform.KeyedRecord{configRecord(1)}, nextOffset: 3}},
-			[]call{{name: "newest"}, {name: "newest"}, {name: "newest"}, {"read", 2, true}, {"read", 2, false}, {"read", 3, true}}, []uint64{1},
+			[]answer{failedRead, failedRead, {next: platform.Position{Offset: 2}}, failedRead, {records: []platform.KeyedRecord{configRecord(1)}, next: platform.Position{Offset: 3}}},
+			[]call{{name: "newest"}, {name: "newest"}, {name: "newest"}, {"read", platform.Position{Offset: 2}, true}, {"read", platform.Position{Offset: 2}, false}, {"read", platform.Position{Offset: 3}, true}}, []uint64{1},
 		},
 		{
 			"expired records",
-			[]answer{{records: []platform.KeyedRecord{configRecord(1)}, nextOffset: 2}, {err: platform.ErrExpired}, {records: []platform.KeyedRecord{configRecord(5)}, nextOffset: 9}},
-			[]call{{name: "newest"}, {"read", 2, true}, {name: "newest"}, {"read", 9, true}}, []uint64{1, 5},
+			[]answer{{records: []platform.KeyedRecord{configRecord(1)}, next: platform.Position{Offset: 2}}, {err: platform.ErrExpired}, {records: []platform.KeyedRecord{configRecord(5)}, next: platform.Position{Offset: 9}}},
+			[]call{{name: "newest"}, {"read", platform.Position{Offset: 2}, true}, {name: "newest"}, {"read", platform.Position{Offset: 9}, true}}, []uint64{1, 5},
 		},
 		{
 			"expired records, then an older version",
-			[]answer{{records: []platform.KeyedRecord{configRecord(4)}, nextOffset: 2}, {err: platform.ErrExpired}, {records: []platform.KeyedRecord{configRecord(3)}, nextOffset: 9}},
-			[]call{{name: "newest"}, {"read", 2, true}, {name: "newest"}, {"read", 9, true}}, []uint64{4},
+			[]answer{{records: []platform.KeyedRecord{configRecord(4)}, next: platform.Position{Offset: 2}}, {err: platform.ErrExpired}, {records: []platform.KeyedRecord{configRecord(3)}, next: platform.Position{Offset: 9}}},
+			[]call{{name: "newest"}, {"read", platform.Position{Offset: 2}, true}, {name: "newest"}, {"read", platform.Position{Offset: 9}, true}}, []uint64{4},
 		},
 	}
 	for _, tt := range tests {
@@ -154,11 +154,11 @@
 	c, _, _ := runConfig(t, newScriptedStore(answer{err: platform.ErrUnavailable}), 2)
 	assert.Equal(t, c.Age(), time.Duration(1<<63-1), "age before the first read")
 
-	c, _, _ = runConfig(t, newScriptedStore(answer{records: []platform.KeyedRecord{configRecord(1)}, nextOffset: 2}), 2)
+	c, _, _ = runConfig(t, newScriptedStore(answer{records: []platform.KeyedRecord{configRecord(1)}, next: platform.Position{Offset: 2}}), 2)
 	assert.Assert(t, c.Age() >= 0 && c.Age() < time.Hour)
 	before := c.confirmedAt.Load()
 
-	c, _, _ = runConfig(t, newScriptedStore(answer{records: []platform.KeyedRecord{configRecord(1)}, nextOffset: 2}, answer{nextOffset: 2}), 3)
+	c, _, _ = runConfig(t, newScriptedStore(answer{records: []platform.KeyedRecord{configRecord(1)}, next: platform.Position{Offset: 2}}, answer{next: platform.Position{Offset: 2}}), 3)
 	assert.Assert(t, time.Duration(c.confirmedAt.Load()-before) > c.readWait/2, "the wait of %v is not counted", c.readWait)
 }
 
@@ -168,10 +168,10 @@
 
 func TestServers(t *testing.T) {
 	s := newScriptedStore(
-		answer{records: []platform.KeyedRecord{serverRecord("a", false), serverRecord("b", false), {Key: "invalid", Value: []byte("\x00")}}, nextOffset: 3},
-		answer{records: []platform.KeyedRecord{serverRecord("a", true), serverRecord("c", false)}, nextOffset: 5},
+		answer{records: []platform.KeyedRecord{serverRecord("a", false), serverRecord("b", false), {Key: "invalid", Value: []byte("\x00")}}, next: platform.Position{Offset: 3}},
+		answer{records: []platform.KeyedRecord{serverRecord("a", true), serverRecord("c", false)}, next: platform.Position{Offset: 5}},
 		answer{err: platform.ErrOutcomeUnknown},
-		answer{nextOffset: 5},
+		answer{next: platform.Position{Offset: 5}},
 	)
 	ctx, cancel := context.WithCancel(t.Context())
 	watcher := NewServers(s, time.Millisecond, logr.Discard(), func() {})
@@ -194,3 +194,68 @@
 	assert.DeepEqual(t, ids, []string{"b", "c"})
 	assert.Assert(t, !watcher.Takes("a") && !watcher.Takes("invalid") && watcher.Takes("c"))
 }
+
+// TestStoreEraKeepsConfiguration restores the store from a copy that lacks the newest
+// version. The version stays in force, and the records are read anew.
+func TestStoreEraKeepsConfiguration(t *testing.T) {
+	c, calls, versions := runConfig(t, newScriptedStore(
+		answer{records: []platform.KeyedRecord{configRecord(7)}, next: platform.Position{Era: 1, Offset: 9}},
+		answer{err: platform.ErrRestored},
+		answer{records: []platform.KeyedRecord{configRecord(5)}, next: platform.Position{Era: 2, Offset: 6}},
+		answer{records: []platform.KeyedRecord{configRecord(7)}, next: platform.Position{Era: 2, Offset: 7}},
+		answer{records: []platform.KeyedRecord{configRecord(8)}, next: platform.Position{Era: 2, Offset: 8}},
+	), 6)
+	assert.DeepEqual(t, versions, []uint64{7, 8})
+	assert.Equal(t, calls[2].name, "newest")
+	assert.Equal(t, calls[3], call{"read", platform.Position{Era: 2, Offset: 6}, true})
+	assert.Equal(t, c.Table().Version, uint64(8))
+}
+
+// TestStoreEraOfStartingProcess starts a process after the store was restored from a copy
+// that lacks the newest version. Until the store has it again, the older one must not be
+// used as confirmed, since its keys may have been taken away.
+func TestStoreEraOfStartingProcess(t *testing.T) {
+	oldVersion := answer{records: []platform.KeyedRecord{configRecord(5)}, next: platform.Position{Era: 2, Offset: 6}}
+	c, _, _ := runConfig(t, newScriptedStore(oldVersion), 2)
+	assert.Equal(t, c.Age(), time.Duration(1<<63-1), "the versions of other entries are not known yet")
+	c.Release()
+	assert.Assert(t, c.Age() < time.Hour, "no other entry knows a newer version")
+
+	c, _, _ = runConfig(t, newScriptedStore(oldVersion), 2)
+	c.RequireVersion(7)
+	c.RequireVersion(6)
+	c.Release()
+	assert.Equal(t, c.Age(), time.Duration(1<<63-1), "another entry knows version 7")
+	c.applyRecords([]platform.KeyedRecord{configRecord(7)}, newRecords)
+	assert.Assert(t, c.Age() < time.Hour)
+	c.RequireVersion(9)
+	assert.Assert(t, c.Age() < time.Hour, "a running entry learns versions from the store")
+
+	c, _, _ = runConfig(t, newScriptedStore(answer{records: []platform.KeyedRecord{configRecord(5)}, next: platform.Position{Offset: 6}}), 2)
+	assert.Assert(t, c.Age() < time.Hour, "the store was never restored")
+}
+
+// TestStoreEraKeepsServers restores the store from a copy in which one server is not yet
+// leaving, one has its record of before, and one is missing.
+func TestStoreEraKeepsServers(t *testing.T) {
+	s := newScriptedStore(
+		answer{records: []platform.KeyedRecord{serverRecord("leaving", false), serverRecord("running", false)}, next: platform.Position{Era: 1, Offset: 2}},
+		answer{records: []platform.KeyedRecord{serverRecord("leaving", true), serverRecord("new", false)}, next: platform.Position{Era: 1, Offset: 4}},
+		answer{err: platform.ErrRestored},
+		answer{records: []platform.KeyedRecord{serverRecord("leaving", false), serverRecord("running", false)}, next: platform.Position{Era: 2, Offset: 2}},
+	)
+	ctx, cancel := context.WithCancel(t.Context())
+	watcher := NewServers(s, time.Millisecond, logr.Discard(), func() {})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		watcher.Run(ctx)
+	}()
+	for range 5 {
+		<-s.calls
+	}
+	cancel()
+	<-done
+	assert.Assert(t, !watcher.Takes("leaving"))
+	assert.Assert(t, watcher.Takes("running") && watcher.Takes("new"))
+}
