--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -69,6 +69,7 @@
 	{"store unavailable", 2, (*injector).storeUnavailable},
 	{"store drops responses to appends", 1, (*injector).storeDropsResponses},
 	{"store expires records", 1, (*injector).storeExpiresRecords},
+	{"store is restored from a copy", 2, (*injector).storeRestored},
 	{"server misbehaves", 3, (*injector).misbehave},
 	{"server crashes", 2, (*injector).crashServer},
 	{"server drains", 2, (*injector).drainServer},
@@ -256,6 +257,19 @@
 	}
 }
 
+// storeRestored restores the store from a copy that is up to maxFaultDuration old. The
+// operator and the servers write again a little later.
+func (in *injector) storeRestored(age time.Duration) (string, func()) {
+	rewriteDelay := time.Duration(in.rng.Int64N(int64(time.Second)))
+	return "", func() {
+		older := in.fleet.store.Copy()
+		time.Sleep(age)
+		in.fleet.store.Restore(older)
+		time.Sleep(rewriteDelay)
+		in.fleet.rewriteRecords()
+	}
+}
+
 // misbehave makes a server answer requests in one of the ways listed in misbehaviours.
 func (in *injector) misbehave(duration time.Duration) (string, func()) {
 	s := in.randomServer()
@@ -291,6 +305,7 @@
 		standin.SetNotExecuted(w.Header())
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}},
+	{"wants no requests for a time", false, func(w http.ResponseWriter, _ *http.Request) { standin.Refuse(w, "0.7") }},
 	{"truncates the answer", true, func(w http.ResponseWriter, _ *http.Request) {
 		standin.SetSignature(w.Header(), "x")
 		w.Header().Set("Content-Length", "1000")
@@ -330,6 +345,10 @@
 func (in *injector) drainServer(time.Duration) (string, func()) {
 	s := in.startSuccessor()
 	return s.ID, func() {
+		s.SetHandler(func(w http.ResponseWriter, _ *http.Request) bool {
+			standin.SetLeaving(w.Header())
+			return false
+		})
 		in.fleet.putServerRecord(s, true)
 		time.Sleep(drainDuration)
 		in.fleet.removeServer(s)
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -37,10 +37,14 @@
 
 // fleet is a store, servers and entries. All connections between them pass through relays.
 type fleet struct {
-	t       *testing.T
-	dir     string
-	store   *standin.Store
-	entries []*entry
+	t     *testing.T
+	dir   string
+	store *standin.Store
+
+	recordsMu sync.Mutex
+	// serverRecords are the newest records of all servers, also of deleted ones.
+	serverRecords map[string][]byte
+	entries       []*entry
 	// peerRelays maps the names of entries to the relays (*harness.Relay) before their
 	// peer addresses. The store reads it while entries register.
 	peerRelays sync.Map
@@ -90,7 +94,7 @@
 }
 
 func newFleet(t *testing.T, entries int) *fleet {
-	f := &fleet{t: t, dir: t.TempDir(), store: standin.NewStore(), activeServers: map[string]*server{}}
+	f := &fleet{t: t, dir: t.TempDir(), store: standin.NewStore(), activeServers: map[string]*server{}, serverRecords: map[string][]byte{}}
 	t.Cleanup(f.store.Close)
 	f.store.TransformValues(f.rewritePeerAddress)
 	for service, n := range serversPerService {
@@ -151,7 +155,27 @@
 }
 
 func (f *fleet) putServerRecord(s *server, draining bool) {
-	f.store.Put(platform.ServersTopic, s.ID, standin.ServerRecord(s.service, s.relay.Addr(), draining))
+	f.writeServerRecord(s.ID, standin.ServerRecord(s.service, s.relay.Addr(), draining))
+}
+
+// writeServerRecord writes the record of a server; nil deletes it.
+func (f *fleet) writeServerRecord(id string, value []byte) {
+	f.recordsMu.Lock()
+	defer f.recordsMu.Unlock()
+	f.serverRecords[id] = value
+	f.store.Put(platform.ServersTopic, id, value)
+}
+
+// rewriteRecords writes the newest records of the configuration and of all servers again.
+func (f *fleet) rewriteRecords() {
+	f.mu.Lock()
+	f.store.Put(platform.ConfigTopic, platform.ConfigKey, standin.ConfigRecord(f.configVersion, f.keys))
+	f.mu.Unlock()
+	f.recordsMu.Lock()
+	defer f.recordsMu.Unlock()
+	for id, value := range f.serverRecords {
+		f.store.Put(platform.ServersTopic, id, value)
+	}
 }
 
 // removeServer deletes the record of a server from the store.
@@ -159,7 +183,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.activeServers, s.ID)
-	f.store.Put(platform.ServersTopic, s.ID, nil)
+	f.writeServerRecord(s.ID, nil)
 }
 
 // updateKeys writes a new version of the configuration, with the keys that change returns.
