One entry reads the store for those after it

Change: an entry that reads a topic keeps its recent changes (core/feed) and sends them with its statuses to the entries that have a session to it, with how far it has read and how old that is. A follower counts the age from when it sent the status that the reader echoes, never from the arrival, and goes by entries before it in the order only, so that no two wait for each other. It reads the store itself, at once, when the word stops for 0.65 s, is older than a read and 0.7 s, or has a gap. Positions have their era. The first entry waits for a change of the configuration for 0.3 of its bound (0.44), since its followers' age adds to that.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,6 +86,7 @@
 	owner := ownerName(o.Settings.Node, startID)
 	n.localEntry = &peer.LocalEntry{
 		Ready: n.canPlan, Stopping: func() bool { return n.gateway.Stopping() }, Owner: owner,
+		Topics:        []peer.Topic{n.config.Topic(), n.servers.Topic()},
 		ConfigVersion: n.configVersion, OnConfigVersion: n.config.RequireVersion,
 		OnServerLeaving: func(server string, startTime int64) { n.servers.MarkLeaving(server, startTime) },
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -36,6 +36,10 @@
 	// goroutine that handles them uses it.
 	local *LocalEntry
 	age   overload.AgeMeter
+	// relays has an element for each of the local entry's topics. remoteClockUs is the
+	// clock of the other entry's newest status.
+	relays        []topicRelay
+	remoteClockUs int64
 }
 
 // outgoingRequest is a request that the other entry has not finished placing.
@@ -47,12 +51,14 @@
 }
 
 func newPeer(s *session, local *LocalEntry, p *planner.Planner, log logr.Logger) *Peer {
-	return &Peer{session: s, local: local, planner: p, log: log, outgoing: map[string]*outgoingRequest{}, incoming: map[string]bool{}}
+	return &Peer{session: s, local: local, planner: p, log: log, outgoing: map[string]*outgoingRequest{}, incoming: map[string]bool{},
+		relays: make([]topicRelay, len(local.Topics)),
+	}
 }
 
 // run exchanges messages until the session ends.
 func (p *Peer) run() {
-	p.session.run(p.local.statusMessage, p.handleMessage)
+	p.session.run(p.statusMessage, p.handleMessage)
 	p.endSession()
 }
 
@@ -127,6 +133,8 @@
 		p.handlePlacement(decodePlacement(body.Placed))
 	case *peerpb.Message_Made:
 		p.handleResultChanges(body.Made)
+	case *peerpb.Message_Changes:
+		p.handleChanges(body.Changes)
 	case *peerpb.Message_Leaving:
 		if p.local.OnServerLeaving != nil {
 			p.local.OnServerLeaving(body.Leaving.GetServer(), body.Leaving.GetStartTime())
@@ -157,7 +165,9 @@
 	changed := !p.statusReceived || p.ready != status.GetReady() || p.stopping != status.GetStopping()
 	p.statusReceived, p.ready, p.order, p.owner = true, status.GetReady(), status.GetOrder(), status.GetOwner()
 	p.stopping = status.GetStopping()
+	p.remoteClockUs = status.GetClockUs()
 	p.mu.Unlock()
+	p.handleTopics(status)
 	p.measureAge(status.GetClockUs())
 	p.session.setLag(milliseconds(status.GetLagMs()))
 	if p.local.OnConfigVersion != nil {
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -119,6 +119,8 @@
 	// entry has none. OnConfigVersion, if set, receives the versions that others know.
 	ConfigVersion   func() uint64
 	OnConfigVersion func(version uint64)
+	// Topics are the topics of the store, in the order that all entries use.
+	Topics []Topic
 	// OnServerLeaving, if set, receives the servers that others report as leaving.
 	OnServerLeaving func(server string, startTime int64)
 	// order is the order of the entry, as orderOf returns it; 0 while it is not
@@ -157,10 +159,6 @@
 	}
 }
 
-func (e *LocalEntry) statusMessage() *peerpb.Message {
-	return &peerpb.Message{Body: &peerpb.Message_Status{Status: e.wireStatus()}}
-}
-
 func encodeRequest(r *planner.Request) *peerpb.Message {
 	place := &peerpb.Place{
 		Id: r.ID, Key: r.PieceKey, Rank: uint32(r.Priority), DueMs: r.TimeToObjective.Milliseconds(), DeadlineMs: r.TimeToDeadline.Milliseconds(),
--- a/internal/watch/config.go
+++ b/internal/watch/config.go
@@ -18,16 +18,14 @@
 	// readWaitShare is the part of the maximum configuration delay for which a read
 	// waits for a change. A read may miss a change, and the next one must still be in
 	// time.
-	readWaitShare = 0.44
+	readWaitShare = 0.3
 )
 
 // Config follows the configuration.
 type Config struct {
-	store    Store
 	log      logr.Logger
 	onChange func(*routes.Table)
-	// readWait is how long a read waits for a change.
-	readWait time.Duration
+	topic    *Topic
 	table    atomic.Pointer[routes.Table]
 	// confirmedAt is the time, by clock.Now, as of which the store confirmed that the
 	// table is the newest version.
@@ -44,11 +42,19 @@
 // NewConfig returns a watcher of the configuration. A new version comes into force
 // within maxDelay, and onChange is called after each one.
 func NewConfig(store Store, maxDelay time.Duration, log logr.Logger, onChange func(*routes.Table)) *Config {
-	c := &Config{store: store, readWait: time.Duration(readWaitShare * float64(maxDelay)), log: log, onChange: onChange}
+	c := &Config{log: log, onChange: onChange}
 	c.unchecked.Store(true)
+	c.topic = &Topic{
+		store: store, name: platform.ConfigTopic, readWait: time.Duration(readWaitShare * float64(maxDelay)), log: log,
+		applyRecords: c.applyRecords, onConfirmed: c.confirm,
+		onReadFailed: func(time.Duration) { c.storeLost.Store(true) },
+	}
 	return c
 }
 
+// Topic returns the topic with the configuration.
+func (c *Config) Topic() *Topic { return c.topic }
+
 // Table returns the newest known version, or nil.
 func (c *Config) Table() *routes.Table { return c.table.Load() }
 
@@ -88,14 +94,7 @@
 }
 
 // Run follows the configuration until ctx ends.
-func (c *Config) Run(ctx context.Context) {
-	f := follower{
-		store: c.store, topic: platform.ConfigTopic, readWait: c.readWait, log: c.log,
-		applyRecords: c.applyRecords, onConfirmed: c.confirm,
-		onReadFailed: func(time.Duration) { c.storeLost.Store(true) },
-	}
-	f.follow(ctx)
-}
+func (c *Config) Run(ctx context.Context) { c.topic.run(ctx) }
 
 // confirm records that the store confirmed the table.
 func (c *Config) confirm(asOf time.Duration, position platform.Position) {
@@ -107,7 +106,8 @@
 }
 
 // applyRecords puts newer versions among the records into force.
-func (c *Config) applyRecords(records []platform.KeyedRecord, _ recordSet) {
+func (c *Config) applyRecords(records []platform.KeyedRecord, _ recordSet) []platform.KeyedRecord {
+	var applied []platform.KeyedRecord
 	for _, rec := range records {
 		if rec.Key != platform.ConfigKey || rec.Deleted {
 			continue
@@ -122,7 +122,9 @@
 			continue
 		}
 		c.table.Store(table)
+		applied = append(applied, rec)
 		c.log.Info("Configuration in force.", "version", table.Version, "offset", rec.Offset)
 		c.onChange(table)
 	}
+	return applied
 }
--- a/internal/watch/servers.go
+++ b/internal/watch/servers.go
@@ -20,11 +20,9 @@
 
 // Servers follows the records of the backend servers.
 type Servers struct {
-	store    Store
 	log      logr.Logger
 	onChange func()
-	// readInterval is the time between two reads.
-	readInterval time.Duration
+	topic    *Topic
 
 	mu sync.Mutex
 	// backendSet tracks which servers accept new requests.
@@ -37,14 +35,9 @@
 // NewServers returns a watcher of the backend servers. A draining server receives no new
 // requests after maxDelay, and onChange is called after each change.
 func NewServers(store Store, maxDelay time.Duration, log logr.Logger, onChange func()) *Servers {
-	readInterval := time.Duration(readIntervalShare * float64(maxDelay))
-	return &Servers{store: store, readInterval: readInterval, log: log, onChange: onChange, backendSet: backends.New(), servers: map[string]platform.Server{}}
-}
-
-// Run follows the records until ctx ends.
-func (s *Servers) Run(ctx context.Context) {
-	f := follower{
-		store: s.store, topic: platform.ServersTopic, readInterval: s.readInterval, log: s.log,
+	s := &Servers{log: log, onChange: onChange, backendSet: backends.New(), servers: map[string]platform.Server{}}
+	s.topic = &Topic{
+		store: store, name: platform.ServersTopic, readInterval: time.Duration(readIntervalShare * float64(maxDelay)), log: log,
 		applyRecords: s.applyRecords,
 		onConfirmed:  func(time.Duration, platform.Position) { s.removeExpired() },
 		onReadFailed: func(now time.Duration) {
@@ -53,9 +46,15 @@
 			s.mu.Unlock()
 		},
 	}
-	f.follow(ctx)
+	return s
 }
 
+// Topic returns the topic with the records of the servers.
+func (s *Servers) Topic() *Topic { return s.topic }
+
+// Run follows the records until ctx ends.
+func (s *Servers) Run(ctx context.Context) { s.topic.run(ctx) }
+
 // StartTime returns the start time of a server, which distinguishes restarts under the
 // same ID, or 0 if it is not known.
 func (s *Servers) StartTime(id string) int64 {
@@ -105,8 +104,8 @@
 	return s.backendSet.Usable(id)
 }
 
-// applyRecords applies records read from the store.
-func (s *Servers) applyRecords(records []platform.KeyedRecord, set recordSet) {
+// applyRecords applies records and returns those that changed anything.
+func (s *Servers) applyRecords(records []platform.KeyedRecord, set recordSet) []platform.KeyedRecord {
 	now := clock.Now()
 	s.mu.Lock()
 	if set == restoredRecords {
@@ -115,15 +114,19 @@
 	if set != newRecords {
 		s.removeMissing(records, now)
 	}
-	changed := !s.loaded
+	isFirst := !s.loaded
+	var applied []platform.KeyedRecord
 	for _, rec := range records {
-		changed = s.applyRecord(rec, set, now) || changed
+		if s.applyRecord(rec, set, now) {
+			applied = append(applied, rec)
+		}
 	}
 	s.loaded = true
 	s.mu.Unlock()
-	if changed || set != newRecords {
+	if isFirst || len(applied) > 0 || set != newRecords {
 		s.onChange()
 	}
+	return applied
 }
 
 // applyRecord applies one record and reports whether it changed anything.
--- /dev/null
+++ b/internal/watch/topic.go
@@ -0,0 +1,279 @@
+package watch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/magnoliawheel/magnoliawheel/core/backoff"
+	"github.com/magnoliawheel/magnoliawheel/core/feed"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+	"github.com/magnoliawheel/magnoliawheel/platform"
+)
+
+const (
+	// relayTimeout is how long after the last word of another entry that reads the store
+	// this one reads it itself: two status messages, and a little more.
+	relayTimeout = 650 * time.Millisecond
+	// relayPollInterval is the time between two checks whether that word is still new.
+	relayPollInterval = 150 * time.Millisecond
+	// relayDelay is how much older than the reader's own the state of a follower may be:
+	// the time for which a status message and its echo wait to be sent.
+	relayDelay = 700 * time.Millisecond
+)
+
+// retryBackoff gives the times between consecutive failed reads.
+var retryBackoff = backoff.Policy{Initial: 50 * time.Millisecond, Max: 500 * time.Millisecond}
+
+// Store is the part of the store that the watchers use.
+type Store interface {
+	Newest(ctx context.Context, topic string) ([]platform.KeyedRecord, platform.Position, error)
+	ReadKeyed(ctx context.Context, topic string, from platform.Position, wait time.Duration) ([]platform.KeyedRecord, platform.Position, error)
+}
+
+// recordSet says what a set of records is.
+type recordSet uint8
+
+const (
+	// newRecords are those that were appended since the last read.
+	newRecords recordSet = iota
+	// newestRecords are the newest records of all keys.
+	newestRecords
+	// restoredRecords are the newest records of all keys in a store that was restored
+	// from a copy. They may be older than what is known.
+	restoredRecords
+)
+
+// Topic follows one topic: first the newest record of each key, then the records that
+// follow. While another entry reads the topic and tells what it finds, this one does not
+// read it. Topic is safe for concurrent use.
+type Topic struct {
+	store Store
+	name  string
+	// readWait is how long a read waits for records. readInterval is the time between
+	// two reads.
+	readWait, readInterval time.Duration
+	log                    logr.Logger
+	// applyRecords applies records and returns those that changed anything.
+	applyRecords func(records []platform.KeyedRecord, set recordSet) []platform.KeyedRecord
+	// onConfirmed receives the time as of which the store confirmed that the applied
+	// records are the newest, and the position up to which they reach.
+	onConfirmed func(asOf time.Duration, position platform.Position)
+	// onReadFailed, if set, receives the time of a failed read.
+	onReadFailed func(now time.Duration)
+
+	mu sync.Mutex
+	// position is where the next read begins; it is valid if known is set. restored is
+	// set from the moment at which the store turns out to be restored until the newest
+	// records have been read.
+	position platform.Position
+	known    bool
+	restored bool
+	// confirmedAt is the time as of which the records are known to be the newest. direct
+	// is true if a read of this entry showed so.
+	confirmedAt time.Duration
+	direct      bool
+	// relayedAt is the time of the last confirmation by another entry.
+	relayedAt time.Duration
+	// changes are kept for the entries that follow this one.
+	changes feed.Feed
+}
+
+// TopicState is what an entry tells others about a topic.
+type TopicState struct {
+	// Position is how far the entry has read; it is valid if Known is set.
+	Position feed.Position
+	Known    bool
+	// Direct is true if the entry itself reads the topic from the store.
+	Direct bool
+	// Age is the time since the store confirmed the state.
+	Age time.Duration
+}
+
+// State returns the state of the topic.
+func (t *Topic) State() TopicState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return TopicState{Position: t.position, Known: t.known, Direct: t.direct, Age: clock.Now() - t.confirmedAt}
+}
+
+// Next returns the changes that another entry lacks; see feed.Cursor.
+func (t *Topic) Next(c *feed.Cursor, remote feed.Position) ([]feed.Change, feed.Position, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return c.Next(&t.changes, remote)
+}
+
+// ApplyRelayed applies changes that another entry read from the store in the given era.
+func (t *Topic) ApplyRelayed(era int64, changes []feed.Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.known || era != t.position.Era {
+		return
+	}
+	var records []platform.KeyedRecord
+	for _, c := range changes {
+		if c.Offset >= t.position.Offset {
+			records = append(records, platform.KeyedRecord{Key: c.Key, Value: c.Value, Offset: c.Offset, Deleted: c.Deleted})
+		}
+	}
+	if len(records) > 0 {
+		t.applyRecords(records, newRecords)
+	}
+}
+
+// ConfirmRelayed handles the word of another entry that the changes in [from, to), all of
+// which it has sent, were the newest at the time asOf. It has no effect if changes before
+// from are missing here.
+func (t *Topic) ConfirmRelayed(from, to feed.Position, asOf time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := clock.Now()
+	if !t.known || from.Era != t.position.Era || to.Era != from.Era || from.Offset > t.position.Offset || to.Offset < t.position.Offset {
+		return
+	}
+	if now-asOf > t.maxRelayedAge() {
+		return
+	}
+	if to != t.position {
+		// Only a gap is known of what this entry did not read itself.
+		t.changes.Reset(to)
+	}
+	t.position, t.relayedAt, t.direct = to, now, false
+	t.confirm(asOf)
+}
+
+// maxRelayedAge bounds the age of a state that another entry reads.
+func (t *Topic) maxRelayedAge() time.Duration { return t.readWait + t.readInterval + relayDelay }
+
+// confirm records that the state is the newest as of the given time. The caller holds the
+// lock.
+func (t *Topic) confirm(asOf time.Duration) {
+	t.confirmedAt = max(t.confirmedAt, asOf)
+	t.onConfirmed(t.confirmedAt, t.position)
+}
+
+// isRelayed reports whether another entry currently reads the topic for this one.
+func (t *Topic) isRelayed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.relayedAt > 0 && clock.Now()-t.relayedAt < relayTimeout
+}
+
+// run follows the topic until ctx ends.
+func (t *Topic) run(ctx context.Context) {
+	failures := 0
+	confirmAtOnce := false
+	for ctx.Err() == nil {
+		if t.isRelayed() {
+			confirmAtOnce = true
+			clock.Sleep(ctx, relayPollInterval)
+			continue
+		}
+		wait := t.readWait
+		if failures > 0 || confirmAtOnce {
+			// The state must be confirmed without delay.
+			wait = 0
+		}
+		err := t.read(ctx, wait)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			t.readFailed(err, failures)
+			clock.Sleep(ctx, retryBackoff.Delay(failures))
+			failures++
+			continue
+		}
+		if failures > 0 {
+			t.log.Info("Store is reachable again.", "topic", t.name)
+		}
+		failures, confirmAtOnce = 0, false
+		clock.Sleep(ctx, t.readInterval)
+	}
+}
+
+// readFailed handles a failed read, after the given number of failures in a row.
+func (t *Topic) readFailed(err error, failures int) {
+	if failures == 0 {
+		t.log.Info("Store became unreachable.", "topic", t.name, "cause", err.Error())
+	}
+	if t.onReadFailed != nil {
+		t.onReadFailed(clock.Now())
+	}
+}
+
+// read performs one read and applies its records.
+func (t *Topic) read(ctx context.Context, wait time.Duration) error {
+	start := clock.Now()
+	t.mu.Lock()
+	from, known := t.position, t.known
+	t.mu.Unlock()
+	if !known {
+		return t.readNewest(ctx, start)
+	}
+	records, next, err := t.store.ReadKeyed(ctx, t.name, from, wait)
+	if errors.Is(err, platform.ErrRestored) || errors.Is(err, platform.ErrExpired) {
+		t.forgetPosition(err)
+		return t.readNewest(ctx, start)
+	}
+	if err != nil {
+		return err
+	}
+	asOf := start
+	if next == from {
+		// The store waited, and the response is valid as of the end of that wait.
+		asOf += wait
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.position != from {
+		// Newer changes were relayed meanwhile, which older records must not follow.
+		return nil
+	}
+	t.changes.Append(toChanges(t.applyRecords(records, newRecords)), next)
+	t.position, t.direct = next, true
+	t.confirm(asOf)
+	return nil
+}
+
+// forgetPosition handles a read whose position is not valid any more.
+func (t *Topic) forgetPosition(cause error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.known = false
+	if errors.Is(cause, platform.ErrRestored) {
+		t.restored = true
+		t.log.Info("Store was restored from a copy.", "topic", t.name, "cause", cause.Error())
+	}
+}
+
+// readNewest reads and applies the newest record of each key.
+func (t *Topic) readNewest(ctx context.Context, start time.Duration) error {
+	records, end, err := t.store.Newest(ctx, t.name)
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	set := newestRecords
+	if t.restored {
+		set = restoredRecords
+	}
+	t.applyRecords(records, set)
+	t.changes.Reset(end)
+	t.position, t.known, t.restored, t.direct = end, true, false, true
+	t.confirm(start)
+	return nil
+}
+
+func toChanges(records []platform.KeyedRecord) []feed.Change {
+	var changes []feed.Change
+	for _, r := range records {
+		changes = append(changes, feed.Change{Offset: r.Offset, Key: r.Key, Value: r.Value, Deleted: r.Deleted})
+	}
+	return changes
+}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -159,7 +159,7 @@
 	before := c.confirmedAt.Load()
 
 	c, _, _ = runConfig(t, newScriptedStore(answer{records: []platform.KeyedRecord{configRecord(1)}, next: platform.Position{Offset: 2}}, answer{next: platform.Position{Offset: 2}}), 3)
-	assert.Assert(t, time.Duration(c.confirmedAt.Load()-before) > c.readWait/2, "the wait of %v is not counted", c.readWait)
+	assert.Assert(t, time.Duration(c.confirmedAt.Load()-before) > c.topic.readWait/2, "the wait of %v is not counted", c.topic.readWait)
 }
 
 func serverRecord(id string, draining bool) platform.KeyedRecord {
