--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -8,7 +8,9 @@
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawheel/magnoliawheel/core/feed"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/platform"
 	"github.com/magnoliawheel/magnoliawheel/platform/standin"
 )
@@ -259,3 +261,80 @@
 	assert.Assert(t, !watcher.Takes("leaving"))
 	assert.Assert(t, watcher.Takes("running") && watcher.Takes("new"))
 }
+
+// newFollowedConfig returns a configuration that was read up to offset 5 of era 1, and a
+// function that returns the versions that came into force.
+func newFollowedConfig(t *testing.T) (*Config, func() []uint64) {
+	t.Helper()
+	c, _, _ := runConfig(t, newScriptedStore(answer{records: []platform.KeyedRecord{configRecord(1)}, next: platform.Position{Era: 1, Offset: 5}}), 2)
+	c.Release()
+	var versions []uint64
+	c.onChange = func(table *routes.Table) { versions = append(versions, table.Version) }
+	return c, func() []uint64 { return versions }
+}
+
+func position(offset int64) platform.Position { return platform.Position{Era: 1, Offset: offset} }
+
+// TestRelayedStateIsConfirmedWithItsAge checks that the word of another entry confirms the
+// configuration as of the time at which it held, and only if nothing is missing.
+func TestRelayedStateIsConfirmedWithItsAge(t *testing.T) {
+	const age = 300 * time.Millisecond
+	tests := []struct {
+		name     string
+		from, to platform.Position
+		age      time.Duration
+		accepted bool
+	}{
+		{"nothing new", position(5), position(5), age, true},
+		{"records that changed nothing", position(3), position(9), age, true},
+		{"a gap", position(6), position(9), age, false},
+		{"behind", position(2), position(4), age, false},
+		{"another era", platform.Position{Era: 2, Offset: 1}, platform.Position{Era: 2, Offset: 9}, age, false},
+		{"too old", position(5), position(9), 3 * time.Hour, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, _ := newFollowedConfig(t)
+			c.confirmedAt.Store(0)
+			c.topic.confirmedAt = 0
+			c.topic.ConfirmRelayed(tt.from, tt.to, clock.Now()-tt.age)
+			if !tt.accepted {
+				assert.Equal(t, c.Age(), time.Duration(1<<63-1))
+				assert.Assert(t, !c.topic.isRelayed())
+				assert.Equal(t, c.topic.State().Position, position(5))
+				return
+			}
+			assert.Assert(t, c.Age() >= tt.age && c.Age() < time.Hour, "%v", c.Age())
+			assert.Equal(t, c.topic.State().Position, tt.to)
+			assert.Assert(t, !c.topic.State().Direct)
+		})
+	}
+}
+
+// TestRelayedChangesAreNotFollowedByOlderOnes checks that the response to a read that began
+// before newer changes were relayed is not applied after them.
+func TestRelayedChangesAreNotFollowedByOlderOnes(t *testing.T) {
+	c, versions := newFollowedConfig(t)
+	s := newScriptedStore(answer{records: []platform.KeyedRecord{configRecord(2)}, next: position(6)})
+	c.topic.store = relayDuringRead{s, func() {
+		c.topic.ApplyRelayed(1, []feed.Change{{Offset: 4, Key: platform.ConfigKey, Value: configRecord(9).Value}, {Offset: 6, Key: platform.ConfigKey, Value: configRecord(3).Value}})
+		c.topic.ApplyRelayed(2, []feed.Change{{Offset: 8, Key: platform.ConfigKey, Value: configRecord(8).Value}})
+		c.topic.ConfirmRelayed(position(5), position(7), clock.Now())
+	}}
+	assert.NilError(t, c.topic.read(t.Context(), 0))
+	assert.DeepEqual(t, versions(), []uint64{3})
+	assert.Equal(t, c.topic.State().Position, position(7))
+}
+
+// relayDuringRead calls relay while a read waits for its response.
+type relayDuringRead struct {
+	Store
+	relay func()
+}
+
+// ReadKeyed implements Store.
+func (r relayDuringRead) ReadKeyed(ctx context.Context, topic string, from platform.Position, wait time.Duration) ([]platform.KeyedRecord, platform.Position, error) {
+	records, next, err := r.Store.ReadKeyed(ctx, topic, from, wait)
+	r.relay()
+	return records, next, err
+}
