Followers retry the store less often; a planner that comes back keeps its requests

Change: an entry that hears of one before it retries after up to 3 s, and ends the wait as soon as that one reads. A live entry that was ready before is passed over only for one that has been ready for 0.5 s. A removal that is relayed just after an outage leaves the server 2 s to write again, as one that is read. Ruled out: refusals at 20-26 s are keys that the store could not confirm for 3.75 s, which the users ask for.

--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -31,6 +31,10 @@
 	// it is known which entry places them.
 	maxSettlingTime = 700 * time.Millisecond
 	dialTimeout     = 600 * time.Millisecond
+	// minReadyTime is how long an entry must have been ready before it replaces one before
+	// it that is live but not ready. When the store is back for all, the first entry would
+	// otherwise lose its requests to whichever notices first.
+	minReadyTime = 500 * time.Millisecond
 	// reuseDelay is how long a session with an entry that was lost must last before the
 	// entry is used again.
 	reuseDelay = 500 * time.Millisecond
@@ -58,6 +62,28 @@
 	predecessorsKnown bool
 	// inboundPeers are the entries that have a session to this one.
 	inboundPeers map[*Peer]bool
+	// localReady tells since when this entry has been ready.
+	localReady readyTimer
+}
+
+// readyTimer measures for how long an entry has been ready.
+type readyTimer struct {
+	since time.Time
+}
+
+// update records whether the entry is ready now.
+func (t *readyTimer) update(ready bool) {
+	switch {
+	case !ready:
+		t.since = time.Time{}
+	case t.since.IsZero():
+		t.since = time.Now()
+	}
+}
+
+// isLasting reports whether the entry has been ready for minReadyTime.
+func (t *readyTimer) isLasting() bool {
+	return !t.since.IsZero() && time.Since(t.since) >= minReadyTime
 }
 
 // NewLinks returns Links without sessions. The planner p places the requests of other
@@ -174,6 +200,7 @@
 func (l *Links) maintainSessions(ctx context.Context) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.localReady.update(l.local.Ready())
 	readyPeers, sessions := 0, 0
 	for _, k := range l.links {
 		if k.hasStalePosition() {
@@ -208,28 +235,35 @@
 // PlanningPeer returns the entry that places the requests of this one, or nil if this
 // entry places them itself. It is the first ready predecessor, or this entry if it is
 // ready, or else the first ready entry after it. If none of these exists, it is the
-// first live predecessor that is not stopping, or else this entry.
+// first live predecessor that is not stopping, or else this entry. A live predecessor
+// that was ready before is passed over only for an entry that has been ready for
+// minReadyTime.
 func (l *Links) PlanningPeer() *Peer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var firstLive *Peer
+	mayReturn := false
 	for _, k := range l.links {
 		p := k.usablePeer()
 		if p == nil {
 			continue
 		}
 		s := p.status()
-		if s.ready {
+		if s.ready && (!mayReturn || s.isLasting) {
 			return p
 		}
-		if firstLive == nil && !s.stopping {
+		if s.stopping {
+			continue
+		}
+		if firstLive == nil {
 			firstLive = p
 		}
+		mayReturn = mayReturn || s.wasReady
 	}
-	if l.local.Ready() {
+	if l.local.Ready() && (!mayReturn || l.localReady.isLasting()) {
 		return nil
 	}
-	if p := l.firstReadyInbound(); p != nil {
+	if p := l.firstReadyInbound(); p != nil && (!mayReturn || p.status().isLasting) {
 		return p
 	}
 	return firstLive
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -24,6 +24,8 @@
 	// statusReceived is set with the first status; ready, stopping, order and owner are
 	// those of the newest status.
 	statusReceived, ready, stopping bool
+	readyTimer                      readyTimer
+	wasReady                        bool
 	order                           int64
 	owner                           string
 	ended                           bool
@@ -77,13 +79,17 @@
 	// isLive is false before the first status, and once the session has ended or is
 	// silent.
 	isLive bool
+	// isLasting is true if the entry has been ready for minReadyTime, wasReady if it was
+	// ready at any time of the session and has handed over no request since.
+	isLasting, wasReady bool
 }
 
 // status returns the newest status of the other entry.
 func (p *Peer) status() peerStatus {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return peerStatus{p.ready, p.stopping, p.order, p.statusReceived && !p.ended && !p.session.isSilent()}
+	isLive := p.statusReceived && !p.ended && !p.session.isSilent()
+	return peerStatus{ready: p.ready, stopping: p.stopping, order: p.order, isLive: isLive, isLasting: p.readyTimer.isLasting(), wasReady: p.wasReady}
 }
 
 // idle reports whether neither entry currently places a request of the other.
@@ -165,6 +171,8 @@
 	changed := !p.statusReceived || p.ready != status.GetReady() || p.stopping != status.GetStopping()
 	p.statusReceived, p.ready, p.order, p.owner = true, status.GetReady(), status.GetOrder(), status.GetOwner()
 	p.stopping = status.GetStopping()
+	p.readyTimer.update(p.ready)
+	p.wasReady = p.wasReady || p.ready
 	p.remoteClockUs = status.GetClockUs()
 	p.mu.Unlock()
 	p.handleTopics(status)
@@ -185,7 +193,7 @@
 	outgoing := p.outgoing[answer.ID]
 	delete(p.outgoing, answer.ID)
 	if answer.RefusalReason == planner.HandedOver {
-		p.ready = false
+		p.ready, p.wasReady = false, false
 	}
 	p.mu.Unlock()
 	if outgoing != nil {
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -16,6 +16,8 @@
 	Next(c *feed.Cursor, remote feed.Position) ([]feed.Change, feed.Position, bool)
 	ApplyRelayed(era int64, changes []feed.Change)
 	ConfirmRelayed(from, to feed.Position, asOf time.Duration)
+	// PredecessorSeen records that an entry before this one is there.
+	PredecessorSeen()
 }
 
 // topicRelay is what one entry told another about a topic.
@@ -95,7 +97,8 @@
 // the status, which is after it received the one of this entry that it echoes. So its age
 // counts from the time at which that one was sent.
 func (p *Peer) handleTopics(status *peerpb.Status) {
-	mayRelay := p.mayRelay() && status.GetEchoClockUs() > 0
+	isPredecessor := p.mayRelay()
+	mayRelay := isPredecessor && status.GetEchoClockUs() > 0
 	for i, s := range status.GetTopics() {
 		if i >= len(p.local.Topics) {
 			return
@@ -104,6 +107,9 @@
 		p.mu.Lock()
 		p.relays[i].remote, p.relays[i].known = position, s.GetKnown()
 		p.mu.Unlock()
+		if isPredecessor {
+			p.local.Topics[i].PredecessorSeen()
+		}
 		if !mayRelay || !s.GetDirect() || !s.GetCovered() {
 			continue
 		}
--- a/internal/watch/topic.go
+++ b/internal/watch/topic.go
@@ -25,8 +25,12 @@
 	relayDelay = 700 * time.Millisecond
 )
 
-// retryBackoff gives the times between consecutive failed reads.
-var retryBackoff = backoff.Policy{Initial: 50 * time.Millisecond, Max: 500 * time.Millisecond}
+// retryBackoff gives the times between consecutive failed reads. followerBackoff applies
+// while an entry before this one is there, which tells when the store is back.
+var (
+	retryBackoff    = backoff.Policy{Initial: 50 * time.Millisecond, Max: 500 * time.Millisecond}
+	followerBackoff = backoff.Policy{Initial: 200 * time.Millisecond, Max: 3 * time.Second}
+)
 
 // Store is the part of the store that the watchers use.
 type Store interface {
@@ -76,8 +80,11 @@
 	// is true if a read of this entry showed so.
 	confirmedAt time.Duration
 	direct      bool
-	// relayedAt is the time of the last confirmation by another entry.
-	relayedAt time.Duration
+	// relayedAt is the time of the last confirmation by another entry, predecessorAt that
+	// of the last status of an entry before this one.
+	relayedAt, predecessorAt time.Duration
+	// failing is set from a failed read to the next confirmation.
+	failing bool
 	// changes are kept for the entries that follow this one.
 	changes feed.Feed
 }
@@ -107,6 +114,24 @@
 	return c.Next(&t.changes, remote)
 }
 
+// PredecessorSeen records a status of an entry before this one.
+func (t *Topic) PredecessorSeen() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.predecessorAt = clock.Now()
+}
+
+// retryDelay returns the time until the next read after the given number of failures
+// before the newest one.
+func (t *Topic) retryDelay(failures int) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.predecessorAt > 0 && clock.Now()-t.predecessorAt < relayTimeout {
+		return followerBackoff.Delay(failures)
+	}
+	return retryBackoff.Delay(failures)
+}
+
 // ApplyRelayed applies changes that another entry read from the store in the given era.
 func (t *Topic) ApplyRelayed(era int64, changes []feed.Change) {
 	t.mu.Lock()
@@ -120,9 +145,14 @@
 			records = append(records, platform.KeyedRecord{Key: c.Key, Value: c.Value, Offset: c.Offset, Deleted: c.Deleted})
 		}
 	}
-	if len(records) > 0 {
-		t.applyRecords(records, newRecords)
+	if len(records) == 0 {
+		return
 	}
+	if t.failing && t.onReadFailed != nil {
+		// These changes may be due to the outage that this entry has seen as well.
+		t.onReadFailed(clock.Now())
+	}
+	t.applyRecords(records, newRecords)
 }
 
 // ConfirmRelayed handles the word of another entry that the changes in [from, to), all of
@@ -152,6 +182,7 @@
 // confirm records that the state is the newest as of the given time. The caller holds the
 // lock.
 func (t *Topic) confirm(asOf time.Duration) {
+	t.failing = false
 	t.confirmedAt = max(t.confirmedAt, asOf)
 	t.onConfirmed(t.confirmedAt, t.position)
 }
@@ -184,7 +215,7 @@
 		}
 		if err != nil {
 			t.readFailed(err, failures)
-			clock.Sleep(ctx, retryBackoff.Delay(failures))
+			t.waitForRetry(ctx, t.retryDelay(failures))
 			failures++
 			continue
 		}
@@ -196,11 +227,22 @@
 	}
 }
 
+// waitForRetry waits before a read is repeated, or until another entry reads the topic.
+func (t *Topic) waitForRetry(ctx context.Context, d time.Duration) {
+	end := clock.Now() + d
+	for left := d; left > 0 && ctx.Err() == nil && !t.isRelayed(); left = end - clock.Now() {
+		clock.Sleep(ctx, min(left, relayPollInterval))
+	}
+}
+
 // readFailed handles a failed read, after the given number of failures in a row.
 func (t *Topic) readFailed(err error, failures int) {
 	if failures == 0 {
 		t.log.Info("Store became unreachable.", "topic", t.name, "cause", err.Error())
 	}
+	t.mu.Lock()
+	t.failing = true
+	t.mu.Unlock()
 	if t.onReadFailed != nil {
 		t.onReadFailed(clock.Now())
 	}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -338,3 +338,29 @@
 	r.relay()
 	return records, next, err
 }
+
+// TestFollowersRetryLessOften guards against all entries calling the store again and again
+// while it is away: those that hear of an entry before them can wait for its word.
+func TestFollowersRetryLessOften(t *testing.T) {
+	c, _ := newFollowedConfig(t)
+	const failures = 20
+	assert.Equal(t, c.topic.retryDelay(failures), retryBackoff.Max)
+	c.topic.PredecessorSeen()
+	assert.Equal(t, c.topic.retryDelay(failures), followerBackoff.Max)
+	c.topic.predecessorAt = clock.Now() - relayTimeout
+	assert.Equal(t, c.topic.retryDelay(failures), retryBackoff.Max, "the entry before is gone")
+}
+
+// TestRelayedRemovalAfterOutage checks that a server whose record lapsed while the store
+// was away stays in use for a moment, also at an entry that learns of it from another.
+func TestRelayedRemovalAfterOutage(t *testing.T) {
+	s := NewServers(newScriptedStore(answer{records: []platform.KeyedRecord{serverRecord("a", false)}, next: position(3)}, answer{err: platform.ErrUnavailable}), time.Millisecond, logr.Discard(), func() {})
+	assert.NilError(t, s.topic.read(t.Context(), 0))
+	s.topic.readFailed(s.topic.read(t.Context(), 0), 0)
+	s.topic.ApplyRelayed(1, []feed.Change{{Offset: 3, Key: "a", Deleted: true}})
+	assert.Assert(t, s.Takes("a"), "the server has not had time to write again")
+	s.topic.ConfirmRelayed(position(3), position(4), clock.Now())
+	s.topic.ApplyRelayed(1, []feed.Change{{Offset: 4, Key: "a", Value: serverRecord("a", false).Value}})
+	s.topic.ApplyRelayed(1, []feed.Change{{Offset: 5, Key: "a", Deleted: true}})
+	assert.Assert(t, s.Takes("a"), "the outage ended a moment ago")
+}
