After a herd of entries is killed, the others wait for one planner

The rest had sessions to two entries, often both lost; they dialled the next ones two at a time, 0.6 s for each lost one, and each placed its own requests meanwhile: 9,370 stage calls met full servers in 2 s, 726 placements were retried, and what the servers held for lost planners kept 178 requests out in the seconds after. Change: while the entry that placed the requests was lost a moment ago and others before this one are not tried yet, requests wait, 0.7 s at most, and up to eight entries are dialled at once. An entry with none left to try places at once, as before. TestSearchAfterLossOfManyEntries names the pattern.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -22,8 +22,8 @@
 // entry that placed it.
 func (g *Gateway) place(ctx context.Context, req *request, avoid []string) (planner.Placement, func(planner.Phase)) {
 	reported := &reportedResults{}
-	g.Links.WaitSettled(ctx)
 	for plannerChanges := 0; ; plannerChanges++ {
+		g.Links.WaitSettled(ctx)
 		pr := g.placementRequest(req, avoid)
 		pr.PriorResults = reported.all()
 		plannerPeer := g.Links.PlanningPeer()
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -14,6 +14,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/backoff"
 	"github.com/magnoliawheel/magnoliawheel/core/roster"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer/peerpb"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
 )
@@ -31,6 +32,11 @@
 	// it is known which entry places them.
 	maxSettlingTime = 700 * time.Millisecond
 	dialTimeout     = 600 * time.Millisecond
+	// maxSearchTime bounds how long requests wait, after the entries that placed them were
+	// lost, until it is known which entry does so from now on.
+	maxSearchTime = 700 * time.Millisecond
+	// searchPollInterval is the time between two checks of that.
+	searchPollInterval = 20 * time.Millisecond
 	// minReadyTime is how long an entry must have been ready before it replaces one before
 	// it that is live but not ready. When the store is back for all, the first entry would
 	// otherwise lose its requests to whichever notices first.
@@ -64,6 +70,10 @@
 	inboundPeers map[*Peer]bool
 	// localReady tells since when this entry has been ready.
 	localReady readyTimer
+	// hadPlanner is set while a predecessor can place requests, and until the search for
+	// another one is over. The search began at searchingSince.
+	hadPlanner     bool
+	searchingSince time.Time
 }
 
 // readyTimer measures for how long an entry has been ready.
@@ -167,12 +177,39 @@
 }
 
 // WaitSettled waits until it is known which entry places the requests of this one, or
-// until maxSettlingTime after the process start.
+// until maxSettlingTime after the process start or maxSearchTime after the loss of the
+// entry that did so.
 func (l *Links) WaitSettled(ctx context.Context) {
 	select {
 	case <-l.settled:
 	case <-ctx.Done():
 	}
+	for l.isSearching() && ctx.Err() == nil {
+		clock.Sleep(ctx, searchPollInterval)
+	}
+}
+
+// isSearching reports whether the entry that placed the requests of this one was lost a
+// moment ago and another one may still be found. If each entry placed its own requests
+// meanwhile, they would overload the servers of the stages.
+func (l *Links) isSearching() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if slices.ContainsFunc(l.links, (*link).isUsable) {
+		l.hadPlanner, l.searchingSince = true, time.Time{}
+		return false
+	}
+	if !l.hadPlanner {
+		return false
+	}
+	if l.searchingSince.IsZero() {
+		l.searchingSince = time.Now()
+	}
+	if time.Since(l.searchingSince) > maxSearchTime || !slices.ContainsFunc(l.links, (*link).mayBecomeReady) {
+		l.hadPlanner, l.searchingSince = false, time.Time{}
+		return false
+	}
+	return true
 }
 
 // isSettled reports whether the predecessors are known and it is known which of them is
@@ -195,9 +232,11 @@
 }
 
 // maintainSessions connects to the first entries in order until enough of them are
-// ready. Sessions with stopping entries are kept, since they may still have answers to
+// ready. While it searches for one after a loss, it connects to several at once, since
+// many may be lost together. Sessions with stopping entries are kept, since they may still have answers to
 // send, but they are not counted.
 func (l *Links) maintainSessions(ctx context.Context) {
+	searching := l.isSearching()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.localReady.update(l.local.Ready())
@@ -214,7 +253,7 @@
 			continue
 		}
 		sessions++
-		if k.mayBeReady() {
+		if k.isReady() || !searching && k.mayBeReady() {
 			readyPeers++
 		}
 	}
@@ -330,6 +369,31 @@
 	return s.stopping
 }
 
+// isUsable reports whether there is a session with a live entry that comes before this
+// one and is not stopping.
+func (k *link) isUsable() bool {
+	p := k.usablePeer()
+	return p != nil && !p.status().stopping
+}
+
+// isReady reports whether there is a session with a ready entry that may come before this
+// one.
+func (k *link) isReady() bool {
+	p := k.usablePeer()
+	return p != nil && p.status().ready
+}
+
+// mayBecomeReady reports whether a session with the entry is being established or has not
+// been tried yet.
+func (k *link) mayBecomeReady() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.peer != nil {
+		return !k.peer.status().isLive && !k.peer.hasEnded()
+	}
+	return k.dialing || k.nextDialAt.IsZero()
+}
+
 // mayBeReady reports whether the entry is ready, or its status is unknown.
 func (k *link) mayBeReady() bool {
 	s, _ := k.status()
--- /dev/null
+++ b/internal/peer/links_test.go
@@ -0,0 +1,59 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/planner"
+)
+
+// newPeerWithStatus returns a peer that has sent a status, as of now.
+func newPeerWithStatus(local *LocalEntry, order int64, stopping bool) *Peer {
+	s := &session{lastReceived: time.Now(), cancel: func() {}}
+	p := newPeer(s, local, planner.New(nil, nil, logr.Discard()), logr.Discard())
+	p.statusReceived, p.ready, p.order, p.stopping = true, !stopping, order, stopping
+	return p
+}
+
+// TestSearchAfterLossOfManyEntries checks when requests wait for the successor of the entry
+// that placed them. Pattern: many entries are killed at once. If each of the others placed
+// its own requests until it has found the next one, they would plan side by side, and most
+// of their calls would meet servers that are full.
+func TestSearchAfterLossOfManyEntries(t *testing.T) {
+	local := &LocalEntry{Ready: func() bool { return true }, Stopping: func() bool { return false }}
+	local.Register(9)
+	lost := &link{wasLost: true, nextDialAt: time.Now().Add(time.Second)}
+	tests := []struct {
+		name       string
+		hadPlanner bool
+		links      []*link
+		searching  bool
+	}{
+		{"the next entry is not dialed yet", true, []*link{lost, {}}, true},
+		{"the next entry is being dialed", true, []*link{lost, {dialing: true, nextDialAt: time.Now()}}, true},
+		{"no other entry comes before this one", true, []*link{lost}, false},
+		{"all others were tried without success", true, []*link{lost, {dialFailures: 1, nextDialAt: time.Now()}}, false},
+		{"the next entry is there", true, []*link{lost, {peer: newPeerWithStatus(local, 3, false)}, {}}, false},
+		{"the next entry is stopping", true, []*link{lost, {peer: newPeerWithStatus(local, 3, true)}, {}}, true},
+		{"no entry ever placed its requests", false, []*link{{}}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := NewLinks(local, planner.New(nil, nil, logr.Discard()), logr.Discard())
+			l.links, l.hadPlanner = tt.links, tt.hadPlanner
+			for _, k := range l.links {
+				k.links = l
+			}
+			assert.Equal(t, l.isSearching(), tt.searching)
+			if !tt.searching {
+				return
+			}
+			l.searchingSince = time.Now().Add(-maxSearchTime - 1)
+			assert.Assert(t, !l.isSearching(), "the search has a bound")
+			assert.Assert(t, !l.isSearching(), "it begins again only after another loss")
+		})
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -92,6 +92,13 @@
 	return peerStatus{ready: p.ready, stopping: p.stopping, order: p.order, isLive: isLive, isLasting: p.readyTimer.isLasting(), wasReady: p.wasReady}
 }
 
+// hasEnded reports whether the session has ended.
+func (p *Peer) hasEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
 // idle reports whether neither entry currently places a request of the other.
 func (p *Peer) idle() bool {
 	p.mu.Lock()
