An entry is late only if the messages of all senders are

Cause, found on reading: the age of a single message is also that of a lost packet. On a link that loses packets requests would be refused as if the placing entry had too little time, and a reported lag would keep a lost entry's sessions open for a second more. Change: a request is refused by the age of its message only if the mean age of all messages is over half the limit; statuses tell the mean. TestSlowConnectionIsNoOverload failed first (there was no mean); TestPlannerOverloadInBurst holds.

--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -14,6 +14,10 @@
 	// is placed; agePerPriority is added for each more urgent priority.
 	maxAge         = 200 * time.Millisecond
 	agePerPriority = 75 * time.Millisecond
+	// meanAgeShare is the mean age of all messages, as a fraction of these limits, up to
+	// which nothing is refused. ageWeight is the weight of the newest message in the mean.
+	meanAgeShare = 0.5
+	ageWeight    = 0.05
 	// lowestPriority is the priority from which requests count as least urgent.
 	lowestPriority = 2
 	// retryAgeFactor is the retry delay of a refused request as a multiple of the age of
@@ -43,10 +47,25 @@
 	return offset - m.least
 }
 
-// ShouldRefuse reports whether a request is refused because its message is too old.
-// Priority 0 is the most urgent.
-func ShouldRefuse(age time.Duration, priority int) bool {
-	return age > maxAge+time.Duration(lowestPriority-min(priority, lowestPriority))*agePerPriority
+// MeanAge is a moving average of the ages of the messages of all senders. It tells an
+// instance that is late with its work from a single connection that is slow.
+type MeanAge struct {
+	mean time.Duration
+}
+
+// Add includes the age of a message.
+func (m *MeanAge) Add(age time.Duration) {
+	m.mean += time.Duration(ageWeight * float64(age-m.mean))
+}
+
+// Value returns the mean.
+func (m *MeanAge) Value() time.Duration { return m.mean }
+
+// ShouldRefuse reports whether a request is refused because its message is too old, as
+// those of other senders are. Priority 0 is the most urgent.
+func (m *MeanAge) ShouldRefuse(age time.Duration, priority int) bool {
+	limit := maxAge + time.Duration(lowestPriority-min(priority, lowestPriority))*agePerPriority
+	return age > limit && m.mean > time.Duration(meanAgeShare*float64(limit))
 }
 
 // RetryAfter returns the delay after which the caller of a refused request should try
--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -24,12 +24,30 @@
 }
 
 func TestUrgentRequestsAreRefusedLast(t *testing.T) {
+	var m MeanAge
+	for range 1000 {
+		m.Add(time.Second)
+	}
 	for priority := range 4 {
-		assert.Assert(t, !ShouldRefuse(maxAge, priority))
-		assert.Assert(t, ShouldRefuse(time.Second, priority))
+		assert.Assert(t, !m.ShouldRefuse(maxAge, priority))
+		assert.Assert(t, m.ShouldRefuse(time.Second, priority))
 	}
 	age := maxAge + time.Millisecond
-	assert.Assert(t, ShouldRefuse(age, 2) && ShouldRefuse(age, 9) && !ShouldRefuse(age, 1) && !ShouldRefuse(age, 0))
+	assert.Assert(t, m.ShouldRefuse(age, 2) && m.ShouldRefuse(age, 9) && !m.ShouldRefuse(age, 1) && !m.ShouldRefuse(age, 0))
+}
+
+// TestSlowConnectionIsNoOverload checks that the requests of one sender whose packets get
+// lost are not refused while the messages of the others arrive at once.
+func TestSlowConnectionIsNoOverload(t *testing.T) {
+	var m MeanAge
+	for i := range 1000 {
+		age := 5 * time.Millisecond
+		if i%20 == 0 {
+			age = 800 * time.Millisecond
+			assert.Assert(t, !m.ShouldRefuse(age, 2), "message %d", i)
+		}
+		m.Add(age)
+	}
 }
 
 func TestRetryAfterIsBoundedAndSpread(t *testing.T) {
@@ -49,13 +67,16 @@
 	placeTime, refuseTime time.Duration
 	freeAt                time.Duration
 	meter                 AgeMeter
+	mean                  MeanAge
 }
 
 // handle handles the message of a request sent at the given time. It returns how long
 // the answer took, and whether the request was placed.
 func (e *placingEntry) handle(sentAt time.Duration, priority int, refuses bool) (time.Duration, bool) {
 	start := max(sentAt, e.freeAt)
-	if refuses && ShouldRefuse(e.meter.Age(sentAt, start), priority) {
+	age := e.meter.Age(sentAt, start)
+	e.mean.Add(age)
+	if refuses && e.mean.ShouldRefuse(age, priority) {
 		e.freeAt = start + e.refuseTime
 		return e.freeAt - sentAt, false
 	}
--- a/internal/peer/lag.go
+++ b/internal/peer/lag.go
@@ -3,43 +3,35 @@
 import (
 	"sync"
 	"time"
-)
 
-// lagInterval is the time over which the greatest age of a message is reported.
-const lagInterval = time.Second
+	"github.com/magnoliawheel/magnoliawheel/core/overload"
+)
 
-// lagGauge holds the greatest age of the messages handled lately.
+// lagGauge measures how late an entry is with the messages of others. It is safe for
+// concurrent use.
 type lagGauge struct {
-	mu sync.Mutex
-	// current is the greatest age since startedAt, previous that of the interval before.
-	current, previous time.Duration
-	startedAt         time.Duration
+	mu   sync.Mutex
+	mean overload.MeanAge
 }
 
 // record records the age of a message.
-func (g *lagGauge) record(now, age time.Duration) {
+func (g *lagGauge) record(age time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.advance(now)
-	g.current = max(g.current, age)
+	g.mean.Add(age)
 }
 
-// read returns the greatest age of the last one to two intervals.
-func (g *lagGauge) read(now time.Duration) time.Duration {
+// lag returns the mean age of the messages handled lately.
+func (g *lagGauge) lag() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.advance(now)
-	return max(g.current, g.previous)
+	return g.mean.Value()
 }
 
-func (g *lagGauge) advance(now time.Duration) {
-	elapsed := now - g.startedAt
-	if elapsed < lagInterval {
-		return
-	}
-	g.previous = 0
-	if elapsed < 2*lagInterval {
-		g.previous = g.current
-	}
-	g.current, g.startedAt = 0, now
+// shouldRefuse reports whether a request is refused because this entry is late with its
+// work.
+func (g *lagGauge) shouldRefuse(age time.Duration, priority int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mean.ShouldRefuse(age, priority)
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -167,9 +167,8 @@
 
 // measureAge returns the age of a message, given the sender's clock when it was queued.
 func (p *Peer) measureAge(clockUs int64) time.Duration {
-	now := clock.Now()
-	age := p.age.Age(time.Duration(clockUs)*time.Microsecond, now)
-	p.local.lag.record(now, age)
+	age := p.age.Age(time.Duration(clockUs)*time.Microsecond, clock.Now())
+	p.local.lag.record(age)
 	return age
 }
 
@@ -225,7 +224,7 @@
 		return
 	}
 	age := p.measureAge(m.GetClockUs())
-	if overload.ShouldRefuse(age, req.Priority) {
+	if p.local.lag.shouldRefuse(age, req.Priority) {
 		p.refuseLate(&req, age)
 		return
 	}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -155,7 +155,7 @@
 	}
 	return &peerpb.Status{
 		ConfigVersion: version,
-		Ready:         e.Ready(), Order: e.order.Load(), Owner: e.Owner, Stopping: e.Stopping(), ClockUs: now.Microseconds(), LagMs: e.lag.read(now).Milliseconds(),
+		Ready:         e.Ready(), Order: e.order.Load(), Owner: e.Owner, Stopping: e.Stopping(), ClockUs: now.Microseconds(), LagMs: e.lag.lag().Milliseconds(),
 	}
 }
 
