A customer that floods waits behind the others

Cause: the planner knew nothing of customers. Its new jobs come after those of the others, for calls, for memory and for admission; under no shortage nothing changes. Weighed: equal shares for all (a large customer would be last in each burst), counters in the store (a write a request). Left: plain requests have no such order; entries do not share what they know of customers but through the placing entry.

--- a/core/staging/admit.go
+++ b/core/staging/admit.go
@@ -54,7 +54,12 @@
 	var wait time.Duration
 	for _, p := range s.sortedPools {
 		total := memoryOvercommit * float64(p.totalMemory(now))
-		if excess := float64(p.claimedBytes+j.resultBytesIn(p)) - total; excess > 0 {
+		claimed := p.claimedBytes
+		if !j.flooding {
+			// Jobs of flooding customers start later.
+			claimed -= p.floodBytes
+		}
+		if excess := float64(claimed+j.resultBytesIn(p)) - total; excess > 0 {
 			wait = max(wait, time.Duration(excess/max(total, 1)*float64(memoryHoldTime)))
 		}
 	}
--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -13,6 +13,9 @@
 	// priorityStep is how much later the objective of a job is assumed to end for each
 	// step of lower priority.
 	priorityStep = 250 * time.Millisecond
+	// floodPenalty orders the jobs of customers that flood after those of the others, but
+	// before those that can't reach their objective.
+	floodPenalty = 5 * time.Second
 	// missedObjectivePenalty orders jobs that can't reach their objective after the
 	// others.
 	missedObjectivePenalty = 20 * time.Second
@@ -149,13 +152,16 @@
 }
 
 // schedulingDeadline returns the sort key of jobs, the most urgent first: the time at which
-// the request must start to reach its objective, adjusted for priority. Jobs that can't
-// reach their objective follow all others.
+// the request must start to reach its objective, adjusted for priority. Jobs of customers
+// that flood follow the others, and jobs that can't reach their objective follow all.
 func (j *job) schedulingDeadline(now time.Duration) time.Duration {
 	deadline := j.def.ObjectiveDeadline + time.Duration(j.def.Priority)*priorityStep
 	if now+j.minRemainingTime()+j.def.RequestDuration > j.def.ObjectiveDeadline {
 		deadline += missedObjectivePenalty
 	}
+	if j.flooding {
+		deadline += floodPenalty
+	}
 	return deadline - j.def.RequestDuration
 }
 
--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -23,6 +23,9 @@
 	// suspended jobs start no more calls.
 	suspended      bool
 	recomputations int
+	// flooding is true if the job's customer sent much more than usual when the job was
+	// submitted.
+	flooding bool
 	// accepted is true from the submission of the job until its removal.
 	accepted bool
 	// remaining caches minRemainingTime while pathsVersion is the scheduler's
@@ -49,7 +52,7 @@
 	completedPieces int
 	resultsFreed    bool
 	// claimedBytes and startedBytes are the run's part of the sums of its pool.
-	claimedBytes, startedBytes int64
+	claimedBytes, startedBytes, floodBytes int64
 	// pathTime caches criticalPathTime; see job.updatePaths.
 	pathTime  time.Duration
 	pathKnown bool
--- a/core/staging/property_test.go
+++ b/core/staging/property_test.go
@@ -223,7 +223,7 @@
 
 // checkCaches compares what the scheduler caches with values computed anew.
 func (w *simulation) checkCaches() {
-	claimed, started := map[*pool]int64{}, map[*pool]int64{}
+	claimed, started, flood := map[*pool]int64{}, map[*pool]int64{}, map[*pool]int64{}
 	for _, j := range w.scheduler.jobsByArrival {
 		var remaining time.Duration
 		for _, r := range j.runs {
@@ -237,12 +237,16 @@
 			if !r.resultsFreed && j.started {
 				started[r.pool] += r.resultBytes * int64(len(r.pieces))
 			}
+			if !r.resultsFreed && !j.started && j.flooding {
+				flood[r.pool] += r.resultBytes * int64(len(r.pieces))
+			}
 		}
 		assert.Equal(w.t, j.minRemainingTime(), remaining)
 	}
 	for _, p := range w.scheduler.sortedPools {
 		assert.Equal(w.t, p.claimedBytes, claimed[p])
 		assert.Equal(w.t, p.startedBytes, started[p])
+		assert.Equal(w.t, p.floodBytes, flood[p])
 		var total int64
 		for _, m := range p.servers {
 			total += max(0, m.usedBytes+m.availableMemory(w.now))
--- a/core/staging/run.go
+++ b/core/staging/run.go
@@ -50,16 +50,20 @@
 	if r.pool == nil {
 		return
 	}
-	var claimed, started int64
+	var claimed, started, flood int64
 	if r.job.accepted && !r.resultsFreed {
 		claimed = r.resultBytes * int64(len(r.pieces))
 	}
-	if r.job.started {
+	switch {
+	case r.job.started:
 		started = claimed
+	case r.job.flooding:
+		flood = claimed
 	}
 	r.pool.claimedBytes += claimed - r.claimedBytes
 	r.pool.startedBytes += started - r.startedBytes
-	r.claimedBytes, r.startedBytes = claimed, started
+	r.pool.floodBytes += flood - r.floodBytes
+	r.claimedBytes, r.startedBytes, r.floodBytes = claimed, started, flood
 }
 
 func (r *stageRun) isComplete() bool { return r.completedPieces == len(r.pieces) }
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -15,6 +15,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/fairshare"
 )
 
 // Scheduler runs the stages of jobs. It is not safe for concurrent use.
@@ -30,6 +32,8 @@
 	pendingFrees  map[uint64]pendingFree
 	lastFreeID    uint64
 	actions       Actions
+	// demand tells which customers flood.
+	demand *fairshare.Tracker
 	// specVersion changes with the description of a pool; it is never 0.
 	specVersion uint64
 	// meanLateness is a moving average of how much longer jobs took than expected,
@@ -48,7 +52,7 @@
 func New() *Scheduler {
 	return &Scheduler{
 		pools: map[string]*pool{}, jobs: map[string]*job{}, calls: map[uint64]*call{}, pendingFrees: map[uint64]pendingFree{},
-		specVersion: 1,
+		specVersion: 1, demand: fairshare.New(),
 	}
 }
 
@@ -99,6 +103,9 @@
 		return
 	}
 	j := s.newJob(def)
+	if def.Customer != "" && len(def.PriorResults) == 0 {
+		j.flooding = s.demand.Add(now, def.Customer)
+	}
 	expected, ok := s.estimateDuration(j, now)
 	if !ok || !j.started && !s.admissible(j, now, expected) {
 		s.refuse(j, now, Overloaded, expected)
--- a/core/staging/types.go
+++ b/core/staging/types.go
@@ -48,6 +48,9 @@
 	RequestDuration time.Duration
 	// ReaderZone is the availability zone where the results will be read.
 	ReaderZone string
+	// Customer sent the request. At a shortage, the jobs of a customer that floods come
+	// after those of the others.
+	Customer string
 	// Owner identifies the instance that submitted the job. It changes when that
 	// instance restarts.
 	Owner string
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -121,7 +121,7 @@
 	now := clock.Now()
 	pr := planner.Request{
 		ID: req.ID, PieceKey: req.PieceKey, Priority: req.priority, TimeToObjective: req.objectiveDeadline - now, TimeToDeadline: req.deadline - now,
-		Pool: req.service, Zone: g.Settings.Zone, MaxTokens: req.MaxTokens, Avoid: avoid, Owner: g.Owner,
+		Pool: req.service, Zone: g.Settings.Zone, MaxTokens: req.MaxTokens, Avoid: avoid, Customer: req.customer, Owner: g.Owner,
 	}
 	for _, p := range req.PromptParts {
 		pr.PromptParts = append(pr.PromptParts, placement.PromptPart{ID: p.ID, Tokens: p.Tokens})
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -162,7 +162,7 @@
 func encodeRequest(r *planner.Request) *peerpb.Message {
 	place := &peerpb.Place{
 		Id: r.ID, Key: r.PieceKey, Rank: uint32(r.Priority), DueMs: r.TimeToObjective.Milliseconds(), DeadlineMs: r.TimeToDeadline.Milliseconds(),
-		Pool: r.Pool, Zone: r.Zone, MaxTokens: uint32(r.MaxTokens), Avoid: r.Avoid, ClockUs: clock.Now().Microseconds(),
+		Pool: r.Pool, Zone: r.Zone, MaxTokens: uint32(r.MaxTokens), Avoid: r.Avoid, Customer: r.Customer, ClockUs: clock.Now().Microseconds(),
 	}
 	for _, stage := range r.Stages {
 		wireStage := &peerpb.Stage{Pool: stage.Pool, Bytes: uint64(stage.ResultBytes), Pieces: uint32(stage.Pieces)}
@@ -204,7 +204,7 @@
 	r := planner.Request{
 		ID: place.GetId(), PieceKey: place.GetKey(), Priority: int(place.GetRank()),
 		TimeToObjective: milliseconds(place.GetDueMs()), TimeToDeadline: milliseconds(place.GetDeadlineMs()),
-		Pool: place.GetPool(), Zone: place.GetZone(), MaxTokens: int(place.GetMaxTokens()), Avoid: place.GetAvoid(),
+		Pool: place.GetPool(), Zone: place.GetZone(), MaxTokens: int(place.GetMaxTokens()), Avoid: place.GetAvoid(), Customer: place.GetCustomer(),
 	}
 	for _, wireStage := range place.GetStages() {
 		st := staging.Stage{Pool: wireStage.GetPool(), ResultBytes: int64(wireStage.GetBytes()), Pieces: int(wireStage.GetPieces())}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -57,6 +57,7 @@
 	PromptParts                     []placement.PromptPart
 	MaxTokens                       int
 	Avoid                           []string
+	Customer                        string
 	// Owner identifies the process start of the entry that received the request from its
 	// client; it changes with each restart.
 	Owner string
@@ -216,7 +217,7 @@
 		p.scheduler.Submit(now, staging.Job{
 			ID: req.ID, Key: req.PieceKey, Stages: req.Stages, Priority: req.Priority,
 			ObjectiveDeadline: now + req.TimeToObjective, Deadline: now + req.TimeToDeadline, RequestDuration: placement.ExpectedFirstEvent(parts),
-			ReaderZone: p.modelServers.LikelyZone(now, parts), Owner: req.Owner, PriorResults: req.PriorResults,
+			ReaderZone: p.modelServers.LikelyZone(now, parts), Customer: req.Customer, Owner: req.Owner, PriorResults: req.PriorResults,
 		})
 	})
 }
