--- a/internal/watch/servers.go
+++ b/internal/watch/servers.go
@@ -123,6 +123,9 @@
 	}
 	s.loaded = true
 	s.mu.Unlock()
+	if set != newRecords {
+		s.log.Info("Servers read.", "records", len(records), "changed", len(applied))
+	}
 	if isFirst || len(applied) > 0 || set != newRecords {
 		s.onChange()
 	}
@@ -149,7 +152,7 @@
 	previous, existed := s.servers[server.ID]
 	s.servers[server.ID] = server
 	changed := s.backendSet.RecordSeen(state)
-	if changed {
+	if changed && set == newRecords {
 		s.log.Info("Server updated.", "server", server.ID, "address", server.Address, "leaving", server.Draining, "offset", rec.Offset)
 	}
 	return changed || !existed || previous != server
