--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"github.com/magnoliawheel/magnoliawheel/core/staging"
+	"github.com/magnoliawheel/magnoliawheel/core/jitter"
 )
 
 const (
@@ -73,5 +73,5 @@
 func RetryAfter(id string, age, timeToDeadline time.Duration) time.Duration {
 	delay := max(retryAgeFactor*age, minRetryAfter)
 	delay = min(delay, time.Duration(maxRetryShare*float64(max(0, timeToDeadline))))
-	return delay - time.Duration(retryJitter*staging.HashFraction(id)*float64(delay))
+	return delay - time.Duration(retryJitter*jitter.Fraction(id)*float64(delay))
 }
--- a/core/staging/admit.go
+++ b/core/staging/admit.go
@@ -1,8 +1,9 @@
 package staging
 
 import (
-	"math"
 	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/jitter"
 )
 
 const (
@@ -141,14 +142,5 @@
 	if now+delay+j.minRemainingTime()+j.def.RequestDuration > j.def.ObjectiveDeadline {
 		delay = maxDelay
 	}
-	return delay - time.Duration(retryJitter*HashFraction(j.def.ID)*float64(delay))
-}
-
-// HashFraction maps an ID to a number in [0, 1), uniformly over IDs, by FNV-1a.
-func HashFraction(id string) float64 {
-	h := uint32(2166136261)
-	for i := range len(id) {
-		h = (h ^ uint32(id[i])) * 16777619
-	}
-	return float64(h) / (math.MaxUint32 + 1)
+	return delay - time.Duration(retryJitter*jitter.Fraction(j.def.ID)*float64(delay))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,10 +18,10 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/budget"
 	"github.com/magnoliawheel/magnoliawheel/core/cooldown"
+	"github.com/magnoliawheel/magnoliawheel/core/jitter"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
-	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
@@ -235,7 +235,7 @@
 	}
 	req.deadline = req.arrivedAt + timeout
 	req.objectiveDeadline = req.arrivedAt + route.Objective
-	req.service = route.PickService(staging.HashFraction(req.ID))
+	req.service = route.PickService(jitter.Fraction(req.ID))
 	return nil
 }
 
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/cooldown"
+	"github.com/magnoliawheel/magnoliawheel/core/jitter"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
-	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
@@ -79,5 +79,5 @@
 // same moment.
 func cooldownRetryAfter(requestID string, remaining time.Duration) time.Duration {
 	spread := max(minCooldownSpread, time.Duration(cooldownSpreadShare*float64(remaining)))
-	return remaining + time.Duration(staging.HashFraction(requestID)*float64(spread))
+	return remaining + time.Duration(jitter.Fraction(requestID)*float64(spread))
 }
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -9,8 +9,8 @@
 	"github.com/go-logr/logr"
 
 	"github.com/magnoliawheel/magnoliawheel/core/backoff"
+	"github.com/magnoliawheel/magnoliawheel/core/jitter"
 	"github.com/magnoliawheel/magnoliawheel/core/roster"
-	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer"
 	"github.com/magnoliawheel/magnoliawheel/platform"
@@ -108,7 +108,7 @@
 		return staleReads + 1
 	case <-r.eraChanged:
 		r.log.Info("Store was restored; the entry record is checked.", "era_before", r.era)
-		clock.Sleep(ctx, time.Duration(staging.HashFraction(r.name)*float64(eraReadSpread)))
+		clock.Sleep(ctx, time.Duration(jitter.Fraction(r.name)*float64(eraReadSpread)))
 	case <-timer.C:
 	case <-ctx.Done():
 	}
