Followers leave a reader that lost the store early enough for the bounds

Worked out from the code: the word of a reader counted up to a read and 0.7 s old, plus 0.65 s, plus a poll, and the follower's first own read might use a connection idle for so long that it was dead, 1.5 s: 4.2 s of 4 s, and 3.75 s of 2.5 s on small sites. A retry of a follower could wait for 3 s more. Change: the word counts while what it says is at most a read and 0.6 s old, with nothing added; a reader whose read failed says so; the first read after following uses a new connection; a follower's retries wait for about half a read, 0.5 to 0.9 s. Changes are applied whatever the order of the two entries, since the reader does not send them twice. Tests, failing first: TestReaderThatLosesStoreIsNotFollowed, TestFirstReadAfterRelayUsesNewConnection, TestFollowersRetryLessOften.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -25,8 +25,10 @@
 	nextDialAt   time.Time
 	dialFailures int
 	connectedAt  time.Time
-	// wasLost is set once a session ended or could not be established.
-	wasLost bool
+	// wasLost is set once a session ended or could not be established. lossesInRow counts
+	// the sessions that ended before they were stable.
+	wasLost     bool
+	lossesInRow int
 }
 
 // status returns the newest status of the entry, and false if there is no session.
@@ -94,7 +96,7 @@
 func (k *link) usablePeer() *Peer {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.peer == nil || k.wasLost && time.Since(k.connectedAt) < reuseDelay {
+	if k.peer == nil || k.wasLost && time.Since(k.connectedAt) < k.reuseDelay() {
 		return nil
 	}
 	if s := k.peer.status(); !s.isLive || !k.links.local.isPrecededBy(s.order) {
@@ -103,6 +105,18 @@
 	return k.peer
 }
 
+// reuseDelay returns how long the session must last before the entry is used again. The
+// caller holds the lock.
+func (k *link) reuseDelay() time.Duration { return reuseBackoff.Delay(max(0, k.lossesInRow-1)) }
+
+// sessionEnded counts a session that ended. The caller holds the lock.
+func (k *link) sessionEnded() {
+	if time.Since(k.connectedAt) >= stableSessionTime {
+		k.lossesInRow = 0
+	}
+	k.lossesInRow++
+}
+
 // isResolved reports whether the entry sent a status, could not be reached, or need not
 // be dialed.
 func (k *link) isResolved() bool {
@@ -158,6 +172,7 @@
 		k.dialFailures++
 		return
 	}
+	k.sessionEnded()
 	k.dialFailures = 0
 	k.nextDialAt = time.Now().Add(redialBackoff.Initial)
 }
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -40,13 +40,19 @@
 	// it that is live but not ready. When the store is back for all, the first entry would
 	// otherwise lose its requests to whichever notices first.
 	minReadyTime = 500 * time.Millisecond
-	// reuseDelay is how long a session with an entry that was lost must last before the
-	// entry is used again.
-	reuseDelay = 500 * time.Millisecond
+	// stableSessionTime is the time after which a session that ends does not count as one
+	// of several losses in a row.
+	stableSessionTime = 10 * time.Second
 )
 
-// redialBackoff is the backoff between attempts to connect to an entry.
-var redialBackoff = backoff.Policy{Initial: 500 * time.Millisecond, Max: 4 * time.Second}
+var (
+	// redialBackoff is the backoff between attempts to connect to an entry.
+	redialBackoff = backoff.Policy{Initial: 500 * time.Millisecond, Max: 4 * time.Second}
+	// reuseBackoff is how long a session with an entry that was lost must last before the
+	// entry is used again. An entry on a slow machine is lost again and again, and each
+	// return moves the requests of all others twice.
+	reuseBackoff = backoff.Policy{Initial: 500 * time.Millisecond, Max: 8 * time.Second}
+)
 
 // Links maintains sessions to the entries before this one, and accepts sessions from the
 // entries after it.
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -57,3 +57,20 @@
 		})
 	}
 }
+
+// TestSlowEntryIsUsedAgainLater guards against requests that move to and fro: an entry on a
+// slow machine is lost for its silence, connects again, and is lost again. Pattern: flapping.
+func TestSlowEntryIsUsedAgainLater(t *testing.T) {
+	k := &link{wasLost: true}
+	var delays []time.Duration
+	for range 6 {
+		k.connectedAt = time.Now()
+		k.sessionEnded()
+		delays = append(delays, k.reuseDelay())
+	}
+	second := time.Second
+	assert.DeepEqual(t, delays, []time.Duration{second / 2, second, 2 * second, 4 * second, 8 * second, 8 * second})
+	k.connectedAt = time.Now().Add(-stableSessionTime)
+	k.sessionEnded()
+	assert.Equal(t, k.reuseDelay(), second/2, "the session was stable")
+}
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -73,9 +73,10 @@
 	return &peerpb.Message{Body: &peerpb.Message_Changes{Changes: wire}}
 }
 
-// handleChanges applies changes that the other entry read, if it comes before this one.
+// handleChanges applies changes that the other entry read. They are applied whatever the
+// order of the two entries is, since the other one does not send them again.
 func (p *Peer) handleChanges(m *peerpb.Changes) {
-	if int(m.GetTopic()) >= len(p.local.Topics) || !p.mayRelay() {
+	if int(m.GetTopic()) >= len(p.local.Topics) {
 		return
 	}
 	changes := make([]feed.Change, 0, len(m.GetChanges()))
--- a/internal/watch/topic.go
+++ b/internal/watch/topic.go
@@ -22,20 +22,23 @@
 	relayPollInterval = 150 * time.Millisecond
 	// relayDelay is how much older than the reader's own the state of a follower may be:
 	// the time for which a status message and its echo wait to be sent.
-	relayDelay = 700 * time.Millisecond
+	relayDelay = 600 * time.Millisecond
 )
 
-// retryBackoff gives the times between consecutive failed reads. followerBackoff applies
-// while an entry before this one is there, which tells when the store is back.
-var (
-	retryBackoff    = backoff.Policy{Initial: 50 * time.Millisecond, Max: 500 * time.Millisecond}
-	followerBackoff = backoff.Policy{Initial: 200 * time.Millisecond, Max: 3 * time.Second}
-)
+// retryBackoff gives the times between consecutive failed reads.
+var retryBackoff = backoff.Policy{Initial: 50 * time.Millisecond, Max: 500 * time.Millisecond}
+
+// followerRetryShare is the longest time between two failed reads of an entry that hears
+// of one before it, as a fraction of the time between two reads. That one may be cut off
+// from the store while this one is not, so the time must be well within the bounds.
+const followerRetryShare = 0.55
 
 // Store is the part of the store that the watchers use.
 type Store interface {
 	Newest(ctx context.Context, topic string) ([]platform.KeyedRecord, platform.Position, error)
 	ReadKeyed(ctx context.Context, topic string, from platform.Position, wait time.Duration) ([]platform.KeyedRecord, platform.Position, error)
+	// CloseIdleConnections makes the next read use a new connection.
+	CloseIdleConnections()
 }
 
 // recordSet says what a set of records is.
@@ -104,7 +107,7 @@
 func (t *Topic) State() TopicState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return TopicState{Position: t.position, Known: t.known, Direct: t.direct, Age: clock.Now() - t.confirmedAt}
+	return TopicState{Position: t.position, Known: t.known, Direct: t.direct && !t.failing, Age: clock.Now() - t.confirmedAt}
 }
 
 // Next returns the changes that another entry lacks; see feed.Cursor.
@@ -126,10 +129,11 @@
 func (t *Topic) retryDelay(failures int) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	delay := retryBackoff.Delay(failures)
 	if t.predecessorAt > 0 && clock.Now()-t.predecessorAt < relayTimeout {
-		return followerBackoff.Delay(failures)
+		delay = max(delay, time.Duration(followerRetryShare*float64(t.readWait+t.readInterval)))
 	}
-	return retryBackoff.Delay(failures)
+	return delay
 }
 
 // ApplyRelayed applies changes that another entry read from the store in the given era.
@@ -187,11 +191,13 @@
 	t.onConfirmed(t.confirmedAt, t.position)
 }
 
-// isRelayed reports whether another entry currently reads the topic for this one.
+// isRelayed reports whether another entry currently reads the topic for this one, and what
+// it says is new enough.
 func (t *Topic) isRelayed() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.relayedAt > 0 && clock.Now()-t.relayedAt < relayTimeout
+	now := clock.Now()
+	return t.relayedAt > 0 && now-t.relayedAt < relayTimeout && now-t.confirmedAt < t.maxRelayedAge()
 }
 
 // run follows the topic until ctx ends.
@@ -209,6 +215,10 @@
 			// The state must be confirmed without delay.
 			wait = 0
 		}
+		if confirmAtOnce {
+			// A connection that was idle for long may be dead, which only a timeout shows.
+			t.store.CloseIdleConnections()
+		}
 		err := t.read(ctx, wait)
 		if ctx.Err() != nil {
 			return
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,8 @@
 	answers chan answer
 	// calls receives the calls made.
 	calls chan call
+	// closedIdle counts the calls of CloseIdleConnections.
+	closedIdle atomic.Int64
 }
 
 // call is a call of a store method; from is the position to read from.
@@ -64,6 +67,9 @@
 	return s.respond(ctx, call{name: "newest"})
 }
 
+// CloseIdleConnections implements Store.
+func (s *scriptedStore) CloseIdleConnections() { s.closedIdle.Add(1) }
+
 // ReadKeyed implements Store.
 func (s *scriptedStore) ReadKeyed(ctx context.Context, _ string, from platform.Position, wait time.Duration) ([]platform.KeyedRecord, platform.Position, error) {
 	return s.respond(ctx, call{"read", from, wait > 0})
@@ -340,15 +346,24 @@
 }
 
 // TestFollowersRetryLessOften guards against all entries calling the store again and again
-// while it is away: those that hear of an entry before them can wait for its word.
+// while it is away: those that hear of an entry before them can wait for its word. But
+// that entry may be cut off from the store alone, so the wait, and a read that gets no
+// response, must leave time within the bound.
 func TestFollowersRetryLessOften(t *testing.T) {
-	c, _ := newFollowedConfig(t)
 	const failures = 20
-	assert.Equal(t, c.topic.retryDelay(failures), retryBackoff.Max)
-	c.topic.PredecessorSeen()
-	assert.Equal(t, c.topic.retryDelay(failures), followerBackoff.Max)
-	c.topic.predecessorAt = clock.Now() - relayTimeout
-	assert.Equal(t, c.topic.retryDelay(failures), retryBackoff.Max, "the entry before is gone")
+	const responseTimeout = 1500 * time.Millisecond
+	for _, bound := range []time.Duration{2500 * time.Millisecond, 4 * time.Second} {
+		config := NewConfig(nil, bound, logr.Discard(), nil).topic
+		servers := NewServers(nil, bound, logr.Discard(), nil).topic
+		for _, topic := range []*Topic{config, servers} {
+			assert.Equal(t, topic.retryDelay(failures), retryBackoff.Max)
+			topic.PredecessorSeen()
+			assert.Assert(t, topic.retryDelay(0) >= 400*time.Millisecond, "%v", topic.retryDelay(0))
+			assert.Assert(t, topic.retryDelay(failures)+responseTimeout < bound*9/10, "%v of %v", topic.retryDelay(failures), bound)
+			topic.predecessorAt = clock.Now() - relayTimeout
+			assert.Equal(t, topic.retryDelay(failures), retryBackoff.Max, "the entry before is gone")
+		}
+	}
 }
 
 // TestRelayedRemovalAfterOutage checks that a server whose record lapsed while the store
@@ -364,3 +379,45 @@
 	s.topic.ApplyRelayed(1, []feed.Change{{Offset: 5, Key: "a", Deleted: true}})
 	assert.Assert(t, s.Takes("a"), "the outage ended a moment ago")
 }
+
+// TestReaderThatLosesStoreIsNotFollowed guards against a configuration that comes into
+// force too late: an entry that reads the store may be cut off from it while its followers
+// still hear of it. From its last good read on, they must read the store themselves early
+// enough for a response within the bound, on a connection of which they know that it works.
+func TestReaderThatLosesStoreIsNotFollowed(t *testing.T) {
+	for _, bound := range []time.Duration{2500 * time.Millisecond, 4 * time.Second} {
+		for _, topic := range []*Topic{NewConfig(nil, bound, logr.Discard(), nil).topic, NewServers(nil, bound, logr.Discard(), nil).topic} {
+			assert.Assert(t, topic.maxRelayedAge()+relayPollInterval < bound*3/4, "%v of %v", topic.maxRelayedAge(), bound)
+		}
+	}
+	c, _ := newFollowedConfig(t)
+	now := clock.Now()
+	c.topic.confirmedAt = now - c.topic.maxRelayedAge()
+	c.topic.relayedAt = now
+	assert.Assert(t, !c.topic.isRelayed(), "the word is new, but what it says is old")
+
+	reader, _ := newFollowedConfig(t)
+	assert.Assert(t, reader.topic.State().Direct)
+	reader.topic.readFailed(platform.ErrUnavailable, 0)
+	assert.Assert(t, !reader.topic.State().Direct, "the reader has lost the store")
+}
+
+// TestFirstReadAfterRelayUsesNewConnection checks the switch from following to reading.
+func TestFirstReadAfterRelayUsesNewConnection(t *testing.T) {
+	c, _ := newFollowedConfig(t)
+	s := newScriptedStore(answer{next: position(5)}, answer{next: position(5)})
+	c.topic.store = s
+	c.topic.ConfirmRelayed(position(5), position(5), clock.Now())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.topic.run(ctx)
+	}()
+	assert.Equal(t, <-s.calls, call{"read", position(5), false})
+	assert.Equal(t, s.closedIdle.Load(), int64(1))
+	assert.Equal(t, <-s.calls, call{"read", position(5), true})
+	cancel()
+	<-done
+	assert.Equal(t, s.closedIdle.Load(), int64(1))
+}
