The state of a topic is confirmed only as far as the store's response reaches

Read from the code, three ways to one: - a waiting read that ends early without records was counted as valid to the end of its wait, up to 1.8 s later. An entry that the store turns away was alone with it before; now its followers, which are in touch, took it over; - changes that an entry could not apply while it read a topic anew were not sent again, and counted as told; - a request accepted under a key was not checked again when the key was taken away while it waited for its stages. Change: the wait counts only if it was waited; missed changes are remembered until they are read; an entry that knows a newer version of the configuration confirms nothing; a key is looked up again before each attempt. Tests, failing first: TestEarlyEmptyResponseConfirmsNothingLater, TestMissedChangeIsNeverConfirmed. TestAgeCountsFromLastConfirmation asserted that an answer which came at once confirmed the wait of 18 minutes; it now plays a store that waits, and bounds the age on both sides.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -53,6 +53,8 @@
 		return result.QueueFull
 	case causeKeysNotConfirmed:
 		return result.KeysNotConfirmed
+	case causeKeyRevoked:
+		return result.BadCustomer
 	}
 	return result.NoServer
 }
@@ -63,6 +65,7 @@
 	causeServerLeaving     = "server is leaving"
 	causeServerCoolingDown = "server wants no requests yet"
 	causeKeysNotConfirmed  = "keys not confirmed by the store"
+	causeKeyRevoked        = "key revoked while the request waited"
 	causeOtherServer       = "address belongs to another server"
 )
 
@@ -221,6 +224,8 @@
 	switch {
 	case req.keyRequired && !g.keysValid():
 		return causeKeysNotConfirmed
+	case req.keyRequired && g.Config.Table().Customer(req.APIKey) == nil:
+		return causeKeyRevoked
 	case !g.Servers.Takes(srv.ID):
 		return causeServerLeaving
 	case g.isCoolingDown(srv):
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -214,7 +214,7 @@
 // be placed again, and otherwise a refusal. Nothing reached a server, so the retry budget
 // is not used.
 func (s *streamRequest) retryNotSent(cause string) *refusal {
-	if s.req.remaining() < minRetryTime || cause == causeKeysNotConfirmed {
+	if s.req.remaining() < minRetryTime || cause == causeKeysNotConfirmed || cause == causeKeyRevoked {
 		return s.refuseOrFail(outcome{cause: cause}.code(), cause, busyRetryAfter)
 	}
 	return nil
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -96,7 +96,8 @@
 
 // handleTopics handles the topics of a status. What the other entry says held when it sent
 // the status, which is after it received the one of this entry that it echoes. So its age
-// counts from the time at which that one was sent.
+// counts from the time at which that one was sent. An entry that knows a newer version of
+// the configuration than this one has not told everything, whatever it says.
 func (p *Peer) handleTopics(status *peerpb.Status) {
 	isPredecessor := p.mayRelay()
 	mayRelay := isPredecessor && status.GetEchoClockUs() > 0
@@ -111,7 +112,7 @@
 		if isPredecessor {
 			p.local.Topics[i].PredecessorSeen()
 		}
-		if !mayRelay || !s.GetDirect() || !s.GetCovered() {
+		if !mayRelay || !s.GetDirect() || !s.GetCovered() || status.GetConfigVersion() > p.local.configVersion() {
 			continue
 		}
 		asOf := time.Duration(status.GetEchoClockUs()-s.GetAgeUs()) * time.Microsecond
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -147,14 +147,18 @@
 	return order > 0 && (localOrder == 0 || order < localOrder)
 }
 
+// configVersion returns the newest known version of the configuration, or 0.
+func (e *LocalEntry) configVersion() uint64 {
+	if e.ConfigVersion == nil {
+		return 0
+	}
+	return e.ConfigVersion()
+}
+
 func (e *LocalEntry) wireStatus() *peerpb.Status {
 	now := clock.Now()
-	version := uint64(0)
-	if e.ConfigVersion != nil {
-		version = e.ConfigVersion()
-	}
 	return &peerpb.Status{
-		ConfigVersion: version,
+		ConfigVersion: e.configVersion(),
 		Ready:         e.Ready(), Order: e.order.Load(), Owner: e.Owner, Stopping: e.Stopping(), ClockUs: now.Microseconds(), LagMs: e.lag.lag().Milliseconds(),
 	}
 }
--- a/internal/watch/topic.go
+++ b/internal/watch/topic.go
@@ -88,6 +88,10 @@
 	relayedAt, predecessorAt time.Duration
 	// failing is set from a failed read to the next confirmation.
 	failing bool
+	// missed is the position of the first relayed change that could not be applied; it is
+	// valid if hasMissed is set.
+	missed    platform.Position
+	hasMissed bool
 	// changes are kept for the entries that follow this one.
 	changes feed.Feed
 }
@@ -141,6 +145,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.known || era != t.position.Era {
+		t.recordMissed(era, changes)
 		return
 	}
 	var records []platform.KeyedRecord
@@ -159,6 +164,21 @@
 	t.applyRecords(records, newRecords)
 }
 
+// recordMissed records that changes were not applied, so that no later word of the other
+// entry, which does not send them again, counts as complete. The caller holds the lock.
+func (t *Topic) recordMissed(era int64, changes []feed.Change) {
+	if len(changes) == 0 || t.hasMissed && t.missed.Era == era {
+		return
+	}
+	t.missed, t.hasMissed = platform.Position{Era: era, Offset: changes[0].Offset}, true
+}
+
+// hasMissedBefore reports whether a missed change is one of [position, to). The caller
+// holds the lock.
+func (t *Topic) hasMissedBefore(to platform.Position) bool {
+	return t.hasMissed && t.missed.Era == to.Era && t.missed.Offset >= t.position.Offset && t.missed.Offset < to.Offset
+}
+
 // ConfirmRelayed handles the word of another entry that the changes in [from, to), all of
 // which it has sent, were the newest at the time asOf. It has no effect if changes before
 // from are missing here.
@@ -169,7 +189,7 @@
 	if !t.known || from.Era != t.position.Era || to.Era != from.Era || from.Offset > t.position.Offset || to.Offset < t.position.Offset {
 		return
 	}
-	if now-asOf > t.maxRelayedAge() {
+	if now-asOf > t.maxRelayedAge() || t.hasMissedBefore(to) {
 		return
 	}
 	if to != t.position {
@@ -276,9 +296,12 @@
 		return err
 	}
 	asOf := start
-	if next == from {
+	if took := clock.Now() - start; next == from && took >= wait {
 		// The store waited, and the response is valid as of the end of that wait.
 		asOf += wait
+	} else if next == from {
+		// The response says nothing about the time after it was sent.
+		t.log.Info("Store responded before the end of the wait.", "topic", t.name, "took", took, "wait", wait)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -164,10 +164,14 @@
 
 	c, _, _ = runConfig(t, newScriptedStore(answer{records: []platform.KeyedRecord{configRecord(1)}, next: platform.Position{Offset: 2}}), 2)
 	assert.Assert(t, c.Age() >= 0 && c.Age() < time.Hour)
-	before := c.confirmedAt.Load()
 
-	c, _, _ = runConfig(t, newScriptedStore(answer{records: []platform.KeyedRecord{configRecord(1)}, next: platform.Position{Offset: 2}}, answer{next: platform.Position{Offset: 2}}), 3)
-	assert.Assert(t, time.Duration(c.confirmedAt.Load()-before) > c.topic.readWait/2, "the wait of %v is not counted", c.topic.readWait)
+	c, _ = newFollowedConfig(t)
+	c.topic.readWait = 30 * time.Millisecond
+	c.topic.store = waitingStore{newScriptedStore(answer{next: position(5)})}
+	start := clock.Now()
+	assert.NilError(t, c.topic.read(t.Context(), c.topic.readWait))
+	assert.Assert(t, c.topic.confirmedAt >= start+c.topic.readWait, "the wait of %v is not counted", c.topic.readWait)
+	assert.Assert(t, c.topic.confirmedAt <= clock.Now())
 }
 
 func serverRecord(id string, draining bool) platform.KeyedRecord {
@@ -332,6 +336,15 @@
 	assert.Equal(t, c.topic.State().Position, position(7))
 }
 
+// waitingStore responds to reads after their wait.
+type waitingStore struct{ Store }
+
+// ReadKeyed implements Store.
+func (w waitingStore) ReadKeyed(ctx context.Context, topic string, from platform.Position, wait time.Duration) ([]platform.KeyedRecord, platform.Position, error) {
+	clock.Sleep(ctx, wait)
+	return w.Store.ReadKeyed(ctx, topic, from, 0)
+}
+
 // relayDuringRead calls relay while a read waits for its response.
 type relayDuringRead struct {
 	Store
@@ -421,3 +434,31 @@
 	<-done
 	assert.Equal(t, s.closedIdle.Load(), int64(1))
 }
+
+// TestEarlyEmptyResponseConfirmsNothingLater guards against a response without records that
+// comes before the wait is over, as one may while the store goes away: the state is not
+// known for the rest of the wait, and followers would take it over.
+func TestEarlyEmptyResponseConfirmsNothingLater(t *testing.T) {
+	c, _ := newFollowedConfig(t)
+	c.topic.store = newScriptedStore(answer{next: position(5)})
+	before := clock.Now()
+	assert.NilError(t, c.topic.read(t.Context(), time.Hour))
+	assert.Assert(t, c.topic.confirmedAt >= before && c.topic.confirmedAt <= clock.Now(), "confirmed %v after the response", c.topic.confirmedAt-clock.Now())
+}
+
+// TestMissedChangeIsNeverConfirmed checks that an entry which could not apply a relayed
+// change, because it was reading the topic anew, does not count as complete until it has
+// read that change itself.
+func TestMissedChangeIsNeverConfirmed(t *testing.T) {
+	c, versions := newFollowedConfig(t)
+	c.topic.known = false
+	c.topic.ApplyRelayed(1, []feed.Change{{Offset: 5, Key: platform.ConfigKey, Value: configRecord(2).Value}})
+	c.topic.known = true
+	c.topic.ConfirmRelayed(position(5), position(6), clock.Now())
+	assert.Equal(t, c.topic.State().Position, position(5))
+	c.topic.store = newScriptedStore(answer{records: []platform.KeyedRecord{configRecord(2)}, next: position(6)})
+	assert.NilError(t, c.topic.read(t.Context(), 0))
+	c.topic.ConfirmRelayed(position(5), position(7), clock.Now())
+	assert.Equal(t, c.topic.State().Position, position(7))
+	assert.DeepEqual(t, versions(), []uint64{2})
+}
