A reader tells its followers also what another entry told it before

If the entry before it had relayed a change and was lost, or turned away by the store, before it confirmed it, the next reader read the same record, which changed nothing any more, and left it out. Its followers were then confirmed up to a position past a change that they never got, for as long as they followed. Change: changes that were relayed and applied before a read count as changes of that read. Test, failing first: TestRelayedChangesAreToldByTheNextReader (1 of 2 changes told).

--- a/internal/watch/topic.go
+++ b/internal/watch/topic.go
@@ -92,8 +92,10 @@
 	// valid if hasMissed is set.
 	missed    platform.Position
 	hasMissed bool
-	// changes are kept for the entries that follow this one.
+	// changes are kept for the entries that follow this one. relayed are the offsets of
+	// changes from the position on that were relayed and applied.
 	changes feed.Feed
+	relayed map[int64]bool
 }
 
 // TopicState is what an entry tells others about a topic.
@@ -149,8 +151,12 @@
 		return
 	}
 	var records []platform.KeyedRecord
+	if t.relayed == nil {
+		t.relayed = map[int64]bool{}
+	}
 	for _, c := range changes {
 		if c.Offset >= t.position.Offset {
+			t.relayed[c.Offset] = true
 			records = append(records, platform.KeyedRecord{Key: c.Key, Value: c.Value, Offset: c.Offset, Deleted: c.Deleted})
 		}
 	}
@@ -195,6 +201,7 @@
 	if to != t.position {
 		// Only a gap is known of what this entry did not read itself.
 		t.changes.Reset(to)
+		clear(t.relayed)
 	}
 	t.position, t.relayedAt, t.direct = to, now, false
 	t.confirm(asOf)
@@ -309,8 +316,9 @@
 		// Newer changes were relayed meanwhile, which older records must not follow.
 		return nil
 	}
-	t.changes.Append(toChanges(t.applyRecords(records, newRecords)), next)
+	t.changes.Append(t.changesAmong(records, t.applyRecords(records, newRecords)), next)
 	t.position, t.direct = next, true
+	clear(t.relayed)
 	t.confirm(asOf)
 	return nil
 }
@@ -340,15 +348,25 @@
 	}
 	t.applyRecords(records, set)
 	t.changes.Reset(end)
+	clear(t.relayed)
 	t.position, t.known, t.restored, t.direct = end, true, false, true
 	t.confirm(start)
 	return nil
 }
 
-func toChanges(records []platform.KeyedRecord) []feed.Change {
+// changesAmong returns the changes among records that were read: those that were applied
+// now, and those that were applied before because another entry relayed them. The caller
+// holds the lock.
+func (t *Topic) changesAmong(records, applied []platform.KeyedRecord) []feed.Change {
+	isApplied := make(map[int64]bool, len(applied))
+	for _, r := range applied {
+		isApplied[r.Offset] = true
+	}
 	var changes []feed.Change
 	for _, r := range records {
-		changes = append(changes, feed.Change{Offset: r.Offset, Key: r.Key, Value: r.Value, Deleted: r.Deleted})
+		if isApplied[r.Offset] || t.relayed[r.Offset] {
+			changes = append(changes, feed.Change{Offset: r.Offset, Key: r.Key, Value: r.Value, Deleted: r.Deleted})
+		}
 	}
 	return changes
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -462,3 +462,25 @@
 	assert.Equal(t, c.topic.State().Position, position(7))
 	assert.DeepEqual(t, versions(), []uint64{2})
 }
+
+// TestRelayedChangesAreToldByTheNextReader guards against a change that followers never
+// learn: the entry that read it tells the next one and is lost before it tells the others.
+// The next one reads the same record, which changes nothing there any more, and must tell
+// it to its own followers all the same.
+func TestRelayedChangesAreToldByTheNextReader(t *testing.T) {
+	c, versions := newFollowedConfig(t)
+	var cursor feed.Cursor
+	c.topic.ApplyRelayed(1, []feed.Change{{Offset: 5, Key: platform.ConfigKey, Value: configRecord(2).Value}})
+	second := configRecord(3)
+	second.Offset = 6
+	first := configRecord(2)
+	first.Offset = 5
+	c.topic.store = newScriptedStore(answer{records: []platform.KeyedRecord{first, second}, next: position(7)})
+	assert.NilError(t, c.topic.read(t.Context(), 0))
+	assert.DeepEqual(t, versions(), []uint64{2, 3})
+	changes, from, ok := c.topic.Next(&cursor, position(5))
+	assert.Assert(t, ok)
+	assert.Equal(t, from, position(5))
+	assert.Equal(t, len(changes), 2, "%v", changes)
+	assert.Equal(t, changes[0].Offset, int64(5))
+}
