Logs and a counter tell how a server's answer marked its end

The lines on the end of an attempt have the framing of the answer and the bytes after its last whole event; the counter server_responses has the framing. No decision changes.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
 )
 
 const (
@@ -51,3 +52,8 @@
 	info, _ := result.Lookup(code)
 	m.scope.Tagged(map[string]string{"code": info.Name}).Counter("requests_refused").Inc(1)
 }
+
+// countFraming counts a server's response by the way in which it marks its end.
+func (m *metrics) countFraming(f upstream.Framing) {
+	m.scope.Tagged(map[string]string{"framing": f.String()}).Counter("server_responses").Inc(1)
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -34,6 +34,8 @@
 type outcome struct {
 	// response is set if the server gave a complete response.
 	response *response
+	// framing is that of the response, "" if there was none.
+	framing string
 	// notRun is true if the server cannot have run the request.
 	notRun bool
 	cause  string
@@ -164,7 +166,7 @@
 		status = o.response.status
 	}
 	req.log.Info("Attempt finished.", "server", srv.ID, "route", req.route.Name, "version", req.configVersion,
-		"took", clock.Now()-start, "status", status, "not_run", o.notRun, "cause", o.cause)
+		"took", clock.Now()-start, "status", status, "framing", o.framing, "not_run", o.notRun, "cause", o.cause)
 	return o
 }
 
@@ -208,14 +210,16 @@
 		}
 		return outcome{notRun: true, cause: cause}
 	}
+	framing := resp.Framing()
+	g.metrics.countFraming(framing)
 	a, err := readResponse(resp)
 	if err != nil {
-		return outcome{cause: "incomplete response: " + err.Error()}
+		return outcome{framing: framing.String(), cause: "incomplete response: " + err.Error()}
 	}
 	if !info.Signed {
-		return outcome{cause: "response without the server's signature"}
+		return outcome{framing: framing.String(), cause: "response without the server's signature"}
 	}
-	return outcome{response: a}
+	return outcome{framing: framing.String(), response: a}
 }
 
 // blockingCause repeats, before each attempt, the checks whose result may have changed
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -154,6 +154,7 @@
 		return s.handleNotRun(p, progress, resp.StatusCode)
 	}
 	s.possibleRuns++
+	s.gateway.metrics.countFraming(resp.Framing())
 	if resp.StatusCode != http.StatusOK || !info.Signed {
 		return s.relayNonStream(resp, info, progress)
 	}
@@ -166,9 +167,12 @@
 		progress(planner.Complete)
 		s.gateway.metrics.answered.Inc(1)
 		s.gateway.metrics.requestTime.RecordDuration(clock.Now() - req.arrivedAt)
-		req.log.Info("Stream completed.", "server", p.Server, "events", s.relay.events, "held", clock.Now()-req.arrivedAt, "tries", req.attempts)
+		req.log.Info("Stream completed.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", len(s.relay.pending),
+			"held", clock.Now()-req.arrivedAt, "tries", req.attempts)
 		return true, nil
 	}
+	req.log.Info("Stream from the server ended early.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", len(s.relay.pending),
+		"cause", err.Error())
 	return s.handleBrokenStream(ctx, p, progress, err)
 }
 
@@ -241,7 +245,6 @@
 
 // handleBrokenStream handles a stream that ended early.
 func (s *streamRequest) handleBrokenStream(ctx context.Context, p planner.Placement, progress func(planner.Phase), err error) (bool, *refusal) {
-	s.req.log.Info("Stream from the server ended early.", "server", p.Server, "events", s.relay.events, "cause", err.Error())
 	if ctx.Err() != nil || errors.Is(err, errClientConnection) {
 		progress(planner.Cancelled)
 		if errors.Is(err, errClientConnection) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -62,6 +62,44 @@
 	*http.Response
 }
 
+// Framing is how a response marks the end of its body.
+type Framing uint8
+
+// The framings of a response.
+const (
+	// Sized responses name the length of their body.
+	Sized Framing = iota
+	// Chunked responses mark the last chunk.
+	Chunked
+	// UntilClose responses end with their connection, so that HTTP does not show whether
+	// the body is complete.
+	UntilClose
+)
+
+// String implements fmt.Stringer.
+func (f Framing) String() string {
+	switch f {
+	case Sized:
+		return "sized"
+	case Chunked:
+		return "chunked"
+	case UntilClose:
+		return "until close"
+	}
+	return "unknown"
+}
+
+// Framing returns how the response marks the end of its body.
+func (r *Response) Framing() Framing {
+	switch {
+	case r.ContentLength >= 0:
+		return Sized
+	case len(r.TransferEncoding) > 0:
+		return Chunked
+	}
+	return UntilClose
+}
+
 // Client sends requests and keeps idle connections. It is safe for concurrent use.
 type Client struct {
 	mu        sync.Mutex
