--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"sort"
@@ -210,6 +211,57 @@
 	})
 }
 
+// TestStreamThatEndsWithinAnEventIsNotComplete guards against a stream that was broken off
+// reaching the client as complete: the server's response has neither a length nor chunks,
+// so that the end of its process looks like the end of the response.
+func TestStreamThatEndsWithinAnEventIsNotComplete(t *testing.T) {
+	const first, second = "id: 1\ndata: token 1 of r\n\n", "id: 2\ndata: token 2 of r\n\n"
+	tests := []struct {
+		name string
+		// sent is what the first server sends before it closes the connection.
+		sent string
+		// resumed is true if another server is to send the rest, where the route allows it.
+		resumed bool
+	}{
+		{"after the last event", first + second, false},
+		{"within the data of an event", first + "id: 2\nda", true},
+		{"before the empty line of an event", first + "id: 2\ndata: token 2 of r\n", true},
+		{"within the first event", "id: 1", true},
+		{"before the first event", "", true},
+	}
+	for _, tt := range tests {
+		for _, path := range []string{standin.PathStream, standin.PathResumable} {
+			t.Run(tt.name+path, func(t *testing.T) {
+				f := newFleet(t)
+				f.putConfig()
+				f.startServer("a", "a1", 0)
+				f.startServer("b", "b1", 0)
+				var ended atomic.Bool
+				for _, id := range []string{"m1", "m2"} {
+					f.startServer("model", id, 2).SetHandler(func(w http.ResponseWriter, r *http.Request) bool {
+						if !ended.CompareAndSwap(false, true) {
+							return false
+						}
+						standin.SetSignature(w.Header(), "first")
+						standin.SetUntilClose(w.Header())
+						_, _ = io.WriteString(w, tt.sent)
+						return true
+					})
+				}
+				got := f.startEntry("e1", 0).waitReady().waitRegistered().do(keyedCall(path, "r", "key-1"))
+				if tt.resumed && path == standin.PathStream {
+					// Nothing was relayed before the first whole event, so the entry may still say
+					// that the server failed.
+					assert.Assert(t, got.err != nil || got.status == http.StatusBadGateway, "a stream that was broken off looks complete: %q", got.body)
+					return
+				}
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.body, first+second)
+			})
+		}
+	}
+}
+
 func TestClientDisconnectCancelsServerRequest(t *testing.T) {
 	f := newFleet(t)
 	f.putConfig()
