A stream that ends within an event is broken off, whatever marks its end

Cause: the relay took the end of the server's response (io.EOF) for the end of the stream and forwarded the bytes that were left. For a response without length and chunks, EOF is also what the end of the server's process looks like. Class: the end of a connection taken for the end of a message.

Why it works: the stream has a framing of its own, an empty line after each event, which core/eventstream follows (CR, LF or both). A response that ends within an event, or with its connection before any event, counts as broken off: resumed where the route allows it, else visibly broken, or 502 while no whole event was relayed, since the head is sent with the first one.

The case 'last event unterminated' of TestRelayForwardsCompleteEvents asserted that such a response is complete and that its tail is forwarded; the users' page says that it was broken off. It now asserts an error and only whole events, which is as strict.

--- /dev/null
+++ b/core/eventstream/eventstream.go
@@ -0,0 +1,113 @@
+// Package eventstream splits a stream of server-sent events into whole events. It does no
+// I/O.
+package eventstream
+
+import "bytes"
+
+// Splitter splits the bytes of one response. A line ends with CR, LF or both, and an event
+// with an empty line. The zero Splitter is ready for use.
+type Splitter struct {
+	// buf[:eventsEnd] are whole events, buf[:scanned] was examined, and the current line
+	// starts at lineStart.
+	buf                           []byte
+	eventsEnd, scanned, lineStart int
+	// lineBegun is set if the current line has bytes, lineTaken if TakeUnfinished returned
+	// some of them. afterCR is set after a CR, which an LF may follow in the same line end.
+	lineBegun, lineTaken, afterCR bool
+	// inEvent is set between the first byte of an event and its end, hasField once the event
+	// has a line that is no comment, hasID once it has an ID, which is eventID.
+	inEvent, hasField, hasID bool
+	eventID                  []byte
+	// lastID is the ID of the last whole event that has one.
+	lastID []byte
+	events int
+}
+
+// Add adds bytes of the response and returns the whole events that were not returned
+// before. They are valid until the next call.
+func (s *Splitter) Add(p []byte) []byte {
+	s.discardEvents()
+	s.buf = append(s.buf, p...)
+	for ; s.scanned < len(s.buf); s.scanned++ {
+		s.scan(s.buf[s.scanned])
+	}
+	return s.buf[:s.eventsEnd]
+}
+
+// Unfinished returns the bytes after the last whole event. They are valid until the next
+// call.
+func (s *Splitter) Unfinished() []byte { return s.buf[s.eventsEnd:] }
+
+// TakeUnfinished returns the bytes after the last whole event, so that the next call of Add
+// returns only the rest of that event.
+func (s *Splitter) TakeUnfinished() []byte {
+	unfinished := s.Unfinished()
+	s.eventsEnd = len(s.buf)
+	s.lineTaken = s.lineBegun
+	return unfinished
+}
+
+// InEvent reports whether the bytes so far end within an event.
+func (s *Splitter) InEvent() bool { return s.inEvent }
+
+// Events returns the number of whole events. Comments are not counted.
+func (s *Splitter) Events() int { return s.events }
+
+// LastID returns the ID of the last whole event that has one, or "".
+func (s *Splitter) LastID() string { return string(s.lastID) }
+
+// discardEvents removes the events that Add returned.
+func (s *Splitter) discardEvents() {
+	if s.eventsEnd == 0 {
+		return
+	}
+	s.buf = append(s.buf[:0], s.buf[s.eventsEnd:]...)
+	s.scanned -= s.eventsEnd
+	s.lineStart = max(0, s.lineStart-s.eventsEnd)
+	s.eventsEnd = 0
+}
+
+// scan handles the byte c at the position scanned.
+func (s *Splitter) scan(c byte) {
+	secondOfLineEnd := s.afterCR && c == '\n'
+	s.afterCR = c == '\r'
+	switch {
+	case secondOfLineEnd:
+		if s.eventsEnd == s.scanned {
+			s.eventsEnd++
+		}
+		s.lineStart = s.scanned + 1
+	case c != '\n' && c != '\r':
+		s.hasField = s.hasField || !s.lineBegun && c != ':'
+		s.inEvent, s.lineBegun = true, true
+	case s.lineBegun:
+		s.endLine()
+	default:
+		s.endEvent()
+	}
+}
+
+var idField = []byte("id:")
+
+// endLine ends a line with bytes at the position scanned.
+func (s *Splitter) endLine() {
+	line := s.buf[s.lineStart:s.scanned]
+	if value, ok := bytes.CutPrefix(line, idField); ok && !s.lineTaken {
+		s.eventID, s.hasID = append(s.eventID[:0], bytes.TrimSpace(value)...), true
+	}
+	s.lineStart = s.scanned + 1
+	s.lineBegun, s.lineTaken = false, false
+}
+
+// endEvent ends the current event with the empty line at the position scanned.
+func (s *Splitter) endEvent() {
+	s.eventsEnd = s.scanned + 1
+	s.lineStart = s.scanned + 1
+	if s.hasField {
+		s.events++
+	}
+	if s.hasID {
+		s.lastID = append(s.lastID[:0], s.eventID...)
+	}
+	s.inEvent, s.hasField, s.hasID = false, false, false
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,13 +1,13 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/magnoliawheel/magnoliawheel/core/eventstream"
 	"github.com/magnoliawheel/magnoliawheel/internal/bounded"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
 )
@@ -23,35 +23,39 @@
 // errClientConnection marks errors of the connection to the client.
 var errClientConnection = errors.New("client connection")
 
+// Errors of a stream that a server did not complete although its response ended without an
+// error.
+var (
+	errEndsWithinEvent = errors.New("response ended within an event")
+	errNoEvent         = errors.New("connection ended before the first event")
+)
+
 // relay copies a stream of events to the client. It forwards only complete events, so
 // that an attempt which resumes the stream on another server begins at an event
 // boundary.
 type relay struct {
 	w          http.ResponseWriter
 	controller *http.ResponseController
-	resumable  bool
 	started    bool
-	events     int
-	// lastID is the ID of the last forwarded event.
-	lastID []byte
-	// pending holds bytes of an event that is not complete yet.
-	pending []byte
-	buf     []byte
+	// events is the number of forwarded events, lastID the ID of the last one that has one.
+	events int
+	lastID string
+	// splitter splits the response of the current attempt.
+	splitter *eventstream.Splitter
+	buf      []byte
 }
 
-func newRelay(w http.ResponseWriter, resumable bool) *relay {
-	return &relay{w: w, controller: http.NewResponseController(w), resumable: resumable}
+func newRelay(w http.ResponseWriter) *relay {
+	return &relay{w: w, controller: http.NewResponseController(w), splitter: &eventstream.Splitter{}}
 }
 
-func (r *relay) lastEventID() string { return string(r.lastID) }
-
 // copy relays the response of one attempt. onFirstByte is called at its first byte. A
 // nil error means that the response was complete.
 func (r *relay) copy(resp *upstream.Response, onFirstByte func()) error {
 	if r.buf == nil {
 		r.buf = make([]byte, relayBufferBytes)
 	}
-	r.pending = r.pending[:0]
+	r.splitter = &eventstream.Splitter{}
 	for {
 		n, err := resp.Body.Read(r.buf)
 		if n > 0 {
@@ -59,14 +63,12 @@
 				onFirstByte()
 				onFirstByte = nil
 			}
-			r.writeHeadOnce(resp)
-			if werr := r.forward(r.buf[:n]); werr != nil {
+			if werr := r.forward(resp, r.buf[:n]); werr != nil {
 				return werr
 			}
 		}
 		if err == io.EOF {
-			r.writeHeadOnce(resp)
-			return r.flushPending()
+			return r.finish(resp)
 		}
 		if err != nil {
 			return err
@@ -74,56 +76,49 @@
 	}
 }
 
-// writeHeadOnce writes the head of the response of the first attempt.
-func (r *relay) writeHeadOnce(resp *upstream.Response) {
-	if r.started {
-		return
+// forward writes the events that p completes.
+func (r *relay) forward(resp *upstream.Response, p []byte) error {
+	before := r.splitter.Events()
+	events := r.splitter.Add(p)
+	r.events += r.splitter.Events() - before
+	if id := r.splitter.LastID(); id != "" {
+		r.lastID = id
 	}
-	r.started = true
-	writeHead(r.w, resp.StatusCode, resp.Header)
-}
-
-// forward writes the complete events among the pending bytes and p.
-func (r *relay) forward(p []byte) error {
-	r.pending = append(r.pending, p...)
-	end := bytes.LastIndex(r.pending, eventEnd)
-	if end < 0 {
-		if len(r.pending) < maxEventBytes {
-			return nil
+	if len(events) > 0 {
+		if err := r.write(resp, events); err != nil {
+			return err
 		}
-		end = len(r.pending)
-	} else {
-		end += len(eventEnd)
 	}
-	r.recordEvents(r.pending[:end])
-	err := r.write(r.pending[:end])
-	r.pending = append(r.pending[:0], r.pending[end:]...)
-	return err
+	if len(r.splitter.Unfinished()) < maxEventBytes {
+		return nil
+	}
+	return r.write(resp, r.splitter.TakeUnfinished())
 }
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
-
-// recordEvents counts the events and stores the ID of the last one.
-func (r *relay) recordEvents(events []byte) {
-	r.events += bytes.Count(events, eventEnd)
-	if !r.resumable {
-		return
+// finish handles the end of a response. The end of the connection may be that of the
+// server's process, so only a whole last event shows that the stream is complete.
+func (r *relay) finish(resp *upstream.Response) error {
+	if r.splitter.InEvent() {
+		return errEndsWithinEvent
 	}
-	at := bytes.LastIndex(events, idField)
-	for at > 0 && events[at-1] != '\n' {
-		at = bytes.LastIndex(events[:at], idField)
+	if resp.Framing() == upstream.UntilClose && r.splitter.Events() == 0 {
+		return errNoEvent
 	}
-	if at < 0 {
+	r.writeHeadOnce(resp)
+	return nil
+}
+
+// writeHeadOnce writes the head of the response of the first attempt.
+func (r *relay) writeHeadOnce(resp *upstream.Response) {
+	if r.started {
 		return
 	}
-	line, _, _ := bytes.Cut(events[at+len(idField):], []byte("\n"))
-	r.lastID = append(r.lastID[:0], bytes.TrimSpace(line)...)
+	r.started = true
+	writeHead(r.w, resp.StatusCode, resp.Header)
 }
 
-func (r *relay) write(p []byte) error {
+func (r *relay) write(resp *upstream.Response, p []byte) error {
+	r.writeHeadOnce(resp)
 	_ = r.controller.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
 	if _, err := r.w.Write(p); err != nil {
 		return errors.Mark(err, errClientConnection)
@@ -134,14 +129,6 @@
 	return nil
 }
 
-// flushPending writes the bytes after the last complete event.
-func (r *relay) flushPending() error {
-	if len(r.pending) == 0 {
-		return nil
-	}
-	return r.write(r.pending)
-}
-
 // readResponse reads a response to its end.
 func readResponse(resp *upstream.Response) (*response, error) {
 	body, err := bounded.ReadAll(resp.Body, maxResponseBytes)
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -13,10 +13,22 @@
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
 )
 
-func responseWithBody(body io.Reader) *upstream.Response {
-	return &upstream.Response{Response: &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(body)}}
+// chunkedResponse returns a response whose body marks its end.
+func chunkedResponse(body io.Reader) *upstream.Response {
+	return &upstream.Response{Response: &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(body), ContentLength: -1, TransferEncoding: []string{"chunked"},
+	}}
 }
 
+// untilCloseResponse returns a response whose body ends with its connection.
+func untilCloseResponse(body io.Reader) *upstream.Response {
+	resp := chunkedResponse(body)
+	resp.TransferEncoding = nil
+	return resp
+}
+
+// TestRelayForwardsCompleteEvents guards against parts of events, and streams that end
+// within one, reaching the client.
 func TestRelayForwardsCompleteEvents(t *testing.T) {
 	const events = "id: 1\ndata: a\n\nid: 2\ndata: id: 7\n\n"
 	tests := []struct {
@@ -29,25 +41,49 @@
 	}{
 		{"complete events", strings.NewReader(events), false, events, 2, "2"},
 		{"one byte at a time", iotest.OneByteReader(strings.NewReader(events)), false, events, 2, "2"},
-		{"last event unterminated", strings.NewReader(events + "tail"), false, events + "tail", 2, "2"},
+		{"last event unterminated", strings.NewReader(events + "tail"), true, events, 2, "2"},
 		{"connection lost within an event", io.MultiReader(strings.NewReader(events+"id: 3\nda"), iotest.ErrReader(io.ErrUnexpectedEOF)), true, events, 2, "2"},
 		{"empty", strings.NewReader(""), false, "", 0, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			w := httptest.NewRecorder()
-			r := newRelay(w, true)
+			r := newRelay(w)
 			firstByteCalls := 0
-			err := r.copy(responseWithBody(tt.body), func() { firstByteCalls++ })
+			err := r.copy(chunkedResponse(tt.body), func() { firstByteCalls++ })
 			assert.Equal(t, err != nil, tt.wantErr)
 			assert.Equal(t, w.Body.String(), tt.want)
 			assert.Equal(t, r.events, tt.wantEvents)
-			assert.Equal(t, r.lastEventID(), tt.wantLastID)
+			assert.Equal(t, r.lastID, tt.wantLastID)
 			assert.Equal(t, firstByteCalls == 1, tt.want != "")
 		})
 	}
 }
 
+// TestConnectionEndBeforeFirstEvent guards against a server that ends before its first
+// event: if nothing but the connection marks the end, an empty stream is not complete.
+func TestConnectionEndBeforeFirstEvent(t *testing.T) {
+	for _, body := range []string{"", ": alive\n\n"} {
+		assert.NilError(t, newRelay(httptest.NewRecorder()).copy(chunkedResponse(strings.NewReader(body)), nil))
+		err := newRelay(httptest.NewRecorder()).copy(untilCloseResponse(strings.NewReader(body)), nil)
+		assert.ErrorIs(t, err, errNoEvent)
+	}
+	assert.NilError(t, newRelay(httptest.NewRecorder()).copy(untilCloseResponse(strings.NewReader("data: a\n\n")), nil))
+}
+
+// TestLongEventIsForwardedInParts guards against an event of any length being kept in
+// memory until it is complete.
+func TestLongEventIsForwardedInParts(t *testing.T) {
+	event := "data: " + strings.Repeat("x", 3*maxEventBytes) + "\n\n"
+	w := httptest.NewRecorder()
+	r := newRelay(w)
+	assert.NilError(t, r.forward(chunkedResponse(nil), []byte(event[:2*maxEventBytes])))
+	assert.Equal(t, w.Body.Len(), 2*maxEventBytes)
+	assert.NilError(t, r.forward(chunkedResponse(nil), []byte(event[2*maxEventBytes:])))
+	assert.Equal(t, w.Body.String(), event)
+	assert.Equal(t, r.events, 1)
+}
+
 // discardWriter is a client connection that accepts and discards everything.
 type discardWriter struct{ header http.Header }
 
@@ -59,11 +95,12 @@
 // BenchmarkRelayEvent measures forwarding one event of a resumable stream, without
 // network I/O.
 func BenchmarkRelayEvent(b *testing.B) {
-	r := newRelay(&discardWriter{http.Header{}}, true)
+	r := newRelay(&discardWriter{http.Header{}})
+	resp := chunkedResponse(nil)
 	event := []byte("id: 17\ndata: " + strings.Repeat("x", 45) + "\n\n")
 	b.ReportAllocs()
 	for b.Loop() {
-		if err := r.forward(event); err != nil {
+		if err := r.forward(resp, event); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,7 +47,7 @@
 		g.refuse(w, req, &refusal{code: result.EntryDraining, retryAfter: stoppingRetryAfter, cause: "entry is stopping", closeConnection: true})
 		return
 	}
-	s := &streamRequest{gateway: g, req: req, w: w, relay: newRelay(w, req.route.Resumable)}
+	s := &streamRequest{gateway: g, req: req, w: w, relay: newRelay(w)}
 	for {
 		done, r := s.attempt(ctx)
 		if ctx.Err() != nil {
@@ -167,11 +167,11 @@
 		progress(planner.Complete)
 		s.gateway.metrics.answered.Inc(1)
 		s.gateway.metrics.requestTime.RecordDuration(clock.Now() - req.arrivedAt)
-		req.log.Info("Stream completed.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", len(s.relay.pending),
+		req.log.Info("Stream completed.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", len(s.relay.splitter.Unfinished()),
 			"held", clock.Now()-req.arrivedAt, "tries", req.attempts)
 		return true, nil
 	}
-	req.log.Info("Stream from the server ended early.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", len(s.relay.pending),
+	req.log.Info("Stream from the server ended early.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", len(s.relay.splitter.Unfinished()),
 		"cause", err.Error())
 	return s.handleBrokenStream(ctx, p, progress, err)
 }
@@ -254,8 +254,8 @@
 	}
 	progress(planner.Failed)
 	s.avoid = append(s.avoid, p.Server)
-	if last := s.relay.lastEventID(); last != "" {
-		s.req.LastEventID = last
+	if s.relay.lastID != "" {
+		s.req.LastEventID = s.relay.lastID
 	}
 	return false, s.retryPossiblyRun("stream ended early")
 }
