A resumed stream whose next event has begun is not complete without it

A server that resumed a stream and sent a properly ended response without events made it complete, although the attempt before had broken off within an event, so at least one more was due.

TestEmptyRestIsNotComplete failed before ('error is nil'). The next attempt now has to bring an event.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -27,7 +27,7 @@
 // error.
 var (
 	errEndsWithinEvent = errors.New("response ended within an event")
-	errNoEvent         = errors.New("connection ended before the first event")
+	errNoEvent         = errors.New("response ended before the first event")
 )
 
 // relay copies a stream of events to the client. It forwards only complete events, so
@@ -40,6 +40,9 @@
 	// events is the number of forwarded events, lastID the ID of the last one that has one.
 	events int
 	lastID string
+	// eventDue is set if an earlier attempt broke off within an event, so that the stream
+	// has at least one more.
+	eventDue bool
 	// splitter splits the response of the current attempt.
 	splitter *eventstream.Splitter
 	buf      []byte
@@ -55,6 +58,7 @@
 	if r.buf == nil {
 		r.buf = make([]byte, relayBufferBytes)
 	}
+	r.eventDue = r.splitter.InEvent() || r.eventDue && r.splitter.Events() == 0
 	r.splitter = &eventstream.Splitter{}
 	for {
 		n, err := resp.Body.Read(r.buf)
@@ -101,7 +105,8 @@
 	if r.splitter.InEvent() {
 		return errEndsWithinEvent
 	}
-	if resp.Framing() == upstream.UntilClose && r.splitter.Events() == 0 {
+	endUnmarked := resp.Framing() == upstream.UntilClose
+	if r.splitter.Events() == 0 && (r.eventDue || endUnmarked) {
 		return errNoEvent
 	}
 	r.writeHeadOnce(resp)
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -71,6 +71,18 @@
 	assert.NilError(t, newRelay(httptest.NewRecorder()).copy(untilCloseResponse(strings.NewReader("data: a\n\n")), nil))
 }
 
+// TestEmptyRestIsNotComplete guards against a stream that broke off within an event
+// counting as complete because the server that resumed it sent nothing.
+func TestEmptyRestIsNotComplete(t *testing.T) {
+	r := newRelay(httptest.NewRecorder())
+	assert.ErrorIs(t, r.copy(chunkedResponse(strings.NewReader("id: 1\n\nid: 2\n")), nil), errEndsWithinEvent)
+	for range 2 {
+		assert.ErrorIs(t, r.copy(chunkedResponse(strings.NewReader("")), nil), errNoEvent)
+	}
+	assert.NilError(t, r.copy(chunkedResponse(strings.NewReader("id: 2\n\n")), nil))
+	assert.NilError(t, r.copy(chunkedResponse(strings.NewReader("")), nil), "no event is known to be missing")
+}
+
 // TestLongEventIsForwardedInParts guards against an event of any length being kept in
 // memory until it is complete.
 func TestLongEventIsForwardedInParts(t *testing.T) {
