A stream that is cut within a forwarded part of an event is not resumed

Found on looking for the same cause elsewhere. An event of over 256 KiB is forwarded in parts, and a break within it was taken for one at an event boundary: the entry resumed the stream at another server, and the caller got the first part of one run's event joined to a whole one of another run.

TestStreamCutInLongEventIsNotResumed failed before: a complete answer from two servers. Now the answer is visibly broken, and the client may take the stream up itself.

--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -17,7 +17,9 @@
 	// inEvent is set between the first byte of an event and its end, hasField once the event
 	// has a line that is no comment, hasID once it has an ID, which is eventID.
 	inEvent, hasField, hasID bool
-	eventID                  []byte
+	// eventTaken is set if TakeUnfinished returned a part of the current event.
+	eventTaken bool
+	eventID    []byte
 	// lastID is the ID of the last whole event that has one.
 	lastID []byte
 	events int
@@ -43,10 +45,14 @@
 func (s *Splitter) TakeUnfinished() []byte {
 	unfinished := s.Unfinished()
 	s.eventsEnd = len(s.buf)
-	s.lineTaken = s.lineBegun
+	s.lineTaken, s.eventTaken = s.lineBegun, s.inEvent
 	return unfinished
 }
 
+// PartTaken reports whether TakeUnfinished returned a part of an event whose end has not
+// arrived.
+func (s *Splitter) PartTaken() bool { return s.eventTaken }
+
 // InEvent reports whether the bytes so far end within an event.
 func (s *Splitter) InEvent() bool { return s.inEvent }
 
@@ -109,5 +115,5 @@
 	if s.hasID {
 		s.lastID = append(s.lastID[:0], s.eventID...)
 	}
-	s.inEvent, s.hasField, s.hasID = false, false, false
+	s.inEvent, s.hasField, s.hasID, s.eventTaken = false, false, false, false
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -113,6 +113,10 @@
 	return nil
 }
 
+// partForwarded reports whether a part of an event was forwarded whose end has not
+// arrived. Another server cannot continue such an event.
+func (r *relay) partForwarded() bool { return r.splitter.PartTaken() }
+
 // writeHeadOnce writes the head of the response of the first attempt.
 func (r *relay) writeHeadOnce(resp *upstream.Response) {
 	if r.started {
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -96,6 +96,19 @@
 	assert.Equal(t, r.events, 1)
 }
 
+// TestStreamCutInForwardedEventIsNotResumed guards against parts of an event from two
+// servers being joined: once a part of a long event was forwarded, no other server can
+// continue it.
+func TestStreamCutInForwardedEventIsNotResumed(t *testing.T) {
+	r := newRelay(httptest.NewRecorder())
+	assert.NilError(t, r.forward(chunkedResponse(nil), []byte("id: 1\n\nid: 2\n")))
+	assert.Assert(t, !r.partForwarded())
+	assert.NilError(t, r.forward(chunkedResponse(nil), []byte("data: "+strings.Repeat("x", maxEventBytes))))
+	assert.Assert(t, r.partForwarded())
+	assert.NilError(t, r.forward(chunkedResponse(nil), []byte("\n\nid: 3\n")))
+	assert.Assert(t, !r.partForwarded())
+}
+
 // discardWriter is a client connection that accepts and discards everything.
 type discardWriter struct{ header http.Header }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -262,6 +262,28 @@
 	}
 }
 
+// TestStreamCutInLongEventIsNotResumed guards against the same: the event is so long that a
+// part of it reached the client before the server failed.
+func TestStreamCutInLongEventIsNotResumed(t *testing.T) {
+	f := newFleet(t)
+	f.putConfig()
+	var received atomic.Int32
+	for _, id := range []string{"m1", "m2"} {
+		f.startServer("model", id, 2).SetHandler(func(w http.ResponseWriter, r *http.Request) bool {
+			if received.Add(1) > 1 {
+				return false
+			}
+			standin.SetSignature(w.Header(), "first")
+			_, _ = io.WriteString(w, "id: 1\ndata: "+strings.Repeat("x", 1<<20))
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		})
+	}
+	got := f.startEntry("e1", 0).waitReady().waitRegistered().do(keyedCall(standin.PathResumable, "r", "key-1"))
+	assert.Assert(t, got.err != nil, "the client got a response that looks complete")
+	assert.Equal(t, received.Load(), int32(1))
+}
+
 func TestClientDisconnectCancelsServerRequest(t *testing.T) {
 	f := newFleet(t)
 	f.putConfig()
