Own interface: a service's result must mark its end

Found on looking for the same cause elsewhere: the agent took a service's result that has neither length nor chunks for complete when its connection ended, which a crash does as well. The new case 'response that ends with its connection' of TestServiceClientSendsCallOnce failed before (code OK, 5 bytes). Model engines were safe: their stream has a last event.

--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -47,6 +47,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return errorStatusOutcome(resp)
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return Outcome{Code: result.ServerFailed, Message: "the result has neither a length nor chunks, so that its end cannot be told from a lost connection", Ran: result.RanYes}
+	}
 	return copyBody(ctx, resp.Body, emit)
 }
 
--- a/internal/engine/service_test.go
+++ b/internal/engine/service_test.go
@@ -47,6 +47,11 @@
 			_ = http.NewResponseController(w).Flush()
 			abort()
 		}, 0, result.ServerFailed, result.RanYes, 5},
+		// The end of the server's process would look like that of the response.
+		{"response that ends with its connection", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Transfer-Encoding", "identity")
+			_, _ = io.WriteString(w, "half ")
+		}, 0, result.ServerFailed, result.RanYes, 0},
 		{"no response before the deadline", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, 0, result.DeadlineExceeded, result.RanUnknown, 0},
 	}
 	for _, c := range cases {
