Clients of HTTP/1.0 see where a response ends

Found on looking for the same cause elsewhere, on our own side: to a client that knows no chunks, an answer without a length ends with its connection, so an entry that breaks a stream off, or dies while it sends a long answer, looks like the end of that answer. Whole events are forwarded, so the stream's own framing does not show it either.

Plain answers now have a length, which they always had in memory; streams over HTTP/1.0 are refused before anything runs (result code 1018, status 505). TestHTTP10ClientsSeeWhereAResponseEnds failed before. The users' clients speak HTTP/1.1; our own interface was safe: its streams have a last event with a checksum, its JSON does not parse in part.

--- a/core/result/result.go
+++ b/core/result/result.go
@@ -71,6 +71,7 @@
 	KeyRequired      Code = 1015
 	KeyNotAllowed    Code = 1016
 	BadHeader        Code = 1017
+	OldHTTPVersion   Code = 1018
 
 	Overloaded        Code = 2001
 	DeadlineTooShort  Code = 2002
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -20,6 +20,7 @@
 	{KeyRequired, "key_required", 400, "no", "The call requires an Idempotency-Key.", "Send one."},
 	{KeyNotAllowed, "key_not_allowed", 400, "no", "The call has no stage to which an Idempotency-Key could apply.", "Omit the header."},
 	{BadHeader, "bad_header", 400, "no", "A header of the request is malformed or the request has no id.", "Correct the header."},
+	{OldHTTPVersion, "old_http_version", 505, "no", "A stream was requested over HTTP/1.0, which could not show that it was broken off.", "Use HTTP/1.1."},
 	{Overloaded, "overloaded", 503, "no", "The remaining stages are expected to miss the deadline at the present load.", "Retry after the time in Retry-After."},
 	{DeadlineTooShort, "deadline_too_short", 422, "no", "The deadline is shorter than the minimum duration of the stages without load.", "Allow more time."},
 	{CustomerOverShare, "customer_over_share", 429, "no", "The customer exceeds its share of the capacity while others wait.", "Retry after the time in Retry-After."},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -201,6 +201,9 @@
 	if r := g.matchRoute(req); r != nil {
 		return req, r
 	}
+	if req.route.Kind == routes.Stream && !hr.ProtoAtLeast(1, 1) {
+		return req, &refusal{code: result.OldHTTPVersion, cause: "stream over " + hr.Proto}
+	}
 	if r := g.readBody(w, hr, req); r != nil {
 		return req, r
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -252,6 +253,9 @@
 
 // relayResponse relays a complete response to the client.
 func (g *Gateway) relayResponse(w http.ResponseWriter, req *request, a *response) {
+	if len(a.body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
 	writeHead(w, a.status, a.header)
 	_, err := w.Write(a.body)
 	g.metrics.answered.Inc(1)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sort"
@@ -284,6 +286,33 @@
 	assert.Equal(t, received.Load(), int32(1))
 }
 
+// TestHTTP10ClientsSeeWhereAResponseEnds guards against a broken-off response that looks
+// complete to a client that knows no chunks: a plain response has a length, and a stream,
+// which has none, is refused.
+func TestHTTP10ClientsSeeWhereAResponseEnds(t *testing.T) {
+	f := newFleet(t)
+	f.putConfig()
+	f.startServer("plain", "p1", 0)
+	model := f.startServer("model", "m1", 4)
+	e := f.startEntry("e1", 0).waitReady().waitRegistered()
+	do := func(path, body string) *http.Response {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(e.baseURL, "http://"))
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: %s\r\nX-Request-Id: r\r\nX-Api-Key: key-1\r\nContent-Length: %d\r\n\r\n%s", path, standin.Host, len(body), body)
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		return resp
+	}
+	body := strings.Repeat("x", 900)
+	plain := do(standin.PathSafe+strings.Repeat("y", 2000), body)
+	assert.Equal(t, plain.StatusCode, http.StatusOK)
+	assert.Assert(t, plain.ContentLength > int64(len(body)), "the response has no length")
+	assert.Equal(t, do(standin.PathResumable, "").StatusCode, http.StatusHTTPVersionNotSupported)
+	assert.Equal(t, len(model.ExecutedRequests()), 0)
+}
+
 func TestClientDisconnectCancelsServerRequest(t *testing.T) {
 	f := newFleet(t)
 	f.putConfig()
