Tests and soak: answers that end with their connection, broken off

What was looked at and holds is pinned down: a plain answer without a length that is reset on the way is incomplete (a case of TestServerFaults), a part of a stage server's answer is not used (TestCutStageResponseIsNotUsed). A plain answer whose connection ends in order is complete by the protocol; nothing else marks its end.

The soak has the fault 'server breaks off answers without a length'; its relays pass a reset on as one (they made an orderly end of it, which for such an answer means complete).

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -129,6 +129,7 @@
 			_, _ = w.Write([]byte("half"))
 			panic(http.ErrAbortHandler)
 		}, 200, 502, 1, 0},
+		{"resets a response that ends with its connection", func(w http.ResponseWriter, _ *http.Request) { standin.ResetUntilClose(w, "s", "half") }, 200, 502, 1, 0},
 		{"responds to another request", func(w http.ResponseWriter, _ *http.Request) {
 			standin.SetRequestID(w.Header(), "other")
 			standin.SetSignature(w.Header(), "s")
@@ -213,6 +214,35 @@
 	})
 }
 
+// TestCutStageResponseIsNotUsed guards against a part of a stage server's response counting
+// as the whole: the response ends with its connection, and so does its server.
+func TestCutStageResponseIsNotUsed(t *testing.T) {
+	for _, part := range []string{"", `{"items":[`, `{"items":[]}`, `{"items":[{"handle":"h"}`} {
+		t.Run(part, func(t *testing.T) {
+			f := newFleet(t)
+			f.putConfig()
+			var cut atomic.Bool
+			for _, id := range []string{"a1", "a2"} {
+				f.startServer("a", id, 0).SetHandler(func(w http.ResponseWriter, r *http.Request) bool {
+					if r.URL.Path != platform.StageRunPath || !cut.CompareAndSwap(false, true) {
+						return false
+					}
+					standin.SetUntilClose(w.Header())
+					_, _ = io.WriteString(w, part)
+					return true
+				})
+			}
+			f.startServer("b", "b1", 0)
+			f.startServer("model", "m1", 1)
+			got := f.startEntry("e1", 0).waitReady().waitRegistered().do(stagedCall("r"))
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK, got.body)
+			assert.Equal(t, f.servers["m1"].LastHeader("r").Get("X-Inputs"), f.servers["b1"].Address()+"/r.1.0")
+			assert.Assert(t, cut.Load())
+		})
+	}
+}
+
 // TestStreamThatEndsWithinAnEventIsNotComplete guards against a stream that was broken off
 // reaching the client as complete: the server's response has neither a length nor chunks,
 // so that the end of its process looks like the end of the response.
--- a/test/harness/relay.go
+++ b/test/harness/relay.go
@@ -1,9 +1,11 @@
 package harness
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -91,14 +93,19 @@
 	defer r.mu.Unlock()
 	for conn := range r.connections {
 		for _, c := range conn.conns {
-			if tcp, ok := c.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
-			}
-			_ = c.Close()
+			reset(c)
 		}
 	}
 }
 
+// reset closes a connection with a TCP reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Accepted returns the number of connections relayed so far.
 func (r *Relay) Accepted() int {
 	r.mu.Lock()
@@ -151,7 +158,8 @@
 	r.mu.Unlock()
 }
 
-// forward copies data in one direction until either end is closed.
+// forward copies data in one direction until either end is closed. A reset is passed on as
+// one, since an orderly end may mean that a response is complete.
 func (r *Relay) forward(conn *connection, dir Direction) {
 	from, to := conn.conns[dir], conn.conns[1-dir]
 	buf := make([]byte, relayBufferBytes)
@@ -166,7 +174,9 @@
 			continue
 		}
 		if err != nil {
-			if !silent {
+			if !silent && errors.Is(err, syscall.ECONNRESET) {
+				reset(to)
+			} else if !silent {
 				_ = to.Close()
 			}
 			return
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -71,6 +71,7 @@
 	{"store expires records", 1, (*injector).storeExpiresRecords},
 	{"store is restored from a copy", 2, (*injector).storeRestored},
 	{"server misbehaves", 3, (*injector).misbehave},
+	{"server breaks off answers without a length", 3, (*injector).breakOff},
 	{"server crashes", 2, (*injector).crashServer},
 	{"server drains", 2, (*injector).drainServer},
 	{"key added", 4, (*injector).addKey},
@@ -272,28 +273,39 @@
 
 // misbehave makes a server answer requests in one of the ways listed in misbehaviours.
 func (in *injector) misbehave(duration time.Duration) (string, func()) {
+	m := misbehaviours[in.rng.IntN(len(misbehaviours))]
 	s := in.randomServer()
-	misbehaviour := misbehaviours[in.rng.IntN(len(misbehaviours))]
-	return s.ID + " " + misbehaviour.name, func() {
-		s.SetHandler(func(w http.ResponseWriter, r *http.Request) bool {
-			if misbehaviour.executes && r.URL.Path != platform.StageRunPath && r.URL.Path != platform.StageFreePath {
-				s.RecordRequest(r)
-			}
-			misbehaviour.answer(w, r)
-			return true
-		})
-		time.Sleep(duration)
-		s.SetHandler(nil)
-	}
+	return s.ID + " " + m.name, func() { m.apply(s, duration) }
 }
 
-// misbehaviours are the ways in which a server misbehaves. If executes is set, the server
+// breakOff makes a server break off its answers, which end with their connections.
+func (in *injector) breakOff(duration time.Duration) (string, func()) {
+	s := in.randomServer()
+	return s.ID, func() { misbehaviour{executes: true, answer: breakOffUntilClose}.apply(s, duration) }
+}
+
+// misbehaviour is a way in which a server misbehaves. If executes is set, the server
 // records the request as executed.
-var misbehaviours = []struct {
+type misbehaviour struct {
 	name     string
 	executes bool
 	answer   func(w http.ResponseWriter, r *http.Request)
-}{
+}
+
+// apply makes a server misbehave for the given time.
+func (m misbehaviour) apply(s *server, duration time.Duration) {
+	s.SetHandler(func(w http.ResponseWriter, r *http.Request) bool {
+		if m.executes && r.URL.Path != platform.StageRunPath && r.URL.Path != platform.StageFreePath {
+			s.RecordRequest(r)
+		}
+		m.answer(w, r)
+		return true
+	})
+	time.Sleep(duration)
+	s.SetHandler(nil)
+}
+
+var misbehaviours = []misbehaviour{
 	{"hangs", true, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }},
 	{"resets", false, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }},
 	{"executes and resets", true, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }},
@@ -317,6 +329,23 @@
 	}},
 }
 
+// breakOffUntilClose breaks off an answer that ends with its connection: within an event of
+// a stream or within the JSON of a stage call. For other answers it resets the connection,
+// since nothing else would show the break.
+func breakOffUntilClose(w http.ResponseWriter, r *http.Request) {
+	standin.SetSignature(w.Header(), "x")
+	switch r.URL.Path {
+	case standin.PathStream, standin.PathResumable:
+		standin.SetUntilClose(w.Header())
+		_, _ = w.Write([]byte("id: 1\nda"))
+	case platform.StageRunPath:
+		standin.SetUntilClose(w.Header())
+		_, _ = w.Write([]byte(`{"items":[{"handle":"h`))
+	default:
+		standin.ResetUntilClose(w, "x", "half")
+	}
+}
+
 // startSuccessor excludes a random server from further faults, starts another server of the
 // same service, and returns the excluded one.
 func (in *injector) startSuccessor() *server {
