Logs tell software versions and streams that are taken up

'Server updated.' and 'First event relayed.' have the version now, 'Client resumes a stream.' the request and the last event, and streams_resumed counts both ways to resume. No decision changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,8 @@
 	Loaded() bool
 	// StartTime returns the start time of a server, or 0 if it is not known.
 	StartTime(id string) int64
+	// SoftwareVersion returns the version of a server's software, or "" if it is not known.
+	SoftwareVersion(id string) string
 	// MarkLeaving records that a server has said to be leaving, and reports whether that
 	// is new.
 	MarkLeaving(id string, startTime int64) bool
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,9 @@
 	clientDisconnects tally.Counter
 	streamsAborted    tally.Counter
 	retries           tally.Counter
+	// resumedByClients counts the streams that clients take up again, resumedByEntry those
+	// that the entry is to resume within one response.
+	resumedByClients, resumedByEntry tally.Counter
 	// cooldowns counts the responses with which servers asked for no requests,
 	// serversLeaving the servers that first said in a response that they are leaving.
 	cooldowns, serversLeaving tally.Counter
@@ -40,6 +43,8 @@
 		clientDisconnects: scope.Counter("clients_left"),
 		streamsAborted:    scope.Counter("streams_broken_off"),
 		retries:           scope.Counter("requests_repeated"),
+		resumedByClients:  scope.Tagged(map[string]string{"by": "client"}).Counter("streams_resumed"),
+		resumedByEntry:    scope.Tagged(map[string]string{"by": "entry"}).Counter("streams_resumed"),
 		cooldowns:         scope.Counter("server_cooldowns"),
 		serversLeaving:    scope.Counter("servers_leaving"),
 		requestTime:       scope.Histogram("request_seconds", buckets),
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,6 +47,10 @@
 		g.refuse(w, req, &refusal{code: result.EntryDraining, retryAfter: stoppingRetryAfter, cause: "entry is stopping", closeConnection: true})
 		return
 	}
+	if req.LastEventID != "" {
+		g.metrics.resumedByClients.Inc(1)
+		req.log.Info("Client resumes a stream.", "stream", req.ResumedStream, "last_event", req.LastEventID)
+	}
 	s := &streamRequest{gateway: g, req: req, w: w, relay: newRelay(w)}
 	for {
 		done, r := s.attempt(ctx)
@@ -160,7 +164,7 @@
 	}
 	err = s.relay.copy(resp, func() {
 		s.gateway.metrics.firstEventTime.RecordDuration(clock.Now() - req.arrivedAt)
-		req.log.Info("First event relayed.", "server", p.Server, "route", req.route.Name, "version", req.configVersion, "held", clock.Now()-req.arrivedAt, "took", clock.Now()-start)
+		req.log.Info("First event relayed.", "server", p.Server, "server_version", s.gateway.Servers.SoftwareVersion(p.Server), "route", req.route.Name, "version", req.configVersion, "held", clock.Now()-req.arrivedAt, "took", clock.Now()-start)
 		progress(planner.Started)
 	})
 	if err == nil {
@@ -259,6 +263,7 @@
 	}
 	if s.relay.lastID != "" {
 		s.req.LastEventID = s.relay.lastID
+		s.gateway.metrics.resumedByEntry.Inc(1)
 	}
 	return false, s.retryPossiblyRun("stream ended early")
 }
--- a/internal/watch/servers.go
+++ b/internal/watch/servers.go
@@ -63,6 +63,13 @@
 	return s.servers[id].StartTime
 }
 
+// SoftwareVersion returns the version of a server's software, or "" if it is not known.
+func (s *Servers) SoftwareVersion(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers[id].SoftwareVersion
+}
+
 // MarkLeaving records that a server has said to be leaving. It reports whether that is
 // new.
 func (s *Servers) MarkLeaving(id string, startTime int64) bool {
@@ -153,7 +160,7 @@
 	s.servers[server.ID] = server
 	changed := s.backendSet.RecordSeen(state)
 	if changed && set == newRecords {
-		s.log.Info("Server updated.", "server", server.ID, "address", server.Address, "leaving", server.Draining, "offset", rec.Offset)
+		s.log.Info("Server updated.", "server", server.ID, "version", server.SoftwareVersion, "address", server.Address, "leaving", server.Draining, "offset", rec.Offset)
 	}
 	return changed || !existed || previous != server
 }
