A stream goes on only at the software version that began it

Cause: nothing in the choice of a server knew versions. A server's record has its version, a request to place named none, and Resumes was not read. Class: an answer continued by whoever is free, without what identifies its writer. Ruled out: versions known but old (the choice had none); only one of the two ways.

Mend: the version of a stream is recorded at its first event by the entry that serves it, until the client's own timeout, and told to one more entry: the one that places, or the next one if that is itself. A request that continues a stream is placed only on servers of its version; one of which nobody knows the version only if all servers of the last minute run the same; else it is refused before any stage runs, with code 2019 and a time to come back. No record in the store: what must outlast both entries is only the answer 'not known', which is safe.

Why it works: the two holders differ, so the loss of any one entry leaves one; a new placing entry is told all streams of each entry when it is first used.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -64,6 +64,8 @@
 	ID, Address, Zone string
 	// StartTime distinguishes restarts under the same ID.
 	StartTime int64
+	// SoftwareVersion is the version of the server's software.
+	SoftwareVersion string
 	// Slots is the number of concurrent requests; 0 means no limit.
 	Slots int
 	// CacheTokens is the server's memory in tokens; 0 means no limit.
@@ -87,6 +89,8 @@
 	MaxTokens int
 	// Avoid lists the IDs of servers that must not be chosen.
 	Avoid []string
+	// SoftwareVersion, if set, is the only version of which servers may be chosen.
+	SoftwareVersion *string
 	// InputBytesByZone are the sizes of the results that the server will read, by
 	// availability zone.
 	InputBytesByZone map[string]int64
@@ -187,6 +191,19 @@
 	return best.def, true
 }
 
+// accepts reports whether the server may be chosen for the request.
+func (r *Request) accepts(s *Server) bool {
+	if r.SoftwareVersion != nil && s.SoftwareVersion != *r.SoftwareVersion {
+		return false
+	}
+	return !slices.Contains(r.Avoid, s.ID)
+}
+
+// HasServer reports whether there is a server that may be chosen for the request.
+func (t *Table) HasServer(r Request) bool {
+	return slices.ContainsFunc(t.serversByPool[r.Pool], func(s *server) bool { return r.accepts(&s.def) })
+}
+
 // LikelyZone returns the zone of the server that Choose would return now, or "" if
 // there is none.
 func (t *Table) LikelyZone(now time.Duration, r Request) string {
@@ -222,7 +239,7 @@
 	affinity := t.affinityServer(c)
 	region := t.regionByZone[c.Zone]
 	for _, s := range t.serversByPool[c.Pool] {
-		if slices.Contains(c.Avoid, s.def.ID) {
+		if !c.accepts(&s.def) {
 			continue
 		}
 		cost := s.cost(now, c, s == affinity) + s.networkCost(c.Zone, region)
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -91,6 +91,8 @@
 	Paused            Code = 2016
 	KeysNotConfirmed  Code = 2017
 	ConfigMayBeOld    Code = 2018
+	// StreamNotResumable is the code of a stream whose version cannot continue it.
+	StreamNotResumable Code = 2019
 
 	DeadlineExceeded Code = 3001
 	ServerFailed     Code = 3002
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -155,16 +156,25 @@
 	// the arrival time plus the timeout of the client or of the route, whichever is
 	// shorter.
 	objectiveDeadline, deadline time.Duration
-	keyRequired                 bool
-	header                      http.Header
-	method                      string
-	target                      string
-	host                        string
-	body                        []byte
-	attempts                    int
-	log                         logr.Logger
+	// resumableUntil is the arrival time plus the timeout of the client.
+	resumableUntil time.Duration
+	// streamVersion is the version of the server software that began the stream; nil if
+	// this entry does not know it, or if the stream has not begun.
+	streamVersion *string
+	keyRequired   bool
+	header        http.Header
+	method        string
+	target        string
+	host          string
+	body          []byte
+	attempts      int
+	log           logr.Logger
 }
 
+// streamID returns the ID of the request that brought the first event of the stream that
+// this request belongs to: its own unless the client resumes a stream.
+func (r *request) streamID() string { return cmp.Or(r.ResumedStream, r.ID) }
+
 func (r *request) remaining() time.Duration { return r.deadline - clock.Now() }
 
 // ServeHTTP implements http.Handler.
@@ -235,12 +245,13 @@
 	if req.Timeout > 0 {
 		timeout = req.Timeout
 	}
+	req.resumableUntil = req.arrivedAt + timeout
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
 	req.deadline = req.arrivedAt + timeout
 	req.objectiveDeadline = req.arrivedAt + route.Objective
-	req.service = route.PickService(jitter.Fraction(req.ID))
+	req.service = route.PickService(jitter.Fraction(req.streamID()))
 	return nil
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -35,7 +35,7 @@
 		progress := func(phase planner.Phase) { g.reportProgress(plannerPeer, req.ID, phase, reported) }
 		g.metrics.placementTime.RecordDuration(clock.Now() - start)
 		if ok || ctx.Err() != nil {
-			req.log.Info("Placement finished.", "by", peerName(plannerPeer), "server", answer.Server, "reason", answer.RefusalReason, "took", clock.Now()-start, "stages", len(pr.Stages))
+			req.log.Info("Placement finished.", "by", peerName(plannerPeer), "server", answer.Server, "server_version", answer.SoftwareVersion, "reason", answer.RefusalReason, "took", clock.Now()-start, "stages", len(pr.Stages))
 			return answer, progress
 		}
 		req.log.Info("Placement is retried with another entry.", "by", peerName(plannerPeer), "waited", clock.Now()-start, "made", len(reported.all()))
@@ -123,6 +123,9 @@
 		ID: req.ID, PieceKey: req.PieceKey, Priority: req.priority, TimeToObjective: req.objectiveDeadline - now, TimeToDeadline: req.deadline - now,
 		Pool: req.service, Zone: g.Settings.Zone, MaxTokens: req.MaxTokens, Avoid: avoid, Customer: req.customer, Owner: g.Owner,
 	}
+	if req.LastEventID != "" {
+		pr.Resume = &planner.Resume{Stream: req.streamID(), Version: req.streamVersion}
+	}
 	for _, p := range req.PromptParts {
 		pr.PromptParts = append(pr.PromptParts, placement.PromptPart{ID: p.ID, Tokens: p.Tokens})
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -70,6 +70,7 @@
 	causeKeysNotConfirmed  = "keys not confirmed by the store"
 	causeKeyRevoked        = "key revoked while the request waited"
 	causeOtherServer       = "address belongs to another server"
+	causeOtherVersion      = "server runs another software version"
 )
 
 // response is a complete response of a server.
@@ -277,7 +278,7 @@
 func placementServers(servers []platform.Server) []placement.Server {
 	all := make([]placement.Server, len(servers))
 	for i, s := range servers {
-		all[i] = placement.Server{ID: s.ID, Address: s.Address, Zone: s.Zone, StartTime: s.StartTime, Slots: s.Slots}
+		all[i] = placement.Server{ID: s.ID, Address: s.Address, Zone: s.Zone, StartTime: s.StartTime, SoftwareVersion: s.SoftwareVersion, Slots: s.Slots}
 	}
 	return all
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
+	"github.com/magnoliawheel/magnoliawheel/core/streamversion"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
@@ -49,7 +50,8 @@
 	}
 	if req.LastEventID != "" {
 		g.metrics.resumedByClients.Inc(1)
-		req.log.Info("Client resumes a stream.", "stream", req.ResumedStream, "last_event", req.LastEventID)
+		req.streamVersion = g.Planner.StreamVersion(req.streamID())
+		req.log.Info("Client resumes a stream.", "stream", req.ResumedStream, "last_event", req.LastEventID, "version_known", req.streamVersion != nil)
 	}
 	s := &streamRequest{gateway: g, req: req, w: w, relay: newRelay(w)}
 	for {
@@ -115,7 +117,7 @@
 		return false, nil
 	}
 	if p.RefusalReason != 0 {
-		return false, s.refuseOrFail(reasonCode(p.RefusalReason), p.RefusalReason.String(), p.RetryAfter)
+		return false, s.refuseOrFail(reasonCode(p.RefusalReason), planner.ReasonText(p.RefusalReason), p.RetryAfter)
 	}
 	return s.send(ctx, p, progress)
 }
@@ -129,8 +131,11 @@
 }
 
 func reasonCode(r staging.RefusalReason) result.Code {
-	if r == planner.NoServer {
+	switch r {
+	case planner.NoServer:
 		return result.NoServer
+	case planner.VersionUnknown, planner.VersionGone:
+		return result.StreamNotResumable
 	}
 	return result.Overloaded
 }
@@ -139,7 +144,11 @@
 func (s *streamRequest) send(ctx context.Context, p planner.Placement, progress func(planner.Phase)) (bool, *refusal) {
 	req := s.req
 	srv := placement.Server{ID: p.Server, Address: p.Address, StartTime: s.gateway.Servers.StartTime(p.Server)}
-	if r := s.gateway.blockingCause(req, srv); r != "" {
+	r := s.gateway.blockingCause(req, srv)
+	if version := s.gateway.Servers.SoftwareVersion(p.Server); r == "" && req.LastEventID != "" && version != p.SoftwareVersion {
+		r = causeOtherVersion
+	}
+	if r != "" {
 		progress(planner.Cancelled)
 		s.avoid = append(s.avoid, p.Server)
 		return false, s.retryNotSent(r)
@@ -163,8 +172,9 @@
 		return s.relayNonStream(resp, info, progress)
 	}
 	err = s.relay.copy(resp, func() {
+		s.streamBegan(p.SoftwareVersion)
 		s.gateway.metrics.firstEventTime.RecordDuration(clock.Now() - req.arrivedAt)
-		req.log.Info("First event relayed.", "server", p.Server, "server_version", s.gateway.Servers.SoftwareVersion(p.Server), "route", req.route.Name, "version", req.configVersion, "held", clock.Now()-req.arrivedAt, "took", clock.Now()-start)
+		req.log.Info("First event relayed.", "server", p.Server, "server_version", p.SoftwareVersion, "route", req.route.Name, "version", req.configVersion, "held", clock.Now()-req.arrivedAt, "took", clock.Now()-start)
 		progress(planner.Started)
 	})
 	if err == nil {
@@ -180,6 +190,16 @@
 	return s.handleBrokenStream(ctx, p, progress, err)
 }
 
+// streamBegan records the version of the server that sends the stream, so that the stream
+// is resumed only there.
+func (s *streamRequest) streamBegan(version string) {
+	if !s.req.route.Resumable {
+		return
+	}
+	s.req.streamVersion = &version
+	s.gateway.Links.StreamBegan(streamversion.Record{Stream: s.req.streamID(), Version: version, Until: s.req.resumableUntil})
+}
+
 // handleSendError handles an attempt without a response.
 func (s *streamRequest) handleSendError(ctx context.Context, p planner.Placement, progress func(planner.Phase), err error) (bool, *refusal) {
 	s.req.log.Info("No response from the server.", "server", p.Server, "cause", err.Error())
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -162,8 +162,10 @@
 	startTime := time.Now()
 	ticker := time.NewTicker(linkCheckInterval)
 	defer ticker.Stop()
+	var keeper *Peer
 	for settled := false; ; {
 		l.maintainSessions(ctx)
+		keeper = l.updateStreamKeeper(keeper)
 		if !settled && (time.Since(startTime) > maxSettlingTime || l.isSettled()) {
 			settled = true
 			close(l.settled)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -152,6 +152,8 @@
 		if p.local.OnServerLeaving != nil {
 			p.local.OnServerLeaving(body.Leaving.GetServer(), body.Leaving.GetStartTime())
 		}
+	case *peerpb.Message_Streams:
+		p.handleStreams(body.Streams)
 	case *peerpb.Message_Progress:
 		p.handleProgress(body.Progress.GetId(), planner.Phase(body.Progress.GetPhase()))
 	}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -179,6 +179,9 @@
 		place.Parts = append(place.Parts, &peerpb.Part{Id: part.ID, Tokens: uint32(part.Tokens)})
 	}
 	place.Made = encodeResultLocations(r.PriorResults)
+	if r.Resume != nil {
+		place.Resume = &peerpb.Resume{Stream: r.Resume.Stream, Version: r.Resume.Version}
+	}
 	return &peerpb.Message{Body: &peerpb.Message_Place{Place: place}}
 }
 
@@ -224,20 +227,23 @@
 		r.PromptParts = append(r.PromptParts, placement.PromptPart{ID: part.GetId(), Tokens: int(part.GetTokens())})
 	}
 	r.PriorResults = decodeResultLocations(place.GetMade())
+	if resume := place.GetResume(); resume != nil {
+		r.Resume = &planner.Resume{Stream: resume.GetStream(), Version: resume.Version}
+	}
 	return r, r.ID != ""
 }
 
 func encodePlacement(p planner.Placement) *peerpb.Message {
 	return &peerpb.Message{Body: &peerpb.Message_Placed{Placed: &peerpb.Placed{
 		Id: p.ID, Reason: uint32(p.RefusalReason), RetryAfterMs: p.RetryAfter.Milliseconds(),
-		Inputs: p.Inputs, Server: p.Server, Address: p.Address,
+		Inputs: p.Inputs, Server: p.Server, Address: p.Address, Version: p.SoftwareVersion,
 	}}}
 }
 
 func decodePlacement(p *peerpb.Placed) planner.Placement {
 	return planner.Placement{
 		ID: p.GetId(), RefusalReason: staging.RefusalReason(p.GetReason()), RetryAfter: milliseconds(p.GetRetryAfterMs()),
-		Inputs: p.GetInputs(), Server: p.GetServer(), Address: p.GetAddress(),
+		Inputs: p.GetInputs(), Server: p.GetServer(), Address: p.GetAddress(), SoftwareVersion: p.GetVersion(),
 	}
 }
 
--- /dev/null
+++ b/internal/peer/streams.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/streamversion"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+	"github.com/magnoliawheel/magnoliawheel/internal/peer/peerpb"
+)
+
+// maxStreamsPerMessage bounds the records of streams in one message.
+const maxStreamsPerMessage = 256
+
+// sendStreams tells the other entry which versions began streams.
+func (p *Peer) sendStreams(records []streamversion.Record) {
+	now := clock.Now()
+	for part := range slices.Chunk(records, maxStreamsPerMessage) {
+		wire := &peerpb.Streams{}
+		for _, r := range part {
+			wire.Streams = append(wire.Streams, &peerpb.StreamVersion{Stream: r.Stream, Version: r.Version, RemainingMs: (r.Until - now).Milliseconds()})
+		}
+		p.session.sendLater(&peerpb.Message{Body: &peerpb.Message_Streams{Streams: wire}})
+	}
+}
+
+// handleStreams records which versions began streams of the other entry.
+func (p *Peer) handleStreams(m *peerpb.Streams) {
+	now := clock.Now()
+	for _, s := range m.GetStreams() {
+		until := now + time.Duration(s.GetRemainingMs())*time.Millisecond
+		p.planner.StreamBegan(streamversion.Record{Stream: s.GetStream(), Version: s.GetVersion(), Until: until}, false)
+	}
+}
+
+// StreamBegan records which version of the server software began a stream of this entry,
+// and tells it the entry that places requests, so that the stream can be resumed if this
+// entry is lost.
+func (l *Links) StreamBegan(r streamversion.Record) {
+	l.planner.StreamBegan(r, true)
+	if p := l.streamKeeper(); p != nil {
+		p.sendStreams([]streamversion.Record{r})
+	}
+}
+
+// streamKeeper returns the entry that knows the streams of this one in case it is lost: the
+// one that places its requests, or if this entry places them itself, the first ready one
+// after it. It returns nil if there is none.
+func (l *Links) streamKeeper() *Peer {
+	if p := l.PlanningPeer(); p != nil {
+		return p
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.firstReadyInbound()
+}
+
+// updateStreamKeeper tells a new keeper the streams of this entry. It returns the keeper.
+func (l *Links) updateStreamKeeper(previous *Peer) *Peer {
+	keeper := l.streamKeeper()
+	if keeper != nil && keeper != previous {
+		keeper.sendStreams(l.planner.LocalStreams())
+	}
+	return keeper
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -13,6 +13,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
+	"github.com/magnoliawheel/magnoliawheel/core/streamversion"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/telemetry"
 )
@@ -23,6 +24,9 @@
 	// abandonedResultRetention is how long the results of a placed request are kept
 	// after its entry was lost, since its server may still read them.
 	abandonedResultRetention = 2 * time.Second
+	// resumeRetryAfter is the Retry-After time of a stream that cannot be resumed now.
+	// Servers of its version may return, or another entry may tell the version.
+	resumeRetryAfter = time.Second
 )
 
 // StageCaller performs calls to stage servers.
@@ -64,6 +68,17 @@
 	// PriorResults are the results obtained by an entry that worked on the request
 	// before.
 	PriorResults []staging.ResultLocation
+	// Resume is set if the request continues a stream.
+	Resume *Resume
+}
+
+// Resume says which stream a request continues.
+type Resume struct {
+	// Stream is the ID of the request that brought the first event of the stream.
+	Stream string
+	// Version is the version of the server software that began the stream, if the entry
+	// knows it.
+	Version *string
 }
 
 // Refusal reasons in addition to those of package staging.
@@ -73,8 +88,24 @@
 	// HandedOver means that another entry must place the request, starting from the
 	// results obtained so far.
 	HandedOver
+	// VersionUnknown means that servers of several versions may have begun the stream that
+	// the request continues.
+	VersionUnknown
+	// VersionGone means that no usable server runs the version that began the stream.
+	VersionGone
 )
 
+// ReasonText returns a refusal reason in words.
+func ReasonText(r staging.RefusalReason) string {
+	switch r {
+	case VersionUnknown:
+		return "version of the stream is not known"
+	case VersionGone:
+		return "no server of the stream's version"
+	}
+	return r.String()
+}
+
 // Callbacks are called with the events of one request.
 type Callbacks struct {
 	// OnPlacement is called once when the request is placed or refused, unless it is
@@ -96,6 +127,8 @@
 	Inputs  []string
 	Server  string
 	Address string
+	// SoftwareVersion is that of the server.
+	SoftwareVersion string
 }
 
 // Phase is the progress of a placed request.
@@ -124,6 +157,10 @@
 	receivedAt time.Duration
 	// handingOver requests are refused with HandedOver once they have no open call.
 	handingOver bool
+	// version, if set, is the only software version of which servers may be chosen.
+	version *string
+	// refusal is the reason for which Place refused the request, or 0.
+	refusal staging.RefusalReason
 }
 
 // Planner places requests. It is safe for concurrent use.
@@ -134,6 +171,9 @@
 	mu           sync.Mutex
 	scheduler    *staging.Scheduler
 	modelServers *placement.Table
+	// streams are the versions that began streams, poolVersions those that servers run.
+	streams      *streamversion.Table
+	poolVersions *streamversion.Pools
 	pending      map[string]*pendingRequest
 	// handingOver is the number of pending requests to hand over.
 	handingOver int
@@ -143,12 +183,15 @@
 	wake    chan struct{}
 	// stopping is set by Stop.
 	stopping bool
+	// refused are the requests that Place refused and that are not answered yet.
+	refused []*pendingRequest
 }
 
 // New returns a planner without pools. regions maps availability zones to regions.
 func New(stages StageCaller, regions map[string]string, log logr.Logger) *Planner {
 	return &Planner{
 		stages: stages, log: log, scheduler: staging.New(), modelServers: placement.New(regions),
+		streams: streamversion.New(), poolVersions: streamversion.NewPools(),
 		pending: map[string]*pendingRequest{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -190,17 +233,26 @@
 
 // SetPools sets the usable servers.
 func (p *Planner) SetPools(pools []Pool) {
-	p.update(func(time.Duration) {
+	p.update(func(now time.Duration) {
 		for _, pool := range pools {
 			if pool.StageSpec != nil {
 				p.scheduler.SetPool(pool.Name, *pool.StageSpec, pool.StageServers)
 			} else {
 				p.modelServers.SetServers(pool.Name, pool.ModelServers)
+				p.poolVersions.Observe(now, pool.Name, softwareVersions(pool.ModelServers))
 			}
 		}
 	})
 }
 
+func softwareVersions(servers []placement.Server) []string {
+	versions := make([]string, len(servers))
+	for i, s := range servers {
+		versions[i] = s.SoftwareVersion
+	}
+	return versions
+}
+
 // Place starts the placement of a request. It replaces a pending request with the same
 // ID.
 func (p *Planner) Place(req Request, callbacks Callbacks) {
@@ -213,7 +265,12 @@
 			p.markHandingOver(pr)
 			return
 		}
-		parts := placementRequest(&req)
+		if pr.refusal = p.setVersion(now, pr); pr.refusal != 0 {
+			p.refused = append(p.refused, pr)
+			p.scheduler.FreeResults(now, req.PriorResults)
+			return
+		}
+		parts := pr.placementRequest()
 		p.scheduler.Submit(now, staging.Job{
 			ID: req.ID, Key: req.PieceKey, Stages: req.Stages, Priority: req.Priority,
 			ObjectiveDeadline: now + req.TimeToObjective, Deadline: now + req.TimeToDeadline, RequestDuration: placement.ExpectedFirstEvent(parts),
@@ -268,9 +325,11 @@
 	time.AfterFunc(abandonedResultRetention, func() { p.UpdatePhase(id, Cancelled) })
 }
 
-func placementRequest(req *Request) placement.Request {
+// placementRequest returns what the choice of a server depends on.
+func (pr *pendingRequest) placementRequest() placement.Request {
+	req := &pr.req
 	return placement.Request{
-		ID: req.ID, Pool: req.Pool, Zone: req.Zone, Parts: req.PromptParts, MaxTokens: req.MaxTokens, Avoid: req.Avoid,
+		ID: req.ID, Pool: req.Pool, Zone: req.Zone, Parts: req.PromptParts, MaxTokens: req.MaxTokens, Avoid: req.Avoid, SoftwareVersion: pr.version,
 	}
 }
 
@@ -311,6 +370,10 @@
 			callbacks = append(callbacks, func() { pr.callbacks.OnResultChanges(results) })
 		}
 	}
+	for _, pr := range p.takeRefused() {
+		p.log.Info("Request refused.", "request", pr.req.ID, "owner", pr.req.Owner, "reason", ReasonText(pr.refusal), "stream", pr.req.Resume.Stream, "retry_after", resumeRetryAfter)
+		reply(pr, Placement{ID: pr.req.ID, RefusalReason: pr.refusal, RetryAfter: resumeRetryAfter})
+	}
 	for _, r := range actions.Refusals {
 		if pr := p.pending[r.JobID]; pr != nil {
 			p.log.Info("Request refused.", "request", r.JobID, "owner", pr.req.Owner, "reason", r.Reason.String(), "due", pr.req.TimeToObjective,
@@ -324,7 +387,7 @@
 			continue
 		}
 		expected, _ := p.scheduler.ExpectedDuration(job.JobID)
-		req := placementRequest(&pr.req)
+		req := pr.placementRequest()
 		req.InputBytesByZone = job.BytesByZone
 		srv, ok := p.modelServers.Choose(now, req)
 		if !ok {
@@ -332,9 +395,9 @@
 			reply(pr, Placement{ID: job.JobID, RefusalReason: NoServer, RetryAfter: time.Second})
 			continue
 		}
-		p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "expected", expected, "due", pr.req.TimeToObjective,
+		p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "server_version", srv.SoftwareVersion, "pinned", pr.version != nil, "expected", expected, "due", pr.req.TimeToObjective,
 			"waited", now-pr.receivedAt, "results", len(job.Handles), "made", len(pr.req.PriorResults), "jobs", p.scheduler.JobCount())
-		reply(pr, Placement{ID: job.JobID, Inputs: job.Handles, Server: srv.ID, Address: srv.Address})
+		reply(pr, Placement{ID: job.JobID, Inputs: job.Handles, Server: srv.ID, Address: srv.Address, SoftwareVersion: srv.SoftwareVersion})
 	}
 	p.finishHandOvers(reply)
 	return callbacks
--- /dev/null
+++ b/internal/planner/streams.go
@@ -0,0 +1,71 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/staging"
+	"github.com/magnoliawheel/magnoliawheel/core/streamversion"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+)
+
+// StreamBegan records which version of the server software began a stream. Local streams
+// are those that this entry serves.
+func (p *Planner) StreamBegan(r streamversion.Record, local bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.streams.Add(clock.Now(), r, local)
+}
+
+// StreamVersion returns the version that began a stream, or nil if it is not known.
+func (p *Planner) StreamVersion(stream string) *string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.streamVersion(clock.Now(), stream)
+}
+
+// LocalStreams returns the records of the streams that this entry serves or served.
+func (p *Planner) LocalStreams() []streamversion.Record {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.streams.Local(clock.Now())
+}
+
+// streamVersion is StreamVersion for callers that hold the lock.
+func (p *Planner) streamVersion(now time.Duration, stream string) *string {
+	version, ok := p.streams.Version(now, stream)
+	if !ok {
+		return nil
+	}
+	return &version
+}
+
+// setVersion restricts a request that continues a stream to the version that began it. It
+// returns why the stream cannot continue, or 0. The caller holds the lock.
+func (p *Planner) setVersion(now time.Duration, pr *pendingRequest) staging.RefusalReason {
+	resume := pr.req.Resume
+	if resume == nil {
+		return 0
+	}
+	pr.version = resume.Version
+	if pr.version == nil {
+		pr.version = p.streamVersion(now, resume.Stream)
+	}
+	if only, ok := p.poolVersions.Only(now, pr.req.Pool); pr.version == nil && ok {
+		pr.version = &only
+	}
+	switch {
+	case pr.version == nil:
+		return VersionUnknown
+	case !p.modelServers.HasServer(pr.placementRequest()):
+		return VersionGone
+	}
+	return 0
+}
+
+// takeRefused returns the requests that Place refused and that are not answered yet. The
+// caller holds the lock.
+func (p *Planner) takeRefused() []*pendingRequest {
+	refused := p.refused
+	p.refused = nil
+	return refused
+}
--- /dev/null
+++ b/internal/planner/streams_test.go
@@ -0,0 +1,64 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/staging"
+	"github.com/magnoliawheel/magnoliawheel/core/streamversion"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+)
+
+// TestStreamIsPlacedAtItsVersionOrRefusedAtOnce guards against a stream that goes on at
+// another software version, and against stages that run for one that cannot go on.
+func TestStreamIsPlacedAtItsVersionOrRefusedAtOnce(t *testing.T) {
+	v1, v2, v3 := "v1", "v2", "v3"
+	tests := []struct {
+		name string
+		// recorded is the version that the planner recorded for the stream.
+		recorded   *string
+		resume     *Resume
+		avoid      []string
+		wantServer string
+		wantReason staging.RefusalReason
+	}{
+		{"new stream", nil, nil, nil, "m1", 0},
+		{"version told by the entry", nil, &Resume{Stream: "s", Version: &v2}, nil, "m2", 0},
+		{"version known here", &v2, &Resume{Stream: "s"}, nil, "m2", 0},
+		{"entry knows better", &v1, &Resume{Stream: "s", Version: &v2}, nil, "m2", 0},
+		{"not known", nil, &Resume{Stream: "s"}, nil, "", VersionUnknown},
+		{"no server of the version", nil, &Resume{Stream: "s", Version: &v3}, nil, "", VersionGone},
+		{"its only server failed", nil, &Resume{Stream: "s", Version: &v2}, []string{"m2"}, "", VersionGone},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			stages := &hangingFirstCall{calls: make(chan string, 10)}
+			p := New(stages, nil, logr.Discard())
+			p.SetPools([]Pool{
+				{Name: "a", StageSpec: &staging.PoolSpec{Slots: 1, BatchSize: 1, CallOverhead: time.Millisecond, MemoryBytes: 1 << 20}, StageServers: []staging.Server{{ID: "a1"}}},
+				{Name: "m", ModelServers: []placement.Server{{ID: "m1", SoftwareVersion: v1}, {ID: "m2", SoftwareVersion: v2}}},
+			})
+			if tt.recorded != nil {
+				p.StreamBegan(streamversion.Record{Stream: "s", Version: *tt.recorded, Until: clock.Now() + time.Minute}, false)
+			}
+			ctx := t.Context()
+			go p.Run(ctx)
+			placed := make(chan Placement, 1)
+			p.Place(Request{
+				ID: "r", Stages: []staging.Stage{{Pool: "a", Pieces: 1, ResultBytes: 1}}, TimeToObjective: time.Minute, TimeToDeadline: time.Minute,
+				Pool: "m", Avoid: tt.avoid, Resume: tt.resume,
+			}, Callbacks{OnPlacement: func(a Placement) { placed <- a }, OnResultChanges: func([]staging.ResultLocation) {}})
+			got := <-placed
+			assert.Equal(t, got.Server, tt.wantServer)
+			assert.Equal(t, got.RefusalReason, tt.wantReason)
+			if tt.wantReason != 0 {
+				assert.Equal(t, len(stages.calls), 0, "a stage ran")
+				assert.Assert(t, got.RetryAfter > 0)
+			}
+		})
+	}
+}
