The soak tests entries that know of each other, and streams over software versions

It rewrites the address in an entry's registration, and did so through a map of any: the start ID, over 2^53, lost digits as a float, so no entry took the record for its own, none registered, and each placed its own requests. The record's other fields now stay as they are, and a run fails if an entry never had a session (checkEntriesCooperate). So earlier runs of the soak say nothing about what passes between entries.

New: model servers of two versions, named in each event; callers take up resumable streams that broke off, at another entry; whole answers, and the events of those that broke off, must be of the version that began them; a phase in which all entries are killed in turn without other faults, in which no stream may be refused for want of its version.

An entry that places its own requests tells the next one at once which version began a stream; otherwise the word goes with the progress of the request.

--- a/internal/node/versions_test.go
+++ b/internal/node/versions_test.go
@@ -34,7 +34,7 @@
 // startVersion starts a model server that runs the given version of its software.
 func (f *fleet) startVersion(id, version string) *standin.Server {
 	s := f.startServer("model", id, streamEvents)
-	f.store.Put(platform.ServersTopic, id, standin.VersionedServerRecord("model", s.Address(), version))
+	f.store.Put(platform.ServersTopic, id, standin.VersionedServerRecord("model", s.Address(), version, false))
 	return s
 }
 
--- a/internal/peer/streams.go
+++ b/internal/peer/streams.go
@@ -12,15 +12,16 @@
 // maxStreamsPerMessage bounds the records of streams in one message.
 const maxStreamsPerMessage = 256
 
-// sendStreams tells the other entry which versions began streams.
-func (p *Peer) sendStreams(records []streamversion.Record) {
+// sendStreams tells the other entry which versions began streams, at once if that is
+// urgent.
+func (p *Peer) sendStreams(records []streamversion.Record, urgent bool) {
 	now := clock.Now()
 	for part := range slices.Chunk(records, maxStreamsPerMessage) {
 		wire := &peerpb.Streams{}
 		for _, r := range part {
 			wire.Streams = append(wire.Streams, &peerpb.StreamVersion{Stream: r.Stream, Version: r.Version, RemainingMs: (r.Until - now).Milliseconds()})
 		}
-		p.session.sendLater(&peerpb.Message{Body: &peerpb.Message_Streams{Streams: wire}})
+		p.session.enqueue(outgoingMessage{&peerpb.Message{Body: &peerpb.Message_Streams{Streams: wire}}, urgent})
 	}
 }
 
@@ -38,8 +39,14 @@
 // entry is lost.
 func (l *Links) StreamBegan(r streamversion.Record) {
 	l.planner.StreamBegan(r, true)
+	records := []streamversion.Record{r}
+	if p := l.PlanningPeer(); p != nil {
+		// The progress of the request, which follows, is sent at once, together with this.
+		p.sendStreams(records, false)
+		return
+	}
 	if p := l.streamKeeper(); p != nil {
-		p.sendStreams([]streamversion.Record{r})
+		p.sendStreams(records, true)
 	}
 }
 
@@ -59,7 +66,7 @@
 func (l *Links) updateStreamKeeper(previous *Peer) *Peer {
 	keeper := l.streamKeeper()
 	if keeper != nil && keeper != previous {
-		keeper.sendStreams(l.planner.LocalStreams())
+		keeper.sendStreams(l.planner.LocalStreams(), false)
 	}
 	return keeper
 }
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -52,6 +53,10 @@
 	retryAfter string
 	// err is set if there was no response, or if its body ended early.
 	err error
+	// resumed is set if the request takes up the stream of an earlier one after the event
+	// lastEvent.
+	resumed   *request
+	lastEvent int
 }
 
 // requestLog records the requests of all callers.
@@ -102,6 +107,10 @@
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		r := c.send(c.rng.IntN(len(requestKinds)), c.randomKey())
+		if r.mayResume() {
+			c.switchEntry()
+			r = c.resume(r)
+		}
 		if r.err != nil || r.status >= http.StatusInternalServerError {
 			c.switchEntry()
 		}
@@ -133,7 +142,23 @@
 // send sends a request, waits for its result and records both.
 func (c *caller) send(kind int, key string) *request {
 	_, incarnation := c.entry.currentProcess()
-	r := &request{id: c.log.newID(), key: key, kind: kind, entry: c.entry, incarnation: incarnation, sent: time.Now()}
+	return c.sendRequest(&request{key: key, kind: kind, entry: c.entry, incarnation: incarnation})
+}
+
+// mayResume reports whether the request is a stream that broke off and may be taken up.
+func (r *request) mayResume() bool {
+	return requestKinds[r.kind].path == standin.PathResumable && r.err != nil && r.wholeEvents() > 0
+}
+
+// resume takes up a stream that broke off, at the caller's entry.
+func (c *caller) resume(r *request) *request {
+	_, incarnation := c.entry.currentProcess()
+	return c.sendRequest(&request{key: r.key, kind: r.kind, entry: c.entry, incarnation: incarnation, resumed: r, lastEvent: r.wholeEvents()})
+}
+
+// sendRequest sends a request under a new ID, waits for its result and records both.
+func (c *caller) sendRequest(r *request) *request {
+	r.id, r.sent = c.log.newID(), time.Now()
 	r.body = "body of " + r.id
 	c.doRequest(r)
 	r.ended = time.Now()
@@ -159,6 +184,9 @@
 		header.PieceCounts, header.PieceKey = "2,1", "k"
 	}
 	header.SetOn(req.Header)
+	if r.resumed != nil {
+		standin.SetResumes(req.Header, r.resumed.id, strconv.Itoa(r.lastEvent))
+	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		r.err = err
@@ -170,14 +198,29 @@
 	r.retryAfter = resp.Header.Get("Retry-After")
 }
 
-// expectedAnswer returns the complete answer to a request.
+// wholeEvents returns the number of whole events of the answer.
+func (r *request) wholeEvents() int { return strings.Count(r.answer, "\n\n") }
+
+// version returns the software version that wrote the first event of the stream, "" if there
+// is none.
+func (r *request) version() string {
+	if r.resumed != nil {
+		return r.resumed.version()
+	}
+	first, _, _ := strings.Cut(r.answer, "\n\n")
+	_, version, _ := strings.Cut(first, " by ")
+	return version
+}
+
+// expectedAnswer returns the complete answer to a request. All events of a stream are of the
+// version that wrote the first one.
 func (r *request) expectedAnswer() string {
 	if !requestKinds[r.kind].stream {
 		return fmt.Sprintf("POST %s %s", requestKinds[r.kind].path, r.body)
 	}
 	var b strings.Builder
-	for i := 1; i <= streamEvents; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: token %d of %s\n\n", i, i, r.id)
+	for i := r.lastEvent + 1; i <= streamEvents; i++ {
+		b.WriteString(standin.EventOf(i, r.id, r.version()))
 	}
 	return b.String()
 }
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -281,7 +281,7 @@
 // breakOff makes a server break off its answers, which end with their connections.
 func (in *injector) breakOff(duration time.Duration) (string, func()) {
 	s := in.randomServer()
-	return s.ID, func() { misbehaviour{executes: true, answer: breakOffUntilClose}.apply(s, duration) }
+	return s.ID, func() { misbehaviour{executes: true, answer: s.breakOffUntilClose}.apply(s, duration) }
 }
 
 // misbehaviour is a way in which a server misbehaves. If executes is set, the server
@@ -329,15 +329,16 @@
 	}},
 }
 
-// breakOffUntilClose breaks off an answer that ends with its connection: within an event of
-// a stream or within the JSON of a stage call. For other answers it resets the connection,
+// breakOffUntilClose breaks off an answer that ends with its connection: after an event of a
+// stream and a part of the next, or within the JSON of a stage call. For other answers it resets the connection,
 // since nothing else would show the break.
-func breakOffUntilClose(w http.ResponseWriter, r *http.Request) {
+func (s *server) breakOffUntilClose(w http.ResponseWriter, r *http.Request) {
 	standin.SetSignature(w.Header(), "x")
 	switch r.URL.Path {
 	case standin.PathStream, standin.PathResumable:
 		standin.SetUntilClose(w.Header())
-		_, _ = w.Write([]byte("id: 1\nda"))
+		next := standin.LastEventID(r.Header) + 1
+		_, _ = fmt.Fprintf(w, "%sid: %d\nda", s.Event(next, standin.RequestID(r.Header)), next+1)
 	case platform.StageRunPath:
 		standin.SetUntilClose(w.Header())
 		_, _ = w.Write([]byte(`{"items":[{"handle":"h`))
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -35,6 +35,9 @@
 // serversPerService maps the services of the configuration to the number of their servers.
 var serversPerService = map[string]int{"a": 2, "b": 2, "model": 3, "plain": 3}
 
+// softwareVersions are the versions that the servers of a service run, in turn.
+var softwareVersions = []string{"v1", "v2"}
+
 // fleet is a store, servers and entries. All connections between them pass through relays.
 type fleet struct {
 	t     *testing.T
@@ -65,6 +68,8 @@
 type server struct {
 	*standin.Server
 	service string
+	// version is that of the server's software.
+	version string
 	relay   *harness.Relay
 }
 
@@ -123,12 +128,15 @@
 	if topic != platform.EntriesTopic {
 		return value
 	}
-	var record map[string]any
+	// Numbers stay as they are: as floats, large ones would lose digits.
+	var record map[string]json.RawMessage
 	if json.Unmarshal(value, &record) != nil {
 		return value
 	}
 	if relay, ok := f.peerRelays.Load(name); ok {
-		record["address"] = relay.(*harness.Relay).Addr()
+		address, err := json.Marshal(relay.(*harness.Relay).Addr())
+		assert.Check(f.t, err)
+		record["address"] = address
 	}
 	changed, err := json.Marshal(record)
 	assert.Check(f.t, err)
@@ -145,7 +153,8 @@
 	if service == "model" {
 		events = streamEvents
 	}
-	s := &server{Server: standin.NewServer(id, events), service: service}
+	s := &server{Server: standin.NewServer(id, events), service: service, version: softwareVersions[f.lastServerNumber%len(softwareVersions)]}
+	s.SetVersion(s.version)
 	s.SetDelay(responseDelay)
 	f.t.Cleanup(s.CloseClientConnections)
 	s.relay = newRelay(f.t, s.Address())
@@ -155,7 +164,7 @@
 }
 
 func (f *fleet) putServerRecord(s *server, draining bool) {
-	f.writeServerRecord(s.ID, standin.ServerRecord(s.service, s.relay.Addr(), draining))
+	f.writeServerRecord(s.ID, standin.VersionedServerRecord(s.service, s.relay.Addr(), s.version, draining))
 }
 
 // writeServerRecord writes the record of a server; nil deletes it.
@@ -277,9 +286,15 @@
 // logTail returns the end of the entry's log.
 func (e *entry) logTail() string {
 	const maxBytes = 2000
+	text := e.readLog()
+	return text[max(0, len(text)-maxBytes):]
+}
+
+// readLog returns the log of all processes of the entry.
+func (e *entry) readLog() string {
 	data, err := os.ReadFile(filepath.Join(e.fleet.dir, e.name+".log"))
 	if err != nil {
 		return err.Error()
 	}
-	return string(data[max(0, len(data)-maxBytes):])
+	return string(data)
 }
--- a/test/soak/invariants_test.go
+++ b/test/soak/invariants_test.go
@@ -3,8 +3,11 @@
 import (
 	"net/http"
 	"sort"
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/result"
 )
 
 // revocationTolerance is added to the time for which a revoked key is accepted. It covers
@@ -38,11 +41,13 @@
 	checkKeysStayAccepted(t, in, l)
 }
 
-// checkAnswer checks that a complete answer is the expected one, and that a refusal with
-// 503 has a Retry-After header.
+// checkAnswer checks that a complete answer is the expected one and an incomplete one its
+// beginning, and that a refusal with 503 has a Retry-After header.
 func checkAnswer(t *testing.T, r *request) {
 	t.Helper()
 	switch {
+	case r.err != nil && r.status == http.StatusOK && !strings.HasPrefix(r.expectedAnswer(), r.answer):
+		t.Errorf("%s got the wrong events %q", r.id, r.answer)
 	case r.err != nil || r.status == 0:
 	case r.status == http.StatusOK && r.answer != r.expectedAnswer():
 		t.Errorf("%s got the wrong answer %q", r.id, r.answer)
@@ -96,6 +101,29 @@
 	}
 }
 
+// checkEntriesCooperate guards against a run in which no entry knows of another, so that each
+// places its own requests and nothing of what passes between them is tested.
+func checkEntriesCooperate(t *testing.T, f *fleet) {
+	t.Helper()
+	for _, e := range f.entries {
+		if !strings.Contains(e.readLog(), "Session with an entry established.") {
+			t.Errorf("%s never had a session with another entry", e.name)
+		}
+	}
+}
+
+// checkKillsInTurn checks that the loss of single entries ends no stream for want of its
+// software version, which another entry knows.
+func checkKillsInTurn(t *testing.T, all []*request) {
+	t.Helper()
+	notResumable, _ := result.Lookup(result.StreamNotResumable)
+	for _, r := range all {
+		if r.resumed != nil && r.err == nil && r.status != http.StatusOK && strings.Contains(r.answer, notResumable.Name) {
+			t.Errorf("%s, which takes up %s after %d events, was refused: %s", r.id, r.resumed.id, r.lastEvent, r.answer)
+		}
+	}
+}
+
 // checkRollingRestart checks that rolling restarts without other faults interrupt no request
 // that has reached a server.
 func checkRollingRestart(t *testing.T, f *fleet, all []*request) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -95,9 +95,15 @@
 	stop()
 	requestsUnderFaults := len(l.requests)
 	rollingRestart(t, f, l, seed)
+	requestsBeforeKills := len(l.requests)
+	killInTurn(f, l, seed)
 	checkInvariants(t, f, in, l)
-	checkRollingRestart(t, f, l.requests[requestsUnderFaults:])
+	checkEntriesCooperate(t, f)
+	checkRollingRestart(t, f, l.requests[requestsUnderFaults:requestsBeforeKills])
+	checkKillsInTurn(t, l.requests[requestsBeforeKills:])
 	t.Logf("%d requests, %d of them under faults; requests by status: %v", len(l.requests), requestsUnderFaults, countByStatus(l.requests))
+	resumed, continued := countResumed(l.requests)
+	t.Logf("%d streams taken up by callers, %d of them continued", resumed, continued)
 	if t.Failed() {
 		t.Logf("faults:\n%s", strings.Join(in.log, "\n"))
 	}
@@ -154,6 +160,35 @@
 	stop()
 }
 
+// killPause is the time between the restart of an entry and the kill of the next one.
+const killPause = 300 * time.Millisecond
+
+// killInTurn kills and restarts all entries, one after the other, under traffic.
+func killInTurn(f *fleet, l *requestLog, seed uint64) {
+	stop := startCallers(f, l, seed+2, eventTimeout)
+	for _, e := range f.entries {
+		time.Sleep(killPause)
+		e.killAndRestart(0)
+		e.waitUntilReady()
+	}
+	stop()
+}
+
+// countResumed returns the number of streams that callers took up, and how many of them
+// were continued.
+func countResumed(all []*request) (resumed, continued int) {
+	for _, r := range all {
+		if r.resumed == nil {
+			continue
+		}
+		resumed++
+		if r.status == http.StatusOK {
+			continued++
+		}
+	}
+	return resumed, continued
+}
+
 // countByStatus returns the number of requests by HTTP status.
 func countByStatus(all []*request) map[int]int {
 	counts := map[int]int{}
