--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -20,9 +20,11 @@
 	// eventTaken is set if TakeUnfinished returned a part of the current event.
 	eventTaken bool
 	eventID    []byte
-	// lastID is the ID of the last whole event that has one.
-	lastID []byte
-	events int
+	// lastID is the ID of the last whole event that has one. lastHasID is set if that is the
+	// last event.
+	lastID    []byte
+	lastHasID bool
+	events    int
 }
 
 // Add adds bytes of the response and returns the whole events that were not returned
@@ -62,6 +64,9 @@
 // LastID returns the ID of the last whole event that has one, or "".
 func (s *Splitter) LastID() string { return string(s.lastID) }
 
+// LastHasID reports whether the last whole event has an ID. It is false if there is none.
+func (s *Splitter) LastHasID() bool { return s.lastHasID }
+
 // discardEvents removes the events that Add returned.
 func (s *Splitter) discardEvents() {
 	if s.eventsEnd == 0 {
@@ -111,6 +116,7 @@
 	s.lineStart = s.scanned + 1
 	if s.hasField {
 		s.events++
+		s.lastHasID = s.hasID
 	}
 	if s.hasID {
 		s.lastID = append(s.lastID[:0], s.eventID...)
--- a/core/eventstream/eventstream_test.go
+++ b/core/eventstream/eventstream_test.go
@@ -42,6 +42,7 @@
 				assert.Equal(t, s.InEvent(), tt.wantUnfinished != "")
 				assert.Equal(t, s.Events(), tt.wantEvents)
 				assert.Equal(t, s.LastID(), tt.wantLastID)
+				assert.Equal(t, s.LastHasID(), tt.wantLastID != "" && tt.name != "event without an ID")
 			}
 		})
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -113,6 +113,15 @@
 	return nil
 }
 
+// canContinue reports whether another server can continue the stream after what was
+// forwarded: whole events, of which the last one has an ID.
+func (r *relay) canContinue() bool {
+	if r.partForwarded() {
+		return false
+	}
+	return r.splitter.Events() == 0 || r.splitter.LastHasID()
+}
+
 // partForwarded reports whether a part of an event was forwarded whose end has not
 // arrived. Another server cannot continue such an event.
 func (r *relay) partForwarded() bool { return r.splitter.PartTaken() }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -278,8 +278,8 @@
 	}
 	progress(planner.Failed)
 	s.avoid = append(s.avoid, p.Server)
-	if s.relay.partForwarded() {
-		return false, serverFailure("stream ended within a long event")
+	if !s.relay.canContinue() {
+		return false, serverFailure("stream ended where no other server can continue it")
 	}
 	if s.relay.lastID != "" {
 		s.req.LastEventID = s.relay.lastID
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -316,6 +316,30 @@
 	assert.Equal(t, received.Load(), int32(1))
 }
 
+// TestStreamWithoutEventIDsIsNotResumed guards against events that come twice: no other
+// server can know which ones the client has.
+func TestStreamWithoutEventIDsIsNotResumed(t *testing.T) {
+	for _, sent := range []string{"data: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n"} {
+		f := newFleet(t)
+		f.putConfig()
+		var received atomic.Int32
+		for _, id := range []string{"m1", "m2"} {
+			f.startServer("model", id, 2).SetHandler(func(w http.ResponseWriter, r *http.Request) bool {
+				if received.Add(1) > 1 {
+					return false
+				}
+				standin.SetSignature(w.Header(), "first")
+				_, _ = io.WriteString(w, sent)
+				w.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			})
+		}
+		got := f.startEntry("e1", 0).waitReady().waitRegistered().do(keyedCall(standin.PathResumable, "r", "key-1"))
+		assert.Assert(t, got.err != nil, "%q was resumed: %q", sent, got.body)
+		assert.Equal(t, received.Load(), int32(1))
+	}
+}
+
 // TestHTTP10ClientsSeeWhereAResponseEnds guards against a broken-off response that looks
 // complete to a client that knows no chunks: a plain response has a length, and a stream,
 // which has none, is refused.
