--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -15,7 +14,6 @@
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/core/streamversion"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
-	"github.com/magnoliawheel/magnoliawheel/internal/telemetry"
 )
 
 const (
@@ -47,109 +45,6 @@
 	ModelServers []placement.Server
 }
 
-// Request is a client request to place.
-type Request struct {
-	ID       string
-	PieceKey string
-	Stages   []staging.Stage
-	Priority int
-	// TimeToObjective and TimeToDeadline are relative to the time at which Place is
-	// called.
-	TimeToObjective, TimeToDeadline time.Duration
-	Pool                            string
-	Zone                            string
-	PromptParts                     []placement.PromptPart
-	MaxTokens                       int
-	Avoid                           []string
-	Customer                        string
-	// Owner identifies the process start of the entry that received the request from its
-	// client; it changes with each restart.
-	Owner string
-	// PriorResults are the results obtained by an entry that worked on the request
-	// before.
-	PriorResults []staging.ResultLocation
-	// Resume is set if the request continues a stream.
-	Resume *Resume
-}
-
-// Resume says which stream a request continues.
-type Resume struct {
-	// Stream is the ID of the request that brought the first event of the stream.
-	Stream string
-	// Version is the version of the server software that began the stream, if the entry
-	// knows it.
-	Version *string
-}
-
-// Refusal reasons in addition to those of package staging.
-const (
-	// NoServer means that the pool has no usable server.
-	NoServer staging.RefusalReason = 100 + iota
-	// HandedOver means that another entry must place the request, starting from the
-	// results obtained so far.
-	HandedOver
-	// VersionUnknown means that servers of several versions may have begun the stream that
-	// the request continues.
-	VersionUnknown
-	// VersionGone means that no usable server runs the version that began the stream.
-	VersionGone
-)
-
-// ReasonText returns a refusal reason in words.
-func ReasonText(r staging.RefusalReason) string {
-	switch r {
-	case VersionUnknown:
-		return "version of the stream is not known"
-	case VersionGone:
-		return "no server of the stream's version"
-	}
-	return r.String()
-}
-
-// Callbacks are called with the events of one request.
-type Callbacks struct {
-	// OnPlacement is called once when the request is placed or refused, unless it is
-	// cancelled first.
-	OnPlacement func(Placement)
-	// OnResultChanges is called with new and lost results.
-	OnResultChanges func([]staging.ResultLocation)
-	// Local is true if the request was received by this entry.
-	Local bool
-}
-
-// Placement is the answer to a Request: the server and its inputs, or a refusal.
-type Placement struct {
-	ID string
-	// RefusalReason is 0 if the request was placed.
-	RefusalReason staging.RefusalReason
-	RetryAfter    time.Duration
-	// Inputs are the handles of the stage results that the request reads.
-	Inputs  []string
-	Server  string
-	Address string
-	// SoftwareVersion is that of the server.
-	SoftwareVersion string
-}
-
-// Phase is the progress of a placed request.
-type Phase uint8
-
-// The phases of a placed request.
-const (
-	// Started requests have read their inputs.
-	Started Phase = iota + 1
-	// The other phases correspond to the outcomes of package placement.
-	Complete
-	Failed
-	Unreached
-	Cancelled
-)
-
-var outcomeByPhase = map[Phase]placement.Outcome{
-	Complete: placement.Complete, Failed: placement.Failed,
-	Unreached: placement.Unreached, Cancelled: placement.Cancelled,
-}
-
 // pendingRequest is a request that is not placed yet.
 type pendingRequest struct {
 	req        Request
@@ -287,12 +182,6 @@
 	delete(p.pending, id)
 }
 
-// markHandingOver marks a pending request to be handed over.
-func (p *Planner) markHandingOver(pr *pendingRequest) {
-	pr.handingOver = true
-	p.handingOver++
-}
-
 // UpdatePhase records the progress of a placed request.
 func (p *Planner) UpdatePhase(id string, phase Phase) {
 	p.update(func(now time.Duration) {
@@ -403,81 +292,6 @@
 	return callbacks
 }
 
-// Stop hands over the requests of other entries. Those of this entry continue, since it
-// may know of no entry that comes after it.
-func (p *Planner) Stop() {
-	p.update(func(time.Duration) {
-		p.stopping = true
-		p.handOver(func(pr *pendingRequest) bool { return !pr.callbacks.Local })
-	})
-}
-
-// HandOver hands over all requests, to an entry that comes before this one.
-func (p *Planner) HandOver() {
-	p.update(func(time.Duration) { p.handOver(func(*pendingRequest) bool { return true }) })
-}
-
-// handOver starts no more calls for the selected requests. Each is answered with
-// HandedOver once it has no open call.
-func (p *Planner) handOver(selects func(*pendingRequest) bool) {
-	for id, pr := range p.pending {
-		if !pr.handingOver && selects(pr) {
-			p.markHandingOver(pr)
-			p.scheduler.SuspendJob(id)
-		}
-	}
-}
-
-// finishHandOvers answers the requests to hand over that have no open call.
-func (p *Planner) finishHandOvers(reply func(*pendingRequest, Placement)) {
-	if p.handingOver == 0 {
-		return
-	}
-	for id, pr := range p.pending {
-		if pr.handingOver && !p.scheduler.HasOpenCall(id) {
-			p.scheduler.DetachJob(id)
-			reply(pr, Placement{ID: id, RefusalReason: HandedOver})
-		}
-	}
-}
-
-// runCall performs a call and records its result.
-func (p *Planner) runCall(c staging.Call) {
-	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
-	defer cancel()
-	start := clock.Now()
-	result, err := p.stages.Run(ctx, c)
-	elapsed := clock.Now() - start
-	if result.Status != staging.Answered {
-		p.log.Info("Stage call failed.", "call", c.ID, "requests", requestIDs(c), "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", elapsed, "cause", telemetry.ErrorText(err), "retry_after", result.RetryAfter)
-	} else {
-		p.log.Info("Stage call completed.", "call", c.ID, "requests", requestIDs(c), "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", elapsed, "expected", c.ExpectedTime,
-			"waited", c.WaitTime, "memory_left", c.MemoryLeft)
-	}
-	p.update(func(now time.Duration) { p.scheduler.CallDone(now, c.ID, result) })
-}
-
-// requestIDs returns the IDs of the requests whose pieces a call runs.
-func requestIDs(c staging.Call) []string {
-	var ids []string
-	for _, it := range c.Items {
-		if !slices.Contains(ids, it.JobID) {
-			ids = append(ids, it.JobID)
-		}
-	}
-	return ids
-}
-
-func (p *Planner) freeOnServer(f staging.FreeRequest) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	retryAfter, err := p.stages.Free(ctx, f)
-	if err != nil {
-		p.log.Info("Results not freed.", "server", f.Server.ID, "results", len(f.Handles), "cause", err.Error(), "retry_after", retryAfter)
-	}
-	p.update(func(now time.Duration) { p.scheduler.FreeDone(now, f.ID, retryAfter) })
-}
-
 // JobCount returns the number of requests whose stages are running or whose results are
 // kept.
 func (p *Planner) JobCount() int {
