Gateway: a request, its checks and limits in a file of their own

Moves only, but for one line: a request that names a stream in Resumes without a last event starts anew, so the name is ignored; it would have overwritten what is known of that stream.

--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"cmp"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/magnoliawheel/magnoliawheel/core/jitter"
+	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/core/routes"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+	"github.com/magnoliawheel/magnoliawheel/platform"
+)
+
+// request is a client request with its route and its limits.
+type request struct {
+	platform.ClientRequest
+	route         *routes.Route
+	configVersion uint64
+	limits        routes.Limits
+	service       string
+	customer      string
+	priority      int
+	arrivedAt     time.Duration
+	// objectiveDeadline is the arrival time plus the objective of the route. deadline is
+	// the arrival time plus the timeout of the client or of the route, whichever is
+	// shorter.
+	objectiveDeadline, deadline time.Duration
+	// resumableUntil is the arrival time plus the timeout of the client.
+	resumableUntil time.Duration
+	// streamVersion is the version of the server software that began the stream; nil if
+	// this entry does not know it, or if the stream has not begun.
+	streamVersion *string
+	keyRequired   bool
+	header        http.Header
+	method        string
+	target        string
+	host          string
+	body          []byte
+	attempts      int
+	log           logr.Logger
+}
+
+// streamID returns the ID of the request that brought the first event of the stream that
+// this request belongs to: its own unless the client resumes a stream.
+func (r *request) streamID() string { return cmp.Or(r.ResumedStream, r.ID) }
+
+func (r *request) remaining() time.Duration { return r.deadline - clock.Now() }
+
+// accept checks the request, matches its route and reads its body.
+func (g *Gateway) accept(w http.ResponseWriter, hr *http.Request) (*request, *refusal) {
+	arrived := clock.Now()
+	cr, err := platform.DecodeClientRequest(hr.Header)
+	req := &request{
+		ClientRequest: cr, arrivedAt: arrived, header: hr.Header, method: hr.Method, target: hr.RequestURI, host: hr.Host,
+		log: g.Log.WithValues("request", cr.ID),
+	}
+	if err != nil {
+		return req, &refusal{code: result.BadHeader, cause: err.Error()}
+	}
+	if req.LastEventID == "" {
+		// Without an event there is nothing to resume.
+		req.ResumedStream = ""
+	}
+	if r := g.matchRoute(req); r != nil {
+		return req, r
+	}
+	if req.route.Kind == routes.Stream && !hr.ProtoAtLeast(1, 1) {
+		return req, &refusal{code: result.OldHTTPVersion, cause: "stream over " + hr.Proto}
+	}
+	if r := g.readBody(w, hr, req); r != nil {
+		return req, r
+	}
+	return req, nil
+}
+
+// matchRoute finds the route, checks the key, and sets the deadlines.
+func (g *Gateway) matchRoute(req *request) *refusal {
+	t := g.Config.Table()
+	if !g.hasServers() {
+		return newRefusal(result.NotReady, "no configuration yet", notReadyRetryAfter)
+	}
+	req.configVersion, req.limits = t.Version, t.Limits
+	path, _, _ := strings.Cut(req.target, "?")
+	route := t.Match(req.host, path)
+	if route == nil {
+		return g.refuseUnknown(result.UnknownCall, "no such route")
+	}
+	req.route, req.priority = route, route.Priority
+	req.keyRequired = t.KeyRequired() && !route.Public
+	if req.keyRequired {
+		if r := g.checkKey(t, req); r != nil {
+			return r
+		}
+	}
+	timeout := defaultTimeout
+	if req.Timeout > 0 {
+		timeout = req.Timeout
+	}
+	req.resumableUntil = req.arrivedAt + timeout
+	if route.Timeout > 0 {
+		timeout = min(timeout, route.Timeout)
+	}
+	req.deadline = req.arrivedAt + timeout
+	req.objectiveDeadline = req.arrivedAt + route.Objective
+	req.service = route.PickService(jitter.Fraction(req.streamID()))
+	return nil
+}
+
+func (g *Gateway) checkKey(t *routes.Table, req *request) *refusal {
+	if !g.keysValid() {
+		return &refusal{code: result.KeysNotConfirmed, retryAfter: notReadyRetryAfter, cause: "keys not confirmed by the store", closeConnection: true}
+	}
+	c := t.Customer(req.APIKey)
+	if c == nil {
+		return g.refuseUnknown(result.BadCustomer, "unknown key")
+	}
+	req.customer = c.Name
+	if c.Priority != nil {
+		req.priority = *c.Priority
+	}
+	return nil
+}
+
+// refuseUnknown returns the refusal for a route or key that is not in the
+// configuration. If a newer configuration may have it, the error is retryable.
+func (g *Gateway) refuseUnknown(code result.Code, cause string) *refusal {
+	if !g.configFresh(staleConfigFraction, g.Settings.MaxConfigDelay) {
+		return newRefusal(result.ConfigMayBeOld, cause, notReadyRetryAfter)
+	}
+	return &refusal{code: code, cause: cause}
+}
+
+func (g *Gateway) readBody(w http.ResponseWriter, hr *http.Request, req *request) *refusal {
+	if limit := req.limits.HeaderBytes; limit > 0 && headerBytes(hr) > limit {
+		return &refusal{code: result.HeaderTooLarge, cause: "header too large"}
+	}
+	limit := req.limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, limit))
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &refusal{code: result.BodyTooLarge, cause: "body too large"}
+	}
+	if err != nil {
+		return &refusal{code: result.SlowCaller, cause: "body not received: " + err.Error(), closeConnection: true}
+	}
+	req.body = body
+	return nil
+}
+
+// headerBytes returns the size of the request line and the headers.
+func headerBytes(hr *http.Request) int {
+	n := len(hr.Method) + len(hr.RequestURI) + len(hr.Host)
+	for name, values := range hr.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -1,8 +1,6 @@
 package planner
 
-import (
-	"time"
-)
+import "time"
 
 // Stop hands over the requests of other entries. Those of this entry continue, since it
 // may know of no entry that comes after it.
