--- a/internal/node/versions_test.go
+++ b/internal/node/versions_test.go
@@ -169,6 +169,30 @@
 	}
 }
 
+// TestStreamNameWithoutEventIsIgnored guards against a request that names a stream, but begins
+// anew, replacing what is known of that stream.
+func TestStreamNameWithoutEventIsIgnored(t *testing.T) {
+	f := newFleet(t)
+	f.putConfig()
+	began := f.startBreakingServer("m5", "v1", nil)
+	e := f.startEntry("e1", 0).waitReady().waitRegistered()
+	f.waitServers(1, e)
+	e.beginStream("r", func() {
+		f.startVersion("m1", "v2")
+		f.startVersion("m9", "v1")
+		f.putServerRecord("model", "m5", began.Address(), true)
+		f.waitServers(2, e)
+	})
+	anew := keyedCall(standin.PathResumable, "s", "key-1")
+	anew.extraHeader = http.Header{}
+	standin.SetResumes(anew.extraHeader, "r", "")
+	got := e.do(anew)
+	assert.NilError(t, got.err)
+	assert.Equal(t, len(f.servers["m1"].ExecutedRequests()), 1, "a new stream may begin at any version")
+	assert.Equal(t, e.do(resumeCall("u", "r")).body, restOfStream("u"))
+	assert.Equal(t, len(f.servers["m1"].ExecutedRequests()), 1)
+}
+
 // TestUnknownStreamIsResumedOnlyAmongOneVersion guards against a guess: if no entry knows
 // which version began a stream, it goes on only if all servers run the same one.
 func TestUnknownStreamIsResumedOnlyAmongOneVersion(t *testing.T) {
