The version of a stream is kept in one place

The copy is gone; the record serves streams that the entry resumes and those that the client takes up.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -124,7 +124,7 @@
 		Pool: req.service, Zone: g.Settings.Zone, MaxTokens: req.MaxTokens, Avoid: avoid, Customer: req.customer, Owner: g.Owner,
 	}
 	if req.LastEventID != "" {
-		pr.Resume = &planner.Resume{Stream: req.streamID(), Version: req.streamVersion}
+		pr.Resume = &planner.Resume{Stream: req.streamID(), Version: g.Planner.StreamVersion(req.streamID())}
 	}
 	for _, p := range req.PromptParts {
 		pr.PromptParts = append(pr.PromptParts, placement.PromptPart{ID: p.ID, Tokens: p.Tokens})
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -33,17 +33,14 @@
 	objectiveDeadline, deadline time.Duration
 	// resumableUntil is the arrival time plus the timeout of the client.
 	resumableUntil time.Duration
-	// streamVersion is the version of the server software that began the stream; nil if
-	// this entry does not know it, or if the stream has not begun.
-	streamVersion *string
-	keyRequired   bool
-	header        http.Header
-	method        string
-	target        string
-	host          string
-	body          []byte
-	attempts      int
-	log           logr.Logger
+	keyRequired    bool
+	header         http.Header
+	method         string
+	target         string
+	host           string
+	body           []byte
+	attempts       int
+	log            logr.Logger
 }
 
 // streamID returns the ID of the request that brought the first event of the stream that
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -50,8 +50,7 @@
 	}
 	if req.LastEventID != "" {
 		g.metrics.resumedByClients.Inc(1)
-		req.streamVersion = g.Planner.StreamVersion(req.streamID())
-		req.log.Info("Client resumes a stream.", "stream", req.ResumedStream, "last_event", req.LastEventID, "version_known", req.streamVersion != nil)
+		req.log.Info("Client resumes a stream.", "stream", req.ResumedStream, "last_event", req.LastEventID, "version_known", g.Planner.StreamVersion(req.streamID()) != nil)
 	}
 	s := &streamRequest{gateway: g, req: req, w: w, relay: newRelay(w)}
 	for {
@@ -196,7 +195,6 @@
 	if !s.req.route.Resumable {
 		return
 	}
-	s.req.streamVersion = &version
 	s.gateway.Links.StreamBegan(streamversion.Record{Stream: s.req.streamID(), Version: version, Until: s.req.resumableUntil})
 }
 
