Log: what the choice of a model server depended on

'Request placed.' has the size of the prompt, the part that the server has to process, what it has to process before, and the requests that run there. Without it a late first event could not be put down to the size of the prompt or to the wait. No decision changes.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -174,21 +174,32 @@
 	t.serversByPool[pool] = servers
 }
 
+// Choice is a chosen server and what the choice depended on.
+type Choice struct {
+	Server
+	// PromptTokens is the size of the prompt, UncachedTokens the part of it that the server
+	// has to process, and QueuedTokens what it has to process before.
+	PromptTokens, UncachedTokens, QueuedTokens int
+	// Running is the number of other requests on the server.
+	Running int
+}
+
 // Choose returns the best server for a request and records the request there. It
 // returns false if there is none.
-func (t *Table) Choose(now time.Duration, r Request) (Server, bool) {
+func (t *Table) Choose(now time.Duration, r Request) (Choice, bool) {
 	c := newChoice(&r)
 	best := t.cheapest(now, c)
 	if best == nil {
-		return Server{}, false
+		return Choice{}, false
 	}
+	chosen := Choice{Server: best.def, PromptTokens: c.promptTokens, UncachedTokens: best.uncachedTokens(c), QueuedTokens: best.pendingPrefillTokens, Running: best.running}
 	t.Finish(now, r.ID, Cancelled)
-	p := &placedRequest{server: best, placedAt: now, pendingPrefillTokens: best.uncachedTokens(c), reservedTokens: c.promptTokens + r.MaxTokens}
+	p := &placedRequest{server: best, placedAt: now, pendingPrefillTokens: chosen.UncachedTokens, reservedTokens: c.promptTokens + r.MaxTokens}
 	t.requests[r.ID] = p
 	best.add(p)
 	p.expectedPrefillTime = time.Duration(best.pendingPrefillMS() * float64(time.Millisecond))
 	best.cache.add(c.prefixes, int(cacheMemoryShare*float64(best.def.CacheTokens)))
-	return best.def, true
+	return chosen, true
 }
 
 // accepts reports whether the server may be chosen for the request.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -144,7 +144,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.plainServers.SetServers(req.service, placementServers(g.Servers.Usable(req.service)))
-	return g.plainServers.Choose(clock.Now(), placement.Request{ID: req.ID, Pool: req.service, Zone: g.Settings.Zone, Avoid: avoid})
+	chosen, ok := g.plainServers.Choose(clock.Now(), placement.Request{ID: req.ID, Pool: req.service, Zone: g.Settings.Zone, Avoid: avoid})
+	return chosen.Server, ok
 }
 
 func (g *Gateway) recordPlainOutcome(id string, requestOutcome placement.Outcome) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -284,7 +284,8 @@
 			reply(pr, Placement{ID: job.JobID, RefusalReason: NoServer, RetryAfter: time.Second})
 			continue
 		}
-		p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "server_version", srv.SoftwareVersion, "pinned", pr.version != nil, "expected", expected, "due", pr.req.TimeToObjective,
+		p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "server_version", srv.SoftwareVersion, "pinned", pr.version != nil, "prompt", srv.PromptTokens, "uncached", srv.UncachedTokens, "queued", srv.QueuedTokens,
+			"running", srv.Running, "expected", expected, "due", pr.req.TimeToObjective,
 			"waited", now-pr.receivedAt, "results", len(job.Handles), "made", len(pr.req.PriorResults), "jobs", p.scheduler.JobCount())
 		reply(pr, Placement{ID: job.JobID, Inputs: job.Handles, Server: srv.ID, Address: srv.Address, SoftwareVersion: srv.SoftwareVersion})
 	}
