Large changes of the configuration go to followers compressed

Change: a value from 1 KiB on is compressed once, when the reader has read it; a follower that cannot read one does not count its state as complete and reads the store itself. The gzip code of core/configlog now serves both (core/gzipped).

The rest of the bytes were not taken apart; calls of stages and placements are the likely part.

--- a/core/configlog/configlog_test.go
+++ b/core/configlog/configlog_test.go
@@ -8,6 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawheel/magnoliawheel/core/gzipped"
+
 	"github.com/magnoliawheel/magnoliawheel/core/schema"
 )
 
@@ -159,7 +161,7 @@
 	s := exampleSnapshot(t)
 	record, err := s.EncodeCheckpoint()
 	assert.NilError(t, err)
-	valid, err := decompress(record)
+	valid, err := gzipped.Decompress(record, maxRecordBytes)
 	assert.NilError(t, err)
 	for name, data := range map[string]string{
 		"truncated record":     string(record[:len(record)/2]),
--- a/core/configlog/fuzz_test.go
+++ b/core/configlog/fuzz_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/gzipped"
 )
 
 // FuzzFold applies arbitrary bytes as a record: the offset advances, the schema in
@@ -50,7 +52,7 @@
 func FuzzCheckpoint(f *testing.F) {
 	record, err := exampleSnapshot(f).EncodeCheckpoint()
 	assert.NilError(f, err)
-	text, err := decompress(record)
+	text, err := gzipped.Decompress(record, maxRecordBytes)
 	assert.NilError(f, err)
 	f.Add(record)
 	f.Add(text)
--- a/core/configlog/record.go
+++ b/core/configlog/record.go
@@ -2,10 +2,11 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"encoding/json"
 	"errors"
 	"io"
+
+	"github.com/magnoliawheel/magnoliawheel/core/gzipped"
 )
 
 // Limits of a change.
@@ -77,18 +78,12 @@
 	if err != nil || len(encoded) <= compressThreshold {
 		return encoded, err
 	}
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	if _, err := w.Write(encoded); err != nil {
-		return nil, err
-	}
-	err = w.Close()
-	return b.Bytes(), err
+	return gzipped.Compress(encoded)
 }
 
 func decodeRecord(data []byte) (record, error) {
 	if bytes.HasPrefix(data, []byte(gzipMagic)) {
-		decompressed, err := decompress(data)
+		decompressed, err := gzipped.Decompress(data, maxRecordBytes)
 		if err != nil {
 			return record{}, err
 		}
@@ -104,18 +99,6 @@
 	return r, nil
 }
 
-func decompress(data []byte) ([]byte, error) {
-	r, err := gzip.NewReader(bytes.NewReader(data))
-	if err != nil {
-		return nil, err
-	}
-	decompressed, err := io.ReadAll(io.LimitReader(r, maxRecordBytes+1))
-	if err == nil && len(decompressed) > maxRecordBytes {
-		err = errors.New("configlog: the decompressed record is too large")
-	}
-	return decompressed, err
-}
-
 // decodeStrict decodes one JSON value; unknown keys and trailing data are errors.
 func decodeStrict(data []byte, v any) error {
 	dec := json.NewDecoder(bytes.NewReader(data))
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -7,7 +7,11 @@
 // from <= p knows everything up to to. Positions of different eras are never compared.
 package feed
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/magnoliawheel/magnoliawheel/core/gzipped"
+)
 
 // Position is an offset of a topic. After the log was restored from a copy it assigns
 // offsets again, so an offset is comparable only with others of the same era.
@@ -22,6 +26,38 @@
 	Key     string
 	Value   []byte
 	Deleted bool
+	// Compressed is set if Value is compressed, see Compress.
+	Compressed bool
+}
+
+const (
+	// compressThreshold is the size in bytes from which a value is compressed. Records of
+	// servers are smaller, configurations larger.
+	compressThreshold = 1 << 10
+	// maxValueBytes bounds a value after decompression.
+	maxValueBytes = 16 << 20
+)
+
+// Compress returns the change with a large value compressed, since it is sent to every
+// follower.
+func (c Change) Compress() Change {
+	if c.Compressed || len(c.Value) < compressThreshold {
+		return c
+	}
+	compressed, err := gzipped.Compress(c.Value)
+	if err != nil || len(compressed) >= len(c.Value) {
+		return c
+	}
+	c.Value, c.Compressed = compressed, true
+	return c
+}
+
+// Original returns the value before compression.
+func (c Change) Original() ([]byte, error) {
+	if !c.Compressed {
+		return c.Value, nil
+	}
+	return gzipped.Decompress(c.Value, maxValueBytes)
 }
 
 const (
--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -100,3 +101,24 @@
 	f.Append([]Change{{Offset: 3 * maxChanges, Key: "k", Value: make([]byte, maxBytes+1)}}, Position{0, 3*maxChanges + 1})
 	assert.Equal(t, len(f.changes), 0)
 }
+
+// TestLargeChangesAreCompressed guards against a configuration of many routes being sent
+// to each of hundreds of followers as it is.
+func TestLargeChangesAreCompressed(t *testing.T) {
+	var routes strings.Builder
+	for i := range 300 {
+		fmt.Fprintf(&routes, `{"name":"r-%d","host":"h%d.example","path_prefix":"/p%d/","kind":"safe","service":"s","timeout_ms":2000},`, i, i%7, i)
+	}
+	for _, value := range []string{"", "small", routes.String()} {
+		c := Change{Offset: 3, Key: "k", Value: []byte(value)}
+		sent := c.Compress()
+		assert.Equal(t, sent.Compressed, len(value) >= compressThreshold)
+		assert.Assert(t, !sent.Compressed || len(sent.Value) < len(value)/2, "%d of %d bytes", len(sent.Value), len(value))
+		got, err := sent.Original()
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), value)
+		assert.DeepEqual(t, sent.Compress(), sent)
+	}
+	_, err := Change{Value: []byte("no archive"), Compressed: true}.Original()
+	assert.Assert(t, err != nil)
+}
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -68,7 +68,7 @@
 func encodeChanges(topic int, era int64, changes []feed.Change) *peerpb.Message {
 	wire := &peerpb.Changes{Topic: uint32(topic), Era: era}
 	for _, c := range changes {
-		wire.Changes = append(wire.Changes, &peerpb.Change{Offset: c.Offset, Key: c.Key, Value: c.Value, Deleted: c.Deleted})
+		wire.Changes = append(wire.Changes, &peerpb.Change{Offset: c.Offset, Key: c.Key, Value: c.Value, Deleted: c.Deleted, Compressed: c.Compressed})
 	}
 	return &peerpb.Message{Body: &peerpb.Message_Changes{Changes: wire}}
 }
@@ -81,7 +81,7 @@
 	}
 	changes := make([]feed.Change, 0, len(m.GetChanges()))
 	for _, c := range m.GetChanges() {
-		changes = append(changes, feed.Change{Offset: c.GetOffset(), Key: c.GetKey(), Value: c.GetValue(), Deleted: c.GetDeleted()})
+		changes = append(changes, feed.Change{Offset: c.GetOffset(), Key: c.GetKey(), Value: c.GetValue(), Deleted: c.GetDeleted(), Compressed: c.GetCompressed()})
 	}
 	p.local.Topics[m.GetTopic()].ApplyRelayed(m.GetEra(), changes)
 }
--- a/internal/watch/topic.go
+++ b/internal/watch/topic.go
@@ -155,10 +155,17 @@
 		t.relayed = map[int64]bool{}
 	}
 	for _, c := range changes {
-		if c.Offset >= t.position.Offset {
-			t.relayed[c.Offset] = true
-			records = append(records, platform.KeyedRecord{Key: c.Key, Value: c.Value, Offset: c.Offset, Deleted: c.Deleted})
+		if c.Offset < t.position.Offset {
+			continue
+		}
+		value, err := c.Original()
+		if err != nil {
+			t.log.Error(err, "Change of another entry invalid.", "topic", t.name, "offset", c.Offset)
+			t.recordMissed(era, []feed.Change{c})
+			continue
 		}
+		t.relayed[c.Offset] = true
+		records = append(records, platform.KeyedRecord{Key: c.Key, Value: value, Offset: c.Offset, Deleted: c.Deleted})
 	}
 	if len(records) == 0 {
 		return
@@ -365,7 +372,7 @@
 	var changes []feed.Change
 	for _, r := range records {
 		if isApplied[r.Offset] || t.relayed[r.Offset] {
-			changes = append(changes, feed.Change{Offset: r.Offset, Key: r.Key, Value: r.Value, Deleted: r.Deleted})
+			changes = append(changes, feed.Change{Offset: r.Offset, Key: r.Key, Value: r.Value, Deleted: r.Deleted}.Compress())
 		}
 	}
 	return changes
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"bytes"
 	"context"
 	"sync/atomic"
 	"testing"
@@ -336,6 +337,35 @@
 	assert.Equal(t, c.topic.State().Position, position(7))
 }
 
+// TestRelayedChangesAreCompressed checks that a follower applies a large change that the
+// reader compressed, and that it does not count as complete without one that it cannot
+// read.
+func TestRelayedChangesAreCompressed(t *testing.T) {
+	reader, _ := newFollowedConfig(t)
+	large := configRecord(7)
+	large.Value = append(large.Value, bytes.Repeat([]byte(" "), 10_000)...)
+	large.Offset = 5
+	reader.topic.store = newScriptedStore(answer{records: []platform.KeyedRecord{large}, next: position(6)})
+	assert.NilError(t, reader.topic.read(t.Context(), 0))
+	cursor := &feed.Cursor{}
+	changes, _, ok := reader.topic.Next(cursor, position(5))
+	assert.Assert(t, ok && len(changes) == 1 && changes[0].Compressed)
+	assert.Assert(t, len(changes[0].Value) < len(large.Value)/2)
+
+	follower, versions := newFollowedConfig(t)
+	follower.topic.ApplyRelayed(1, changes)
+	assert.DeepEqual(t, versions(), []uint64{7})
+
+	cut, versions := newFollowedConfig(t)
+	changes[0].Value = changes[0].Value[:len(changes[0].Value)/2]
+	cut.topic.ApplyRelayed(1, changes)
+	confirmedAt := cut.topic.State().Age
+	cut.topic.ConfirmRelayed(position(5), position(6), clock.Now())
+	assert.Equal(t, len(versions()), 0)
+	assert.Assert(t, cut.topic.State().Age >= confirmedAt)
+	assert.Equal(t, cut.topic.State().Position, position(5))
+}
+
 // waitingStore responds to reads after their wait.
 type waitingStore struct{ Store }
 
