Stream attempts: the check before sending and the count of resumed streams in their own places

Read as a newcomer: the check of the server's version had been written into send, and a stream counted as resumed by the entry also where it is then refused.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,7 +25,7 @@
 	streamsAborted    tally.Counter
 	retries           tally.Counter
 	// resumedByClients counts the streams that clients take up again, resumedByEntry those
-	// that the entry is to resume within one response.
+	// that the entry tries to resume within one response.
 	resumedByClients, resumedByEntry tally.Counter
 	// cooldowns counts the responses with which servers asked for no requests,
 	// serversLeaving the servers that first said in a response that they are leaving.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -113,6 +113,9 @@
 	return nil
 }
 
+// unfinished returns the number of bytes after the last whole event of the current attempt.
+func (r *relay) unfinished() int { return len(r.splitter.Unfinished()) }
+
 // canContinue reports whether another server can continue the stream after what was
 // forwarded: whole events, of which the last one has an ID.
 func (r *relay) canContinue() bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -143,11 +143,7 @@
 func (s *streamRequest) send(ctx context.Context, p planner.Placement, progress func(planner.Phase)) (bool, *refusal) {
 	req := s.req
 	srv := placement.Server{ID: p.Server, Address: p.Address, StartTime: s.gateway.Servers.StartTime(p.Server)}
-	r := s.gateway.blockingCause(req, srv)
-	if version := s.gateway.Servers.SoftwareVersion(p.Server); r == "" && req.LastEventID != "" && version != p.SoftwareVersion {
-		r = causeOtherVersion
-	}
-	if r != "" {
+	if r := s.blockingCause(srv, p.SoftwareVersion); r != "" {
 		progress(planner.Cancelled)
 		s.avoid = append(s.avoid, p.Server)
 		return false, s.retryNotSent(r)
@@ -180,15 +176,27 @@
 		progress(planner.Complete)
 		s.gateway.metrics.answered.Inc(1)
 		s.gateway.metrics.requestTime.RecordDuration(clock.Now() - req.arrivedAt)
-		req.log.Info("Stream completed.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", len(s.relay.splitter.Unfinished()),
+		req.log.Info("Stream completed.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", s.relay.unfinished(),
 			"held", clock.Now()-req.arrivedAt, "tries", req.attempts)
 		return true, nil
 	}
-	req.log.Info("Stream from the server ended early.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", len(s.relay.splitter.Unfinished()),
+	req.log.Info("Stream from the server ended early.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", s.relay.unfinished(),
 		"cause", err.Error())
 	return s.handleBrokenStream(ctx, p, progress, err)
 }
 
+// blockingCause returns why the request must not be sent to the server that was chosen as
+// one of the given version, or "".
+func (s *streamRequest) blockingCause(srv placement.Server, version string) string {
+	if r := s.gateway.blockingCause(s.req, srv); r != "" {
+		return r
+	}
+	if s.req.LastEventID != "" && s.gateway.Servers.SoftwareVersion(srv.ID) != version {
+		return causeOtherVersion
+	}
+	return ""
+}
+
 // streamBegan records the version of the server that sends the stream, so that the stream
 // is resumed only there.
 func (s *streamRequest) streamBegan(version string) {
@@ -279,11 +287,14 @@
 	if !s.relay.canContinue() {
 		return false, serverFailure("stream ended where no other server can continue it")
 	}
+	if r := s.retryPossiblyRun("stream ended early"); r != nil {
+		return false, r
+	}
 	if s.relay.lastID != "" {
 		s.req.LastEventID = s.relay.lastID
 		s.gateway.metrics.resumedByEntry.Inc(1)
 	}
-	return false, s.retryPossiblyRun("stream ended early")
+	return false, nil
 }
 
 // relayNonStream relays a response that is not a stream.
