--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -162,10 +162,10 @@
 	startTime := time.Now()
 	ticker := time.NewTicker(linkCheckInterval)
 	defer ticker.Stop()
-	var keeper *Peer
+	var backup *Peer
 	for settled := false; ; {
 		l.maintainSessions(ctx)
-		keeper = l.updateStreamKeeper(keeper)
+		backup = l.updateStreamBackup(backup)
 		if !settled && (time.Since(startTime) > maxSettlingTime || l.isSettled()) {
 			settled = true
 			close(l.settled)
--- a/internal/peer/streams.go
+++ b/internal/peer/streams.go
@@ -12,8 +12,8 @@
 // maxStreamsPerMessage bounds the records of streams in one message.
 const maxStreamsPerMessage = 256
 
-// sendStreams tells the other entry which versions began streams, at once if that is
-// urgent.
+// sendStreams sends the versions that began streams to the other entry, at once if that
+// is urgent.
 func (p *Peer) sendStreams(records []streamversion.Record, urgent bool) {
 	now := clock.Now()
 	for part := range slices.Chunk(records, maxStreamsPerMessage) {
@@ -35,8 +35,8 @@
 }
 
 // StreamBegan records which version of the server software began a stream of this entry,
-// and tells it the entry that places requests, so that the stream can be resumed if this
-// entry is lost.
+// and sends the record to its backup, so that the stream can be resumed if this entry is
+// lost.
 func (l *Links) StreamBegan(r streamversion.Record) {
 	l.planner.StreamBegan(r, true)
 	records := []streamversion.Record{r}
@@ -45,15 +45,15 @@
 		p.sendStreams(records, false)
 		return
 	}
-	if p := l.streamKeeper(); p != nil {
+	if p := l.streamBackup(); p != nil {
 		p.sendStreams(records, true)
 	}
 }
 
-// streamKeeper returns the entry that knows the streams of this one in case it is lost: the
+// streamBackup returns the entry that holds a copy of the records of this one's streams: the
 // one that places its requests, or if this entry places them itself, the first ready one
 // after it. It returns nil if there is none.
-func (l *Links) streamKeeper() *Peer {
+func (l *Links) streamBackup() *Peer {
 	if p := l.PlanningPeer(); p != nil {
 		return p
 	}
@@ -62,11 +62,12 @@
 	return l.firstReadyInbound()
 }
 
-// updateStreamKeeper tells a new keeper the streams of this entry. It returns the keeper.
-func (l *Links) updateStreamKeeper(previous *Peer) *Peer {
-	keeper := l.streamKeeper()
-	if keeper != nil && keeper != previous {
-		keeper.sendStreams(l.planner.LocalStreams(), false)
+// updateStreamBackup sends all records of this entry's streams to a new backup. It returns
+// the backup.
+func (l *Links) updateStreamBackup(previous *Peer) *Peer {
+	backup := l.streamBackup()
+	if backup != nil && backup != previous {
+		backup.sendStreams(l.planner.LocalStreams(), false)
 	}
-	return keeper
+	return backup
 }
