--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -107,7 +107,7 @@
 func TestLargeChangesAreCompressed(t *testing.T) {
 	var routes strings.Builder
 	for i := range 300 {
-		fmt.Fprintf(&routes, `{"name":"r-%d","host":"h%d.example","path_prefix":"/p%d/","kind":"safe","service":"s","timeout_ms":2000},`, i, i%7, i)
+		fmt.Fprintf(&routes, `{"name":"r-%d","host":"h%d.example","prefix":"/p%d/","kind":"safe","service":"s","timeout_ms":2000},`, i, i%7, i)
 	}
 	for _, value := range []string{"", "small", routes.String()} {
 		c := Change{Offset: 3, Key: "k", Value: []byte(value)}
