No request begins once a stopping entry has none left

Cause by reading: the entry checked that no request is in flight and then ended; a request on a kept connection that arrived in between was passed on and cut.

Change: the check closes the gateway in the same step (compare and swap of the number in flight). What arrives later is refused with 503 and a time to come back, and has reached no server.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/budget"
 	"github.com/magnoliawheel/magnoliawheel/core/cooldown"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer"
@@ -95,6 +97,7 @@
 // Gateway is the HTTP handler for client requests.
 type Gateway struct {
 	Options
+	// inFlight is the number of unanswered requests; closedInFlight is added by TryClose.
 	inFlight atomic.Int64
 	// stoppingSince is the clock.Now time at which Stop was called; 0 before.
 	stoppingSince atomic.Int64
@@ -138,8 +141,11 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
-	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	if g.inFlight.Add(1) < 0 {
+		g.refuseClosed(w, hr)
+		return
+	}
 	if g.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
@@ -232,5 +238,20 @@
 	g.allowanceShare.Stop()
 }
 
-// InFlight returns the number of unanswered requests.
-func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+// InFlight returns the number of unanswered requests, 0 once the gateway is closed.
+func (g *Gateway) InFlight() int64 { return max(0, g.inFlight.Load()) }
+
+// closedInFlight makes the number of requests in flight negative, whatever arrives later.
+const closedInFlight = math.MinInt64 / 2
+
+// TryClose closes the gateway and returns true if no request is in flight. Requests that
+// arrive later are refused, so that the process can end without interrupting one that was
+// sent to a server.
+func (g *Gateway) TryClose() bool { return g.inFlight.CompareAndSwap(0, closedInFlight) }
+
+// refuseClosed refuses a request that arrived after the gateway was closed.
+func (g *Gateway) refuseClosed(w http.ResponseWriter, hr *http.Request) {
+	cr, _ := platform.DecodeClientRequest(hr.Header)
+	req := &request{ClientRequest: cr, arrivedAt: clock.Now(), log: g.Log.WithValues("request", cr.ID)}
+	g.refuse(w, req, &refusal{code: result.EntryDraining, retryAfter: stoppingRetryAfter, cause: "entry has stopped", closeConnection: true})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -218,7 +218,7 @@
 	n.opts.Log.Info("Entry is stopping.", "requests", n.gateway.InFlight())
 	drainTimeout := n.opts.Settings.ShutdownGrace - shutdownReserve
 	for time.Since(startTime) < drainTimeout {
-		if time.Since(startTime) >= n.opts.LoadBalancerLag && n.gateway.InFlight() == 0 && n.planner.JobCount() == 0 {
+		if time.Since(startTime) >= n.opts.LoadBalancerLag && n.planner.JobCount() == 0 && n.gateway.TryClose() {
 			break
 		}
 		time.Sleep(drainPollInterval)
