Backup of a stream's record: looked up once for each stream

Read once more: an entry that places its own requests asked twice, for each stream, which entry places them, each time over all links under their lock; and the versions of a pool were counted for each resumed stream, also where its version was known. Now once, and only where needed. Behaviour as before; tests of peer, planner and of versions over entries pass, vet and staticcheck are clean.

--- a/internal/peer/streams.go
+++ b/internal/peer/streams.go
@@ -39,33 +39,32 @@
 // lost.
 func (l *Links) StreamBegan(r streamversion.Record) {
 	l.planner.StreamBegan(r, true)
-	records := []streamversion.Record{r}
-	if p := l.PlanningPeer(); p != nil {
-		// The progress of the request, which follows, is sent at once, together with this.
-		p.sendStreams(records, false)
+	backup, places := l.streamBackup()
+	if backup == nil {
 		return
 	}
-	if p := l.streamBackup(); p != nil {
-		p.sendStreams(records, true)
-	}
+	// An entry that places the requests of this one gets the progress of the request next,
+	// which is sent at once, together with this.
+	backup.sendStreams([]streamversion.Record{r}, !places)
 }
 
 // streamBackup returns the entry that holds a copy of the records of this one's streams: the
 // one that places its requests, or if this entry places them itself, the first ready one
-// after it. It returns nil if there is none.
-func (l *Links) streamBackup() *Peer {
+// after it. It returns nil if there is none, and whether the entry places requests of this
+// one.
+func (l *Links) streamBackup() (backup *Peer, places bool) {
 	if p := l.PlanningPeer(); p != nil {
-		return p
+		return p, true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.firstReadyInbound()
+	return l.firstReadyInbound(), false
 }
 
 // updateStreamBackup sends all records of this entry's streams to a new backup. It returns
 // the backup.
 func (l *Links) updateStreamBackup(previous *Peer) *Peer {
-	backup := l.streamBackup()
+	backup, _ := l.streamBackup()
 	if backup != nil && backup != previous {
 		backup.sendStreams(l.planner.LocalStreams(), false)
 	}
--- a/internal/planner/streams.go
+++ b/internal/planner/streams.go
@@ -39,6 +39,16 @@
 	return &version
 }
 
+// onlyVersion returns the version that began all streams of a pool that may be resumed, or
+// nil if there may be several. The caller holds the lock.
+func (p *Planner) onlyVersion(now time.Duration, pool string) *string {
+	version, ok := p.poolVersions.Only(now, pool)
+	if !ok {
+		return nil
+	}
+	return &version
+}
+
 // setVersion restricts a request that continues a stream to the version that began it. It
 // returns why the stream cannot continue, or 0. The caller holds the lock.
 func (p *Planner) setVersion(now time.Duration, pr *pendingRequest) staging.RefusalReason {
@@ -50,8 +60,8 @@
 	if pr.version == nil {
 		pr.version = p.streamVersion(now, resume.Stream)
 	}
-	if only, ok := p.poolVersions.Only(now, pr.req.Pool); pr.version == nil && ok {
-		pr.version = &only
+	if pr.version == nil {
+		pr.version = p.onlyVersion(now, pr.req.Pool)
 	}
 	switch {
 	case pr.version == nil:
