Agent: how a service's result marks its end is read by the gateway's own check

The agent had written the condition again that upstream.Response.Framing already is. Same behaviour; the tests of the service client pass unchanged.

--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
 )
 
 // chunkBytes is the maximum size of a chunk of a service's result.
@@ -47,7 +48,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return errorStatusOutcome(resp)
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if (&upstream.Response{Response: resp}).Framing() == upstream.UntilClose {
 		return Outcome{Code: result.ServerFailed, Message: "the result has neither a length nor chunks, so that its end cannot be told from a lost connection", Ran: result.RanYes}
 	}
 	return copyBody(ctx, resp.Body, emit)
