Test fleet: the map of reported states is written under its lock

Cause: stateLogger wrote the map of all entries without the lock under which the logs of entries that run already read it.

--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -129,7 +129,9 @@
 // stateLogger returns a logger for an entry that records in reportedReady what the entry
 // logs about the states of others.
 func (f *fleet) stateLogger(name string) logr.Logger {
+	f.mu.Lock()
 	f.reportedReady[name] = map[string]bool{}
+	f.mu.Unlock()
 	return funcr.NewJSON(func(line string) {
 		var state struct {
 			Message string `json:"msg"`
