--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -181,7 +181,10 @@
 		return true, nil
 	}
 	req.log.Info("Stream from the server ended early.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", s.relay.unfinished(),
-		"cause", err.Error())
+		"took", clock.Now()-start, "cause", err.Error())
+	if s.relay.splitter.Events() == 0 {
+		s.gateway.metrics.endedBeforeEvent.Inc(1)
+	}
 	return s.handleBrokenStream(ctx, p, progress, err)
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -214,6 +214,19 @@
 	time.AfterFunc(abandonedResultRetention, func() { p.UpdatePhase(id, Cancelled) })
 }
 
+// sharedParts returns the IDs of the parts of a prompt that other prompts may have as well:
+// all but the last.
+func sharedParts(parts []placement.PromptPart) []string {
+	if len(parts) == 0 {
+		return nil
+	}
+	ids := make([]string, len(parts)-1)
+	for i := range ids {
+		ids[i] = parts[i].ID
+	}
+	return ids
+}
+
 // placementRequest returns what the choice of a server depends on.
 func (pr *pendingRequest) placementRequest() placement.Request {
 	req := &pr.req
@@ -284,7 +297,7 @@
 			reply(pr, Placement{ID: job.JobID, RefusalReason: NoServer, RetryAfter: time.Second})
 			continue
 		}
-		p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "server_version", srv.SoftwareVersion, "pinned", pr.version != nil, "prompt", srv.PromptTokens, "uncached", srv.UncachedTokens, "queued", srv.QueuedTokens,
+		p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "server_version", srv.SoftwareVersion, "pinned", pr.version != nil, "parts", sharedParts(pr.req.PromptParts), "prompt", srv.PromptTokens, "uncached", srv.UncachedTokens, "queued", srv.QueuedTokens,
 			"running", srv.Running, "expected", expected, "due", pr.req.TimeToObjective,
 			"waited", now-pr.receivedAt, "results", len(job.Handles), "made", len(pr.req.PriorResults), "jobs", p.scheduler.JobCount())
 		reply(pr, Placement{ID: job.JobID, Inputs: job.Handles, Server: srv.ID, Address: srv.Address, SoftwareVersion: srv.SoftwareVersion})
