--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,8 @@
 	// resumedByClients counts the streams that clients take up again, resumedByEntry those
 	// that the entry tries to resume within one response.
 	resumedByClients, resumedByEntry tally.Counter
+	// limits counts the responses in which servers named a limit.
+	limits tally.Counter
 	// cooldowns counts the responses with which servers asked for no requests,
 	// serversLeaving the servers that first said in a response that they are leaving.
 	cooldowns, serversLeaving tally.Counter
@@ -49,6 +51,7 @@
 		retries:           scope.Counter("requests_repeated"),
 		resumedByClients:  scope.Tagged(map[string]string{"by": "client"}).Counter("streams_resumed"),
 		resumedByEntry:    scope.Tagged(map[string]string{"by": "entry"}).Counter("streams_resumed"),
+		limits:            scope.Counter("server_limits"),
 		cooldowns:         scope.Counter("server_cooldowns"),
 		serversLeaving:    scope.Counter("servers_leaving"),
 		requestTime:       scope.Histogram("request_seconds", buckets),
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -24,6 +24,10 @@
 	if info.Leaving {
 		g.ReportLeaving(srv.ID, srv.StartTime)
 	}
+	if info.Limit != nil {
+		req.log.Info("Server names a limit.", "server", srv.ID, "limit", *info.Limit)
+		g.metrics.limits.Inc(1)
+	}
 	if info.RetryAfter <= 0 {
 		return
 	}
