--- a/core/cooldown/cooldown_test.go
+++ b/core/notice/pause_test.go
@@ -1,4 +1,4 @@
-package cooldown
+package notice
 
 import (
 	"testing"
@@ -8,7 +8,7 @@
 )
 
 func TestServerRetryAfterEnds(t *testing.T) {
-	table := New()
+	table := NewPauses()
 	a, restarted, b := Server{"a", 1}, Server{"a", 2}, Server{"b", 1}
 	assert.Assert(t, !table.Active(0, a))
 	table.Start(time.Second, a, 2*time.Second)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/magnoliawheel/magnoliawheel/core/backoff"
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
 )
 
 const (
@@ -72,6 +73,9 @@
 	CacheTokens int
 }
 
+// start identifies the start of the server.
+func (s *Server) start() notice.Server { return notice.Server{ID: s.ID, StartTime: s.StartTime} }
+
 // PromptPart is a section of a prompt. Requests share a part if all parts before it are
 // the same too.
 type PromptPart struct {
@@ -150,13 +154,18 @@
 	regionByZone  map[string]string
 	serversByPool map[string][]*server
 	requests      map[string]*placedRequest
+	// notices are the limits that servers name.
+	notices *notice.Table
 }
 
 // New returns an empty table. regions maps availability zones to regions.
 func New(regions map[string]string) *Table {
-	return &Table{regionByZone: regions, serversByPool: map[string][]*server{}, requests: map[string]*placedRequest{}}
+	return &Table{regionByZone: regions, serversByPool: map[string][]*server{}, requests: map[string]*placedRequest{}, notices: notice.NewTable(nil)}
 }
 
+// SetNotices sets the table with the limits that servers name.
+func (t *Table) SetNotices(n *notice.Table) { t.notices = n }
+
 // SetServers sets the servers of a pool that accept new requests. Servers that were
 // there before keep their state.
 func (t *Table) SetServers(pool string, defs []Server) {
@@ -185,7 +194,7 @@
 }
 
 // Choose returns the best server for a request and records the request there. It
-// returns false if there is none.
+// returns false if there is none, or none that may get a request within its limit.
 func (t *Table) Choose(now time.Duration, r Request) (Choice, bool) {
 	c := newChoice(&r)
 	best := t.cheapest(now, c)
@@ -196,6 +205,7 @@
 	t.Finish(now, r.ID, Cancelled)
 	p := &placedRequest{server: best, placedAt: now, pendingPrefillTokens: chosen.UncachedTokens, reservedTokens: c.promptTokens + r.MaxTokens}
 	t.requests[r.ID] = p
+	t.notices.RecordCall(now, best.def.start())
 	best.add(p)
 	p.expectedPrefillTime = time.Duration(best.pendingPrefillMS() * float64(time.Millisecond))
 	best.cache.add(c.prefixes, int(cacheMemoryShare*float64(best.def.CacheTokens)))
@@ -215,6 +225,21 @@
 	return slices.ContainsFunc(t.serversByPool[r.Pool], func(s *server) bool { return r.accepts(&s.def) })
 }
 
+// LimitWait returns the time until one of the servers that may be chosen for the request
+// may get it within its limit; 0 if one may get it now or there are none.
+func (t *Table) LimitWait(now time.Duration, r Request) time.Duration {
+	shortest := time.Duration(-1)
+	for _, s := range t.serversByPool[r.Pool] {
+		if !r.accepts(&s.def) {
+			continue
+		}
+		if wait := t.notices.Wait(now, s.def.start()); shortest < 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return max(0, shortest)
+}
+
 // LikelyZone returns the zone of the server that Choose would return now, or "" if
 // there is none.
 func (t *Table) LikelyZone(now time.Duration, r Request) string {
@@ -250,7 +275,7 @@
 	affinity := t.affinityServer(c)
 	region := t.regionByZone[c.Zone]
 	for _, s := range t.serversByPool[c.Pool] {
-		if !c.accepts(&s.def) {
+		if !c.accepts(&s.def) || t.notices.Wait(now, s.def.start()) > 0 {
 			continue
 		}
 		cost := s.cost(now, c, s == affinity) + s.networkCost(c.Zone, region)
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
 )
 
 const ms = time.Millisecond
@@ -202,3 +205,31 @@
 		assert.Equal(t, got.Zone, tt.want, tt.name)
 	}
 }
+
+// TestLimitedServerGetsWhatItTakes offers a server that names a limit far more requests
+// than that: the others get the rest, and without others the rest is refused until later.
+func TestLimitedServerGetsWhatItTakes(t *testing.T) {
+	for _, servers := range []int{1, 3} {
+		tab := newTable(slices.Repeat([]string{"x"}, servers)...)
+		notices := notice.NewTable(nil)
+		tab.SetNotices(notices)
+		limit := 2.0
+		notices.Learn(0, notice.Notice{Server: notice.Server{ID: "s0"}, Limit: &limit})
+		chosen, refused := 0, 0
+		for now := time.Duration(0); now < 10*time.Second; now += 10 * ms {
+			r := request(fmt.Sprint("r", now))
+			s, ok := tab.Choose(now, r)
+			switch {
+			case !ok:
+				refused++
+				wait := tab.LimitWait(now, r)
+				assert.Assert(t, wait > 0 && wait <= 500*ms, "%v", wait)
+			case s.ID == "s0":
+				chosen++
+			}
+			tab.Finish(now, r.ID, Complete)
+		}
+		assert.Assert(t, chosen >= 15 && chosen <= 21, "%d", chosen)
+		assert.Equal(t, refused > 0, servers == 1)
+	}
+}
--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -48,14 +48,15 @@
 		p.hasHandlesToFree = false
 		for _, m := range p.servers {
 			if m.isFreeDue(now) {
-				s.sendFreeRequest(m)
+				s.sendFreeRequest(m, now)
 			}
 			p.hasHandlesToFree = p.hasHandlesToFree || len(m.handlesToFree) > 0
 		}
 	}
 }
 
-func (s *Scheduler) sendFreeRequest(m *server) {
+func (s *Scheduler) sendFreeRequest(m *server, now time.Duration) {
+	m.pool.notices.RecordCall(now, m.start())
 	s.lastFreeID++
 	s.pendingFrees[s.lastFreeID] = pendingFree{m, m.handlesToFree, m.bytesToFree}
 	s.actions.FreeRequests = append(s.actions.FreeRequests, FreeRequest{ID: s.lastFreeID, Server: m.def, Handles: m.handlesToFree})
@@ -101,7 +102,7 @@
 // canStart reports whether the server can start a call now, or soon enough for the call
 // to be sent ahead.
 func (m *server) canStart(now time.Duration) bool {
-	return m.usable(now) && m.activeCalls() <= m.pool.spec.Slots && m.availableAt(now) <= now+sendAhead
+	return m.usable(now) && m.activeCalls() <= m.pool.spec.Slots && m.availableAt(now) <= now+sendAhead && m.pool.notices.Wait(now, m.start()) == 0
 }
 
 // readyRun is a run with pieces that can be requested, and its place in the order.
@@ -198,8 +199,7 @@
 
 // drainTime returns how long the servers other than m take for the queued pieces.
 func (p *pool) drainTime(pieces int, m *server, now time.Duration) time.Duration {
-	fullBatchSeconds := p.normalCallTime(p.spec.BatchSize).Seconds()
-	rate := p.piecesPerSecond(now) - float64(p.spec.BatchSize*p.spec.Slots)/(fullBatchSeconds*m.slowness(now))
+	rate := p.piecesPerSecond(now) - m.piecesPerSecond(now)
 	if rate <= 0 {
 		return callTimeout
 	}
@@ -263,9 +263,10 @@
 
 // sendCall reserves the memory of a call's results and adds the call to the actions.
 func (s *Scheduler) sendCall(m *server, pieces []pieceRef, now time.Duration) {
-	if len(m.handlesToFree) > 0 && !m.hasAmpleMemory(now) {
-		s.sendFreeRequest(m)
+	if len(m.handlesToFree) > 0 && !m.hasAmpleMemory(now) && !m.isLimited(now) {
+		s.sendFreeRequest(m, now)
 	}
+	m.pool.notices.RecordCall(now, m.start())
 	s.lastCallID++
 	c := &call{id: s.lastCallID, server: m, pieces: pieces}
 	c.expectedStart = m.availableAt(now)
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/backoff"
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
 )
 
 const (
@@ -40,6 +41,8 @@
 	ampleFreeDelay    = 400 * time.Millisecond
 	maxAmpleFreeBatch = 256
 	ampleMemoryShare  = 0.6
+	// limitedFreeDelay applies to a server that names a limit, which calls use up as well.
+	limitedFreeDelay = 2 * time.Second
 )
 
 // failurePauses are the pauses after consecutive failed calls to a server.
@@ -69,6 +72,7 @@
 	readyBuffer     []readyRun
 	candidateBuffer []candidate
 	piecesAhead     map[string]int
+	notices         *notice.Table
 }
 
 // findOrCreateServer returns the pool's server with that definition, or a new one.
@@ -119,11 +123,10 @@
 
 // piecesPerSecond returns the throughput of the usable servers with full batches.
 func (p *pool) piecesPerSecond(now time.Duration) float64 {
-	fullBatchSeconds := p.normalCallTime(p.spec.BatchSize).Seconds()
 	var sum float64
 	for _, m := range p.servers {
 		if m.usable(now) {
-			sum += float64(p.spec.BatchSize*p.spec.Slots) / (fullBatchSeconds * m.slowness(now))
+			sum += m.piecesPerSecond(now)
 		}
 	}
 	return sum
@@ -189,6 +192,27 @@
 	return m.listed && now >= m.pausedUntil && now >= m.suspendedUntil && (m.activeCalls() == 0 || !m.hasOverdueCall())
 }
 
+// piecesPerSecond returns the throughput of the server with full batches.
+func (m *server) piecesPerSecond(now time.Duration) float64 {
+	fullBatchSeconds := m.pool.normalCallTime(m.pool.spec.BatchSize).Seconds() * m.slowness(now)
+	callsPerSecond := float64(m.pool.spec.Slots) / fullBatchSeconds
+	if limit, limited := m.pool.notices.Rate(now, m.start()); limited {
+		callsPerSecond = min(callsPerSecond, limit)
+	}
+	return float64(m.pool.spec.BatchSize) * callsPerSecond
+}
+
+// start identifies the start of the server.
+func (m *server) start() notice.Server {
+	return notice.Server{ID: m.def.ID, StartTime: m.def.StartTime}
+}
+
+// isLimited reports whether the server names a limit.
+func (m *server) isLimited(now time.Duration) bool {
+	_, limited := m.pool.notices.Rate(now, m.start())
+	return limited
+}
+
 // hasOverdueCall reports whether the server may still work on an overdue call.
 func (m *server) hasOverdueCall() bool {
 	return slices.ContainsFunc(m.calls, func(c *call) bool { return c.overdue && !c.answerLost })
@@ -360,11 +384,14 @@
 
 // isFreeDue reports whether the collected results are to be freed now.
 func (m *server) isFreeDue(now time.Duration) bool {
-	if len(m.handlesToFree) == 0 || now < m.suspendedUntil {
+	if len(m.handlesToFree) == 0 || now < m.suspendedUntil || m.pool.notices.Wait(now, m.start()) > 0 {
 		return false
 	}
 	delay, batch := freeDelay, maxFreeBatch
-	if m.hasAmpleMemory(now) {
+	switch {
+	case m.isLimited(now):
+		delay, batch = limitedFreeDelay, maxAmpleFreeBatch
+	case m.hasAmpleMemory(now):
 		delay, batch = ampleFreeDelay, maxAmpleFreeBatch
 	}
 	return len(m.handlesToFree) >= batch || now-m.freesQueuedSince >= delay
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/fairshare"
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
 )
 
 // Scheduler runs the stages of jobs. It is not safe for concurrent use.
@@ -39,8 +40,14 @@
 	// meanLateness is a moving average of how much longer jobs took than expected,
 	// latenessDeviation that of the distance from this average.
 	meanLateness, latenessDeviation time.Duration
+	// notices are the limits that servers name.
+	notices *notice.Table
 }
 
+// SetNotices sets the table with the limits that servers name. It must be called before
+// SetPool.
+func (s *Scheduler) SetNotices(n *notice.Table) { s.notices = n }
+
 // pendingFree is a FreeRequest that has not ended yet, with the size of its results.
 type pendingFree struct {
 	server  *server
@@ -52,7 +59,7 @@
 func New() *Scheduler {
 	return &Scheduler{
 		pools: map[string]*pool{}, jobs: map[string]*job{}, calls: map[uint64]*call{}, pendingFrees: map[uint64]pendingFree{},
-		specVersion: 1, demand: fairshare.New(),
+		specVersion: 1, demand: fairshare.New(), notices: notice.NewTable(nil),
 	}
 }
 
@@ -61,7 +68,7 @@
 func (s *Scheduler) SetPool(name string, spec PoolSpec, servers []Server) {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{name: name, piecesAhead: map[string]int{}}
+		p = &pool{name: name, piecesAhead: map[string]int{}, notices: s.notices}
 		s.pools[name] = p
 		s.sortedPools = append(s.sortedPools, p)
 		slices.SortFunc(s.sortedPools, func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,7 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/magnoliawheel/magnoliawheel/core/budget"
-	"github.com/magnoliawheel/magnoliawheel/core/cooldown"
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
@@ -113,16 +113,23 @@
 	plainServers   *placement.Table
 	retryBudgets   map[string]*budget.Budget
 	allowanceShare budget.AllowanceShare
-	cooldowns      *cooldown.Table
+	// pauses and notices are what servers said about themselves. entryShare divides their
+	// limits for the calls that are not placed by one entry for all.
+	pauses     *notice.Pauses
+	notices    *notice.Table
+	entryShare notice.EntryShare
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
-	return &Gateway{
+	g := &Gateway{
 		Options: o, metrics: newMetrics(o.Scope), plainServers: placement.New(o.Settings.Regions), retryBudgets: map[string]*budget.Budget{},
-		cooldowns:      cooldown.New(),
+		pauses:         notice.NewPauses(),
 		allowanceShare: budget.AllowanceShare{Window: o.Settings.RetryBudget.Window, Interval: max(o.RegistryReadInterval, o.Settings.RetryBudget.Window)},
 	}
+	g.notices = notice.NewTable(func(s notice.Server, limit float64) float64 { return g.entryShare.Of(s, limit) })
+	g.plainServers.SetNotices(g.notices)
+	return g
 }
 
 // RecordRestart records that an earlier process start of this entry was registered.
@@ -132,11 +139,13 @@
 	g.allowanceShare.RecordRestart(clock.Now())
 }
 
-// UpdateEntryCount sets the number of registered entries, including this one.
-func (g *Gateway) UpdateEntryCount(n int) {
+// UpdateEntries sets the number of registered entries, including this one, and the number
+// of those before it.
+func (g *Gateway) UpdateEntries(count, before int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.allowanceShare.UpdateEntryCount(clock.Now(), n)
+	g.allowanceShare.UpdateEntryCount(clock.Now(), count)
+	g.entryShare = notice.EntryShare{Entries: count, Rank: before}
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -3,10 +3,11 @@
 import (
 	"time"
 
-	"github.com/magnoliawheel/magnoliawheel/core/cooldown"
 	"github.com/magnoliawheel/magnoliawheel/core/jitter"
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+	"github.com/magnoliawheel/magnoliawheel/internal/peer"
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
 
@@ -19,15 +20,14 @@
 )
 
 // handleNotices handles what a response says about the server itself: that it is leaving,
-// or that it wants no requests for some time.
-func (g *Gateway) handleNotices(req *request, srv placement.Server, info platform.ServerResponse) {
-	if info.Leaving {
-		g.ReportLeaving(srv.ID, srv.StartTime)
-	}
+// how many requests a second it takes, or that it wants none from this entry for some time.
+func (g *Gateway) handleNotices(req *request, srv placement.Server, sentAt time.Duration, info platform.ServerResponse) {
+	server := notice.Server{ID: srv.ID, StartTime: srv.StartTime}
 	if info.Limit != nil {
 		req.log.Info("Server names a limit.", "server", srv.ID, "limit", *info.Limit)
 		g.metrics.limits.Inc(1)
 	}
+	g.ObserveNotice(sentAt, notice.Notice{Server: server, Leaving: info.Leaving, Limit: info.Limit}, info.Signed)
 	if info.RetryAfter <= 0 {
 		return
 	}
@@ -35,26 +35,71 @@
 	g.metrics.cooldowns.Inc(1)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.cooldowns.Start(clock.Now(), cooldown.Server{ID: srv.ID, StartTime: srv.StartTime}, info.RetryAfter)
+	g.pauses.Start(clock.Now(), server, info.RetryAfter)
 }
 
-// ReportLeaving handles the word of a server that it is leaving: this entry sends it
-// nothing more, and the entry that places requests is told at once.
-func (g *Gateway) ReportLeaving(id string, startTime int64) {
-	if !g.Servers.MarkLeaving(id, startTime) {
+// ObserveNotice handles what a server said about itself in its response to a request that
+// was sent at sentAt. mayEndLimit is true for a response that would name the limit if there
+// were one.
+func (g *Gateway) ObserveNotice(sentAt time.Duration, n notice.Notice, mayEndLimit bool) {
+	if !n.Leaving && n.Limit == nil && !mayEndLimit {
 		return
 	}
-	g.metrics.serversLeaving.Inc(1)
-	if p := g.Links.PlanningPeer(); p != nil {
-		p.ReportLeaving(id, startTime)
+	g.mu.Lock()
+	isNews := g.notices.Observe(clock.Now(), sentAt, n)
+	g.mu.Unlock()
+	if isNews {
+		g.applyNotice(n)
+		g.Links.TellNotices([]notice.Notice{n}, nil)
+	}
+}
+
+// LearnNotices handles what servers said to another entry.
+func (g *Gateway) LearnNotices(from *peer.Peer, notices []notice.Notice) {
+	var news []notice.Notice
+	g.mu.Lock()
+	for _, n := range notices {
+		if g.notices.Learn(clock.Now(), n) {
+			news = append(news, n)
+		}
+	}
+	g.mu.Unlock()
+	for _, n := range news {
+		g.applyNotice(n)
+	}
+	if len(news) > 0 && g.Links.PlanningPeer() == nil {
+		g.Links.TellNotices(news, from)
+	}
+}
+
+// applyNotice makes this entry act on a notice.
+func (g *Gateway) applyNotice(n notice.Notice) {
+	g.Planner.LearnNotice(n)
+	if n.Leaving && g.Servers.MarkLeaving(n.ID, n.StartTime) {
+		g.metrics.serversLeaving.Inc(1)
 	}
 }
 
+// Notices returns what servers said about themselves.
+func (g *Gateway) Notices() []notice.Notice {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.notices.All(clock.Now())
+}
+
+// limitWait returns the time until one of a service's servers may get a request of this
+// entry within its limit; 0 if one may get it now or there are none.
+func (g *Gateway) limitWait(req *request, avoid []string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.plainServers.LimitWait(clock.Now(), placement.Request{Pool: req.service, Avoid: avoid})
+}
+
 // isCoolingDown reports whether a server wants no requests now.
 func (g *Gateway) isCoolingDown(srv placement.Server) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.cooldowns.Active(clock.Now(), cooldown.Server{ID: srv.ID, StartTime: srv.StartTime})
+	return g.pauses.Active(clock.Now(), notice.Server{ID: srv.ID, StartTime: srv.StartTime})
 }
 
 // coolingDown returns the IDs of the servers of a service that want no requests now. If
@@ -62,20 +107,20 @@
 func (g *Gateway) coolingDown(service string) ([]string, time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.cooldowns.Empty() {
+	if g.pauses.Empty() {
 		return nil, 0
 	}
 	now := clock.Now()
 	var ids []string
-	var servers []cooldown.Server
+	var servers []notice.Server
 	for _, s := range g.Servers.Usable(service) {
-		start := cooldown.Server{ID: s.ID, StartTime: s.StartTime}
+		start := notice.Server{ID: s.ID, StartTime: s.StartTime}
 		servers = append(servers, start)
-		if g.cooldowns.Active(now, start) {
+		if g.pauses.Active(now, start) {
 			ids = append(ids, s.ID)
 		}
 	}
-	return ids, g.cooldowns.Remaining(now, servers)
+	return ids, g.pauses.Remaining(now, servers)
 }
 
 // cooldownRetryAfter returns the Retry-After time of a request whose servers may be called
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -52,7 +52,7 @@
 		return result.QueueFull
 	case causeServerLeaving:
 		return result.ServerLeaving
-	case causeServerCoolingDown:
+	case causeServerCoolingDown, causeLimitReached:
 		return result.QueueFull
 	case causeKeysNotConfirmed:
 		return result.KeysNotConfirmed
@@ -67,6 +67,7 @@
 	causeServerFull        = "server full"
 	causeServerLeaving     = "server is leaving"
 	causeServerCoolingDown = "server wants no requests yet"
+	causeLimitReached      = "limits of the servers reached"
 	causeKeysNotConfirmed  = "keys not confirmed by the store"
 	causeKeyRevoked        = "key revoked while the request waited"
 	causeOtherServer       = "address belongs to another server"
@@ -96,7 +97,7 @@
 		srv, ok := g.choosePlainServer(req, slices.Concat(avoid, cooling))
 		if !ok {
 			if !mayHaveRun {
-				last = outcome{notRun: true, cause: "no server available"}
+				last = g.noServerOutcome(req, avoid)
 			}
 			break
 		}
@@ -119,6 +120,15 @@
 	g.respondPlain(w, req, last, mayHaveRun)
 }
 
+// noServerOutcome returns the outcome of a request for which there is no server, or none
+// that takes one more now.
+func (g *Gateway) noServerOutcome(req *request, avoid []string) outcome {
+	if wait := g.limitWait(req, avoid); wait > 0 {
+		return outcome{notRun: true, cause: causeLimitReached, retryAfter: cooldownRetryAfter(req.ID, wait)}
+	}
+	return outcome{notRun: true, cause: "no server available"}
+}
+
 // mayRetryPlain reports whether another server may be tried.
 func (g *Gateway) mayRetryPlain(req *request, last outcome) bool {
 	if !last.notRun && !req.route.Idempotent() {
@@ -199,13 +209,14 @@
 	if r := g.blockingCause(req, srv); r != "" {
 		return outcome{notRun: true, cause: r}
 	}
+	sentAt := clock.Now()
 	resp, err := g.Upstream.Do(ctx, g.encodeRequest(req, srv, nil, -1))
 	if err != nil {
 		return outcome{notRun: errors.Is(err, upstream.ErrNotSent), cause: err.Error()}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	info := platform.DecodeServerResponse(resp.StatusCode, resp.Header)
-	g.handleNotices(req, srv, info)
+	g.handleNotices(req, srv, sentAt, info)
 	if info.NotExecuted {
 		cause := causeServerFull
 		if resp.StatusCode == http.StatusMisdirectedRequest {
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -8,8 +8,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/bounded"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
@@ -19,8 +21,9 @@
 	Client *upstream.Client
 	// AcceptsRequests reports whether a server accepts new requests.
 	AcceptsRequests func(id string) bool
-	// OnLeaving, if set, receives the servers that say to be leaving.
-	OnLeaving func(id string, startTime int64)
+	// OnNotice, if set, receives what servers say about themselves in response to calls that
+	// were sent at sentAt; see Gateway.ObserveNotice.
+	OnNotice func(sentAt time.Duration, n notice.Notice, mayEndLimit bool)
 }
 
 var stagingOutcomes = map[platform.PieceOutcome]staging.Outcome{
@@ -41,6 +44,7 @@
 	if err != nil {
 		return staging.CallResult{Status: staging.Incomplete}, err
 	}
+	sentAt := clock.Now()
 	resp, err := s.post(ctx, c.Server, platform.StageRunPath, body)
 	if errors.Is(err, upstream.ErrNotSent) {
 		return staging.CallResult{Status: staging.ServerGone}, err
@@ -52,12 +56,12 @@
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		return staging.CallResult{Status: staging.ServerGone}, errors.New("address belongs to another server")
 	}
-	return s.readResult(resp, c)
+	return s.readResult(resp, c, sentAt)
 }
 
 // readResult reads the response to a call.
-func (s *StageClient) readResult(resp *upstream.Response, c staging.Call) (staging.CallResult, error) {
-	info := s.decodeResponse(resp, c.Server)
+func (s *StageClient) readResult(resp *upstream.Response, c staging.Call, sentAt time.Duration) (staging.CallResult, error) {
+	info := s.decodeResponse(resp, c.Server, sentAt, resp.StatusCode == http.StatusOK)
 	result := staging.CallResult{Status: staging.Incomplete, RetryAfter: info.RetryAfter}
 	data, err := bounded.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
@@ -81,11 +85,13 @@
 	return result, nil
 }
 
-// decodeResponse decodes the head of a response and reports a server that is leaving.
-func (s *StageClient) decodeResponse(resp *upstream.Response, srv staging.Server) platform.ServerResponse {
+// decodeResponse decodes the head of a response and reports what the server says about
+// itself.
+func (s *StageClient) decodeResponse(resp *upstream.Response, srv staging.Server, sentAt time.Duration, mayEndLimit bool) platform.ServerResponse {
 	info := platform.DecodeServerResponse(resp.StatusCode, resp.Header)
-	if info.Leaving && s.OnLeaving != nil {
-		s.OnLeaving(srv.ID, srv.StartTime)
+	if s.OnNotice != nil {
+		n := notice.Notice{Server: notice.Server{ID: srv.ID, StartTime: srv.StartTime}, Leaving: info.Leaving, Limit: info.Limit}
+		s.OnNotice(sentAt, n, mayEndLimit)
 	}
 	return info
 }
@@ -96,12 +102,13 @@
 	if err != nil {
 		return 0, err
 	}
+	sentAt := clock.Now()
 	resp, err := s.post(ctx, f.Server, platform.StageFreePath, body)
 	if err != nil {
 		return 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	info := s.decodeResponse(resp, f.Server)
+	info := s.decodeResponse(resp, f.Server, sentAt, false)
 	if _, err = io.Copy(io.Discard, resp.Body); err == nil && info.RetryAfter > 0 {
 		err = errors.New(causeServerFull)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -137,6 +137,8 @@
 		return result.NoServer
 	case planner.HeldBack:
 		return result.PromptHeldBack
+	case planner.LimitReached:
+		return result.QueueFull
 	case planner.VersionUnknown, planner.VersionGone:
 		return result.StreamNotResumable
 	}
@@ -160,7 +162,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	info := platform.DecodeServerResponse(resp.StatusCode, resp.Header)
-	s.gateway.handleNotices(req, srv, info)
+	s.gateway.handleNotices(req, srv, start, info)
 	if info.NotExecuted {
 		req.log.Info("Server did not run the request.", "server", p.Server, "status", resp.StatusCode, "took", clock.Now()-start)
 		return s.handleNotRun(p, progress, resp.StatusCode)
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -110,9 +110,9 @@
 		registered: make(chan struct{}),
 	}
 	closeRegistered := sync.OnceFunc(func() { close(e.registered) })
-	onEntryCount := n.registry.onEntryCount
-	n.registry.onEntryCount = func(count int) {
-		onEntryCount(count)
+	onEntries := n.registry.onEntries
+	n.registry.onEntries = func(count, before int) {
+		onEntries(count, before)
 		closeRegistered()
 	}
 	go func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/internal/gateway"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer"
@@ -84,7 +85,9 @@
 	upstreamClient := upstream.New()
 	n.servers = watch.NewServers(n.store, o.Settings.MaxDrainDelay, o.Log.WithName("servers"), n.updatePools)
 	n.config = watch.NewConfig(n.store, o.Settings.MaxConfigDelay, o.Log.WithName("config"), func(*routes.Table) { n.updatePools() })
-	stages := &gateway.StageClient{Client: upstreamClient, AcceptsRequests: n.servers.Takes, OnLeaving: func(id string, startTime int64) { n.gateway.ReportLeaving(id, startTime) }}
+	stages := &gateway.StageClient{Client: upstreamClient, AcceptsRequests: n.servers.Takes, OnNotice: func(sentAt time.Duration, word notice.Notice, mayEndLimit bool) {
+		n.gateway.ObserveNotice(sentAt, word, mayEndLimit)
+	}}
 	n.planner = planner.New(stages, o.Settings.Regions, o.Log.WithName("planner"))
 	n.quarantine = watch.NewQuarantine(n.store, o.Log.WithName("quarantine"), n.planner)
 	n.quarantineWriter = newQuarantineWriter(n.store, o.Log.WithName("quarantine"))
@@ -95,7 +98,8 @@
 		Ready: n.canPlan, Stopping: func() bool { return n.gateway.Stopping() }, Owner: owner,
 		Topics:        []peer.Topic{n.config.Topic(), n.servers.Topic(), n.quarantine.Topic()},
 		ConfigVersion: n.configVersion, OnConfigVersion: n.config.RequireVersion,
-		OnServerLeaving: func(server string, startTime int64) { n.servers.MarkLeaving(server, startTime) },
+		Notices:   func() []notice.Notice { return n.gateway.Notices() },
+		OnNotices: func(from *peer.Peer, notices []notice.Notice) { n.gateway.LearnNotices(from, notices) },
 	}
 	n.resultCleanup = &resultCleanup{
 		store: n.store, planner: n.planner, stages: stages, log: o.Log.WithName("leftovers"), entryName: o.Settings.Node, owner: owner,
@@ -109,7 +113,7 @@
 	n.registry = &registry{
 		store: n.store, links: n.links, localEntry: n.localEntry, log: o.Log.WithName("registry"),
 		name: o.Settings.Node, address: n.peerAddress(), startID: startID, isSmall: o.Settings.Cores > 0 && o.Settings.Cores < smallEntryCores,
-		readInterval: registryReadInterval, onRestart: n.gateway.RecordRestart, onEntryCount: n.gateway.UpdateEntryCount,
+		readInterval: registryReadInterval, onRestart: n.gateway.RecordRestart, onEntries: n.gateway.UpdateEntries,
 	}
 	return n
 }
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -56,10 +56,11 @@
 	isSmall bool
 	// readInterval is the time between two reads of the records.
 	readInterval time.Duration
-	// onRestart is called if the record of an earlier process start exists. onEntryCount
-	// is called with the number of records once they include that of this start.
-	onRestart    func()
-	onEntryCount func(n int)
+	// onRestart is called if the record of an earlier process start exists. onEntries is
+	// called with the number of records once they include that of this start, and with the
+	// number of running entries before this one.
+	onRestart func()
+	onEntries func(count, before int)
 	// stopped is set when the entry shuts down.
 	stopped atomic.Bool
 	// era is the era of the store before the last read of the records; eraChanged is
@@ -163,7 +164,7 @@
 func (r *registry) applyView(ctx context.Context, view roster.View) {
 	r.log.Info("Entry records read.", "before", len(view.Predecessors), "order", view.Position, "records", view.Count)
 	r.localEntry.Register(view.Position)
-	r.onEntryCount(view.Count)
+	r.onEntries(view.Count, len(view.Predecessors))
 	r.links.SetPredecessors(view.Predecessors)
 	if view.Refresh != nil {
 		r.writeOwnRecord(ctx, *view.Refresh)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -148,10 +148,8 @@
 		p.handleResultChanges(body.Made)
 	case *peerpb.Message_Changes:
 		p.handleChanges(body.Changes)
-	case *peerpb.Message_Leaving:
-		if p.local.OnServerLeaving != nil {
-			p.local.OnServerLeaving(body.Leaving.GetServer(), body.Leaving.GetStartTime())
-		}
+	case *peerpb.Message_Notices:
+		p.handleNotices(body.Notices)
 	case *peerpb.Message_Streams:
 		p.handleStreams(body.Streams)
 	case *peerpb.Message_Progress:
@@ -162,11 +160,6 @@
 	}
 }
 
-// ReportLeaving tells the other entry that a server has said to be leaving.
-func (p *Peer) ReportLeaving(server string, startTime int64) {
-	p.session.send(&peerpb.Message{Body: &peerpb.Message_Leaving{Leaving: &peerpb.Leaving{Server: server, StartTime: startTime}}})
-}
-
 // measureAge returns the age of a message, given the sender's clock when it was queued.
 func (p *Peer) measureAge(clockUs int64) time.Duration {
 	age := p.age.Age(time.Duration(clockUs)*time.Microsecond, clock.Now())
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -13,6 +13,7 @@
 
 	"storj.io/drpc"
 
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
@@ -121,8 +122,10 @@
 	OnConfigVersion func(version uint64)
 	// Topics are the topics of the store, in the order that all entries use.
 	Topics []Topic
-	// OnServerLeaving, if set, receives the servers that others report as leaving.
-	OnServerLeaving func(server string, startTime int64)
+	// Notices, if set, returns what servers said about themselves. OnNotices receives what
+	// they said to another entry.
+	Notices   func() []notice.Notice
+	OnNotices func(from *Peer, notices []notice.Notice)
 	// order is the order of the entry, as orderOf returns it; 0 while it is not
 	// registered.
 	order atomic.Int64
--- a/internal/peer/streams.go
+++ b/internal/peer/streams.go
@@ -61,12 +61,15 @@
 	return l.firstReadyInbound(), false
 }
 
-// updateStreamBackup sends all records of this entry's streams to a new backup. It returns
-// the backup.
+// updateStreamBackup sends all records of this entry's streams, and what servers said about
+// themselves, to a new backup. It returns the backup.
 func (l *Links) updateStreamBackup(previous *Peer) *Peer {
 	backup, _ := l.streamBackup()
 	if backup != nil && backup != previous {
 		backup.sendStreams(l.planner.LocalStreams(), false)
+		if l.local.Notices != nil {
+			backup.sendNotices(l.local.Notices())
+		}
 	}
 	return backup
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/quarantine"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
@@ -74,6 +75,8 @@
 	// streams are the versions that began streams, poolVersions those that servers run.
 	streams      *streamversion.Table
 	poolVersions *streamversion.Pools
+	// notices is what servers said about themselves.
+	notices *notice.Table
 	// quarantine holds back requests whose prompts crash servers.
 	quarantine *quarantine.Table
 	pending    map[string]*pendingRequest
@@ -94,8 +97,12 @@
 
 // New returns a planner without pools. regions maps availability zones to regions.
 func New(stages StageCaller, regions map[string]string, log logr.Logger) *Planner {
+	notices := notice.NewTable(nil)
+	scheduler, modelServers := staging.New(), placement.New(regions)
+	scheduler.SetNotices(notices)
+	modelServers.SetNotices(notices)
 	return &Planner{
-		stages: stages, log: log, scheduler: staging.New(), modelServers: placement.New(regions),
+		stages: stages, log: log, scheduler: scheduler, modelServers: modelServers, notices: notices,
 		streams: streamversion.New(), poolVersions: streamversion.NewPools(), quarantine: quarantine.New(),
 		pending: map[string]*pendingRequest{}, wake: make(chan struct{}, 1),
 	}
@@ -299,7 +306,11 @@
 		srv, ok := p.modelServers.Choose(now, req)
 		if !ok {
 			p.scheduler.Release(now, job.JobID)
-			reply(pr, Placement{ID: job.JobID, RefusalReason: NoServer, RetryAfter: time.Second})
+			refusal := Placement{ID: job.JobID, RefusalReason: NoServer, RetryAfter: time.Second}
+			if wait := p.modelServers.LimitWait(now, req); wait > 0 {
+				refusal.RefusalReason, refusal.RetryAfter = LimitReached, wait
+			}
+			reply(pr, refusal)
 			continue
 		}
 		p.quarantine.Begin(now, job.JobID, quarantine.Server{ID: srv.ID, StartTime: srv.StartTime}, sharedParts(pr.req.PromptParts))
--- a/internal/planner/quarantine.go
+++ b/internal/planner/quarantine.go
@@ -30,7 +30,10 @@
 	if refusal := p.checkQuarantine(now, pr); refusal != 0 {
 		return refusal
 	}
-	return p.setVersion(now, pr)
+	if refusal := p.setVersion(now, pr); refusal != 0 {
+		return refusal
+	}
+	return p.checkLimits(now, pr)
 }
 
 // checkQuarantine returns HeldBack if the prompt of a request may crash servers, else 0.
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -54,6 +54,8 @@
 	VersionUnknown
 	// VersionGone means that no usable server runs the version that began the stream.
 	VersionGone
+	// LimitReached means that the servers take no more requests per second.
+	LimitReached
 	// HeldBack means that the prompt has parts that crash servers.
 	HeldBack
 )
@@ -65,6 +67,8 @@
 		return "version of the stream is not known"
 	case VersionGone:
 		return "no server of the stream's version"
+	case LimitReached:
+		return "limits of the servers reached"
 	case HeldBack:
 		return "prompt crashes servers"
 	}
