--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,10 @@
 	// the entry does not place requests for other entries, since an entry with a newer
 	// configuration places them better.
 	planningFraction = 1.0
+	// lastRequestTime is how long before its end a stopping process accepts the last
+	// requests, and lastAnswerTime how long before it gives the last answers.
+	lastRequestTime = 2500 * time.Millisecond
+	lastAnswerTime  = 100 * time.Millisecond
 	// notReadyRetryAfter is the Retry-After time of an entry that is not ready.
 	notReadyRetryAfter = 400 * time.Millisecond
 )
@@ -99,8 +103,9 @@
 	Options
 	// inFlight is the number of unanswered requests; closedInFlight is added by TryClose.
 	inFlight atomic.Int64
-	// stoppingSince is the clock.Now time at which Stop was called; 0 before.
-	stoppingSince atomic.Int64
+	// stoppingSince is the clock.Now time at which Stop was called, and endsAt that at which
+	// the process ends at the latest; 0 before.
+	stoppingSince, endsAt atomic.Int64
 
 	metrics *metrics
 
@@ -159,6 +164,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	req, refusal := g.accept(w, hr)
+	if refusal == nil {
+		refusal = g.refuseAtEnd(req)
+	}
 	if refusal != nil {
 		g.refuse(w, req, refusal)
 		return
@@ -235,13 +243,33 @@
 	return clock.Now() - time.Duration(at)
 }
 
+// refuseAtEnd refuses a request if the process may end before it is served. Otherwise, if
+// the process is stopping, the request is answered before the process ends.
+func (g *Gateway) refuseAtEnd(req *request) *refusal {
+	if !g.Stopping() {
+		return nil
+	}
+	endsAt := time.Duration(g.endsAt.Load())
+	stopTime := endsAt - time.Duration(g.stoppingSince.Load())
+	if clock.Now() > endsAt-min(lastRequestTime, stopTime/2) {
+		return &refusal{code: result.EntryDraining, retryAfter: stoppingRetryAfter, cause: "entry is stopping", closeConnection: true}
+	}
+	if req.route.Kind != routes.Stream {
+		req.deadline = min(req.deadline, endsAt-lastAnswerTime)
+	}
+	return nil
+}
+
 // Stopping reports whether Stop was called.
 func (g *Gateway) Stopping() bool { return g.stoppingSince.Load() != 0 }
 
-// Stop marks the gateway as stopping. Requests are still served, with closing
-// connections; new streams only for newStreamGrace.
-func (g *Gateway) Stop() {
-	g.stoppingSince.CompareAndSwap(0, int64(clock.Now()))
+// Stop marks the gateway as stopping; the process ends after the given time at the latest.
+// Requests are still served, with closing connections; new streams only for newStreamGrace,
+// and no new requests in the last part of the time, so that those before can end.
+func (g *Gateway) Stop(within time.Duration) {
+	now := clock.Now()
+	g.endsAt.CompareAndSwap(0, int64(now+within))
+	g.stoppingSince.CompareAndSwap(0, int64(now))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.allowanceShare.Stop()
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -42,6 +42,8 @@
 	// two reads of the records of entries; 0 keeps the default.
 	cores        float64
 	readInterval time.Duration
+	// shutdownGrace is how long new entries may take to stop; 0 is a long time.
+	shutdownGrace time.Duration
 	// storeAddress is the address at which new entries reach the store; "" is the
 	// address of the store itself.
 	storeAddress string
@@ -95,7 +97,7 @@
 func (f *fleet) startEntry(name string, keyValidity time.Duration) *runningEntry {
 	settings := &platform.Settings{
 		Node: name, Zone: "z", IP: "127.0.0.1", ClientAddress: freeAddress(f.t), ReadinessAddress: freeAddress(f.t),
-		FirstPort: f.peerPort(name), StoreAddress: cmp.Or(f.storeAddress, f.store.Address()), ShutdownGrace: 30 * time.Second, KeyValidity: keyValidity,
+		FirstPort: f.peerPort(name), StoreAddress: cmp.Or(f.storeAddress, f.store.Address()), ShutdownGrace: cmp.Or(f.shutdownGrace, 30*time.Second), KeyValidity: keyValidity,
 		MaxConfigDelay: 2500 * time.Millisecond, MaxDrainDelay: 2500 * time.Millisecond,
 		Cores:       f.cores,
 		RetryBudget: platform.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Allowance: 80},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -224,12 +224,12 @@
 // drain waits for the requests in flight, and for those that still arrive until the load
 // balancer has noticed that the entry is stopping.
 func (n *Node) drain(srv *http.Server) {
-	n.gateway.Stop()
+	drainTimeout := n.opts.Settings.ShutdownGrace - shutdownReserve
+	n.gateway.Stop(drainTimeout)
 	n.planner.Stop()
 	go n.registry.markStopped()
 	startTime := time.Now()
 	n.opts.Log.Info("Entry is stopping.", "requests", n.gateway.InFlight())
-	drainTimeout := n.opts.Settings.ShutdownGrace - shutdownReserve
 	for time.Since(startTime) < drainTimeout {
 		if time.Since(startTime) >= n.opts.LoadBalancerLag && n.planner.JobCount() == 0 && n.gateway.TryClose() {
 			break
