--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -39,6 +39,8 @@
 	// maxStrayBytes bounds the body of a skipped response.
 	maxStrayBytes   = 1 << 20
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 )
 
 // Request is a request to one server.
@@ -112,9 +114,23 @@
 type conn struct {
 	net.Conn
 	reader    *bufio.Reader
+	limit     *limitedReader
 	idleSince time.Time
 }
 
+func newConn(raw net.Conn) *conn {
+	limit := &limitedReader{Conn: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}
+}
+
+// readHead reads the head of a response. A server in trouble may send bytes without end.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limit.start(maxHeadBytes)
+	defer c.limit.stop()
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	return resp, errors.Wrap(err, "read response head")
+}
+
 // Do sends the request and returns the head of the response. The connection is closed
 // when ctx ends, even while the body is being read.
 func (c *Client) Do(ctx context.Context, req *Request) (*Response, error) {
@@ -146,7 +162,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return newConn(raw), nil
 }
 
 func dial(ctx context.Context, address string) (net.Conn, error) {
@@ -195,9 +211,9 @@
 		return nil, errors.Wrap(err, "write request")
 	}
 	for range maxStrayResponses {
-		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: req.Method})
+		resp, err := cn.readHead(req.Method)
 		if err != nil {
-			return nil, errors.Wrap(err, "read response head")
+			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
