--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -14,8 +14,10 @@
 
 const (
 	relayBufferBytes = 8 << 10
-	// maxEventBytes bounds one event; a longer one is forwarded in parts.
-	maxEventBytes = 256 << 10
+	// maxEventPartBytes is the size from which an event is forwarded in parts, and
+	// maxEventBytes bounds the sum of them.
+	maxEventPartBytes = 256 << 10
+	maxEventBytes     = maxResponseBytes
 	// clientWriteTimeout bounds a write to the client.
 	clientWriteTimeout = 10 * time.Second
 )
@@ -28,6 +30,7 @@
 var (
 	errEndsWithinEvent = errors.New("response ended within an event")
 	errNoEvent         = errors.New("response ended before the first event")
+	errEventTooLarge   = errors.New("event without end")
 )
 
 // relay copies a stream of events to the client. It forwards only complete events, so
@@ -45,7 +48,9 @@
 	eventDue bool
 	// splitter splits the response of the current attempt.
 	splitter *eventstream.Splitter
-	buf      []byte
+	// partBytes is the size of the forwarded parts of the current event.
+	partBytes int
+	buf       []byte
 }
 
 func newRelay(w http.ResponseWriter) *relay {
@@ -59,7 +64,7 @@
 		r.buf = make([]byte, relayBufferBytes)
 	}
 	r.eventDue = r.splitter.InEvent() || r.eventDue && r.splitter.Events() == 0
-	r.splitter = &eventstream.Splitter{}
+	r.splitter, r.partBytes = &eventstream.Splitter{}, 0
 	for {
 		n, err := resp.Body.Read(r.buf)
 		if n > 0 {
@@ -89,14 +94,19 @@
 		r.lastID = id
 	}
 	if len(events) > 0 {
+		r.partBytes = 0
 		if err := r.write(resp, events); err != nil {
 			return err
 		}
 	}
-	if len(r.splitter.Unfinished()) < maxEventBytes {
+	if len(r.splitter.Unfinished()) < maxEventPartBytes {
 		return nil
 	}
-	return r.write(resp, r.splitter.TakeUnfinished())
+	part := r.splitter.TakeUnfinished()
+	if r.partBytes += len(part); r.partBytes > maxEventBytes {
+		return errEventTooLarge
+	}
+	return r.write(resp, part)
 }
 
 // finish handles the end of a response. The end of the connection may be that of the
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -86,12 +86,12 @@
 // TestLongEventIsForwardedInParts guards against an event of any length being kept in
 // memory until it is complete.
 func TestLongEventIsForwardedInParts(t *testing.T) {
-	event := "data: " + strings.Repeat("x", 3*maxEventBytes) + "\n\n"
+	event := "data: " + strings.Repeat("x", 3*maxEventPartBytes) + "\n\n"
 	w := httptest.NewRecorder()
 	r := newRelay(w)
-	assert.NilError(t, r.forward(chunkedResponse(nil), []byte(event[:2*maxEventBytes])))
-	assert.Equal(t, w.Body.Len(), 2*maxEventBytes)
-	assert.NilError(t, r.forward(chunkedResponse(nil), []byte(event[2*maxEventBytes:])))
+	assert.NilError(t, r.forward(chunkedResponse(nil), []byte(event[:2*maxEventPartBytes])))
+	assert.Equal(t, w.Body.Len(), 2*maxEventPartBytes)
+	assert.NilError(t, r.forward(chunkedResponse(nil), []byte(event[2*maxEventPartBytes:])))
 	assert.Equal(t, w.Body.String(), event)
 	assert.Equal(t, r.events, 1)
 }
@@ -103,7 +103,7 @@
 	r := newRelay(httptest.NewRecorder())
 	assert.NilError(t, r.forward(chunkedResponse(nil), []byte("id: 1\n\nid: 2\n")))
 	assert.Assert(t, !r.partForwarded())
-	assert.NilError(t, r.forward(chunkedResponse(nil), []byte("data: "+strings.Repeat("x", maxEventBytes))))
+	assert.NilError(t, r.forward(chunkedResponse(nil), []byte("data: "+strings.Repeat("x", maxEventPartBytes))))
 	assert.Assert(t, r.partForwarded())
 	assert.NilError(t, r.forward(chunkedResponse(nil), []byte("\n\nid: 3\n")))
 	assert.Assert(t, !r.partForwarded())
--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -35,6 +35,9 @@
 		{"one chunk extension", "plain", plain, okHead + "Transfer-Encoding: chunked\r\n\r\n1;", "0123456789abcdef"},
 		{"trailer", "plain", plain, okHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: 0123456789abcdef\r\n"},
 		{"head of a stream", "model", stream, "HTTP/1.1 200 OK\r\nX-Long: ", "0123456789abcdef"},
+		{"one event", "model", stream, okHead + "\r\ndata: ", "0123456789abcdef"},
+		{"one event of many lines", "model", stream, okHead + "\r\n", "data: 0123456789abcdef\n"},
+		{"one event after others", "model", stream, okHead + "\r\nid: 1\ndata: x\n\ndata: ", "0123456789abcdef"},
 		{"head of a stage call", "a", stagedCall, "", "garbage "},
 		{"body of a stage call", "a", stagedCall, okHead + "\r\n", `{"items":[]}`},
 	}
