--- /dev/null
+++ b/internal/bounded/budget.go
@@ -0,0 +1,71 @@
+package bounded
+
+import (
+	"io"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// minBufferBytes is the size of the first buffer of a read.
+const minBufferBytes = 4 << 10
+
+// ErrBudgetSpent means that other readers hold so much data that there is no space for more.
+var ErrBudgetSpent = errors.New("budget for data is spent")
+
+// Budget bounds the data that several readers hold at the same time. It is safe for
+// concurrent use.
+type Budget struct {
+	mu   sync.Mutex
+	left int64
+}
+
+// NewBudget returns a budget of the given number of bytes.
+func NewBudget(bytes int64) *Budget { return &Budget{left: bytes} }
+
+func (b *Budget) take(n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n > b.left {
+		return false
+	}
+	b.left -= n
+	return true
+}
+
+func (b *Budget) giveBack(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left += n
+}
+
+// ReadAll reads r to its end, as the function ReadAll does. It returns ErrBudgetSpent if
+// the budget does not suffice. The data counts until release is called.
+func (b *Budget) ReadAll(r io.Reader, limit int64) (data []byte, release func(), err error) {
+	var buf []byte
+	fail := func(err error) ([]byte, func(), error) {
+		b.giveBack(int64(cap(buf)))
+		return nil, func() {}, err
+	}
+	for {
+		if len(buf) == cap(buf) {
+			size := min(max(minBufferBytes, 2*int64(cap(buf))), limit+1)
+			if !b.take(size) {
+				return fail(ErrBudgetSpent)
+			}
+			larger := append(make([]byte, 0, size), buf...)
+			b.giveBack(int64(cap(buf)))
+			buf = larger
+		}
+		n, err := r.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		switch {
+		case err != nil && err != io.EOF:
+			return fail(err)
+		case int64(len(buf)) > limit:
+			return fail(errors.Wrapf(ErrTooLarge, "more than %d bytes", limit))
+		case err == io.EOF:
+			return buf, sync.OnceFunc(func() { b.giveBack(int64(cap(buf))) }), nil
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
+	"github.com/magnoliawheel/magnoliawheel/internal/bounded"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
@@ -81,6 +82,9 @@
 	MarkLeaving(id string, startTime int64) bool
 }
 
+// NewBodyBudget returns the budget for the responses that an entry reads at the same time.
+func NewBodyBudget() *bounded.Budget { return bounded.NewBudget(maxBodiesBytes) }
+
 // Options configures a Gateway.
 type Options struct {
 	Config   Config
@@ -88,6 +92,8 @@
 	Planner  *planner.Planner
 	Links    *peer.Links
 	Upstream *upstream.Client
+	// Bodies bounds the responses that are read before they are relayed.
+	Bodies   *bounded.Budget
 	Settings *platform.Settings
 	Log      logr.Logger
 	Scope    tally.Scope
@@ -164,6 +170,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	req, refusal := g.accept(w, hr)
+	defer req.end()
 	if refusal == nil {
 		refusal = g.refuseAtEnd(req)
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -22,6 +22,8 @@
 const (
 	// maxResponseBytes bounds the body of a response that is not a stream.
 	maxResponseBytes = 16 << 20
+	// maxBodiesBytes bounds the bodies of all responses that are held at the same time.
+	maxBodiesBytes = 48 << 20
 	// busyRetryAfter is the Retry-After time if no server can run the request now.
 	busyRetryAfter = 250 * time.Millisecond
 	// attemptTimeFraction is the fraction of the remaining time that one attempt of an
@@ -226,13 +228,13 @@
 	}
 	framing := resp.Framing()
 	g.metrics.countFraming(framing)
-	a, err := readResponse(resp)
-	if err != nil {
-		return outcome{framing: framing.String(), cause: "incomplete response: " + err.Error()}
-	}
 	if !info.Signed {
 		return outcome{framing: framing.String(), cause: "response without the server's signature"}
 	}
+	a, err := g.readResponse(req, resp)
+	if err != nil {
+		return outcome{framing: framing.String(), cause: "incomplete response: " + err.Error()}
+	}
 	return outcome{framing: framing.String(), response: a}
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliawheel/magnoliawheel/core/eventstream"
-	"github.com/magnoliawheel/magnoliawheel/internal/bounded"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
 )
 
@@ -160,11 +159,13 @@
 	return nil
 }
 
-// readResponse reads a response to its end.
-func readResponse(resp *upstream.Response) (*response, error) {
-	body, err := bounded.ReadAll(resp.Body, maxResponseBytes)
+// readResponse reads the response to a request to its end. Its body counts in the budget
+// until the request ends.
+func (g *Gateway) readResponse(req *request, resp *upstream.Response) (*response, error) {
+	body, release, err := g.Bodies.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return nil, err
 	}
+	req.onEnd = append(req.onEnd, release)
 	return &response{resp.StatusCode, resp.Header, body}, nil
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -40,7 +40,16 @@
 	host           string
 	body           []byte
 	attempts       int
-	log            logr.Logger
+	// onEnd are called when the request has ended.
+	onEnd []func()
+	log   logr.Logger
+}
+
+// end releases what the request held.
+func (r *request) end() {
+	for _, f := range r.onEnd {
+		f()
+	}
 }
 
 // streamID returns the ID of the request that brought the first event of the stream that
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -16,9 +15,14 @@
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
 
+// maxFreeResponseBytes bounds the response to a request that frees results.
+const maxFreeResponseBytes = 64 << 10
+
 // StageClient calls stage servers. It implements planner.StageCaller.
 type StageClient struct {
 	Client *upstream.Client
+	// Bodies bounds the responses that are read at the same time.
+	Bodies *bounded.Budget
 	// AcceptsRequests reports whether a server accepts new requests.
 	AcceptsRequests func(id string) bool
 	// OnNotice, if set, receives what servers say about themselves in response to calls that
@@ -63,10 +67,11 @@
 func (s *StageClient) readResult(resp *upstream.Response, c staging.Call, sentAt time.Duration) (staging.CallResult, error) {
 	info := s.decodeResponse(resp, c.Server, sentAt, resp.StatusCode == http.StatusOK)
 	result := staging.CallResult{Status: staging.Incomplete, RetryAfter: info.RetryAfter}
-	data, err := bounded.ReadAll(resp.Body, maxResponseBytes)
+	data, release, err := s.Bodies.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return result, err
 	}
+	defer release()
 	if info.NotExecuted {
 		result.Status = staging.ServerFull
 		return result, errors.New(causeServerFull)
@@ -109,7 +114,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	info := s.decodeResponse(resp, f.Server, sentAt, false)
-	if _, err = io.Copy(io.Discard, resp.Body); err == nil && info.RetryAfter > 0 {
+	if _, err = bounded.ReadAll(resp.Body, maxFreeResponseBytes); err == nil && info.RetryAfter > 0 {
 		err = errors.New(causeServerFull)
 	}
 	return info.RetryAfter, err
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -341,7 +341,7 @@
 			return false, nil
 		}
 	}
-	a, err := readResponse(resp)
+	a, err := s.gateway.readResponse(s.req, resp)
 	if err != nil {
 		return false, s.retryPossiblyRun("incomplete response")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,7 +85,8 @@
 	upstreamClient := upstream.New()
 	n.servers = watch.NewServers(n.store, o.Settings.MaxDrainDelay, o.Log.WithName("servers"), n.updatePools)
 	n.config = watch.NewConfig(n.store, o.Settings.MaxConfigDelay, o.Log.WithName("config"), func(*routes.Table) { n.updatePools() })
-	stages := &gateway.StageClient{Client: upstreamClient, AcceptsRequests: n.servers.Takes, OnNotice: func(sentAt time.Duration, word notice.Notice, mayEndLimit bool) {
+	bodies := gateway.NewBodyBudget()
+	stages := &gateway.StageClient{Client: upstreamClient, Bodies: bodies, AcceptsRequests: n.servers.Takes, OnNotice: func(sentAt time.Duration, word notice.Notice, mayEndLimit bool) {
 		n.gateway.ObserveNotice(sentAt, word, mayEndLimit)
 	}}
 	n.planner = planner.New(stages, o.Settings.Regions, o.Log.WithName("planner"))
@@ -106,7 +107,7 @@
 	}
 	n.links = peer.NewLinks(n.localEntry, n.planner, o.Log.WithName("peer"))
 	n.gateway = gateway.New(gateway.Options{
-		Config: n.config, Servers: n.servers, Planner: n.planner, Links: n.links, Upstream: upstreamClient,
+		Config: n.config, Servers: n.servers, Planner: n.planner, Links: n.links, Upstream: upstreamClient, Bodies: bodies,
 		Settings: o.Settings, Log: o.Log.WithName("gateway"), Scope: o.Scope, Owner: owner,
 		RegistryReadInterval: maxRegistryReadGap,
 	})
