--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"fmt"
 	"net/http"
 	"testing"
 
@@ -61,7 +60,7 @@
 			assert.Assert(t, <-cut, "the entry accepted all of the answer")
 
 			s.SetHandler(nil)
-			eventually(t, "the server is used again", func() bool { return e.do(tt.call(fmt.Sprint("later"))).status == http.StatusOK })
+			eventually(t, "the server is used again", func() bool { return e.do(tt.call("later")).status == http.StatusOK })
 		})
 	}
 }
