--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -44,6 +44,8 @@
 	readInterval time.Duration
 	// shutdownGrace is how long new entries may take to stop; 0 is a long time.
 	shutdownGrace time.Duration
+	// rewriteTime replaces operatorRewriteTime for new entries unless it is 0.
+	rewriteTime time.Duration
 	// storeAddress is the address at which new entries reach the store; "" is the
 	// address of the store itself.
 	storeAddress string
@@ -106,6 +108,7 @@
 	if f.readInterval > 0 {
 		n.registry.readInterval = f.readInterval
 	}
+	n.restoreGuard.rewriteTime = cmp.Or(f.rewriteTime, n.restoreGuard.rewriteTime)
 	stop := make(chan struct{})
 	e := &runningEntry{
 		Node: n, fleet: f, baseURL: "http://" + settings.ClientAddress, done: make(chan struct{}), stop: sync.OnceFunc(func() { close(stop) }),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,6 +77,7 @@
 	// writes those that this entry finds.
 	quarantine       *watch.Quarantine
 	quarantineWriter *quarantineWriter
+	restoreGuard     *restoreGuard
 }
 
 // New returns an entry that is not yet running.
@@ -98,7 +99,7 @@
 	n.localEntry = &peer.LocalEntry{
 		Ready: n.canPlan, Stopping: func() bool { return n.gateway.Stopping() }, Owner: owner,
 		Topics:        []peer.Topic{n.config.Topic(), n.servers.Topic(), n.quarantine.Topic()},
-		ConfigVersion: n.configVersion, OnConfigVersion: n.config.RequireVersion,
+		ConfigVersion: n.configVersion, OnConfigVersion: n.learnConfigVersion,
 		Notices:   func() []notice.Notice { return n.gateway.Notices() },
 		OnNotices: func(from *peer.Peer, notices []notice.Notice) { n.gateway.LearnNotices(from, notices) },
 	}
@@ -111,6 +112,10 @@
 		Settings: o.Settings, Log: o.Log.WithName("gateway"), Scope: o.Scope, Owner: owner,
 		RegistryReadInterval: maxRegistryReadGap,
 	})
+	n.restoreGuard = &restoreGuard{
+		store: n.store, config: n.config, log: o.Log.WithName("config"), rewriteTime: operatorRewriteTime,
+		isFirst: func() bool { return n.links.PlanningPeer() == nil },
+	}
 	n.registry = &registry{
 		store: n.store, links: n.links, localEntry: n.localEntry, log: o.Log.WithName("registry"),
 		name: o.Settings.Node, address: n.peerAddress(), startID: startID, isSmall: o.Settings.Cores > 0 && o.Settings.Cores < smallEntryCores,
@@ -127,12 +132,22 @@
 	return n.gateway.CanPlan() && (n.config.StoreReachable() || n.planner.JobCount() > 0)
 }
 
-// configVersion returns the newest known version of the configuration, or 0.
-func (n *Node) configVersion() uint64 {
-	if table := n.config.Table(); table != nil {
-		return table.Version
+// configVersion returns the newest known version of the configuration, or 0, and whether
+// the entry goes by it.
+func (n *Node) configVersion() (version uint64, checked bool) {
+	table := n.config.Table()
+	if table == nil {
+		return 0, false
+	}
+	return table.Version, !n.config.Unchecked()
+}
+
+// learnConfigVersion handles the version of the configuration that another entry knows.
+func (n *Node) learnConfigVersion(version uint64, checked bool) {
+	n.config.RequireVersion(version)
+	if checked {
+		n.config.Attest()
 	}
-	return 0
 }
 
 func (n *Node) updatePools() { n.gateway.UpdatePools() }
@@ -167,7 +182,7 @@
 	go n.registry.run(ctx)
 	go func() {
 		n.links.WaitSettled(ctx)
-		n.config.Release()
+		n.restoreGuard.run(ctx)
 	}()
 	go n.resultCleanup.run(ctx)
 	go func() { _ = n.links.Serve(ctx, peerLis) }()
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -211,3 +211,49 @@
 	eventually(t, "the new entry knows the newest version", func() bool { return third.do(keyedCall(standin.PathSafe, "r", "key-1")).status == http.StatusOK })
 	assert.Equal(t, third.do(keyedCall(standin.PathSafe, "r", "key-2")).status, http.StatusUnauthorized)
 }
+
+// TestAllEntriesStartInRestoredStore guards against a key that was taken away and is accepted
+// again: the store is restored from a copy that still has it, and all entries start before
+// the operator has written again, so that none knows better.
+func TestAllEntriesStartInRestoredStore(t *testing.T) {
+	f := newFleet(t)
+	f.startServer("plain", "p1", 0)
+	f.apiKeys = []string{"key-1", "key-2"}
+	f.putConfig()
+	older := f.store.Copy()
+	f.apiKeys = []string{"key-1"}
+	f.putConfig()
+	f.store.Restore(older)
+	f.rewriteTime = time.Hour
+	entries := []*runningEntry{f.startEntry("e1", time.Hour), f.startEntry("e2", time.Hour)}
+	for _, e := range entries {
+		e.waitRegistered()
+		e.links.WaitSettled(t.Context())
+	}
+	for i := range 40 {
+		got := entries[i%2].do(keyedCall(standin.PathSafe, fmt.Sprint("r", i), "key-2"))
+		assert.Assert(t, got.err == nil && got.status == http.StatusServiceUnavailable, "%d", got.status)
+	}
+	f.configVersion--
+	f.putConfig()
+	for _, e := range entries {
+		eventually(t, "the newest version is in force", func() bool { return e.do(keyedCall(standin.PathSafe, "r", "key-1")).status == http.StatusOK })
+		assert.Equal(t, e.do(keyedCall(standin.PathSafe, "r", "key-2")).status, http.StatusUnauthorized)
+	}
+}
+
+// TestMarkerOfSettledEraSparesWait checks that only processes that start right after a restore
+// wait: once an entry has seen the operator's time pass, others start without.
+func TestMarkerOfSettledEraSparesWait(t *testing.T) {
+	f := newFleet(t)
+	f.startServer("plain", "p1", 0)
+	f.putConfig()
+	f.store.Restore(f.store.Copy())
+	f.rewriteTime = time.Millisecond
+	first := f.startEntry("e1", time.Hour).waitReady()
+	eventually(t, "the marker is written", func() bool { return f.store.Mentions(platform.SettledEraKey) })
+	first.stop()
+	<-first.done
+	f.rewriteTime = time.Hour
+	f.startEntry("e2", time.Hour).waitReady()
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -180,7 +180,7 @@
 	p.measureAge(status.GetClockUs())
 	p.session.setLag(milliseconds(status.GetLagMs()))
 	if p.local.OnConfigVersion != nil {
-		p.local.OnConfigVersion(status.GetConfigVersion())
+		p.local.OnConfigVersion(status.GetConfigVersion(), !status.GetConfigUnchecked())
 	}
 	if changed {
 		p.log.Info("State of an entry changed.", "entry", status.GetOwner(), "ready", status.GetReady(), "stopping", status.GetStopping(), "order", status.GetOrder())
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -101,6 +101,7 @@
 func (p *Peer) handleTopics(status *peerpb.Status) {
 	isPredecessor := p.mayRelay()
 	mayRelay := isPredecessor && status.GetEchoClockUs() > 0
+	localVersion, _ := p.local.configVersion()
 	for i, s := range status.GetTopics() {
 		if i >= len(p.local.Topics) {
 			return
@@ -112,7 +113,7 @@
 		if isPredecessor {
 			p.local.Topics[i].PredecessorSeen()
 		}
-		if !mayRelay || !s.GetDirect() || !s.GetCovered() || status.GetConfigVersion() > p.local.configVersion() {
+		if !mayRelay || !s.GetDirect() || !s.GetCovered() || status.GetConfigVersion() > localVersion {
 			continue
 		}
 		asOf := time.Duration(status.GetEchoClockUs()-s.GetAgeUs()) * time.Microsecond
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -116,10 +116,11 @@
 	Stopping func() bool
 	// Owner is the name of the current process start of the entry.
 	Owner string
-	// ConfigVersion returns the newest known version of the configuration; nil if the
-	// entry has none. OnConfigVersion, if set, receives the versions that others know.
-	ConfigVersion   func() uint64
-	OnConfigVersion func(version uint64)
+	// ConfigVersion returns the newest known version of the configuration, and false if the
+	// entry does not go by it yet; nil if the entry has none. OnConfigVersion, if set,
+	// receives what others return.
+	ConfigVersion   func() (version uint64, checked bool)
+	OnConfigVersion func(version uint64, checked bool)
 	// Topics are the topics of the store, in the order that all entries use.
 	Topics []Topic
 	// Notices, if set, returns what servers said about themselves. OnNotices receives what
@@ -150,19 +151,21 @@
 	return order > 0 && (localOrder == 0 || order < localOrder)
 }
 
-// configVersion returns the newest known version of the configuration, or 0.
-func (e *LocalEntry) configVersion() uint64 {
+// configVersion returns the newest known version of the configuration, or 0, and whether
+// the entry goes by it.
+func (e *LocalEntry) configVersion() (version uint64, checked bool) {
 	if e.ConfigVersion == nil {
-		return 0
+		return 0, false
 	}
 	return e.ConfigVersion()
 }
 
 func (e *LocalEntry) wireStatus() *peerpb.Status {
 	now := clock.Now()
+	version, checked := e.configVersion()
 	return &peerpb.Status{
-		ConfigVersion: e.configVersion(),
-		Ready:         e.Ready(), Order: e.order.Load(), Owner: e.Owner, Stopping: e.Stopping(), ClockUs: now.Microseconds(), LagMs: e.lag.lag().Milliseconds(),
+		ConfigVersion: version, ConfigUnchecked: !checked,
+		Ready: e.Ready(), Order: e.order.Load(), Owner: e.Owner, Stopping: e.Stopping(), ClockUs: now.Microseconds(), LagMs: e.lag.lag().Milliseconds(),
 	}
 }
 
--- a/internal/watch/config.go
+++ b/internal/watch/config.go
@@ -37,6 +37,8 @@
 	// that another entry reported by then.
 	unchecked       atomic.Bool
 	requiredVersion atomic.Uint64
+	// attested is set once an entry that is not unchecked itself has told its version.
+	attested atomic.Bool
 }
 
 // NewConfig returns a watcher of the configuration. A new version comes into force
@@ -73,10 +75,20 @@
 	}
 }
 
+// Attest records that an entry which goes by its configuration has told its version.
+func (c *Config) Attest() { c.attested.Store(true) }
+
+// Attested reports whether Attest was called.
+func (c *Config) Attested() bool { return c.attested.Load() }
+
 // Release ends the wait of a starting process for the versions that other entries know.
 // Until then the configuration of a store that was once restored is not confirmed.
 func (c *Config) Release() { c.unchecked.Store(false) }
 
+// Unchecked reports whether the process has not been released, so that it does not go by
+// its configuration yet.
+func (c *Config) Unchecked() bool { return c.unchecked.Load() }
+
 // isOutdated reports whether another entry knows, or may know, a newer version that the
 // store has lost.
 func (c *Config) isOutdated() bool {
@@ -106,12 +118,14 @@
 }
 
 // applyRecords puts newer versions among the records into force.
-func (c *Config) applyRecords(records []platform.KeyedRecord, _ recordSet) []platform.KeyedRecord {
+func (c *Config) applyRecords(records []platform.KeyedRecord, set recordSet) []platform.KeyedRecord {
 	var applied []platform.KeyedRecord
+	written := false
 	for _, rec := range records {
 		if rec.Key != platform.ConfigKey || rec.Deleted {
 			continue
 		}
+		written = true
 		table, err := platform.DecodeConfig(rec.Value)
 		if err != nil {
 			c.log.Error(err, "Configuration record invalid.", "offset", rec.Offset)
@@ -126,5 +140,10 @@
 		c.log.Info("Configuration in force.", "version", table.Version, "offset", rec.Offset)
 		c.onChange(table)
 	}
+	if written && set == newRecords {
+		// The operator has written since the process started, so also since the store was
+		// restored.
+		c.Release()
+	}
 	return applied
 }
