--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -247,7 +247,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.localReady.update(l.local.Ready())
-	readyPeers, sessions := 0, 0
+	// probablyReady counts also the entries whose state is not known yet. Sessions with
+	// those after them are kept, but no more are opened.
+	readyPeers, probablyReady, sessions := 0, 0, 0
 	for _, k := range l.links {
 		if k.hasStalePosition() {
 			l.signalStalePosition()
@@ -256,13 +258,16 @@
 			k.closeIdle()
 			continue
 		}
-		if k.isStopping() || !k.mayPrecedeLocal() && !k.startDialing(ctx) {
+		if k.isStopping() || !k.mayPrecedeLocal() && (probablyReady >= targetReadyPeers || !k.startDialing(ctx)) {
 			continue
 		}
 		sessions++
-		if k.isReady() || !searching && k.mayBeReady() {
+		if k.isReady() {
 			readyPeers++
 		}
+		if k.isReady() || !searching && k.mayBeReady() {
+			probablyReady++
+		}
 	}
 }
 
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -74,3 +74,26 @@
 	k.sessionEnded()
 	assert.Equal(t, k.reuseDelay(), second/2, "the session was stable")
 }
+
+// TestReadySessionIsKeptForOneThatIsNot guards against a session with a ready entry that is
+// closed for one whose state is not known yet. If that one turns out not to be ready, or to
+// come later, the entry that would place requests after the next loss has no session.
+func TestReadySessionIsKeptForOneThatIsNot(t *testing.T) {
+	local := &LocalEntry{Ready: func() bool { return true }, Stopping: func() bool { return false }}
+	local.Register(9)
+	unknown := newPeerWithStatus(local, 1, false)
+	unknown.statusReceived = false
+	closed := false
+	last := newPeerWithStatus(local, 3, false)
+	last.session.cancel = func() { closed = true }
+	l := NewLinks(local, planner.New(nil, nil, logr.Discard()), logr.Discard())
+	l.links = []*link{{peer: unknown}, {peer: newPeerWithStatus(local, 2, false)}, {peer: last}}
+	for i, k := range l.links {
+		k.links, k.entry.Position = l, int64(i)
+	}
+	l.maintainSessions(t.Context())
+	assert.Assert(t, !closed, "the first entry has not told its state")
+	unknown.statusReceived = true
+	l.maintainSessions(t.Context())
+	assert.Assert(t, closed, "two entries before it are ready")
+}
