--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -29,6 +29,8 @@
 	// the sessions that ended before they were stable.
 	wasLost     bool
 	lossesInRow int
+	// closedIdle is set while a session ends because it was not needed any more.
+	closedIdle bool
 }
 
 // status returns the newest status of the entry, and false if there is no session.
@@ -134,6 +136,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.peer != nil && k.peer.idle() {
+		k.closedIdle = true
 		k.peer.session.cancel()
 	}
 }
@@ -163,10 +166,19 @@
 
 // run dials the entry, runs the session until it ends, and schedules the next attempt.
 func (k *link) run(ctx context.Context) {
-	err := k.connect(ctx)
+	k.disconnected(k.connect(ctx))
+}
+
+// disconnected handles the end of a session, or an attempt to establish one that failed.
+func (k *link) disconnected(err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.dialing, k.wasLost, k.peer = false, true, nil
+	k.dialing, k.peer = false, nil
+	if k.closedIdle {
+		k.closedIdle = false
+		return
+	}
+	k.wasLost = true
 	if err != nil {
 		k.nextDialAt = time.Now().Add(redialBackoff.SpreadDelay(k.dialFailures, k.links.local.Owner))
 		k.dialFailures++
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -97,3 +97,23 @@
 	l.maintainSessions(t.Context())
 	assert.Assert(t, closed, "two entries before it are ready")
 }
+
+// TestClosedSessionIsReopenedAtOnce guards against an entry that is without a session for the
+// redial delay, and does not use the entry for some time after, because it closed the session
+// itself when it had enough others. Only lost sessions are a reason to wait.
+func TestClosedSessionIsReopenedAtOnce(t *testing.T) {
+	local := &LocalEntry{Ready: func() bool { return true }, Stopping: func() bool { return false }}
+	local.Register(9)
+	l := NewLinks(local, planner.New(nil, nil, logr.Discard()), logr.Discard())
+	for _, closed := range []bool{true, false} {
+		p := newPeerWithStatus(local, 1, false)
+		k := &link{links: l, peer: p, dialing: true, connectedAt: time.Now()}
+		if closed {
+			k.closeIdle()
+		}
+		k.disconnected(nil)
+		assert.Equal(t, k.nextDialAt.IsZero(), closed)
+		k.peer, k.connectedAt = p, time.Now()
+		assert.Equal(t, k.usablePeer() != nil, closed)
+	}
+}
