--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -129,6 +129,9 @@
 		ID: req.ID, PieceKey: req.PieceKey, Priority: req.priority, TimeToObjective: req.objectiveDeadline - now, TimeToDeadline: req.deadline - now,
 		Pool: req.service, Zone: g.Settings.Zone, MaxTokens: req.MaxTokens, Avoid: avoid, Customer: req.customer, Owner: g.Owner,
 	}
+	if req.route.Resumable {
+		pr.ResumableFor = req.resumableUntil - now
+	}
 	if req.LastEventID != "" {
 		pr.Resume = &planner.Resume{Stream: req.streamID(), Version: g.Planner.StreamVersion(req.streamID())}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -155,6 +155,7 @@
 		return false, s.retryNotSent(r)
 	}
 	req.attempts++
+	s.recordVersion(p.SoftwareVersion)
 	start := clock.Now()
 	resp, err := s.gateway.Upstream.Do(ctx, s.gateway.encodeRequest(req, srv, p.Inputs, modelPriority(req)))
 	if err != nil {
@@ -173,7 +174,6 @@
 		return s.relayNonStream(resp, info, progress)
 	}
 	err = s.relay.copy(resp, func() {
-		s.streamBegan(p.SoftwareVersion)
 		s.gateway.metrics.firstEventTime.RecordDuration(clock.Now() - req.arrivedAt)
 		req.log.Info("First event relayed.", "server", p.Server, "server_version", p.SoftwareVersion, "route", req.route.Name, "version", req.configVersion, "held", clock.Now()-req.arrivedAt, "took", clock.Now()-start)
 		progress.report(planner.Started)
@@ -203,9 +203,9 @@
 	return ""
 }
 
-// streamBegan records the version of the server that sends the stream, so that the stream
-// is resumed only there.
-func (s *streamRequest) streamBegan(version string) {
+// recordVersion records the version of the server that gets the request, so that the stream
+// is resumed only there. The record leaves before the first event can reach the client.
+func (s *streamRequest) recordVersion(version string) {
 	if !s.req.route.Resumable {
 		return
 	}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -173,6 +173,7 @@
 	place := &peerpb.Place{
 		Id: r.ID, Key: r.PieceKey, Rank: uint32(r.Priority), DueMs: r.TimeToObjective.Milliseconds(), DeadlineMs: r.TimeToDeadline.Milliseconds(),
 		Pool: r.Pool, Zone: r.Zone, MaxTokens: uint32(r.MaxTokens), Avoid: r.Avoid, Customer: r.Customer, ClockUs: clock.Now().Microseconds(),
+		ResumableMs: r.ResumableFor.Milliseconds(),
 	}
 	for _, stage := range r.Stages {
 		wireStage := &peerpb.Stage{Pool: stage.Pool, Bytes: uint64(stage.ResultBytes), Pieces: uint32(stage.Pieces)}
@@ -218,6 +219,7 @@
 		ID: place.GetId(), PieceKey: place.GetKey(), Priority: int(place.GetRank()),
 		TimeToObjective: milliseconds(place.GetDueMs()), TimeToDeadline: milliseconds(place.GetDeadlineMs()),
 		Pool: place.GetPool(), Zone: place.GetZone(), MaxTokens: int(place.GetMaxTokens()), Avoid: place.GetAvoid(), Customer: place.GetCustomer(),
+		ResumableFor: milliseconds(place.GetResumableMs()),
 	}
 	for _, wireStage := range place.GetStages() {
 		st := staging.Stage{Pool: wireStage.GetPool(), ResultBytes: int64(wireStage.GetBytes()), Pieces: int(wireStage.GetPieces())}
--- a/internal/peer/streams.go
+++ b/internal/peer/streams.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// StreamBegan records which version of the server software began a stream of this entry,
+// StreamBegan records which version of the server software begins a stream of this entry,
 // and sends the record to its backup, so that the stream can be resumed if this entry is
 // lost.
 func (l *Links) StreamBegan(r streamversion.Record) {
@@ -43,8 +43,8 @@
 	if backup == nil {
 		return
 	}
-	// An entry that places the requests of this one gets the progress of the request next,
-	// which is sent at once, together with this.
+	// An entry that places the requests of this one has recorded the version with the
+	// placement, unless another one placed this request.
 	backup.sendStreams([]streamversion.Record{r}, !places)
 }
 
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -31,6 +31,9 @@
 	PriorResults []staging.ResultLocation
 	// Resume is set if the request continues a stream.
 	Resume *Resume
+	// ResumableFor is how long the client may resume the stream that the request begins or
+	// continues; 0 if it may not.
+	ResumableFor time.Duration
 }
 
 // Resume says which stream a request continues.
--- a/internal/planner/streams.go
+++ b/internal/planner/streams.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
@@ -16,6 +17,15 @@
 	p.streams.Add(clock.Now(), r, local)
 }
 
+// recordVersion records the version of the server that was chosen for a request. Its entry
+// may be lost as soon as the first event has reached the client. The caller holds the lock.
+func (p *Planner) recordVersion(now time.Duration, pr *pendingRequest, version string) {
+	if pr.req.ResumableFor > 0 {
+		stream := cmp.Or(pr.req.resumedStream(), pr.req.ID)
+		p.streams.Add(now, streamversion.Record{Stream: stream, Version: version, Until: now + pr.req.ResumableFor}, pr.callbacks.Local)
+	}
+}
+
 // resumedStream returns the stream that the request continues, or "".
 func (r *Request) resumedStream() string {
 	if r.Resume == nil {
--- a/internal/planner/streams_test.go
+++ b/internal/planner/streams_test.go
@@ -62,3 +62,26 @@
 		})
 	}
 }
+
+// TestVersionIsRecordedWithThePlacement guards against a stream whose version is lost with the
+// entry that serves it: the first event may reach the client before any record of the
+// version has left the entry. The placing entry knows the version before that.
+func TestVersionIsRecordedWithThePlacement(t *testing.T) {
+	for _, local := range []bool{true, false} {
+		p := New(nil, nil, logr.Discard())
+		p.SetPools([]Pool{{Name: "m", ModelServers: []placement.Server{{ID: "m1", SoftwareVersion: "v1"}}}})
+		place := func(r Request) {
+			r.Pool, r.TimeToObjective, r.TimeToDeadline = "m", time.Minute, time.Minute
+			placed := make(chan Placement, 1)
+			p.Place(r, Callbacks{OnPlacement: func(a Placement) { placed <- a }, OnResultChanges: func([]staging.ResultLocation) {}, Local: local})
+			assert.Equal(t, (<-placed).Server, "m1")
+		}
+		place(Request{ID: "once"})
+		assert.Assert(t, p.StreamVersion("once") == nil, "it can't be resumed")
+		place(Request{ID: "r", ResumableFor: time.Minute})
+		assert.Equal(t, *p.StreamVersion("r"), "v1")
+		place(Request{ID: "r2", ResumableFor: time.Minute, Resume: &Resume{Stream: "first"}})
+		assert.Equal(t, *p.StreamVersion("first"), "v1")
+		assert.Equal(t, len(p.LocalStreams()) == 2, local)
+	}
+}
