--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -35,9 +35,10 @@
 // regressionSeeds are seeds that once exposed a defect, with its cause. They run in
 // addition to the default seeds.
 var regressionSeeds = map[uint64]string{
-	3:  "a SIGHUP that arrived before the process had installed its signal handler ended it",
-	18: "same as seed 3",
-	37: "same as seed 3",
+	3:   "a SIGHUP that arrived before the process had installed its signal handler ended it",
+	18:  "same as seed 3",
+	37:  "same as seed 3",
+	809: "all entries started in a restored store that lacked a revocation, and vouched for it to each other",
 }
 
 var binaries harness.Binaries
