--- /dev/null
+++ b/core/placement/server.go
@@ -0,0 +1,192 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/backoff"
+)
+
+const (
+	// prefillTokensPerMS is the speed at which a server processes a prompt.
+	prefillTokensPerMS = 60.0
+	// uncachedPrefillWeight multiplies the cost of processing uncached parts of a prompt.
+	// Caching them on a second server costs memory and time that other requests could
+	// use.
+	uncachedPrefillWeight = 2.0
+	// affinityUncachedShare is the fraction of the prompt that the affinity server is
+	// assumed to process while no server is known to have it cached.
+	affinityUncachedShare = 0.5
+	// runningCostMS is the delay that each running request adds to a new one.
+	runningCostMS = 3.0
+	// otherZoneCostMS and otherRegionCostMS are the costs, for latency and traffic, of
+	// using a server in another availability zone of the same region and in another
+	// region.
+	otherZoneCostMS   = 4.0
+	otherRegionCostMS = 40.0
+	// crossZoneCostMSPerMB is the cost of reading a megabyte from another availability
+	// zone.
+	crossZoneCostMSPerMB = 15.0
+	bytesPerMB           = 1e6
+	// failureCostMS is the cost of a server all of whose recent requests failed.
+	failureCostMS = 4000.0
+	// overdueCostMS is the cost of each overdue request on the server.
+	overdueCostMS = 1500.0
+	// overdueAfter is how long after the expected end of prompt processing a request
+	// without a first event counts as overdue.
+	overdueAfter = 900 * time.Millisecond
+	// failureWeight is the weight of the newest request in the failure share.
+	failureWeight = 0.35
+	// failureHalfLife is the time in which a failure share halves without requests.
+	failureHalfLife = 2 * time.Second
+	// cacheMemoryShare is the fraction of a server's memory that is assumed to hold
+	// cached prompts.
+	cacheMemoryShare = 0.7
+	// unavailableCostMS is the cost of a server that is paused or has no free slot or
+	// memory.
+	unavailableCostMS = 20_000.0
+)
+
+// unreachedPauses are the pauses after consecutive requests that did not reach a
+// server.
+var unreachedPauses = backoff.Policy{Initial: 400 * time.Millisecond, Max: 3 * time.Second}
+
+// server is a model server with its state.
+type server struct {
+	def    Server
+	region string
+	// running is the number of requests on the server. pendingPrefillTokens and
+	// reservedTokens are the sums over these requests.
+	running, pendingPrefillTokens, reservedTokens int
+	// waiting are the requests without a first event.
+	waiting []*placedRequest
+	// cache holds the prompt prefixes that the server is assumed to have cached.
+	cache *prefixCache
+	// failureShare is the weighted share of recent requests that failed, at the time
+	// failureShareAt.
+	failureShare         float64
+	failureShareAt       time.Duration
+	consecutiveUnreached int
+	pausedUntil          time.Duration
+}
+
+// placedRequest is a request on a server.
+type placedRequest struct {
+	server   *server
+	placedAt time.Duration
+	// expectedPrefillTime is the time that the server needs to process its pending
+	// prompts, including that of this request, as estimated when the request was placed.
+	expectedPrefillTime time.Duration
+	// pendingPrefillTokens is the number of prompt tokens of this request that the server
+	// still has to process.
+	pendingPrefillTokens int
+	// reservedTokens is the memory that the prompt and the longest answer take.
+	reservedTokens int
+}
+
+// networkCost returns the cost of the network distance from an availability zone and its
+// region.
+func (s *server) networkCost(zone, region string) float64 {
+	switch {
+	case zone == s.def.Zone:
+		return 0
+	case region != "" && region == s.region:
+		return otherZoneCostMS
+	}
+	return otherRegionCostMS
+}
+
+// add adds a request to the server.
+func (s *server) add(p *placedRequest) {
+	s.running++
+	s.pendingPrefillTokens += p.pendingPrefillTokens
+	s.reservedTokens += p.reservedTokens
+	s.waiting = append(s.waiting, p)
+}
+
+// remove removes a request from the server.
+func (s *server) remove(p *placedRequest) {
+	s.prefillDone(p)
+	s.running--
+	s.reservedTokens -= p.reservedTokens
+}
+
+// prefillDone records that the prompt of a request need not be processed any more.
+func (s *server) prefillDone(p *placedRequest) {
+	s.pendingPrefillTokens -= p.pendingPrefillTokens
+	p.pendingPrefillTokens = 0
+	if i := slices.Index(s.waiting, p); i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+	}
+}
+
+// recordOutcome includes a request in the failure share; outcome is 1 for a failure and
+// 0 otherwise.
+func (s *server) recordOutcome(now time.Duration, outcome float64) {
+	share := s.currentFailureShare(now)
+	s.failureShare = share + failureWeight*(outcome-share)
+	s.failureShareAt = now
+}
+
+// currentFailureShare returns the failure share after exponential decay since its last
+// update.
+func (s *server) currentFailureShare(now time.Duration) float64 {
+	if s.failureShare == 0 {
+		return 0
+	}
+	return s.failureShare * math.Exp2(-float64(now-s.failureShareAt)/float64(failureHalfLife))
+}
+
+// cost returns the expected time to the first event in milliseconds, plus the costs that
+// this choice causes for other requests. It excludes the network distance.
+func (s *server) cost(now time.Duration, c *choice, hasAffinity bool) float64 {
+	uncached := float64(s.uncachedTokens(c))
+	if hasAffinity {
+		uncached *= affinityUncachedShare
+	}
+	cost := s.pendingPrefillMS() + uncachedPrefillWeight*uncached/prefillTokensPerMS
+	cost += runningCostMS * float64(s.running)
+	cost += failureCostMS * s.currentFailureShare(now)
+	if c.inputBytes > 0 {
+		cost += crossZoneCostMSPerMB * float64(c.inputBytes-c.InputBytesByZone[s.def.Zone]) / bytesPerMB
+	}
+	if now < s.pausedUntil {
+		cost += unavailableCostMS
+	}
+	if s.isFull(c) {
+		cost += unavailableCostMS
+	}
+	for _, p := range s.waiting {
+		if now-p.placedAt > p.expectedPrefillTime+overdueAfter {
+			cost += overdueCostMS
+		}
+	}
+	return cost
+}
+
+// isFull reports whether the server lacks a slot or memory for the request.
+func (s *server) isFull(c *choice) bool {
+	if s.def.Slots > 0 && s.running >= s.def.Slots {
+		return true
+	}
+	return s.def.CacheTokens > 0 && s.reservedTokens+c.promptTokens+c.MaxTokens > s.def.CacheTokens
+}
+
+// pendingPrefillMS returns the time to process the pending prompt tokens of the running
+// requests, in milliseconds.
+func (s *server) pendingPrefillMS() float64 {
+	return float64(s.pendingPrefillTokens) / prefillTokensPerMS
+}
+
+// uncachedTokens returns the number of prompt tokens that the server has not cached.
+func (s *server) uncachedTokens(c *choice) int {
+	uncached := c.promptTokens
+	for _, p := range c.prefixes {
+		if !s.cache.has(p.key) {
+			break
+		}
+		uncached -= p.tokens
+	}
+	return uncached
+}
--- a/core/quarantine/pattern.go
+++ b/core/quarantine/pattern.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
 )
 
 // Pattern is a set of parts that requests whose servers ended had in common.
@@ -21,7 +23,7 @@
 	// toldUntil is the Until of the last Change.
 	toldUntil time.Duration
 	// lastServer is the start of the server that ended last.
-	lastServer Server
+	lastServer notice.Server
 }
 
 // proven reports whether the pattern has ended so many servers that it is not tried again.
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -12,6 +12,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
 )
 
 const (
@@ -40,12 +42,6 @@
 	maxPartBytes        = 64
 )
 
-// Server identifies one start of a backend server.
-type Server struct {
-	ID        string
-	StartTime int64
-}
-
 // Ending is how an attempt at a server ended.
 type Ending uint8
 
@@ -62,14 +58,14 @@
 
 // attempt is a placed request.
 type attempt struct {
-	server   Server
+	server   notice.Server
 	parts    []string
 	placedAt time.Duration
 }
 
 // crash is a server that interrupted attempts before their first event.
 type crash struct {
-	server Server
+	server notice.Server
 	at     time.Duration
 	// answering and waiting are the parts of the interrupted attempts, by whether the
 	// server had begun to answer them.
@@ -102,7 +98,7 @@
 
 // Begin records that a request was placed on a server. parts are the parts of its prompt
 // that other requests may share.
-func (t *Table) Begin(now time.Duration, id string, server Server, parts []string) {
+func (t *Table) Begin(now time.Duration, id string, server notice.Server, parts []string) {
 	if len(parts) == 0 {
 		return
 	}
@@ -162,7 +158,7 @@
 }
 
 // crashOf returns the crash of a server, and whether it is a new one.
-func (t *Table) crashOf(now time.Duration, server Server) (*crash, bool) {
+func (t *Table) crashOf(now time.Duration, server notice.Server) (*crash, bool) {
 	if i := slices.IndexFunc(t.crashes, func(c *crash) bool { return c.server == server }); i >= 0 {
 		return t.crashes[i], false
 	}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
 )
 
 const ms = time.Millisecond
@@ -26,7 +28,7 @@
 	t.now += 10 * ms
 	t.next++
 	id := fmt.Sprint("r", t.next)
-	t.Begin(t.now, id, Server{ID: server}, strings.Fields(parts))
+	t.Begin(t.now, id, notice.Server{ID: server}, strings.Fields(parts))
 	t.now += 10 * ms
 	t.End(t.now, id, ending)
 }
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -22,7 +22,7 @@
 // handleNotices handles what a response says about the server itself: that it is leaving,
 // how many requests a second it takes, or that it wants none from this entry for some time.
 func (g *Gateway) handleNotices(req *request, srv placement.Server, sentAt time.Duration, info platform.ServerResponse) {
-	server := notice.Server{ID: srv.ID, StartTime: srv.StartTime}
+	server := srv.Start()
 	if info.Limit != nil {
 		req.log.Info("Server names a limit.", "server", srv.ID, "limit", *info.Limit)
 		g.metrics.limits.Inc(1)
@@ -99,7 +99,7 @@
 func (g *Gateway) isCoolingDown(srv placement.Server) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.pauses.Active(clock.Now(), notice.Server{ID: srv.ID, StartTime: srv.StartTime})
+	return g.pauses.Active(clock.Now(), srv.Start())
 }
 
 // coolingDown returns the IDs of the servers of a service that want no requests now. If
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -314,7 +314,7 @@
 			continue
 		}
 		p.recordVersion(now, pr, srv.SoftwareVersion)
-		p.quarantine.Begin(now, job.JobID, quarantine.Server{ID: srv.ID, StartTime: srv.StartTime}, sharedParts(pr.req.PromptParts))
+		p.quarantine.Begin(now, job.JobID, srv.Start(), sharedParts(pr.req.PromptParts))
 		p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "server_version", srv.SoftwareVersion, "pinned", pr.version != nil, "parts", sharedParts(pr.req.PromptParts), "prompt", srv.PromptTokens, "uncached", srv.UncachedTokens, "queued", srv.QueuedTokens,
 			"running", srv.Running, "expected", expected, "due", pr.req.TimeToObjective,
 			"waited", now-pr.receivedAt, "results", len(job.Handles), "made", len(pr.req.PriorResults), "jobs", p.scheduler.JobCount())
