--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -279,8 +279,7 @@
 		}
 	}
 	for _, pr := range p.takeRefused() {
-		p.log.Info("Request refused.", "request", pr.req.ID, "owner", pr.req.Owner, "reason", ReasonText(pr.refusal), "stream", pr.req.resumedStream(), "retry_after", pr.retryAfter)
-		reply(pr, Placement{ID: pr.req.ID, RefusalReason: pr.refusal, RetryAfter: pr.retryAfter})
+		reply(pr, p.refuse(now, pr))
 	}
 	for _, r := range actions.Refusals {
 		if pr := p.pending[r.JobID]; pr != nil {
@@ -290,40 +289,47 @@
 		}
 	}
 	for _, job := range actions.CompletedJobs {
-		pr := p.pending[job.JobID]
-		if pr == nil {
-			continue
+		if pr := p.pending[job.JobID]; pr != nil {
+			reply(pr, p.chooseServer(now, pr, job))
 		}
-		if pr.refusal = p.checkQuarantine(now, pr); pr.refusal != 0 {
-			p.scheduler.Release(now, job.JobID)
-			p.log.Info("Request refused.", "request", job.JobID, "owner", pr.req.Owner, "reason", ReasonText(pr.refusal), "waited", now-pr.receivedAt, "retry_after", pr.retryAfter)
-			reply(pr, Placement{ID: job.JobID, RefusalReason: pr.refusal, RetryAfter: pr.retryAfter})
-			continue
-		}
-		expected, _ := p.scheduler.ExpectedDuration(job.JobID)
-		req := pr.placementRequest()
-		req.InputBytesByZone = job.BytesByZone
-		srv, ok := p.modelServers.Choose(now, req)
-		if !ok {
-			p.scheduler.Release(now, job.JobID)
-			refusal := Placement{ID: job.JobID, RefusalReason: NoServer, RetryAfter: time.Second}
-			if wait := p.modelServers.LimitWait(now, req); wait > 0 {
-				refusal.RefusalReason, refusal.RetryAfter = LimitReached, wait
-			}
-			reply(pr, refusal)
-			continue
-		}
-		p.recordVersion(now, pr, srv.SoftwareVersion)
-		p.quarantine.Begin(now, job.JobID, srv.Start(), sharedParts(pr.req.PromptParts))
-		p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "server_version", srv.SoftwareVersion, "pinned", pr.version != nil, "parts", sharedParts(pr.req.PromptParts), "prompt", srv.PromptTokens, "uncached", srv.UncachedTokens, "queued", srv.QueuedTokens,
-			"running", srv.Running, "expected", expected, "due", pr.req.TimeToObjective,
-			"waited", now-pr.receivedAt, "results", len(job.Handles), "made", len(pr.req.PriorResults), "jobs", p.scheduler.JobCount())
-		reply(pr, Placement{ID: job.JobID, Inputs: job.Handles, Server: srv.ID, Address: srv.Address, SoftwareVersion: srv.SoftwareVersion})
 	}
 	p.finishHandOvers(reply)
 	return callbacks
 }
 
+// refuse returns the answer to a request that is refused for pr.refusal.
+func (p *Planner) refuse(now time.Duration, pr *pendingRequest) Placement {
+	p.log.Info("Request refused.", "request", pr.req.ID, "owner", pr.req.Owner, "reason", ReasonText(pr.refusal), "stream", pr.req.resumedStream(),
+		"waited", now-pr.receivedAt, "retry_after", pr.retryAfter)
+	return Placement{ID: pr.req.ID, RefusalReason: pr.refusal, RetryAfter: pr.retryAfter}
+}
+
+// chooseServer chooses the server of a request whose stages are complete.
+func (p *Planner) chooseServer(now time.Duration, pr *pendingRequest, job staging.CompletedJob) Placement {
+	if pr.refusal = p.checkQuarantine(now, pr); pr.refusal != 0 {
+		p.scheduler.Release(now, job.JobID)
+		return p.refuse(now, pr)
+	}
+	expected, _ := p.scheduler.ExpectedDuration(job.JobID)
+	req := pr.placementRequest()
+	req.InputBytesByZone = job.BytesByZone
+	srv, ok := p.modelServers.Choose(now, req)
+	if !ok {
+		p.scheduler.Release(now, job.JobID)
+		pr.refusal, pr.retryAfter = NoServer, time.Second
+		if wait := p.modelServers.LimitWait(now, req); wait > 0 {
+			pr.refusal, pr.retryAfter = LimitReached, wait
+		}
+		return p.refuse(now, pr)
+	}
+	p.recordVersion(now, pr, srv.SoftwareVersion)
+	p.quarantine.Begin(now, job.JobID, srv.Start(), sharedParts(pr.req.PromptParts))
+	p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "server_version", srv.SoftwareVersion, "pinned", pr.version != nil, "parts", sharedParts(pr.req.PromptParts), "prompt", srv.PromptTokens, "uncached", srv.UncachedTokens, "queued", srv.QueuedTokens,
+		"running", srv.Running, "expected", expected, "due", pr.req.TimeToObjective,
+		"waited", now-pr.receivedAt, "results", len(job.Handles), "made", len(pr.req.PriorResults), "jobs", p.scheduler.JobCount())
+	return Placement{ID: job.JobID, Inputs: job.Handles, Server: srv.ID, Address: srv.Address, SoftwareVersion: srv.SoftwareVersion}
+}
+
 // JobCount returns the number of requests whose stages are running or whose results are
 // kept.
 func (p *Planner) JobCount() int {
