--- a/core/quarantine/pattern.go
+++ b/core/quarantine/pattern.go
@@ -16,8 +16,8 @@
 	// Until is the time at which the pattern is forgotten.
 	Until time.Duration
 
-	// nextTrial is the time from which one request is placed as a trial, unless the
-	// pattern is proven. trials counts them.
+	// nextTrial is the time from which one request is placed as a trial. trials counts
+	// them.
 	nextTrial time.Duration
 	trials    int
 	// toldUntil is the Until of the last Change.
@@ -26,9 +26,18 @@
 	lastServer notice.Server
 }
 
-// proven reports whether the pattern has ended so many servers that it is not tried again.
+// proven reports whether the pattern has ended so many servers that it is hardly tried.
 func (p *Pattern) proven() bool { return p.Crashes >= provenCrashes }
 
+// scheduleTrial sets the time of the next trial.
+func (p *Pattern) scheduleTrial(now time.Duration) {
+	delay := trialDelay << min(p.trials, maxTrialDoublings)
+	if p.proven() {
+		delay = Retention
+	}
+	p.nextTrial = now + delay
+}
+
 // Change is a pattern that other instances must know, or that they must forget.
 type Change struct {
 	Pattern
@@ -67,30 +76,28 @@
 	if p == nil {
 		return Decision{}
 	}
-	if !p.proven() && now >= p.nextTrial {
-		p.trials++
-		p.nextTrial = now + trialDelay<<min(p.trials, maxTrialDoublings)
-		return Decision{Trial: true, Pattern: p}
-	}
 	p.Until = now + Retention
 	if p.toldUntil-now < Retention/2 {
 		t.change(p, false)
 	}
-	retryAfter := p.nextTrial - now
-	if p.proven() {
-		retryAfter = Retention
+	if now >= p.nextTrial {
+		p.trials++
+		p.scheduleTrial(now)
+		return Decision{Trial: true, Pattern: p}
 	}
-	return Decision{Held: true, RetryAfter: retryAfter, Pattern: p}
+	return Decision{Held: true, RetryAfter: p.nextTrial - now, Pattern: p}
 }
 
-// match returns the first pattern all of whose parts are among the given ones, or nil.
+// match returns the pattern all of whose parts are among the given ones, or nil. Of several
+// it returns the one that ended the most servers.
 func (t *Table) match(parts []string) *Pattern {
+	var matching *Pattern
 	for _, p := range t.patterns {
-		if len(intersection(p.Parts, parts)) == len(p.Parts) {
-			return p
+		if len(intersection(p.Parts, parts)) == len(p.Parts) && (matching == nil || p.Crashes > matching.Crashes) {
+			matching = p
 		}
 	}
-	return nil
+	return matching
 }
 
 // expire removes the patterns that no request matched for Retention.
@@ -111,7 +118,7 @@
 
 // addPattern holds back a pattern that explains some of the crashes.
 func (t *Table) addPattern(now time.Duration, parts []string, crashes []*crash) {
-	p := &Pattern{Parts: parts, Until: now + Retention, nextTrial: now + trialDelay}
+	p := &Pattern{Parts: parts, Until: now + Retention}
 	t.patterns = append(t.patterns, p)
 	for _, c := range crashes {
 		if slices.ContainsFunc(c.suspects(now), func(a []string) bool { return len(intersection(parts, a)) == len(parts) }) {
@@ -119,6 +126,7 @@
 			p.lastServer = c.server
 		}
 	}
+	p.scheduleTrial(now)
 	t.change(p, false)
 }
 
@@ -132,6 +140,7 @@
 	p.Crashes++
 	p.lastServer = c.server
 	p.Until = now + Retention
+	p.scheduleTrial(now)
 	if p.Crashes <= provenCrashes {
 		t.change(p, false)
 	}
@@ -166,12 +175,14 @@
 	if known := t.find(p.Parts); known != nil {
 		known.Crashes, known.Until = max(known.Crashes, p.Crashes), max(known.Until, p.Until)
 		known.toldUntil = max(known.toldUntil, p.Until)
+		known.scheduleTrial(now)
 		return
 	}
 	if len(t.patterns) >= maxPatterns {
 		return
 	}
-	p.nextTrial, p.toldUntil = now+trialDelay, p.Until
+	p.toldUntil = p.Until
+	p.scheduleTrial(now)
 	t.patterns = append(t.patterns, &p)
 	t.releaseSound(now, slices.DeleteFunc(slices.Clone(p.Parts), func(part string) bool { return !t.sound.has(part) }))
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -21,10 +21,11 @@
 	// minRepeatCrashes the number from which a part of a known pattern is blamed alone.
 	minCrashes       = 3
 	minRepeatCrashes = 2
-	// provenCrashes is the number of ended servers from which a pattern is not tried again.
+	// provenCrashes is the number of ended servers from which a pattern is proven.
 	provenCrashes = 5
 	// trialDelay is the time after which one request with a pattern that is not proven is
-	// placed as a trial. It doubles with each trial.
+	// placed as a trial. It doubles with each trial. A proven pattern is tried each
+	// Retention.
 	trialDelay        = 10 * time.Second
 	maxTrialDoublings = 6
 	// Retention is how long a pattern is held back after the last request with it.
