--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,7 +98,7 @@
 	owner := ownerName(o.Settings.Node, startID)
 	n.localEntry = &peer.LocalEntry{
 		Ready: n.canPlan, Stopping: func() bool { return n.gateway.Stopping() }, Owner: owner,
-		Topics:        []peer.Topic{n.config.Topic(), n.servers.Topic(), n.quarantine.Topic()},
+		Topics:        []peer.Topic{n.config.Topic(), n.servers.Topic()},
 		ConfigVersion: n.configVersion, OnConfigVersion: n.learnConfigVersion,
 		Notices:   func() []notice.Notice { return n.gateway.Notices() },
 		OnNotices: func(from *peer.Peer, notices []notice.Notice) { n.gateway.LearnNotices(from, notices) },
@@ -175,7 +175,7 @@
 	}
 	go n.config.Run(ctx)
 	go n.servers.Run(ctx)
-	go n.quarantine.Run(ctx)
+	go n.quarantine.Run(ctx, func() bool { return n.links.PlanningPeer() == nil })
 	go n.quarantineWriter.run(ctx)
 	go n.planner.Run(ctx)
 	go n.links.Run(ctx, n.planner.HandOver)
--- a/internal/watch/quarantine.go
+++ b/internal/watch/quarantine.go
@@ -8,68 +8,101 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/magnoliawheel/magnoliawheel/core/backoff"
 	"github.com/magnoliawheel/magnoliawheel/core/quarantine"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
 
-// quarantineReadWait is how long a read waits for a new pattern. Each read costs a call,
-// and a read whose connection died is noticed after it.
-const quarantineReadWait = 2 * time.Second
+const (
+	// quarantineReadWait is how long a read waits for a pattern that another entry found.
+	// Two entries place requests at the same time only for moments.
+	quarantineReadWait = 10 * time.Second
+	// placingPollInterval is the time between two checks whether the entry places requests,
+	// and the least time between two reads.
+	placingPollInterval = 100 * time.Millisecond
+)
+
+// quarantineBackoff gives the times between consecutive failed reads.
+var quarantineBackoff = backoff.Policy{Initial: time.Second, Max: 8 * time.Second}
 
-// PatternTable receives the patterns that other entries find.
+// PatternTable receives the patterns that other entries found.
 type PatternTable interface {
 	LearnPattern(quarantine.Pattern)
 	ForgetPattern(parts []string)
 }
 
-// Quarantine follows the patterns of prompts that crash servers.
+// Quarantine reads the patterns of prompts that crash servers. Only an entry that places
+// requests needs them, so the others read them once, when they start.
 type Quarantine struct {
+	store Store
 	log   logr.Logger
 	table PatternTable
-	topic *Topic
-	// parts maps the keys of records to the parts of their patterns. The topic serializes
-	// its use.
+	// position is where the next read begins; it is valid if known is set.
+	position platform.Position
+	known    bool
+	// parts maps the keys of records to the parts of their patterns.
 	parts map[string][]string
 }
 
-// NewQuarantine returns a watcher of the patterns, which it passes on to table.
+// NewQuarantine returns a reader of the patterns, which it passes on to table.
 func NewQuarantine(store Store, log logr.Logger, table PatternTable) *Quarantine {
-	q := &Quarantine{log: log, table: table, parts: map[string][]string{}}
-	q.topic = &Topic{
-		store: store, name: platform.QuarantineTopic, readWait: quarantineReadWait, log: log,
-		applyRecords: q.applyRecords, onConfirmed: func(time.Duration, platform.Position) {},
-	}
-	return q
+	return &Quarantine{store: store, log: log, table: table, parts: map[string][]string{}}
 }
 
-// Topic returns the topic with the patterns.
-func (q *Quarantine) Topic() *Topic { return q.topic }
-
-// Run follows the patterns until ctx ends.
-func (q *Quarantine) Run(ctx context.Context) { q.topic.run(ctx) }
-
-// applyRecords applies records and returns those that were valid. A pattern that a restored
-// store has lost stays in force until it expires.
-func (q *Quarantine) applyRecords(records []platform.KeyedRecord, _ recordSet) []platform.KeyedRecord {
-	var applied []platform.KeyedRecord
-	for _, rec := range records {
-		if rec.Deleted {
-			q.table.ForgetPattern(q.parts[rec.Key])
-			delete(q.parts, rec.Key)
-			applied = append(applied, rec)
+// Run reads the patterns at once, and follows them while places reports that the entry
+// places requests, until ctx ends.
+func (q *Quarantine) Run(ctx context.Context, places func() bool) {
+	starting := true
+	for failures := 0; ctx.Err() == nil; clock.Sleep(ctx, placingPollInterval) {
+		if !starting && !places() {
+			q.known = false
 			continue
 		}
-		pattern, err := decodePattern(rec.Value)
-		if err != nil {
-			q.log.Info("Pattern record ignored.", "key", rec.Key, "offset", rec.Offset, "cause", err.Error())
+		if err := q.read(ctx); err != nil {
+			q.log.Info("Patterns not read.", "cause", err.Error())
+			clock.Sleep(ctx, quarantineBackoff.Delay(failures))
+			failures++
 			continue
 		}
-		q.parts[rec.Key] = pattern.Parts
-		q.table.LearnPattern(pattern)
-		applied = append(applied, rec)
+		starting, failures = false, 0
+	}
+}
+
+// read performs one read and applies its records. A pattern that a restored store has lost
+// stays in force until it expires.
+func (q *Quarantine) read(ctx context.Context) error {
+	var records []platform.KeyedRecord
+	var err error
+	wasKnown := q.known
+	if wasKnown {
+		records, q.position, err = q.store.ReadKeyed(ctx, platform.QuarantineTopic, q.position, quarantineReadWait)
+	} else {
+		records, q.position, err = q.store.Newest(ctx, platform.QuarantineTopic)
+	}
+	q.known = err == nil
+	if wasKnown && errors.IsAny(err, platform.ErrRestored, platform.ErrExpired) {
+		return nil
+	}
+	for _, rec := range records {
+		q.apply(rec)
+	}
+	return err
+}
+
+func (q *Quarantine) apply(rec platform.KeyedRecord) {
+	if rec.Deleted {
+		q.table.ForgetPattern(q.parts[rec.Key])
+		delete(q.parts, rec.Key)
+		return
+	}
+	pattern, err := decodePattern(rec.Value)
+	if err != nil {
+		q.log.Info("Pattern record ignored.", "key", rec.Key, "offset", rec.Offset, "cause", err.Error())
+		return
 	}
-	return applied
+	q.parts[rec.Key] = pattern.Parts
+	q.table.LearnPattern(pattern)
 }
 
 // patternRecord is a pattern as it is stored. Until is in Unix milliseconds, since other
