--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -178,7 +178,7 @@
 	go n.quarantine.Run(ctx, func() bool { return n.links.PlanningPeer() == nil })
 	go n.quarantineWriter.run(ctx)
 	go n.planner.Run(ctx)
-	go n.links.Run(ctx, n.planner.HandOver)
+	go n.links.Run(ctx, n.planner.HandOverToPredecessor)
 	go n.registry.run(ctx)
 	go func() {
 		n.links.WaitSettled(ctx)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -63,6 +63,13 @@
 	return s.stopping
 }
 
+// currentPeer returns the entry if there is a session with it, or nil.
+func (k *link) currentPeer() *Peer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.peer
+}
+
 // isUsable reports whether there is a session with a live entry that comes before this
 // one and is not stopping.
 func (k *link) isUsable() bool {
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -163,8 +163,10 @@
 	ticker := time.NewTicker(linkCheckInterval)
 	defer ticker.Stop()
 	var backup *Peer
+	yielding := false
 	for settled := false; ; {
 		l.maintainSessions(ctx)
+		yielding = l.yield(yielding)
 		backup = l.updateStreamBackup(backup)
 		if !settled && (time.Since(startTime) > maxSettlingTime || l.isSettled()) {
 			settled = true
@@ -183,6 +185,34 @@
 	}
 }
 
+// yield hands over all requests while this entry yields, and tells all others at once when
+// it begins to. It returns whether the entry yields; before is what it returned last.
+func (l *Links) yield(before bool) bool {
+	if !l.local.lag.yielding() {
+		return false
+	}
+	if !before {
+		l.log.Info("Entry yields, because its machine is slow.", "lag", l.local.lag.lag())
+		l.sendStatuses()
+	}
+	l.planner.HandOver()
+	return true
+}
+
+// sendStatuses sends the status of this entry in all sessions at once.
+func (l *Links) sendStatuses() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.links {
+		if p := k.currentPeer(); p != nil {
+			p.session.sendStatus()
+		}
+	}
+	for p := range l.inboundPeers {
+		p.session.sendStatus()
+	}
+}
+
 // WaitSettled waits until it is known which entry places the requests of this one, or
 // until maxSettlingTime after the process start or maxSearchTime after the loss of the
 // entry that did so.
@@ -246,7 +276,7 @@
 	searching := l.isSearching()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.localReady.update(l.local.Ready())
+	l.localReady.update(l.local.ready())
 	// probablyReady counts also the entries whose state is not known yet. Sessions with
 	// those after them are kept, but no more are opened.
 	readyPeers, probablyReady, sessions := 0, 0, 0
@@ -311,7 +341,7 @@
 		}
 		mayReturn = mayReturn || s.wasReady
 	}
-	if l.local.Ready() && (!mayReturn || l.localReady.isLasting()) {
+	if l.local.ready() && (!mayReturn || l.localReady.isLasting()) {
 		return nil
 	}
 	if p := l.firstReadyInbound(); p != nil && (!mayReturn || p.status().isLasting) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -219,6 +219,10 @@
 		return
 	}
 	age := p.measureAge(m.GetClockUs())
+	if p.local.lag.yielding() {
+		p.session.send(encodePlacement(planner.Placement{ID: req.ID, RefusalReason: planner.HandedOver}))
+		return
+	}
 	if p.local.lag.shouldRefuse(age, req.Priority) {
 		p.refuseLate(&req, age)
 		return
--- a/internal/peer/sender.go
+++ b/internal/peer/sender.go
@@ -38,6 +38,15 @@
 	}
 }
 
+// sendStatus makes the sender send the status now. Only the sender may ask for it, since the
+// changes that go with it must be sent in order.
+func (s *session) sendStatus() {
+	select {
+	case s.statusDue <- struct{}{}:
+	default:
+	}
+}
+
 // sender sends the messages of a session in the order in which they were queued, several
 // in one write if they are queued together.
 type sender struct {
@@ -70,6 +79,8 @@
 			err = s.add(m)
 		case <-ticker.C:
 			err = s.add(outgoingMessage{s.status(), true})
+		case <-s.statusDue:
+			err = s.add(outgoingMessage{s.status(), true})
 		case <-s.delay.C:
 			err = s.flush()
 		}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -44,6 +44,8 @@
 type session struct {
 	stream    stream
 	sendQueue chan outgoingMessage
+	// statusDue receives a value when the status is to be sent before its time.
+	statusDue chan struct{}
 	cancel    context.CancelFunc
 	ctx       context.Context
 
@@ -55,7 +57,7 @@
 
 func newSession(ctx context.Context, s stream) *session {
 	ctx, cancel := context.WithCancel(ctx)
-	return &session{stream: s, sendQueue: make(chan outgoingMessage, sendQueueSize), ctx: ctx, cancel: cancel, lastReceived: time.Now()}
+	return &session{stream: s, sendQueue: make(chan outgoingMessage, sendQueueSize), statusDue: make(chan struct{}, 1), ctx: ctx, cancel: cancel, lastReceived: time.Now()}
 }
 
 // run sends and receives messages until the stream fails, nothing is received for
@@ -137,6 +139,9 @@
 // Register sets the position at which the entry registered in this process start.
 func (e *LocalEntry) Register(position int64) { e.order.Store(orderOf(position)) }
 
+// ready reports whether the entry places requests: it can, and is not too slow to.
+func (e *LocalEntry) ready() bool { return e.Ready() && !e.lag.yielding() }
+
 // orderOf returns the order that a registered entry reports for its position. It is
 // never 0, which an unregistered entry reports.
 func orderOf(position int64) int64 { return position + 1 }
@@ -165,7 +170,7 @@
 	version, checked := e.configVersion()
 	return &peerpb.Status{
 		ConfigVersion: version, ConfigUnchecked: !checked,
-		Ready: e.Ready(), Order: e.order.Load(), Owner: e.Owner, Stopping: e.Stopping(), ClockUs: now.Microseconds(), LagMs: e.lag.lag().Milliseconds(),
+		Ready: e.ready(), Order: e.order.Load(), Owner: e.Owner, Stopping: e.Stopping(), ClockUs: now.Microseconds(), LagMs: e.lag.lag().Milliseconds(),
 	}
 }
 
--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -11,11 +11,23 @@
 	})
 }
 
-// HandOver hands over all requests, to an entry that comes before this one.
+// HandOver hands over all requests.
 func (p *Planner) HandOver() {
 	p.update(func(time.Duration) { p.handOver(func(*pendingRequest) bool { return true }) })
 }
 
+// handOverAge is how long requests of other entries are kept although an entry before this
+// one can place them: the others may have found that one slow or lost a moment before.
+const handOverAge = time.Second
+
+// HandOverToPredecessor hands over the requests of this entry, and those of others that are
+// older than handOverAge, to an entry that comes before this one.
+func (p *Planner) HandOverToPredecessor() {
+	p.update(func(now time.Duration) {
+		p.handOver(func(pr *pendingRequest) bool { return pr.callbacks.Local || now-pr.receivedAt >= handOverAge })
+	})
+}
+
 // handOver starts no more calls for the selected requests. Each is answered with
 // HandedOver once it has no open call.
 func (p *Planner) handOver(selects func(*pendingRequest) bool) {
