--- a/core/overload/yield.go
+++ b/core/overload/yield.go
@@ -12,9 +12,9 @@
 	// yieldAge is the mean age of messages from which an instance counts as late.
 	yieldAge = 200 * time.Millisecond
 	// yieldRateShare is the part of its usual messages below which a late instance is slow
-	// itself. One that handles as many as usual has too many requests, which another
-	// instance would not bear either.
-	yieldRateShare = 0.6
+	// itself. One that handles more than usual has too many requests, which another instance
+	// would not bear either.
+	yieldRateShare = 0.95
 	// usualWeight is the weight of the newest window in the usual number of messages, and
 	// minUsual the least number from which an instance yields.
 	usualWeight = 0.2
