--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -7,7 +7,6 @@
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
-	"github.com/magnoliawheel/magnoliawheel/internal/peer/peerpb"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
 )
 
@@ -118,24 +117,3 @@
 		assert.Equal(t, k.usablePeer() != nil, closed)
 	}
 }
-
-// TestRequestsAreTakenBackFromEntryThatYields guards against requests that wait at an entry
-// which is too slow to hand them over, until its silence ends the session.
-func TestRequestsAreTakenBackFromEntryThatYields(t *testing.T) {
-	local := &LocalEntry{Ready: func() bool { return true }, Stopping: func() bool { return false }}
-	for _, yielding := range []bool{true, false} {
-		p := newPeerWithStatus(local, 1, false)
-		p.session.sendQueue = make(chan outgoingMessage, sendQueueSize)
-		replies := make(chan bool, 1)
-		p.Place(&planner.Request{ID: "r"}, func(_ planner.Placement, ok bool) { replies <- ok }, nil)
-		p.handleStatus(&peerpb.Status{Yielding: true})
-		p.handleStatus(&peerpb.Status{Yielding: yielding})
-		p.takeBack()
-		select {
-		case ok := <-replies:
-			assert.Assert(t, yielding && !ok)
-		default:
-			assert.Assert(t, !yielding)
-		}
-	}
-}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -29,8 +29,6 @@
 	order                           int64
 	owner                           string
 	ended                           bool
-	// yielding is set while the other entry yields.
-	yielding bool
 	// outgoing holds the requests that the other entry places for this one, by request
 	// ID.
 	outgoing map[string]*outgoingRequest
@@ -177,12 +175,7 @@
 	p.readyTimer.update(p.ready)
 	p.wasReady = p.wasReady || p.ready
 	p.remoteClockUs = status.GetClockUs()
-	beginsToYield := status.GetYielding() && !p.yielding
-	p.yielding = status.GetYielding()
 	p.mu.Unlock()
-	if beginsToYield {
-		time.AfterFunc(takeBackDelay, p.takeBack)
-	}
 	p.handleTopics(status)
 	p.measureAge(status.GetClockUs())
 	p.session.setLag(milliseconds(status.GetLagMs()))
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -169,7 +169,7 @@
 	now := clock.Now()
 	version, checked := e.configVersion()
 	return &peerpb.Status{
-		ConfigVersion: version, ConfigUnchecked: !checked, Yielding: e.lag.yielding(),
+		ConfigVersion: version, ConfigUnchecked: !checked,
 		Ready: e.ready(), Order: e.order.Load(), Owner: e.Owner, Stopping: e.Stopping(), ClockUs: now.Microseconds(), LagMs: e.lag.lag().Milliseconds(),
 	}
 }
