--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -34,6 +34,9 @@
 	retention = 10 * time.Minute
 	// tellInterval is the time after which others are told again what still holds.
 	tellInterval = time.Minute
+	// minTellInterval bounds how often others are told of one server, whose limit may
+	// change with each response.
+	minTellInterval = 250 * time.Millisecond
 	// maxServers bounds the servers whose notices are kept.
 	maxServers = 4096
 )
@@ -46,7 +49,28 @@
 	rate         *rate
 	limitNamedAt time.Duration
 	heardAt      time.Duration
-	toldAt       time.Duration
+	// told is set once others were told of the server, at toldAt: that it leaves if
+	// toldLeaving is set, and toldLimit.
+	told        bool
+	toldAt      time.Duration
+	toldLeaving bool
+	toldLimit   *float64
+}
+
+// mustTell reports whether others must be told of the server, and records that they are.
+func (st *state) mustTell(now time.Duration) bool {
+	limit := st.limit()
+	changed := st.leaving != st.toldLeaving || !equal(limit, st.toldLimit)
+	holds := st.leaving || limit != nil
+	interval := tellInterval
+	if changed {
+		interval = minTellInterval
+	}
+	if !changed && !holds || st.told && now-st.toldAt < interval {
+		return false
+	}
+	st.told, st.toldAt, st.toldLeaving, st.toldLimit = true, now, st.leaving, limit
+	return true
 }
 
 // Share is the part of a server's limit that one instance may use.
@@ -82,8 +106,8 @@
 	return tell
 }
 
-// Learn handles what another instance passed on, and reports whether it is new or should be
-// told again.
+// Learn handles what another instance passed on, and reports whether others must be told:
+// of what is new, and from time to time of what still holds.
 func (t *Table) Learn(now time.Duration, n Notice) bool {
 	st := t.servers[n.Server]
 	if st == nil {
@@ -94,15 +118,11 @@
 		st = &state{}
 		t.servers[n.Server] = st
 	}
-	tell := n.Leaving && !st.leaving || !equal(n.Limit, st.limit()) || now-st.toldAt >= tellInterval
 	st.heardAt = now
 	st.leaving = st.leaving || n.Leaving
 	st.setLimit(now, n.Limit)
 	t.rate(now, n.Server)
-	if tell {
-		st.toldAt = now
-	}
-	return tell
+	return st.mustTell(now)
 }
 
 // makeRoom drops the notices that are too old, and any if there are too many.
--- a/core/notice/notice_test.go
+++ b/core/notice/notice_test.go
@@ -96,3 +96,18 @@
 	}
 	assert.Assert(t, len(tab.servers) <= maxServers)
 }
+
+// TestChangingLimitIsToldNowAndThen guards against a message to all instances for each response
+// of a server that names another limit each time.
+func TestChangingLimitIsToldNowAndThen(t *testing.T) {
+	tab, s := NewTable(nil), Server{ID: "s"}
+	told := 0
+	for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+		if tab.Observe(now, now, limitOf(s, now.Seconds())) {
+			told++
+		}
+	}
+	assert.Assert(t, told >= 30 && told <= 41, "%d", told)
+	assert.Assert(t, tab.Observe(11*time.Second, 11*time.Second, Notice{Server: s}), "the limit ends")
+	assert.Assert(t, !tab.Observe(5*time.Minute, 5*time.Minute, Notice{Server: s}), "nothing holds")
+}
