--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -35,8 +35,8 @@
 	// tellInterval is the time after which others are told again what still holds.
 	tellInterval = time.Minute
 	// minTellInterval bounds how often others are told of one server, whose limit may
-	// change with each response.
-	minTellInterval = 250 * time.Millisecond
+	// change with each response. Each time takes a message to every instance.
+	minTellInterval = 2 * time.Second
 	// maxServers bounds the servers whose notices are kept.
 	maxServers = 4096
 )
