--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,10 +93,13 @@
 	Links    *peer.Links
 	Upstream *upstream.Client
 	// Bodies bounds the responses that are read before they are relayed.
-	Bodies   *bounded.Budget
-	Settings *platform.Settings
-	Log      logr.Logger
-	Scope    tally.Scope
+	Bodies *bounded.Budget
+	// PatternsTried reports whether the prompts that crash servers have been read, or could
+	// not be.
+	PatternsTried func() bool
+	Settings      *platform.Settings
+	Log           logr.Logger
+	Scope         tally.Scope
 	// Owner identifies this process start of the entry; it changes with each restart.
 	Owner string
 	// RegistryReadInterval is the longest time between two reads of the list of
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -13,7 +13,7 @@
 func (g *Gateway) UpdatePools() {
 	g.poolsMu.Lock()
 	defer g.poolsMu.Unlock()
-	complete := g.Config.Table() != nil && g.Servers.Loaded()
+	complete := g.Config.Table() != nil && g.Servers.Loaded() && g.PatternsTried()
 	g.Planner.SetPools(g.pools())
 	if complete {
 		g.initialized.Store(true)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
+	"github.com/magnoliawheel/magnoliawheel/core/quarantine"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/internal/gateway"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer"
@@ -91,9 +92,12 @@
 		n.gateway.ObserveNotice(sentAt, word, mayEndLimit)
 	}}
 	n.planner = planner.New(stages, o.Settings.Regions, o.Log.WithName("planner"))
-	n.quarantine = watch.NewQuarantine(n.store, o.Log.WithName("quarantine"), n.planner)
+	n.quarantine = watch.NewQuarantine(n.store, o.Log.WithName("quarantine"), n.planner, n.updatePools)
 	n.quarantineWriter = newQuarantineWriter(n.store, o.Log.WithName("quarantine"))
-	n.planner.OnQuarantine(n.quarantineWriter.add)
+	n.planner.OnQuarantine(func(changes []quarantine.Change) {
+		n.quarantineWriter.add(changes)
+		n.links.TellPatterns(changes)
+	})
 	startID := time.Now().UnixNano()
 	owner := ownerName(o.Settings.Node, startID)
 	n.localEntry = &peer.LocalEntry{
@@ -108,7 +112,7 @@
 	}
 	n.links = peer.NewLinks(n.localEntry, n.planner, o.Log.WithName("peer"))
 	n.gateway = gateway.New(gateway.Options{
-		Config: n.config, Servers: n.servers, Planner: n.planner, Links: n.links, Upstream: upstreamClient, Bodies: bodies,
+		Config: n.config, Servers: n.servers, Planner: n.planner, Links: n.links, Upstream: upstreamClient, Bodies: bodies, PatternsTried: n.quarantine.Tried,
 		Settings: o.Settings, Log: o.Log.WithName("gateway"), Scope: o.Scope, Owner: owner,
 		RegistryReadInterval: maxRegistryReadGap,
 	})
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -148,6 +148,8 @@
 		p.handleResultChanges(body.Made)
 	case *peerpb.Message_Changes:
 		p.handleChanges(body.Changes)
+	case *peerpb.Message_Patterns:
+		p.handlePatterns(body.Patterns)
 	case *peerpb.Message_Notices:
 		p.handleNotices(body.Notices)
 	case *peerpb.Message_Streams:
--- a/internal/watch/quarantine.go
+++ b/internal/watch/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,15 +42,24 @@
 	// position is where the next read begins; it is valid if known is set.
 	position platform.Position
 	known    bool
+	// tried is set once the first read has ended; onTried is called then.
+	tried   atomic.Bool
+	onTried func()
 	// parts maps the keys of records to the parts of their patterns.
 	parts map[string][]string
 }
 
 // NewQuarantine returns a reader of the patterns, which it passes on to table.
-func NewQuarantine(store Store, log logr.Logger, table PatternTable) *Quarantine {
-	return &Quarantine{store: store, log: log, table: table, parts: map[string][]string{}}
+//
+// onTried is called when the first read has ended.
+func NewQuarantine(store Store, log logr.Logger, table PatternTable, onTried func()) *Quarantine {
+	return &Quarantine{store: store, log: log, table: table, onTried: onTried, parts: map[string][]string{}}
 }
 
+// Tried reports whether the first read has ended. If it failed, requests are placed all the
+// same: the patterns may be in a part of the store that is away.
+func (q *Quarantine) Tried() bool { return q.tried.Load() }
+
 // Run reads the patterns at once, and follows them while places reports that the entry
 // places requests, until ctx ends.
 func (q *Quarantine) Run(ctx context.Context, places func() bool) {
@@ -59,7 +69,11 @@
 			q.known = false
 			continue
 		}
-		if err := q.read(ctx); err != nil {
+		err := q.read(ctx)
+		if q.tried.CompareAndSwap(false, true) {
+			q.onTried()
+		}
+		if err != nil {
 			q.log.Info("Patterns not read.", "cause", err.Error())
 			clock.Sleep(ctx, quarantineBackoff.Delay(failures))
 			failures++
