--- a/core/quarantine/pattern.go
+++ b/core/quarantine/pattern.go
@@ -33,7 +33,7 @@
 func (p *Pattern) scheduleTrial(now time.Duration) {
 	delay := trialDelay << min(p.trials, maxTrialDoublings)
 	if p.proven() {
-		delay = Retention
+		delay = retention
 	}
 	p.nextTrial = now + delay
 }
@@ -76,8 +76,8 @@
 	if p == nil {
 		return Decision{}
 	}
-	p.Until = now + Retention
-	if p.toldUntil-now < Retention/2 {
+	p.Until = now + retention
+	if p.toldUntil-now < retention/2 {
 		t.change(p, false)
 	}
 	if now >= p.nextTrial {
@@ -100,7 +100,7 @@
 	return matching
 }
 
-// expire removes the patterns that no request matched for Retention.
+// expire removes the patterns that no request matched for retention.
 func (t *Table) expire(now time.Duration) {
 	t.removePatterns(func(p *Pattern) bool { return p.Until <= now })
 }
@@ -118,7 +118,7 @@
 
 // addPattern holds back a pattern that explains some of the crashes.
 func (t *Table) addPattern(now time.Duration, parts []string, crashes []*crash) {
-	p := &Pattern{Parts: parts, Until: now + Retention}
+	p := &Pattern{Parts: parts, Until: now + retention}
 	t.patterns = append(t.patterns, p)
 	for _, c := range crashes {
 		if slices.ContainsFunc(c.suspects(now), func(a []string) bool { return len(intersection(parts, a)) == len(parts) }) {
@@ -139,7 +139,7 @@
 	}
 	p.Crashes++
 	p.lastServer = c.server
-	p.Until = now + Retention
+	p.Until = now + retention
 	p.scheduleTrial(now)
 	if p.Crashes <= provenCrashes {
 		t.change(p, false)
@@ -159,7 +159,7 @@
 			continue
 		}
 		narrowed := *p
-		narrowed.Parts, narrowed.Until = rest, now+Retention
+		narrowed.Parts, narrowed.Until = rest, now+retention
 		t.patterns = append(t.patterns, &narrowed)
 		t.change(&narrowed, false)
 	}
@@ -171,7 +171,7 @@
 	if p.Until <= now || len(p.Parts) == 0 || len(p.Parts) > maxParts {
 		return
 	}
-	p.Until = min(p.Until, now+Retention)
+	p.Until = min(p.Until, now+retention)
 	if known := t.find(p.Parts); known != nil {
 		known.Crashes, known.Until = max(known.Crashes, p.Crashes), max(known.Until, p.Until)
 		known.toldUntil = max(known.toldUntil, p.Until)
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -25,11 +25,11 @@
 	provenCrashes = 5
 	// trialDelay is the time after which one request with a pattern that is not proven is
 	// placed as a trial. It doubles with each trial. A proven pattern is tried each
-	// Retention.
+	// retention.
 	trialDelay        = 10 * time.Second
 	maxTrialDoublings = 6
-	// Retention is how long a pattern is held back after the last request with it.
-	Retention = 10 * time.Minute
+	// retention is how long a pattern is held back after the last request with it.
+	retention = 10 * time.Minute
 	// evidenceAge bounds the age of the crashes that count.
 	evidenceAge = 10 * time.Minute
 	// settleTime is how long after the end of a server the last of its attempts may be
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -180,10 +180,10 @@
 		tab.attempt(fmt.Sprint("s", i), "bad", InterruptedAnswering)
 	}
 	lastCrash := tab.now
-	tab.now += Retention / 2
+	tab.now += retention / 2
 	got := tab.Decide(tab.now, []string{"bad"})
-	assert.Assert(t, got.Held && got.RetryAfter == Retention/2, "%+v", got)
-	tab.now = lastCrash + Retention
+	assert.Assert(t, got.Held && got.RetryAfter == retention/2, "%+v", got)
+	tab.now = lastCrash + retention
 	assert.Assert(t, tab.Decide(tab.now, []string{"bad"}).Trial)
 	assert.Assert(t, tab.held("bad"), "one trial")
 }
@@ -197,12 +197,12 @@
 	}
 	tab.TakeChanges()
 	for range 3 {
-		tab.now += Retention / 4
+		tab.now += retention / 4
 		assert.Assert(t, tab.held("bad"))
 	}
 	told := tab.TakeChanges()
-	assert.Assert(t, len(told) > 0 && told[len(told)-1].Until > tab.now+Retention/4, "%+v", told)
-	tab.now += Retention
+	assert.Assert(t, len(told) > 0 && told[len(told)-1].Until > tab.now+retention/4, "%+v", told)
+	tab.now += retention
 	assert.Assert(t, !tab.held("bad"))
 	assert.Assert(t, slices.ContainsFunc(tab.TakeChanges(), func(c Change) bool { return c.Released }))
 }
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -63,6 +63,18 @@
 	return f
 }
 
+// newFleetOfPairs returns a fleet with two servers of each service: a1, a2, b1, b2, plain1,
+// plain2, model1 and model2.
+func newFleetOfPairs(t *testing.T) *fleet {
+	t.Helper()
+	f := newFleet(t)
+	for service, events := range map[string]int{"a": 0, "b": 0, "plain": 0, "model": 1} {
+		f.startServer(service, service+"1", events)
+		f.startServer(service, service+"2", events)
+	}
+	return f
+}
+
 // startServer starts a backend server and writes its record.
 func (f *fleet) startServer(service, id string, events int) *standin.Server {
 	s := standin.NewServer(id, events)
--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -49,13 +49,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.service, func(t *testing.T) {
-			f := newFleet(t)
-			for _, service := range []string{"a", "b", "plain"} {
-				f.startServer(service, service+"1", 0)
-				f.startServer(service, service+"2", 0)
-			}
-			f.startServer("model", "model1", 1)
-			f.startServer("model", "model2", 1)
+			f := newFleetOfPairs(t)
 			arrived := nameLimit(f.servers[tt.service+"1"], hardlyAny)
 			f.putConfig()
 			entries := []*runningEntry{f.startEntry("e1", 0).waitReady().waitRegistered(), f.startEntry("e2", 0).waitReady().waitRegistered(), f.startEntry("e3", 0).waitReady().waitRegistered()}
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -115,13 +115,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.service, func(t *testing.T) {
-			f := newFleet(t)
-			for _, service := range []string{"a", "b", "plain"} {
-				f.startServer(service, service+"1", 0)
-				f.startServer(service, service+"2", 0)
-			}
-			f.startServer("model", "model1", 1)
-			f.startServer("model", "model2", 1)
+			f := newFleetOfPairs(t)
 			refusals := refuseUntilLater(f.servers[tt.service+"1"], "600")
 			f.putConfig()
 			e := f.startEntry("e1", 0).waitReady().waitRegistered()
