Logs: attempts name the identity of their request

Change: quarantine.Identity hashes method, host, target, customer and body; the lines of attempts and of first events carry it. No behaviour changes.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -180,7 +180,7 @@
 	if o.response != nil {
 		status = o.response.status
 	}
-	req.log.Info("Attempt finished.", "server", srv.ID, "route", req.route.Name, "version", req.configVersion,
+	req.log.Info("Attempt finished.", "server", srv.ID, "route", req.route.Name, "version", req.configVersion, "identity", req.identity,
 		"took", clock.Now()-start, "status", status, "framing", o.framing, "not_run", o.notRun, "cause", o.cause)
 	return o
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/magnoliawheel/magnoliawheel/core/jitter"
+	"github.com/magnoliawheel/magnoliawheel/core/quarantine"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
@@ -39,7 +40,10 @@
 	target         string
 	host           string
 	body           []byte
-	attempts       int
+	// identity is the same for all requests of clients that repeat this one; see
+	// quarantine.Identity.
+	identity string
+	attempts int
 	// onEnd are called when the request has ended.
 	onEnd []func()
 	log   logr.Logger
@@ -82,6 +86,7 @@
 	if r := g.readBody(w, hr, req); r != nil {
 		return req, r
 	}
+	req.identity = quarantine.Identity(req.method, req.host, req.target, req.customer, req.body)
 	return req, nil
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -172,7 +172,7 @@
 	}
 	err = s.relay.copy(resp, func() {
 		s.gateway.metrics.firstEventTime.RecordDuration(clock.Now() - req.arrivedAt)
-		req.log.Info("First event relayed.", "server", p.Server, "server_version", p.SoftwareVersion, "route", req.route.Name, "version", req.configVersion, "held", clock.Now()-req.arrivedAt, "took", clock.Now()-start)
+		req.log.Info("First event relayed.", "identity", req.identity, "server", p.Server, "server_version", p.SoftwareVersion, "route", req.route.Name, "version", req.configVersion, "held", clock.Now()-req.arrivedAt, "took", clock.Now()-start)
 		progress.report(planner.Started)
 	})
 	if err == nil {
@@ -183,7 +183,7 @@
 			"held", clock.Now()-req.arrivedAt, "tries", req.attempts)
 		return true, nil
 	}
-	req.log.Info("Stream from the server ended early.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", s.relay.unfinished(),
+	req.log.Info("Stream from the server ended early.", "identity", req.identity, "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", s.relay.unfinished(),
 		"took", clock.Now()-start, "cause", err.Error())
 	return s.handleBrokenStream(ctx, p, progress, resp.Framing(), err)
 }
