--- a/core/quarantine/pattern.go
+++ b/core/quarantine/pattern.go
@@ -7,32 +7,58 @@
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
 )
 
-// Pattern is a set of parts that requests whose servers ended had in common.
+const (
+	// partTrialDelay and requestTrialDelay are the times after which one request with a
+	// pattern that is not proven is placed as a trial, for parts of prompts and for the
+	// identity of a request. They double with each trial. A proven pattern is tried each
+	// retention.
+	partTrialDelay    = 10 * time.Second
+	requestTrialDelay = 5 * time.Second
+	maxTrialDoublings = 6
+)
+
+// Pattern is a set of elements that requests whose servers ended had in common.
 type Pattern struct {
-	// Parts are sorted.
-	Parts []string
+	// Elements are sorted: parts of prompts, or the identity of one request.
+	Elements []string
 	// Crashes is the number of servers that ended by it.
 	Crashes int
-	// Until is the time at which the pattern is forgotten.
-	Until time.Duration
+	// Proven is set if the pattern has ended so many servers, or one in a trial, that it is
+	// hardly tried.
+	Proven bool
+	// SettlesAt is the time until which responses may still show that servers run which are
+	// taken for crashed. Until is the time at which the pattern is forgotten.
+	SettlesAt, Until time.Duration
 
 	// nextTrial is the time from which one request is placed as a trial. trials counts
-	// them.
-	nextTrial time.Duration
-	trials    int
+	// them; the last one began at triedAt.
+	nextTrial, triedAt time.Duration
+	trials             int
 	// toldUntil is the Until of the last Change.
 	toldUntil time.Duration
 	// lastServer is the start of the server that ended last.
 	lastServer notice.Server
 }
 
-// proven reports whether the pattern has ended so many servers that it is hardly tried.
-func (p *Pattern) proven() bool { return p.Crashes >= provenCrashes }
+// isRequest reports whether the pattern is the identity of one request.
+func (p *Pattern) isRequest() bool { return len(p.Elements) == 1 && isIdentity(p.Elements[0]) }
+
+// addCrash counts a server that the pattern ended.
+func (p *Pattern) addCrash(c *crash) {
+	p.Crashes++
+	p.lastServer = c.server
+	inTrial := p.trials > 0 && c.at >= p.triedAt
+	p.Proven = p.Proven || inTrial || p.Crashes >= provenCrashes
+}
 
 // scheduleTrial sets the time of the next trial.
 func (p *Pattern) scheduleTrial(now time.Duration) {
-	delay := trialDelay << min(p.trials, maxTrialDoublings)
-	if p.proven() {
+	delay := partTrialDelay
+	if p.isRequest() {
+		delay = requestTrialDelay
+	}
+	delay <<= min(p.trials, maxTrialDoublings)
+	if p.Proven {
 		delay = retention
 	}
 	p.nextTrial = now + delay
@@ -42,6 +68,9 @@
 type Change struct {
 	Pattern
 	Released bool
+	// Expired patterns were released because no request matched them for long. Other
+	// instances find that out themselves.
+	Expired bool
 }
 
 // TakeChanges returns the changes since the last call.
@@ -51,11 +80,27 @@
 	return changes
 }
 
-func (t *Table) change(p *Pattern, released bool) {
+// Patterns returns all patterns, for an instance that knows none of them.
+func (t *Table) Patterns(now time.Duration) []Change {
+	var all []Change
+	for _, p := range t.patterns {
+		if p.Until > now {
+			all = append(all, p.asChange())
+		}
+	}
+	return all
+}
+
+func (p *Pattern) asChange() Change {
+	c := Change{Pattern: *p}
+	c.Elements = slices.Clone(p.Elements)
+	return c
+}
+
+// change records that others must know the pattern.
+func (t *Table) change(p *Pattern) {
 	p.toldUntil = p.Until
-	c := Change{Pattern: *p, Released: released}
-	c.Parts = slices.Clone(p.Parts)
-	t.changes = append(t.changes, c)
+	t.changes = append(t.changes, p.asChange())
 }
 
 // Decision says what to do with a request.
@@ -63,37 +108,61 @@
 	// Held requests must not be placed. RetryAfter is the time until they may be.
 	Held       bool
 	RetryAfter time.Duration
+	// TrialDue is set for a held request that may be placed if the instance that grants
+	// trials says so.
+	TrialDue bool
 	// Trial requests match a pattern that may be wrong, and are placed to find out.
 	Trial bool
+	// Unsettled is the time until it is known whether a held request is to be held, or 0.
+	Unsettled time.Duration
 	// Pattern is the one that the request matches, or nil.
 	Pattern *Pattern
 }
 
-// Decide decides about a request whose prompt has the given parts.
-func (t *Table) Decide(now time.Duration, parts []string) Decision {
+// Decide decides about a request with the given elements, and grants it a trial if one is
+// due. Only one instance may grant trials.
+func (t *Table) Decide(now time.Duration, elements []string) Decision {
+	d := t.Check(now, elements)
+	if !d.TrialDue {
+		return d
+	}
+	d.Pattern.trials++
+	d.Pattern.triedAt = now
+	d.Pattern.scheduleTrial(now)
+	return Decision{Trial: true, Pattern: d.Pattern}
+}
+
+// Check decides about a request with the given elements, but grants no trials.
+func (t *Table) Check(now time.Duration, elements []string) Decision {
 	t.expire(now)
-	p := t.match(parts)
+	t.Evaluate(now)
+	p := t.match(elements)
 	if p == nil {
 		return Decision{}
 	}
 	p.Until = now + retention
 	if p.toldUntil-now < retention/2 {
-		t.change(p, false)
+		t.change(p)
 	}
-	if now >= p.nextTrial {
-		p.trials++
-		p.scheduleTrial(now)
-		return Decision{Trial: true, Pattern: p}
+	if unsettled := p.SettlesAt - now; unsettled > 0 {
+		return Decision{Held: true, RetryAfter: unsettled, Unsettled: unsettled, Pattern: p}
+	}
+	return Decision{Held: true, RetryAfter: p.nextTrial - now, TrialDue: now >= p.nextTrial, Pattern: p}
+}
+
+// Postpone records that no trial is granted to requests with the given elements for a time.
+func (t *Table) Postpone(now time.Duration, elements []string, d time.Duration) {
+	if p := t.match(elements); p != nil {
+		p.nextTrial = max(p.nextTrial, now+d)
 	}
-	return Decision{Held: true, RetryAfter: p.nextTrial - now, Pattern: p}
 }
 
-// match returns the pattern all of whose parts are among the given ones, or nil. Of several
-// it returns the one that ended the most servers.
-func (t *Table) match(parts []string) *Pattern {
+// match returns the pattern all of whose elements are among the given ones, or nil. Of
+// several it returns the one that ended the most servers.
+func (t *Table) match(elements []string) *Pattern {
 	var matching *Pattern
 	for _, p := range t.patterns {
-		if len(intersection(p.Parts, parts)) == len(p.Parts) && (matching == nil || p.Crashes > matching.Crashes) {
+		if len(intersection(p.Elements, elements)) == len(p.Elements) && (matching == nil || p.Crashes > matching.Crashes) {
 			matching = p
 		}
 	}
@@ -102,98 +171,143 @@
 
 // expire removes the patterns that no request matched for retention.
 func (t *Table) expire(now time.Duration) {
-	t.removePatterns(func(p *Pattern) bool { return p.Until <= now })
-}
-
-// removePatterns removes the selected patterns and records that they are released.
-func (t *Table) removePatterns(selects func(*Pattern) bool) {
 	t.patterns = slices.DeleteFunc(t.patterns, func(p *Pattern) bool {
-		if !selects(p) {
+		if p.Until > now {
 			return false
 		}
-		t.change(p, true)
+		c := p.asChange()
+		c.Released, c.Expired = true, true
+		t.changes = append(t.changes, c)
 		return true
 	})
 }
 
+// release removes a pattern that was wrong.
+func (t *Table) release(p *Pattern) {
+	t.patterns = slices.DeleteFunc(t.patterns, func(other *Pattern) bool { return other == p })
+	c := p.asChange()
+	c.Released = true
+	t.changes = append(t.changes, c)
+}
+
 // addPattern holds back a pattern that explains some of the crashes.
-func (t *Table) addPattern(now time.Duration, parts []string, crashes []*crash) {
-	p := &Pattern{Parts: parts, Until: now + retention}
+func (t *Table) addPattern(now time.Duration, elements []string, crashes []*crash) {
+	p := &Pattern{Elements: elements, Until: now + retention}
 	t.patterns = append(t.patterns, p)
 	for _, c := range crashes {
-		if slices.ContainsFunc(c.suspects(now), func(a []string) bool { return len(intersection(parts, a)) == len(parts) }) {
-			p.Crashes++
-			p.lastServer = c.server
+		if c.explainedBy(p, now) {
+			p.addCrash(c)
+			p.SettlesAt = max(p.SettlesAt, c.settlesAt())
 		}
 	}
 	p.scheduleTrial(now)
-	t.change(p, false)
+	t.change(p)
+}
+
+// discountCrash takes back a crash that did not happen from the patterns that it counts for,
+// and releases those that have too few left.
+func (t *Table) discountCrash(c *crash) {
+	for _, p := range slices.Clone(t.patterns) {
+		if !p.isRequest() || p.Proven || !c.identities[p.Elements[0]] {
+			continue
+		}
+		p.Crashes--
+		if p.Crashes < minRequestCrashes {
+			t.release(p)
+		}
+	}
+}
+
+// explainedBy reports whether the pattern may have caused the crash.
+func (c *crash) explainedBy(p *Pattern, now time.Duration) bool {
+	if p.isRequest() {
+		return c.identities[p.Elements[0]]
+	}
+	return slices.ContainsFunc(c.suspects(now), func(a []string) bool { return len(intersection(p.Elements, a)) == len(p.Elements) })
 }
 
 // countCrash counts the crash of a server whose interrupted attempt matches a known
 // pattern.
-func (t *Table) countCrash(now time.Duration, c *crash, parts []string) {
-	p := t.match(parts)
+func (t *Table) countCrash(now time.Duration, c *crash, elements []string) {
+	p := t.match(elements)
 	if p == nil || p.lastServer == c.server {
 		return
 	}
-	p.Crashes++
-	p.lastServer = c.server
+	told := p.Proven
+	p.addCrash(c)
 	p.Until = now + retention
 	p.scheduleTrial(now)
-	if p.Crashes <= provenCrashes {
-		t.change(p, false)
+	if !told {
+		t.change(p)
 	}
 }
 
-// releaseSound removes sound parts from the patterns. A pattern without any other part was
-// none.
-func (t *Table) releaseSound(now time.Duration, sound []string) {
+// releaseSound removes sound elements from the patterns, and reports whether there were any.
+// A pattern without any other element was none.
+func (t *Table) releaseSound(now time.Duration, sound []string) bool {
+	found := false
 	for _, p := range slices.Clone(t.patterns) {
-		rest := slices.DeleteFunc(slices.Clone(p.Parts), func(part string) bool { return slices.Contains(sound, part) })
-		if len(rest) == len(p.Parts) {
+		rest := slices.DeleteFunc(slices.Clone(p.Elements), func(e string) bool { return slices.Contains(sound, e) })
+		if len(rest) == len(p.Elements) {
 			continue
 		}
-		t.removePatterns(func(other *Pattern) bool { return other == p })
+		found = true
+		t.release(p)
 		if len(rest) == 0 || t.find(rest) != nil {
 			continue
 		}
 		narrowed := *p
-		narrowed.Parts, narrowed.Until = rest, now+retention
+		narrowed.Elements, narrowed.Until = rest, now+retention
 		t.patterns = append(t.patterns, &narrowed)
-		t.change(&narrowed, false)
+		t.change(&narrowed)
 	}
+	return found
 }
 
-// Learn adds a pattern that another instance found, or updates the known one.
-func (t *Table) Learn(now time.Duration, p Pattern) {
-	t.patterns = slices.DeleteFunc(t.patterns, func(known *Pattern) bool { return known.Until <= now })
-	if p.Until <= now || len(p.Parts) == 0 || len(p.Parts) > maxParts {
-		return
+// Learn adds a pattern that another instance found, or updates the known one. It reports
+// whether that is news.
+func (t *Table) Learn(now time.Duration, p Pattern) bool {
+	t.expire(now)
+	if p.Until <= now || len(p.Elements) == 0 || len(p.Elements) > maxParts {
+		return false
 	}
-	p.Until = min(p.Until, now+retention)
-	if known := t.find(p.Parts); known != nil {
-		known.Crashes, known.Until = max(known.Crashes, p.Crashes), max(known.Until, p.Until)
-		known.toldUntil = max(known.toldUntil, p.Until)
-		known.scheduleTrial(now)
-		return
+	p.Until, p.SettlesAt = min(p.Until, now+retention), min(p.SettlesAt, now+settleTime)
+	if known := t.find(p.Elements); known != nil {
+		return known.update(now, p)
 	}
 	if len(t.patterns) >= maxPatterns {
-		return
+		return false
 	}
 	p.toldUntil = p.Until
 	p.scheduleTrial(now)
 	t.patterns = append(t.patterns, &p)
-	t.releaseSound(now, slices.DeleteFunc(slices.Clone(p.Parts), func(part string) bool { return !t.sound.has(part) }))
+	t.releaseSound(now, slices.DeleteFunc(slices.Clone(p.Elements), func(e string) bool { return !t.sound.has(e) }))
+	return true
+}
+
+// update takes over what another instance knows of the pattern, and reports whether that is
+// news.
+func (p *Pattern) update(now time.Duration, other Pattern) bool {
+	worse := other.Crashes > p.Crashes || other.Proven && !p.Proven
+	renewed := other.Until-p.Until > retention/4
+	p.SettlesAt = max(p.SettlesAt, other.SettlesAt)
+	p.Crashes, p.Proven = max(p.Crashes, other.Crashes), p.Proven || other.Proven
+	p.Until, p.toldUntil = max(p.Until, other.Until), max(p.toldUntil, other.Until)
+	if worse {
+		p.scheduleTrial(now)
+	}
+	return worse || renewed
 }
 
-// Forget removes a pattern that another instance released.
-func (t *Table) Forget(parts []string) {
-	t.patterns = slices.DeleteFunc(t.patterns, func(p *Pattern) bool { return slices.Equal(p.Parts, parts) })
+// Forget removes a pattern that another instance released, and reports whether it was known.
+func (t *Table) Forget(elements []string) bool {
+	before := len(t.patterns)
+	t.patterns = slices.DeleteFunc(t.patterns, func(p *Pattern) bool { return slices.Equal(p.Elements, elements) })
+	return len(t.patterns) < before
 }
 
-func (t *Table) find(parts []string) *Pattern {
-	i := slices.IndexFunc(t.patterns, func(p *Pattern) bool { return slices.Equal(p.Parts, parts) })
+func (t *Table) find(elements []string) *Pattern {
+	i := slices.IndexFunc(t.patterns, func(p *Pattern) bool { return slices.Equal(p.Elements, elements) })
 	if i < 0 {
 		return nil
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,15 +1,16 @@
-// Package quarantine finds the parts of prompts that crash backend servers, and holds back
-// the requests that contain them. A server that begins to answer such a prompt ends, so
-// its attempts leave a trace: their responses end before the first event.
+// Package quarantine finds the requests that crash backend servers, and holds them back.
+// Either one request does, whatever server runs it, or a part of prompts that several
+// requests share. What a request may have in common with others are its elements: its
+// identity, and the shared parts of its prompt. A server that crashes interrupts its
+// attempts, some of them before the first event of their responses.
 //
-// A pattern is the set of parts that the interrupted attempts at several servers have in
-// common. Only requests that contain all of them are held back, and a part of a request
-// that completed is sound: it is never in a pattern. So sound requests that share some
-// parts with crashing ones are still placed. The package has no clock and does no I/O.
+// A pattern is a set of elements that crashes have in common. Only requests that contain
+// all of them are held back, and an element of a request that completed is sound: it is
+// never in a pattern. So sound requests that share the server, the customer, the route or
+// some parts with crashing ones are still placed. The package has no clock and does no I/O.
 package quarantine
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -17,27 +18,32 @@
 )
 
 const (
-	// minCrashes is the number of servers that end before a pattern is held back, and
-	// minRepeatCrashes the number from which a part of a known pattern is blamed alone.
-	minCrashes       = 3
+	// minRequestCrashes is the number of servers that end under one request before it is
+	// held back. A third one is given to it only as a trial, so that the service keeps
+	// servers for others.
+	minRequestCrashes = 2
+	// minPartCrashes is the number of servers that end before parts are held back, under
+	// minPartRequests different requests, and minRepeatCrashes the number from which a part
+	// of a known pattern is blamed alone.
+	minPartCrashes   = 3
+	minPartRequests  = 2
 	minRepeatCrashes = 2
 	// provenCrashes is the number of ended servers from which a pattern is proven.
 	provenCrashes = 5
-	// trialDelay is the time after which one request with a pattern that is not proven is
-	// placed as a trial. It doubles with each trial. A proven pattern is tried each
-	// retention.
-	trialDelay        = 10 * time.Second
-	maxTrialDoublings = 6
 	// retention is how long a pattern is held back after the last request with it.
 	retention = 10 * time.Minute
 	// evidenceAge bounds the age of the crashes that count.
 	evidenceAge = 10 * time.Minute
 	// settleTime is how long after the end of a server the last of its attempts may be
-	// reported. Until then only attempts that the server had begun to answer are evidence.
+	// reported, or a response that shows that the server still runs.
 	settleTime = 300 * time.Millisecond
+	// minRestartTime is the least time that a crashed server takes to start again.
+	minRestartTime = time.Second
+	// evaluationInterval is the least time between two searches for patterns.
+	evaluationInterval = 20 * time.Millisecond
 	// The following bound the memory, and the time to find a pattern.
 	maxCrashes          = 32
-	maxAttemptsPerCrash = 8
+	maxAttemptsPerCrash = 64
 	maxPatterns         = 64
 	maxParts            = 16
 	maxPartBytes        = 64
@@ -47,7 +53,7 @@
 type Ending uint8
 
 const (
-	// Other endings say nothing about the prompt.
+	// Other endings say nothing about the request.
 	Other Ending = iota
 	// Completed attempts got a whole response.
 	Completed
@@ -57,222 +63,204 @@
 	InterruptedAnswering
 )
 
-// attempt is a placed request.
-type attempt struct {
-	server   notice.Server
-	parts    []string
-	placedAt time.Duration
+// Interrupted reports whether the attempt may have crashed its server.
+func (e Ending) Interrupted() bool { return e == InterruptedWaiting || e == InterruptedAnswering }
+
+// Attempt is an attempt at a request that reached a server.
+type Attempt struct {
+	Server   notice.Server
+	Elements []string
+	BeganAt  time.Duration
+	EndedAt  time.Duration
+	Ending   Ending
 }
 
 // crash is a server that interrupted attempts before their first event.
 type crash struct {
 	server notice.Server
 	at     time.Duration
-	// answering and waiting are the parts of the interrupted attempts, by whether the
-	// server had begun to answer them.
+	// answering and waiting are the elements of the interrupted attempts, by whether the
+	// server had begun to answer them, identities the identities of both.
 	answering, waiting [][]string
+	identities         map[string]bool
 }
 
-// suspects returns the parts of the attempts one of which may have caused the crash.
+// add records the elements of an interrupted attempt. It returns false if they are known, or
+// there are too many.
+func (c *crash) add(elements []string, answering bool) bool {
+	attempts := &c.waiting
+	if answering {
+		attempts = &c.answering
+	}
+	known := slices.ContainsFunc(*attempts, func(a []string) bool { return slices.Equal(a, elements) })
+	if known || len(*attempts) >= maxAttemptsPerCrash {
+		return false
+	}
+	*attempts = append(*attempts, elements)
+	if identity, ok := identityOf(elements); ok {
+		c.identities[identity] = true
+	}
+	return true
+}
+
+// settlesAt returns the time from which all attempts that the crash interrupted are known.
+func (c *crash) settlesAt() time.Duration { return c.at + settleTime }
+
+func (c *crash) settled(now time.Duration) bool { return now >= c.settlesAt() }
+
+// suspects returns the elements of the attempts one of which may have caused the crash.
 func (c *crash) suspects(now time.Duration) [][]string {
 	switch {
 	case len(c.answering) > 0:
 		return c.answering
-	case now-c.at >= settleTime:
+	case c.settled(now):
 		return c.waiting
 	}
 	return nil
 }
 
+// placed is a placed request that has not ended.
+type placed struct {
+	server   notice.Server
+	elements []string
+	placedAt time.Duration
+}
+
 // Table holds the evidence and the patterns. It is not safe for concurrent use.
 type Table struct {
-	attempts map[string]attempt
+	placed map[string]placed
 	// crashes are sorted by time.
 	crashes  []*crash
-	sound    soundParts
+	sound    soundElements
 	patterns []*Pattern
 	changes  []Change
+	// evaluationDue is set while there is evidence that was not searched for patterns;
+	// nextEvaluation is when to do so. evaluatedAt is the time of the last search.
+	evaluationDue               bool
+	nextEvaluation, evaluatedAt time.Duration
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{attempts: map[string]attempt{}, sound: newSoundParts()} }
+func New() *Table { return &Table{placed: map[string]placed{}, sound: newSoundElements()} }
 
-// Begin records that a request was placed on a server. parts are the parts of its prompt
-// that other requests may share.
-func (t *Table) Begin(now time.Duration, id string, server notice.Server, parts []string) {
-	if len(parts) == 0 {
+// Begin records that a request with the given elements was placed on a server.
+func (t *Table) Begin(now time.Duration, id string, server notice.Server, elements []string) {
+	if len(elements) == 0 {
 		return
 	}
-	t.attempts[id] = attempt{server: server, parts: eligible(parts), placedAt: now}
-}
-
-// eligible returns the parts that may be in a pattern.
-func eligible(parts []string) []string {
-	parts = parts[:min(len(parts), maxParts)]
-	return slices.DeleteFunc(slices.Clone(parts), func(p string) bool { return len(p) > maxPartBytes })
+	t.placed[id] = placed{server: server, elements: elements, placedAt: now}
 }
 
 // End records how the attempt at a placed request ended.
 func (t *Table) End(now time.Duration, id string, ending Ending) {
-	a, ok := t.attempts[id]
+	p, ok := t.placed[id]
 	if !ok {
 		return
 	}
-	delete(t.attempts, id)
-	switch ending {
-	case Completed:
-		t.completed(now, a)
-	case InterruptedWaiting, InterruptedAnswering:
-		t.interrupted(now, a, ending == InterruptedAnswering)
-	}
+	delete(t.placed, id)
+	t.Report(now, Attempt{Server: p.server, Elements: p.elements, BeganAt: p.placedAt, EndedAt: now, Ending: ending})
 }
 
-// completed records that the parts of an attempt are sound, and that a server to which it
-// was sent after it had interrupted others has not crashed then.
-func (t *Table) completed(now time.Duration, a attempt) {
-	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return c.server == a.server && c.at < a.placedAt })
-	for _, p := range a.parts {
-		t.sound.add(p)
+// Report records how an attempt ended. It reports whether that is news for other instances:
+// the attempt was interrupted, or its response refutes evidence.
+func (t *Table) Report(now time.Duration, a Attempt) bool {
+	switch {
+	case a.Ending == Completed:
+		return t.completed(now, a)
+	case a.Ending.Interrupted():
+		return t.interrupted(now, a)
 	}
-	t.releaseSound(now, a.parts)
+	return false
 }
 
-// interrupted records an attempt that its server interrupted, and looks for patterns.
-func (t *Table) interrupted(now time.Duration, a attempt, answering bool) {
-	c, isNew := t.crashOf(now, a.server)
-	if answering {
-		c.answering = appendBounded(c.answering, a.parts)
-		t.countCrash(now, c, a.parts)
-	} else {
-		c.waiting = appendBounded(c.waiting, a.parts)
+// completed records that the elements of an attempt are sound.
+func (t *Table) completed(now time.Duration, a Attempt) bool {
+	refuted := t.ServerAnswered(a.Server, a.BeganAt)
+	for _, e := range a.Elements {
+		refuted = refuted || t.isSuspect(e)
+		t.sound.add(e)
 	}
-	if answering || isNew {
-		t.findPatterns(now)
+	if t.releaseSound(now, a.Elements) {
+		refuted = true
 	}
-}
-
-func appendBounded(attempts [][]string, parts []string) [][]string {
-	if len(attempts) >= maxAttemptsPerCrash {
-		return attempts
+	if refuted {
+		t.scheduleEvaluation(now)
 	}
-	return append(attempts, parts)
+	return refuted
 }
 
-// crashOf returns the crash of a server, and whether it is a new one.
-func (t *Table) crashOf(now time.Duration, server notice.Server) (*crash, bool) {
-	if i := slices.IndexFunc(t.crashes, func(c *crash) bool { return c.server == server }); i >= 0 {
-		return t.crashes[i], false
-	}
-	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now-c.at >= evidenceAge })
-	if len(t.crashes) >= maxCrashes {
-		t.crashes = slices.Delete(t.crashes, 0, 1)
-	}
-	c := &crash{server: server, at: now}
-	t.crashes = append(t.crashes, c)
-	return c, true
+// isSuspect reports whether an element that is not known to be sound is among the evidence.
+func (t *Table) isSuspect(element string) bool {
+	return len(t.crashes) > 0 && isIdentity(element) && !t.sound.has(element) &&
+		slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.identities[element] })
 }
 
-// findPatterns adds the patterns that explain the crashes which no known one explains.
-func (t *Table) findPatterns(now time.Duration) {
-	for {
-		unexplained := t.unexplained(now)
-		common := t.mostSpecific(unexplained, now)
-		if common == nil || len(t.patterns) >= maxPatterns {
-			return
-		}
-		t.addPattern(now, common, unexplained)
+// ServerAnswered records that a server answered an attempt that began at the given time, so
+// it has not crashed shortly before. It reports whether that refutes evidence.
+func (t *Table) ServerAnswered(server notice.Server, beganAt time.Duration) bool {
+	refuted := slices.DeleteFunc(slices.Clone(t.crashes), func(c *crash) bool {
+		return c.server != server || beganAt <= c.at || beganAt >= c.at+minRestartTime
+	})
+	for _, c := range refuted {
+		t.crashes = slices.DeleteFunc(t.crashes, func(other *crash) bool { return other == c })
+		t.discountCrash(c)
 	}
+	return len(refuted) > 0
 }
 
-// unexplained returns the crashes with suspects none of which matches a pattern.
-func (t *Table) unexplained(now time.Duration) []*crash {
-	var crashes []*crash
-	for _, c := range t.crashes {
-		suspects := c.suspects(now)
-		explained := slices.ContainsFunc(suspects, func(parts []string) bool { return t.match(parts) != nil })
-		if len(suspects) > 0 && !explained {
-			crashes = append(crashes, c)
-		}
+// interrupted records an attempt that its server interrupted.
+func (t *Table) interrupted(now time.Duration, a Attempt) bool {
+	c := t.crashOf(now, a)
+	elements := eligible(a.Elements)
+	if len(elements) == 0 || !c.add(elements, a.Ending == InterruptedAnswering) {
+		return false
 	}
-	return crashes
-}
-
-// mostSpecific returns the largest set of parts that enough of the crashes have in common,
-// or nil.
-func (t *Table) mostSpecific(crashes []*crash, now time.Duration) []string {
-	var best []string
-	bestCount := 0
-	for part, crashCount := range t.crashCounts(crashes, now) {
-		if crashCount < t.requiredCrashes(part) {
-			continue
-		}
-		common := t.commonWith(part, crashes, now)
-		if cmp.Or(cmp.Compare(len(common), len(best)), cmp.Compare(crashCount, bestCount), slices.Compare(best, common)) > 0 {
-			best, bestCount = common, crashCount
+	t.countCrash(now, c, elements)
+	t.scheduleEvaluation(now)
+	if identity, ok := identityOf(elements); ok {
+		// The request may come again before the next evaluation.
+		if crashes, _ := crashesOf(t.crashes, identity); crashes >= minRequestCrashes {
+			t.addIdentityPattern(now)
 		}
 	}
-	return best
+	return true
 }
 
-// crashCounts returns for each part that is not known to be sound the number of crashes
-// that it may have caused.
-func (t *Table) crashCounts(crashes []*crash, now time.Duration) map[string]int {
-	counts := map[string]int{}
-	for _, c := range crashes {
-		seen := map[string]bool{}
-		for _, parts := range c.suspects(now) {
-			for _, p := range parts {
-				if !seen[p] && !t.sound.has(p) {
-					seen[p] = true
-					counts[p]++
-				}
-			}
-		}
-	}
-	return counts
+// eligible returns the elements that may be in a pattern.
+func eligible(elements []string) []string {
+	elements = elements[:min(len(elements), maxParts)]
+	return slices.DeleteFunc(slices.Clone(elements), func(e string) bool { return len(e) > maxPartBytes })
 }
 
-// requiredCrashes returns the number of crashes from which a part is blamed.
-func (t *Table) requiredCrashes(part string) int {
-	if slices.ContainsFunc(t.patterns, func(p *Pattern) bool { return slices.Contains(p.Parts, part) }) {
-		return minRepeatCrashes
+// crashOf returns the crash that interrupted an attempt, which may be a new one.
+func (t *Table) crashOf(now time.Duration, a Attempt) *crash {
+	if i := slices.IndexFunc(t.crashes, func(c *crash) bool { return c.server == a.Server }); i >= 0 {
+		return t.crashes[i]
 	}
-	return minCrashes
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now-c.at >= evidenceAge })
+	if len(t.crashes) >= maxCrashes {
+		t.crashes = slices.Delete(t.crashes, 0, 1)
+	}
+	c := &crash{server: a.Server, at: min(now, a.EndedAt), identities: map[string]bool{}}
+	t.crashes = append(t.crashes, c)
+	slices.SortStableFunc(t.crashes, func(a, b *crash) int { return int(a.at - b.at) })
+	return c
 }
 
-// commonWith returns the parts that the attempts with the given part have in common. Of
-// several such attempts of one crash, the one that has the most in common with the others
-// counts.
-func (t *Table) commonWith(part string, crashes []*crash, now time.Duration) []string {
-	var common []string
-	for _, c := range crashes {
-		var closest []string
-		for _, parts := range c.suspects(now) {
-			if !slices.Contains(parts, part) {
-				continue
-			}
-			shared := t.unsound(parts)
-			if common != nil {
-				shared = intersection(common, parts)
-			}
-			if len(shared) > len(closest) {
-				closest = shared
-			}
+// Evidence returns the interrupted attempts that are known, for an instance that knows none
+// of them.
+func (t *Table) Evidence(now time.Duration) []Attempt {
+	var all []Attempt
+	for _, c := range t.crashes {
+		if now-c.at >= evidenceAge {
+			continue
+		}
+		for _, a := range c.answering {
+			all = append(all, Attempt{Server: c.server, Elements: a, BeganAt: c.at, EndedAt: c.at, Ending: InterruptedAnswering})
 		}
-		if closest != nil {
-			common = closest
+		for _, a := range c.waiting {
+			all = append(all, Attempt{Server: c.server, Elements: a, BeganAt: c.at, EndedAt: c.at, Ending: InterruptedWaiting})
 		}
 	}
-	return common
-}
-
-// unsound returns the parts that are not known to be sound, sorted.
-func (t *Table) unsound(parts []string) []string {
-	unsound := slices.DeleteFunc(slices.Clone(parts), t.sound.has)
-	slices.Sort(unsound)
-	return slices.Compact(unsound)
-}
-
-func intersection(a, b []string) []string {
-	return slices.DeleteFunc(slices.Clone(a), func(p string) bool { return !slices.Contains(b, p) })
+	return all
 }
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -23,7 +23,8 @@
 
 func newTable() *table { return &table{Table: New()} }
 
-// attempt places a request with the given parts on a server and ends it.
+// attempt places a request with the given elements on a server and ends it. Evidence is
+// evaluated at once, as the caller does that watches NextEvaluation.
 func (t *table) attempt(server, parts string, ending Ending) {
 	t.now += 10 * ms
 	t.next++
@@ -31,6 +32,7 @@
 	t.Begin(t.now, id, notice.Server{ID: server}, strings.Fields(parts))
 	t.now += 10 * ms
 	t.End(t.now, id, ending)
+	t.Evaluate(t.now)
 }
 
 func (t *table) held(parts string) bool { return t.Decide(t.now, strings.Fields(parts)).Held }
@@ -156,7 +158,7 @@
 // crashed returns a table in which a part ended three servers.
 func crashed() *table {
 	t := newTable()
-	for i := range minCrashes {
+	for i := range minPartCrashes {
 		t.attempt(fmt.Sprint("s", i), "bad", InterruptedAnswering)
 	}
 	return t
@@ -167,7 +169,7 @@
 func TestPatternIsTriedUntilProven(t *testing.T) {
 	tab := crashed()
 	assert.Assert(t, tab.held("bad"))
-	tab.now += trialDelay
+	tab.now += partTrialDelay
 	assert.Assert(t, tab.Decide(tab.now, []string{"bad"}).Trial)
 	assert.Assert(t, tab.held("bad"), "one trial at a time")
 	tab.attempt("s8", "bad", Completed)
@@ -176,7 +178,7 @@
 	assert.Assert(t, !changes[0].Released && changes[len(changes)-1].Released)
 
 	tab = crashed()
-	for i := minCrashes; i < provenCrashes; i++ {
+	for i := minPartCrashes; i < provenCrashes; i++ {
 		tab.attempt(fmt.Sprint("s", i), "bad", InterruptedAnswering)
 	}
 	lastCrash := tab.now
@@ -192,7 +194,7 @@
 // with it, and that others are told in time that it still holds.
 func TestPatternExpires(t *testing.T) {
 	tab := crashed()
-	for i := minCrashes; i < provenCrashes; i++ {
+	for i := minPartCrashes; i < provenCrashes; i++ {
 		tab.attempt(fmt.Sprint("s", i), "bad", InterruptedAnswering)
 	}
 	tab.TakeChanges()
@@ -214,13 +216,13 @@
 	tab := newTable()
 	tab.Learn(0, found)
 	assert.Assert(t, tab.held("x bad"))
-	tab.Forget(found.Parts)
+	tab.Forget(found.Elements)
 	assert.Assert(t, !tab.held("bad"))
 
 	tab.attempt("s9", "sys", Completed)
-	tab.Learn(tab.now, Pattern{Parts: []string{"bad", "sys"}, Until: tab.now + time.Minute})
+	tab.Learn(tab.now, Pattern{Elements: []string{"bad", "sys"}, Until: tab.now + time.Minute})
 	assert.Assert(t, tab.held("bad") && !tab.held("sys"))
-	tab.Learn(tab.now, Pattern{Parts: []string{"sys"}, Until: tab.now + time.Minute})
+	tab.Learn(tab.now, Pattern{Elements: []string{"sys"}, Until: tab.now + time.Minute})
 	assert.Assert(t, !tab.held("sys"))
 }
 
@@ -230,7 +232,7 @@
 	for i := range 2000 {
 		tab.attempt(fmt.Sprint("s", i/20), fmt.Sprint("a", i%7, " b", i, " c", i%300), Ending(1+i%3))
 	}
-	assert.Assert(t, len(tab.crashes) <= maxCrashes && len(tab.patterns) <= maxPatterns && len(tab.attempts) == 0)
+	assert.Assert(t, len(tab.crashes) <= maxCrashes && len(tab.patterns) <= maxPatterns && len(tab.placed) == 0)
 	for _, c := range tab.crashes {
 		assert.Assert(t, len(c.answering) <= maxAttemptsPerCrash && len(c.waiting) <= maxAttemptsPerCrash)
 	}
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -93,7 +93,8 @@
 	ConfigMayBeOld    Code = 2018
 	// StreamNotResumable is the code of a stream whose version cannot continue it.
 	StreamNotResumable Code = 2019
-	// PromptHeldBack is the code of a request whose prompt has parts that crash servers.
+	// PromptHeldBack is the code of a request that crashes servers, or whose prompt has parts
+	// that do.
 	PromptHeldBack Code = 2020
 
 	DeadlineExceeded Code = 3001
--- a/core/staging/types.go
+++ b/core/staging/types.go
@@ -186,6 +186,9 @@
 	ServerGone
 	// Incomplete means that no complete answer arrived; pieces may have been computed.
 	Incomplete
+	// Interrupted means the same, and that the server closed the connection, as one does
+	// that crashes.
+	Interrupted
 )
 
 // CallResult is how a call ended.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -17,10 +17,7 @@
 const maxPlannerChanges = 5
 
 // progressFunc reports the progress of a request to the entry that placed it.
-type progressFunc func(planner.Progress)
-
-// report reports a phase about which there is nothing more to say.
-func (f progressFunc) report(phase planner.Phase) { f(planner.Progress{Phase: phase}) }
+type progressFunc func(planner.Phase)
 
 // place gets a placement from the entry that places the requests of all entries, which may
 // be this one. If that entry is lost or hands the request over, place tries again with the
@@ -38,7 +35,7 @@
 		}
 		start := clock.Now()
 		answer, ok := g.requestPlacement(ctx, plannerPeer, &pr, reported)
-		progress := func(p planner.Progress) { g.reportProgress(plannerPeer, req.ID, p, reported) }
+		progress := func(p planner.Phase) { g.reportProgress(plannerPeer, req.ID, p, reported) }
 		g.metrics.placementTime.RecordDuration(clock.Now() - start)
 		if ok || ctx.Err() != nil {
 			req.log.Info("Placement finished.", "by", peerName(plannerPeer), "server", answer.Server, "server_version", answer.SoftwareVersion, "reason", answer.RefusalReason, "took", clock.Now()-start, "stages", len(pr.Stages))
@@ -85,7 +82,7 @@
 
 // reportProgress reports the progress of a request to the entry that placed it. If that
 // entry is lost, this one frees the results.
-func (g *Gateway) reportProgress(plannerPeer *peer.Peer, id string, progress planner.Progress, reported *reportedResults) {
+func (g *Gateway) reportProgress(plannerPeer *peer.Peer, id string, progress planner.Phase, reported *reportedResults) {
 	if plannerPeer == nil {
 		g.Planner.UpdateProgress(id, progress)
 		return
@@ -126,7 +123,7 @@
 func (g *Gateway) placementRequest(req *request, avoid []string) planner.Request {
 	now := clock.Now()
 	pr := planner.Request{
-		ID: req.ID, PieceKey: req.PieceKey, Priority: req.priority, TimeToObjective: req.objectiveDeadline - now, TimeToDeadline: req.deadline - now,
+		ID: req.ID, Identity: req.identity, PieceKey: req.PieceKey, Priority: req.priority, TimeToObjective: req.objectiveDeadline - now, TimeToDeadline: req.deadline - now,
 		Pool: req.service, Zone: g.Settings.Zone, MaxTokens: req.MaxTokens, Avoid: avoid, Customer: req.customer, Owner: g.Owner,
 	}
 	if req.route.Resumable {
@@ -135,9 +132,7 @@
 	if req.LastEventID != "" {
 		pr.Resume = &planner.Resume{Stream: req.streamID(), Version: g.Planner.StreamVersion(req.streamID())}
 	}
-	for _, p := range req.PromptParts {
-		pr.PromptParts = append(pr.PromptParts, placement.PromptPart{ID: p.ID, Tokens: p.Tokens})
-	}
+	pr.PromptParts = req.promptParts()
 	for i, st := range req.route.Stages {
 		pieces := 0
 		if i < len(req.PieceCounts) {
@@ -147,3 +142,11 @@
 	}
 	return pr
 }
+
+func (r *request) promptParts() []placement.PromptPart {
+	var parts []placement.PromptPart
+	for _, p := range r.PromptParts {
+		parts = append(parts, placement.PromptPart{ID: p.ID, Tokens: p.Tokens})
+	}
+	return parts
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/quarantine"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
@@ -45,6 +46,8 @@
 	// retryAfter is the Retry-After time of a request that has not run; 0 selects
 	// busyRetryAfter.
 	retryAfter time.Duration
+	// ending says whether the attempt may have crashed its server.
+	ending quarantine.Ending
 }
 
 // code returns the result code of a request that has not run.
@@ -89,6 +92,13 @@
 	var last outcome
 	mayHaveRun := false
 	for {
+		if r := g.checkHeldBack(ctx, req); r != nil {
+			if !mayHaveRun {
+				g.refuse(w, req, r)
+				return
+			}
+			break
+		}
 		cooling, remaining := g.coolingDown(req.service)
 		if remaining > 0 {
 			if !mayHaveRun {
@@ -175,6 +185,9 @@
 	}
 	start := clock.Now()
 	o := g.sendPlain(ctx, req, srv)
+	if o.ending != quarantine.Other {
+		g.reportAttempt(req, srv.Start(), start, o.ending)
+	}
 	g.recordPlainOutcome(req.ID, o.placementOutcome(ctx))
 	status := 0
 	if o.response != nil {
@@ -214,7 +227,11 @@
 	sentAt := clock.Now()
 	resp, err := g.Upstream.Do(ctx, g.encodeRequest(req, srv, nil, -1))
 	if err != nil {
-		return outcome{notRun: errors.Is(err, upstream.ErrNotSent), cause: err.Error()}
+		o := outcome{notRun: errors.Is(err, upstream.ErrNotSent), cause: err.Error()}
+		if !o.notRun && ctx.Err() == nil && connectionEnded(err) {
+			o.ending = quarantine.InterruptedWaiting
+		}
+		return o
 	}
 	defer func() { _ = resp.Body.Close() }()
 	info := platform.DecodeServerResponse(resp.StatusCode, resp.Header)
@@ -233,9 +250,13 @@
 	}
 	a, err := g.readResponse(req, resp)
 	if err != nil {
-		return outcome{framing: framing.String(), cause: "incomplete response: " + err.Error()}
+		o := outcome{framing: framing.String(), cause: "incomplete response: " + err.Error()}
+		if ctx.Err() == nil && connectionEnded(err) {
+			o.ending = quarantine.InterruptedAnswering
+		}
+		return o
 	}
-	return outcome{framing: framing.String(), response: a}
+	return outcome{framing: framing.String(), response: a, ending: quarantine.Completed}
 }
 
 // blockingCause repeats, before each attempt, the checks whose result may have changed
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,7 +11,6 @@
 	"github.com/go-logr/logr"
 
 	"github.com/magnoliawheel/magnoliawheel/core/jitter"
-	"github.com/magnoliawheel/magnoliawheel/core/quarantine"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
@@ -41,7 +40,7 @@
 	host           string
 	body           []byte
 	// identity is the same for all requests of clients that repeat this one; see
-	// quarantine.Identity.
+	// quarantine.Request.
 	identity string
 	attempts int
 	// onEnd are called when the request has ended.
@@ -86,7 +85,7 @@
 	if r := g.readBody(w, hr, req); r != nil {
 		return req, r
 	}
-	req.identity = quarantine.Identity(req.method, req.host, req.target, req.customer, req.body)
+	req.identity = req.quarantineIdentity()
 	return req, nil
 }
 
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -54,7 +54,7 @@
 		return staging.CallResult{Status: staging.ServerGone}, err
 	}
 	if err != nil {
-		return staging.CallResult{Status: staging.Incomplete}, err
+		return staging.CallResult{Status: failedStatus(err)}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode == http.StatusMisdirectedRequest {
@@ -63,12 +63,21 @@
 	return s.readResult(resp, c, sentAt)
 }
 
+// failedStatus returns the status of a call that may have reached its server and failed.
+func failedStatus(err error) staging.CallStatus {
+	if connectionEnded(err) {
+		return staging.Interrupted
+	}
+	return staging.Incomplete
+}
+
 // readResult reads the response to a call.
 func (s *StageClient) readResult(resp *upstream.Response, c staging.Call, sentAt time.Duration) (staging.CallResult, error) {
 	info := s.decodeResponse(resp, c.Server, sentAt, resp.StatusCode == http.StatusOK)
 	result := staging.CallResult{Status: staging.Incomplete, RetryAfter: info.RetryAfter}
 	data, release, err := s.Bodies.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
+		result.Status = failedStatus(err)
 		return result, err
 	}
 	defer release()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,7 +8,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/quarantine"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/core/streamversion"
@@ -39,6 +41,8 @@
 	possibleRuns int
 	relay        *relay
 	placements   int
+	// sentAt is when the last attempt began.
+	sentAt time.Duration
 }
 
 // serveStream serves a request whose response is a stream of events.
@@ -111,7 +115,7 @@
 	}
 	p, progress := s.gateway.place(ctx, s.req, slices.Concat(s.avoid, cooling))
 	if ctx.Err() != nil {
-		progress.report(planner.Cancelled)
+		progress(planner.Cancelled)
 		return false, nil
 	}
 	if p.RefusalReason != 0 {
@@ -147,13 +151,14 @@
 	req := s.req
 	srv := placement.Server{ID: p.Server, Address: p.Address, StartTime: s.gateway.Servers.StartTime(p.Server)}
 	if r := s.blockingCause(srv, p.SoftwareVersion); r != "" {
-		progress.report(planner.Cancelled)
+		progress(planner.Cancelled)
 		s.avoid = append(s.avoid, p.Server)
 		return false, s.retryNotSent(r)
 	}
 	req.attempts++
 	s.recordVersion(p.SoftwareVersion)
 	start := clock.Now()
+	s.sentAt = start
 	resp, err := s.gateway.Upstream.Do(ctx, s.gateway.encodeRequest(req, srv, p.Inputs, modelPriority(req)))
 	if err != nil {
 		return s.handleSendError(ctx, p, progress, err)
@@ -173,10 +178,11 @@
 	err = s.relay.copy(resp, func() {
 		s.gateway.metrics.firstEventTime.RecordDuration(clock.Now() - req.arrivedAt)
 		req.log.Info("First event relayed.", "identity", req.identity, "server", p.Server, "server_version", p.SoftwareVersion, "route", req.route.Name, "version", req.configVersion, "held", clock.Now()-req.arrivedAt, "took", clock.Now()-start)
-		progress.report(planner.Started)
+		progress(planner.Started)
 	})
 	if err == nil {
-		progress.report(planner.Complete)
+		progress(planner.Complete)
+		s.report(p, quarantine.Completed)
 		s.gateway.metrics.answered.Inc(1)
 		s.gateway.metrics.requestTime.RecordDuration(clock.Now() - req.arrivedAt)
 		req.log.Info("Stream completed.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", s.relay.unfinished(),
@@ -188,6 +194,12 @@
 	return s.handleBrokenStream(ctx, p, progress, resp.Framing(), err)
 }
 
+// report reports how the last attempt ended, at the server that was chosen for it.
+func (s *streamRequest) report(p planner.Placement, ending quarantine.Ending) {
+	srv := notice.Server{ID: p.Server, StartTime: s.gateway.Servers.StartTime(p.Server)}
+	s.gateway.reportAttempt(s.req, srv, s.sentAt, ending)
+}
+
 // blockingCause returns why the request must not be sent to the server that was chosen as
 // one of the given version, or "".
 func (s *streamRequest) blockingCause(srv placement.Server, version string) string {
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/magnoliawheel/magnoliawheel/core/quarantine"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
@@ -23,14 +24,13 @@
 		s.possibleRuns++
 	}
 	if ctx.Err() != nil {
-		progress.report(planner.Cancelled)
+		progress(planner.Cancelled)
 		return false, nil
 	}
-	interruption := planner.NotInterrupted
 	if maybeSent && connectionEnded(err) {
-		interruption = planner.InterruptedWaiting
+		s.report(p, quarantine.InterruptedWaiting)
 	}
-	progress(planner.Progress{Phase: planner.Unreached, Interruption: interruption})
+	progress(planner.Unreached)
 	if !maybeSent {
 		return false, s.retryNotRun("server unreachable")
 	}
@@ -41,15 +41,15 @@
 func (s *streamRequest) handleNotRun(p planner.Placement, progress progressFunc, status int) (bool, *refusal) {
 	if status == http.StatusConflict {
 		// An input no longer exists, so the stages have to run again.
-		progress.report(planner.Cancelled)
+		progress(planner.Cancelled)
 		return false, s.retryNotRun("input no longer exists")
 	}
 	s.avoid = append(s.avoid, p.Server)
 	if status == http.StatusMisdirectedRequest {
-		progress.report(planner.Unreached)
+		progress(planner.Unreached)
 		return false, s.retryNotRun(causeOtherServer)
 	}
-	progress.report(planner.Failed)
+	progress(planner.Failed)
 	if s.req.attempts >= s.req.route.MaxAttempts {
 		return false, s.refuseOrFail(result.QueueFull, causeServerFull, busyRetryAfter)
 	}
@@ -88,17 +88,17 @@
 // handleBrokenStream handles a stream that ended early.
 func (s *streamRequest) handleBrokenStream(ctx context.Context, p planner.Placement, progress progressFunc, framing upstream.Framing, err error) (bool, *refusal) {
 	if ctx.Err() != nil || errors.Is(err, errClientConnection) {
-		progress.report(planner.Cancelled)
+		progress(planner.Cancelled)
 		if errors.Is(err, errClientConnection) {
 			s.abort("write to the client failed")
 		}
 		return false, nil
 	}
-	interruption := s.interruption(framing, err)
-	if interruption != planner.NotInterrupted {
+	if s.endedBeforeEvent(framing, err) {
 		s.gateway.metrics.endedBeforeEvent.Inc(1)
+		s.report(p, quarantine.InterruptedAnswering)
 	}
-	progress(planner.Progress{Phase: planner.Failed, Interruption: interruption})
+	progress(planner.Failed)
 	s.avoid = append(s.avoid, p.Server)
 	if !s.relay.canContinue() {
 		return false, serverFailure("stream ended where no other server can continue it")
@@ -113,17 +113,14 @@
 	return false, nil
 }
 
-// interruption returns whether the server's connection ended after the head of its response
-// and before the first event.
-func (s *streamRequest) interruption(framing upstream.Framing, err error) planner.Interruption {
+// endedBeforeEvent reports whether the server's connection ended after the head of its
+// response and before the first event.
+func (s *streamRequest) endedBeforeEvent(framing upstream.Framing, err error) bool {
 	if s.relay.splitter.Events() > 0 {
-		return planner.NotInterrupted
+		return false
 	}
 	endUnmarked := framing == upstream.UntilClose && errors.IsAny(err, errNoEvent, errEndsWithinEvent)
-	if endUnmarked || connectionEnded(err) {
-		return planner.InterruptedAnswering
-	}
-	return planner.NotInterrupted
+	return endUnmarked || connectionEnded(err)
 }
 
 // connectionEnded reports whether an error shows that the server's end of a connection was
@@ -134,7 +131,7 @@
 
 // relayNonStream relays a response that is not a stream.
 func (s *streamRequest) relayNonStream(resp *upstream.Response, info platform.ServerResponse, progress progressFunc) (bool, *refusal) {
-	progress.report(planner.Failed)
+	progress(planner.Failed)
 	if !info.Signed || s.relay.started {
 		return false, s.retryPossiblyRun("response without the server's signature")
 	}
--- a/internal/node/crashing_request_test.go
+++ b/internal/node/crashing_request_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -23,18 +23,22 @@
 	lateRepeats    = 3
 )
 
-// requestFleet is a fleet whose servers end by one request, and start again at once.
+// requestFleet is a fleet whose servers end by one request, and start again.
 type requestFleet struct {
 	*fleet
 	path string
 	// crashes counts the ends of servers.
 	crashes atomic.Int64
 	calls   int
+
+	startsMu sync.Mutex
+	// startTimes are the newest starts of the servers that ended.
+	startTimes map[string]int64
 }
 
 // newRequestFleet returns a fleet in which the servers of one service end by the request.
 func newRequestFleet(t *testing.T, path, service string) *requestFleet {
-	f := &requestFleet{fleet: newFleet(t), path: path}
+	f := &requestFleet{fleet: newFleet(t), path: path, startTimes: map[string]int64{}}
 	for other, events := range map[string]int{"a": 0, "b": 0, "plain": 0, "model": 3} {
 		if other != service {
 			f.startServer(other, other+"1", events)
@@ -45,6 +49,9 @@
 			s := f.startServer(other, id, events)
 			s.CrashOnBody(crashingText, service == "model", func() {
 				startTime := 1 + int(f.crashes.Add(1))
+				f.startsMu.Lock()
+				f.startTimes[id] = int64(startTime)
+				f.startsMu.Unlock()
 				f.store.Put(platform.ServersTopic, id, standin.ServerRecordOfStart(service, s.Address(), startTime))
 			})
 		}
@@ -82,12 +89,26 @@
 	for i := range n {
 		e := entries[i%len(entries)]
 		last = f.call(e, true)
+		f.waitRestarted(entries)
 		got := f.call(e, false)
 		assert.Equal(f.t, got.status, http.StatusOK, got.body)
 	}
 	return last
 }
 
+// waitRestarted waits until the entries know the starts of all servers: a server that crashed
+// is not back before.
+func (f *requestFleet) waitRestarted(entries []*runningEntry) {
+	f.t.Helper()
+	f.startsMu.Lock()
+	defer f.startsMu.Unlock()
+	for id, startTime := range f.startTimes {
+		for _, e := range entries {
+			eventually(f.t, "the entry knows the restart", func() bool { return e.servers.StartTime(id) == startTime })
+		}
+	}
+}
+
 func (f *requestFleet) assertHeldBack(last reply) {
 	f.t.Helper()
 	crashes := f.crashes.Load()
@@ -175,8 +196,11 @@
 	entries := []*runningEntry{f.startEntry("e1", 0).waitReady().waitRegistered(), f.startEntry("e2", 0).waitReady().waitRegistered()}
 	for i := range 6 {
 		crashing := keyedCall(standin.PathSafe, fmt.Sprint("c", i), "key-1")
-		crashing.body = strings.Repeat(crashingText, 2)
+		crashing.body = crashingText
 		entries[i%2].do(crashing)
+		eventually(t, "all entries hold the request back", func() bool {
+			return len(entries[0].planner.Patterns()) > 0 && len(entries[1].planner.Patterns()) > 0
+		})
 	}
 	assert.Assert(t, ended.Load() < 3, "all servers ended")
 	sound := keyedCall(standin.PathUnsafe, "sound", "key-1")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,7 +74,7 @@
 	// resultCleanup frees the results that servers still hold for earlier process starts
 	// of this entry.
 	resultCleanup *resultCleanup
-	// quarantine follows the patterns of prompts that crash servers, and quarantineWriter
+	// quarantine follows the patterns of requests that crash servers, and quarantineWriter
 	// writes those that this entry finds.
 	quarantine       *watch.Quarantine
 	quarantineWriter *quarantineWriter
@@ -97,7 +97,7 @@
 	n.planner.OnQuarantine(func(changes []quarantine.Change) {
 		n.quarantineWriter.add(changes)
 		n.links.TellPatterns(changes)
-	})
+	}, func(attempts ...quarantine.Attempt) { n.links.ReportAttempts(attempts...) })
 	startID := time.Now().UnixNano()
 	owner := ownerName(o.Settings.Node, startID)
 	n.localEntry = &peer.LocalEntry{
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -19,7 +19,7 @@
 // patternWriteTimeout bounds a write of a pattern.
 const patternWriteTimeout = 2 * time.Second
 
-// quarantineWriter writes the patterns of prompts that this entry finds to the store, so
+// quarantineWriter writes the patterns of requests that this entry finds to the store, so
 // that they hold at all entries and after restarts.
 type quarantineWriter struct {
 	store *platform.Store
@@ -39,7 +39,7 @@
 
 // patternKey returns the key of a pattern's record.
 func patternKey(p quarantine.Pattern) string {
-	return fmt.Sprintf("%016x", xxhash.Sum64String(strings.Join(p.Parts, ",")))
+	return fmt.Sprintf("%016x", xxhash.Sum64String(strings.Join(p.Elements, ",")))
 }
 
 // add queues changes to be written.
@@ -119,14 +119,14 @@
 	if !c.Released {
 		var err error
 		if value, err = watch.EncodePattern(c.Pattern); err != nil {
-			w.log.Error(err, "Pattern not written.", "parts", c.Parts)
+			w.log.Error(err, "Pattern not written.", "elements", c.Elements)
 			return true
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, patternWriteTimeout)
 	defer cancel()
 	if _, err := w.store.AppendKeyed(ctx, platform.QuarantineTopic, key, value, platform.AppendCondition{}); err != nil {
-		w.log.Info("Pattern not written.", "parts", c.Parts, "cause", err.Error())
+		w.log.Info("Pattern not written.", "elements", c.Elements, "cause", err.Error())
 		return false
 	}
 	w.mu.Lock()
--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -32,7 +32,7 @@
 		refused.Add(1)
 		return http.StatusServiceUnavailable
 	})
-	w.add([]quarantine.Change{{Pattern: quarantine.Pattern{Parts: []string{crashingPart}, Crashes: 3, Until: clock.Now() + time.Hour}}})
+	w.add([]quarantine.Change{{Pattern: quarantine.Pattern{Elements: []string{crashingPart}, Crashes: 3, Until: clock.Now() + time.Hour}}})
 	eventually(t, "the write is tried", func() bool { return refused.Load() > 0 })
 	store.SetStatusOverride(nil)
 	eventually(t, "the pattern is written once the store is back", func() bool { return store.Mentions(crashingPart) })
--- /dev/null
+++ b/internal/peer/evidence.go
@@ -0,0 +1,67 @@
+package peer
+
+import (
+	"slices"
+
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
+	"github.com/magnoliawheel/magnoliawheel/core/quarantine"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+	"github.com/magnoliawheel/magnoliawheel/internal/peer/peerpb"
+)
+
+// maxAttemptsPerMessage bounds the attempts in one message.
+const maxAttemptsPerMessage = 256
+
+var endings = map[quarantine.Ending]peerpb.Ending{
+	quarantine.Completed: peerpb.Ending_ENDING_COMPLETED, quarantine.InterruptedWaiting: peerpb.Ending_ENDING_INTERRUPTED_WAITING,
+	quarantine.InterruptedAnswering: peerpb.Ending_ENDING_INTERRUPTED_ANSWERING,
+}
+
+// sendEvidence tells the other entry how attempts ended.
+func (p *Peer) sendEvidence(attempts []quarantine.Attempt) {
+	now := clock.Now()
+	for part := range slices.Chunk(attempts, maxAttemptsPerMessage) {
+		wire := &peerpb.Evidence{}
+		for _, a := range part {
+			wire.Attempts = append(wire.Attempts, &peerpb.Attempt{
+				Server: a.Server.ID, StartTime: a.Server.StartTime, Elements: a.Elements, Ending: endings[a.Ending],
+				BeganAgoMs: (now - a.BeganAt).Milliseconds(), EndedAgoMs: (now - a.EndedAt).Milliseconds(),
+			})
+		}
+		p.session.send(&peerpb.Message{Body: &peerpb.Message_Evidence{Evidence: wire}})
+	}
+}
+
+// handleEvidence handles how attempts of other entries ended.
+func (p *Peer) handleEvidence(m *peerpb.Evidence) {
+	now := clock.Now()
+	var attempts []quarantine.Attempt
+	for _, w := range m.GetAttempts() {
+		a := quarantine.Attempt{
+			Server: notice.Server{ID: w.GetServer(), StartTime: w.GetStartTime()}, Elements: w.GetElements(),
+			BeganAt: now - milliseconds(w.GetBeganAgoMs()), EndedAt: now - milliseconds(w.GetEndedAgoMs()),
+		}
+		for ending, wireEnding := range endings {
+			if wireEnding == w.GetEnding() {
+				a.Ending = ending
+			}
+		}
+		attempts = append(attempts, a)
+	}
+	p.links.reportAttempts(attempts, p)
+}
+
+// ReportAttempts records how attempts at servers ended. What may matter to others is told to
+// the entry that places requests, or to the one after it, so that it outlives this one.
+func (l *Links) ReportAttempts(attempts ...quarantine.Attempt) { l.reportAttempts(attempts, nil) }
+
+// reportAttempts is ReportAttempts for attempts that another entry, from, has told.
+func (l *Links) reportAttempts(attempts []quarantine.Attempt, from *Peer) {
+	news := l.planner.ReportAttempts(attempts)
+	if len(news) == 0 {
+		return
+	}
+	if backup, _ := l.backup(); backup != nil && backup != from {
+		backup.sendEvidence(news)
+	}
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -212,7 +212,7 @@
 	if err != nil {
 		return err
 	}
-	p := newPeer(newSession(ctx, sessionStream), k.links.local, k.links.planner, k.links.log)
+	p := newPeer(newSession(ctx, sessionStream), k.links)
 	k.mu.Lock()
 	k.peer, k.connectedAt = p, time.Now()
 	k.mu.Unlock()
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -122,7 +122,7 @@
 
 // Session implements peerpb.DRPCPlannerServer.
 func (l *Links) Session(sessionStream peerpb.DRPCPlanner_SessionStream) error {
-	p := newPeer(newSession(sessionStream.Context(), sessionStream), l.local, l.planner, l.log)
+	p := newPeer(newSession(sessionStream.Context(), sessionStream), l)
 	l.mu.Lock()
 	l.inboundPeers[p] = true
 	l.mu.Unlock()
@@ -167,7 +167,7 @@
 	for settled := false; ; {
 		l.maintainSessions(ctx)
 		yielding = l.yield(yielding)
-		backup = l.updateStreamBackup(backup)
+		backup = l.updateBackup(backup)
 		if !settled && (time.Since(startTime) > maxSettlingTime || l.isSettled()) {
 			settled = true
 			close(l.settled)
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -13,7 +13,7 @@
 // newPeerWithStatus returns a peer that has sent a status, as of now.
 func newPeerWithStatus(local *LocalEntry, order int64, stopping bool) *Peer {
 	s := &session{lastReceived: time.Now(), cancel: func() {}}
-	p := newPeer(s, local, planner.New(nil, nil, logr.Discard()), logr.Discard())
+	p := newPeer(s, NewLinks(local, planner.New(nil, nil, logr.Discard()), logr.Discard()))
 	p.statusReceived, p.ready, p.order, p.stopping = true, !stopping, order, stopping
 	return p
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,6 +17,7 @@
 // requests for the other.
 type Peer struct {
 	session *session
+	links   *Links
 	planner *planner.Planner
 	log     logr.Logger
 
@@ -52,14 +53,15 @@
 	onResultChanges func([]staging.ResultLocation)
 }
 
-func newPeer(s *session, local *LocalEntry, p *planner.Planner, log logr.Logger) *Peer {
-	return &Peer{session: s, local: local, planner: p, log: log, outgoing: map[string]*outgoingRequest{}, incoming: map[string]bool{},
-		relays: make([]topicRelay, len(local.Topics)),
+func newPeer(s *session, l *Links) *Peer {
+	return &Peer{session: s, links: l, local: l.local, planner: l.planner, log: l.log, outgoing: map[string]*outgoingRequest{}, incoming: map[string]bool{},
+		relays: make([]topicRelay, len(l.local.Topics)),
 	}
 }
 
 // run exchanges messages until the session ends.
 func (p *Peer) run() {
+	p.sendPatterns(p.planner.Patterns())
 	p.session.run(p.statusMessage, p.handleMessage)
 	p.endSession()
 }
@@ -123,10 +125,10 @@
 
 // ReportProgress reports the progress of a request to the other entry. It returns false
 // if the session has ended.
-func (p *Peer) ReportProgress(id string, progress planner.Progress) bool {
+func (p *Peer) ReportProgress(id string, progress planner.Phase) bool {
 	p.mu.Lock()
 	ended := p.ended
-	if progress.Phase != planner.Started {
+	if progress != planner.Started {
 		delete(p.outgoing, id)
 	}
 	p.mu.Unlock()
@@ -150,12 +152,14 @@
 		p.handleChanges(body.Changes)
 	case *peerpb.Message_Patterns:
 		p.handlePatterns(body.Patterns)
+	case *peerpb.Message_Evidence:
+		p.handleEvidence(body.Evidence)
 	case *peerpb.Message_Notices:
 		p.handleNotices(body.Notices)
 	case *peerpb.Message_Streams:
 		p.handleStreams(body.Streams)
 	case *peerpb.Message_Progress:
-		p.handleProgress(body.Progress.GetId(), decodeProgress(body.Progress))
+		p.handleProgress(body.Progress.GetId(), planner.Phase(body.Progress.GetPhase()))
 	}
 	for _, part := range m.GetBatch() {
 		p.handleMessage(part)
@@ -261,8 +265,8 @@
 	p.session.send(encodePlacement(answer))
 }
 
-func (p *Peer) handleProgress(id string, progress planner.Progress) {
-	if progress.Phase != planner.Started {
+func (p *Peer) handleProgress(id string, progress planner.Phase) {
+	if progress != planner.Started {
 		p.removeIncoming(id)
 	}
 	p.planner.UpdateProgress(id, progress)
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -178,7 +178,7 @@
 	place := &peerpb.Place{
 		Id: r.ID, Key: r.PieceKey, Rank: uint32(r.Priority), DueMs: r.TimeToObjective.Milliseconds(), DeadlineMs: r.TimeToDeadline.Milliseconds(),
 		Pool: r.Pool, Zone: r.Zone, MaxTokens: uint32(r.MaxTokens), Avoid: r.Avoid, Customer: r.Customer, ClockUs: clock.Now().Microseconds(),
-		ResumableMs: r.ResumableFor.Milliseconds(),
+		ResumableMs: r.ResumableFor.Milliseconds(), Identity: r.Identity, CheckOnly: r.CheckOnly,
 	}
 	for _, stage := range r.Stages {
 		wireStage := &peerpb.Stage{Pool: stage.Pool, Bytes: uint64(stage.ResultBytes), Pieces: uint32(stage.Pieces)}
@@ -224,7 +224,7 @@
 		ID: place.GetId(), PieceKey: place.GetKey(), Priority: int(place.GetRank()),
 		TimeToObjective: milliseconds(place.GetDueMs()), TimeToDeadline: milliseconds(place.GetDeadlineMs()),
 		Pool: place.GetPool(), Zone: place.GetZone(), MaxTokens: int(place.GetMaxTokens()), Avoid: place.GetAvoid(), Customer: place.GetCustomer(),
-		ResumableFor: milliseconds(place.GetResumableMs()),
+		ResumableFor: milliseconds(place.GetResumableMs()), Identity: place.GetIdentity(), CheckOnly: place.GetCheckOnly(),
 	}
 	for _, wireStage := range place.GetStages() {
 		st := staging.Stage{Pool: wireStage.GetPool(), ResultBytes: int64(wireStage.GetBytes()), Pieces: int(wireStage.GetPieces())}
@@ -260,14 +260,8 @@
 	}
 }
 
-func encodeProgress(id string, p planner.Progress) *peerpb.Message {
-	return &peerpb.Message{Body: &peerpb.Message_Progress{Progress: &peerpb.Progress{
-		Id: id, Phase: peerpb.Phase(p.Phase), Interruption: peerpb.Interruption(p.Interruption),
-	}}}
-}
-
-func decodeProgress(p *peerpb.Progress) planner.Progress {
-	return planner.Progress{Phase: planner.Phase(p.GetPhase()), Interruption: planner.Interruption(p.GetInterruption())}
+func encodeProgress(id string, p planner.Phase) *peerpb.Message {
+	return &peerpb.Message{Body: &peerpb.Message_Progress{Progress: &peerpb.Progress{Id: id, Phase: peerpb.Phase(p)}}}
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/peer/streams.go
+++ b/internal/peer/streams.go
@@ -39,7 +39,7 @@
 // lost.
 func (l *Links) StreamBegan(r streamversion.Record) {
 	l.planner.StreamBegan(r, true)
-	backup, places := l.streamBackup()
+	backup, places := l.backup()
 	if backup == nil {
 		return
 	}
@@ -48,11 +48,10 @@
 	backup.sendStreams([]streamversion.Record{r}, !places)
 }
 
-// streamBackup returns the entry that holds a copy of the records of this one's streams: the
-// one that places its requests, or if this entry places them itself, the first ready one
-// after it. It returns nil if there is none, and whether the entry places requests of this
-// one.
-func (l *Links) streamBackup() (backup *Peer, places bool) {
+// backup returns the entry that holds a copy of what this one knows alone: the one that
+// places its requests, or if this entry places them itself, the first ready one after it. It
+// returns nil if there is none, and whether the entry places requests of this one.
+func (l *Links) backup() (backup *Peer, places bool) {
 	if p := l.PlanningPeer(); p != nil {
 		return p, true
 	}
@@ -61,15 +60,16 @@
 	return l.firstReadyInbound(), false
 }
 
-// updateStreamBackup sends all records of this entry's streams, and what servers said about
-// themselves, to a new backup. It returns the backup.
-func (l *Links) updateStreamBackup(previous *Peer) *Peer {
-	backup, _ := l.streamBackup()
+// updateBackup sends all records of this entry's streams, what servers said about themselves,
+// and which attempts may have crashed servers, to a new backup. It returns the backup.
+func (l *Links) updateBackup(previous *Peer) *Peer {
+	backup, _ := l.backup()
 	if backup != nil && backup != previous {
 		backup.sendStreams(l.planner.LocalStreams(), false)
 		if l.local.Notices != nil {
 			backup.sendNotices(l.local.Notices())
 		}
+		backup.sendEvidence(l.planner.Evidence())
 	}
 	return backup
 }
--- a/internal/planner/calls.go
+++ b/internal/planner/calls.go
@@ -23,6 +23,7 @@
 		p.log.Info("Stage call completed.", "call", c.ID, "requests", requestIDs(c), "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", elapsed, "expected", c.ExpectedTime,
 			"waited", c.WaitTime, "memory_left", c.MemoryLeft)
 	}
+	p.reportStageCall(c, result.Status, start)
 	p.update(func(now time.Duration) { p.scheduler.CallDone(now, c.ID, result) })
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -60,8 +60,10 @@
 	// time to wait then.
 	refusal    staging.RefusalReason
 	retryAfter time.Duration
-	// trial requests are placed although their prompts may crash servers.
-	trial bool
+	// elements are what the request may have in common with others that crash servers. trial
+	// requests are placed although they may.
+	elements []string
+	trial    bool
 }
 
 // Planner places requests. It is safe for concurrent use.
@@ -77,8 +79,10 @@
 	poolVersions *streamversion.Pools
 	// notices is what servers said about themselves.
 	notices *notice.Table
-	// quarantine holds back requests whose prompts crash servers.
+	// quarantine holds back requests that crash servers. evaluation evaluates its evidence
+	// when that is due; it is nil before the first time.
 	quarantine *quarantine.Table
+	evaluation *time.Timer
 	pending    map[string]*pendingRequest
 	// handingOver is the number of pending requests to hand over.
 	handingOver int
@@ -88,11 +92,13 @@
 	wake    chan struct{}
 	// stopping is set by Stop.
 	stopping bool
-	// onQuarantine, if set, receives the patterns of prompts that this planner found or
-	// released.
+	// onQuarantine, if set, receives the patterns of requests that this planner found or
+	// released, onEvidence the attempts of stage calls that may have crashed servers.
 	onQuarantine func([]quarantine.Change)
-	// refused are the requests that Place refused and that are not answered yet.
-	refused []*pendingRequest
+	onEvidence   func(...quarantine.Attempt)
+	// decided are the requests that were refused or only checked, and that are not answered
+	// yet.
+	decided []*pendingRequest
 }
 
 // New returns a planner without pools. regions maps availability zones to regions.
@@ -171,14 +177,14 @@
 	p.update(func(now time.Duration) {
 		p.scheduler.Release(now, req.ID)
 		p.removePending(req.ID)
-		pr := &pendingRequest{req: req, callbacks: callbacks, receivedAt: now}
+		pr := &pendingRequest{req: req, callbacks: callbacks, receivedAt: now, elements: req.Elements()}
 		p.pending[req.ID] = pr
 		if p.stopping && !callbacks.Local {
 			p.markHandingOver(pr)
 			return
 		}
-		if pr.refusal = p.checkRequest(now, pr); pr.refusal != 0 {
-			p.refused = append(p.refused, pr)
+		if pr.refusal = p.checkRequest(now, pr); pr.refusal != 0 || req.CheckOnly {
+			p.decided = append(p.decided, pr)
 			p.scheduler.FreeResults(now, req.PriorResults)
 			return
 		}
@@ -200,16 +206,16 @@
 }
 
 // UpdateProgress records the progress of a placed request.
-func (p *Planner) UpdateProgress(id string, progress Progress) {
+func (p *Planner) UpdateProgress(id string, progress Phase) {
 	p.update(func(now time.Duration) {
-		if progress.Phase == Started {
+		if progress == Started {
 			p.modelServers.RequestStarted(now, id)
 			p.scheduler.RequestStarted(now, id)
 			return
 		}
 		p.removePending(id)
-		p.modelServers.Finish(now, id, outcomeByPhase[progress.Phase])
-		p.quarantine.End(now, id, progress.ending())
+		p.modelServers.Finish(now, id, outcomeByPhase[progress])
+		p.quarantine.End(now, id, endingByPhase[progress])
 		p.scheduler.Release(now, id)
 	})
 }
@@ -226,10 +232,10 @@
 	_, pending := p.pending[id]
 	p.mu.Unlock()
 	if pending {
-		p.UpdateProgress(id, Progress{Phase: Cancelled})
+		p.UpdateProgress(id, Cancelled)
 		return
 	}
-	time.AfterFunc(abandonedResultRetention, func() { p.UpdateProgress(id, Progress{Phase: Cancelled}) })
+	time.AfterFunc(abandonedResultRetention, func() { p.UpdateProgress(id, Cancelled) })
 }
 
 // placementRequest returns what the choice of a server depends on.
@@ -245,9 +251,10 @@
 	p.mu.Lock()
 	now := clock.Now()
 	change(now)
+	changes := p.applyQuarantine(now)
 	actions := p.scheduler.TakeActions()
 	callbacks := p.collectCallbacks(now, actions)
-	callbacks = append(callbacks, p.quarantineCallbacks()...)
+	callbacks = append(callbacks, p.quarantineCallbacks(append(changes, p.quarantine.TakeChanges()...))...)
 	wake := !p.ticking && !p.scheduler.Idle()
 	p.ticking = p.ticking || wake
 	p.mu.Unlock()
@@ -278,7 +285,11 @@
 			callbacks = append(callbacks, func() { pr.callbacks.OnResultChanges(results) })
 		}
 	}
-	for _, pr := range p.takeRefused() {
+	for _, pr := range p.takeDecided() {
+		if pr.refusal == 0 {
+			reply(pr, Placement{ID: pr.req.ID})
+			continue
+		}
 		reply(pr, p.refuse(now, pr))
 	}
 	for _, r := range actions.Refusals {
@@ -323,8 +334,8 @@
 		return p.refuse(now, pr)
 	}
 	p.recordVersion(now, pr, srv.SoftwareVersion)
-	p.quarantine.Begin(now, job.JobID, srv.Start(), sharedParts(pr.req.PromptParts))
-	p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "server_version", srv.SoftwareVersion, "pinned", pr.version != nil, "parts", sharedParts(pr.req.PromptParts), "prompt", srv.PromptTokens, "uncached", srv.UncachedTokens, "queued", srv.QueuedTokens,
+	p.quarantine.Begin(now, job.JobID, srv.Start(), pr.elements)
+	p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "server_version", srv.SoftwareVersion, "pinned", pr.version != nil, "elements", pr.elements, "prompt", srv.PromptTokens, "uncached", srv.UncachedTokens, "queued", srv.QueuedTokens,
 		"running", srv.Running, "expected", expected, "due", pr.req.TimeToObjective,
 		"waited", now-pr.receivedAt, "results", len(job.Handles), "made", len(pr.req.PriorResults), "jobs", p.scheduler.JobCount())
 	return Placement{ID: job.JobID, Inputs: job.Handles, Server: srv.ID, Address: srv.Address, SoftwareVersion: srv.SoftwareVersion}
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -10,10 +10,14 @@
 
 // Request is a client request to place.
 type Request struct {
-	ID       string
-	PieceKey string
-	Stages   []staging.Stage
-	Priority int
+	ID string
+	// Identity is the same for all requests that repeat this one; see quarantine.Request.
+	Identity string
+	// CheckOnly asks whether the request is held back, and for no placement.
+	CheckOnly bool
+	PieceKey  string
+	Stages    []staging.Stage
+	Priority  int
 	// TimeToObjective and TimeToDeadline are relative to the time at which Place is
 	// called.
 	TimeToObjective, TimeToDeadline time.Duration
@@ -36,6 +40,22 @@
 	ResumableFor time.Duration
 }
 
+// Elements returns what the request may have in common with others that crash servers.
+func (r *Request) Elements() []string {
+	return quarantine.Elements(r.Identity, SharedParts(r.PromptParts))
+}
+
+// SharedParts returns the IDs of the parts of a prompt that other prompts may have as well:
+// all but the last.
+func SharedParts(parts []placement.PromptPart) []string {
+	shared := parts[:max(0, len(parts)-1)]
+	ids := make([]string, len(shared))
+	for i, part := range shared {
+		ids[i] = part.ID
+	}
+	return ids
+}
+
 // Resume says which stream a request continues.
 type Resume struct {
 	// Stream is the ID of the request that brought the first event of the stream.
@@ -59,7 +79,7 @@
 	VersionGone
 	// LimitReached means that the servers take no more requests per second.
 	LimitReached
-	// HeldBack means that the prompt has parts that crash servers.
+	// HeldBack means that the request, or parts of its prompt, crash servers.
 	HeldBack
 )
 
@@ -73,7 +93,7 @@
 	case LimitReached:
 		return "limits of the servers reached"
 	case HeldBack:
-		return "prompt crashes servers"
+		return "request crashes servers"
 	}
 	return r.String()
 }
@@ -117,38 +137,9 @@
 	Cancelled
 )
 
-// Interruption is how the connection of a server ended before the first event of a response,
-// as it does if the server crashes.
-type Interruption uint8
-
-const (
-	// NotInterrupted connections ended otherwise, or later.
-	NotInterrupted Interruption = iota
-	// InterruptedWaiting and InterruptedAnswering connections ended before and after the
-	// head of the response.
-	InterruptedWaiting
-	InterruptedAnswering
-)
-
-// Progress is what became of a placed request.
-type Progress struct {
-	Phase Phase
-	// Interruption is set for requests that failed or did not reach their server.
-	Interruption Interruption
-}
-
-// ending returns what the end of an attempt says about the prompt.
-func (p Progress) ending() quarantine.Ending {
-	switch {
-	case p.Phase == Complete:
-		return quarantine.Completed
-	case p.Interruption == InterruptedWaiting:
-		return quarantine.InterruptedWaiting
-	case p.Interruption == InterruptedAnswering:
-		return quarantine.InterruptedAnswering
-	}
-	return quarantine.Other
-}
+// endingByPhase are the endings that the entry which placed a request learns from. Those that
+// may have crashed a server are reported with Planner.ReportAttempts.
+var endingByPhase = map[Phase]quarantine.Ending{Complete: quarantine.Completed}
 
 var outcomeByPhase = map[Phase]placement.Outcome{
 	Complete: placement.Complete, Failed: placement.Failed,
--- a/internal/planner/streams.go
+++ b/internal/planner/streams.go
@@ -91,10 +91,10 @@
 	return 0
 }
 
-// takeRefused returns the requests that Place refused and that are not answered yet. The
+// takeDecided returns the requests that were refused or only checked, and that are not answered yet. The
 // caller holds the lock.
-func (p *Planner) takeRefused() []*pendingRequest {
-	refused := p.refused
-	p.refused = nil
+func (p *Planner) takeDecided() []*pendingRequest {
+	refused := p.decided
+	p.decided = nil
 	return refused
 }
--- a/internal/watch/quarantine.go
+++ b/internal/watch/quarantine.go
@@ -29,12 +29,13 @@
 
 // PatternTable receives the patterns that other entries found.
 type PatternTable interface {
-	LearnPattern(quarantine.Pattern)
-	ForgetPattern(parts []string)
+	LearnPattern(quarantine.Pattern) bool
+	ForgetPattern(elements []string) bool
 }
 
-// Quarantine reads the patterns of prompts that crash servers. Only an entry that places
-// requests needs them, so the others read them once, when they start.
+// Quarantine reads the patterns of requests that crash servers. An entry that places
+// its own requests follows them; the others read them once, when they start, and are told
+// what follows.
 type Quarantine struct {
 	store Store
 	log   logr.Logger
@@ -45,15 +46,15 @@
 	// tried is set once the first read has ended; onTried is called then.
 	tried   atomic.Bool
 	onTried func()
-	// parts maps the keys of records to the parts of their patterns.
-	parts map[string][]string
+	// elements maps the keys of records to the elements of their patterns.
+	elements map[string][]string
 }
 
 // NewQuarantine returns a reader of the patterns, which it passes on to table.
 //
 // onTried is called when the first read has ended.
 func NewQuarantine(store Store, log logr.Logger, table PatternTable, onTried func()) *Quarantine {
-	return &Quarantine{store: store, log: log, table: table, onTried: onTried, parts: map[string][]string{}}
+	return &Quarantine{store: store, log: log, table: table, onTried: onTried, elements: map[string][]string{}}
 }
 
 // Tried reports whether the first read has ended. If it failed, requests are placed all the
@@ -106,8 +107,8 @@
 
 func (q *Quarantine) apply(rec platform.KeyedRecord) {
 	if rec.Deleted {
-		q.table.ForgetPattern(q.parts[rec.Key])
-		delete(q.parts, rec.Key)
+		q.table.ForgetPattern(q.elements[rec.Key])
+		delete(q.elements, rec.Key)
 		return
 	}
 	pattern, err := decodePattern(rec.Value)
@@ -115,22 +116,23 @@
 		q.log.Info("Pattern record ignored.", "key", rec.Key, "offset", rec.Offset, "cause", err.Error())
 		return
 	}
-	q.parts[rec.Key] = pattern.Parts
+	q.elements[rec.Key] = pattern.Elements
 	q.table.LearnPattern(pattern)
 }
 
-// patternRecord is a pattern as it is stored. Until is in Unix milliseconds, since other
-// entries have other clocks.
+// patternRecord is a pattern as it is stored. UntilMS is in Unix milliseconds, since other
+// entries have other clocks. The name of Elements is that of earlier releases.
 type patternRecord struct {
-	Parts   []string `json:"parts"`
-	Crashes int      `json:"crashes"`
-	UntilMS int64    `json:"until_ms"`
+	Elements []string `json:"parts"`
+	Crashes  int      `json:"crashes"`
+	Proven   bool     `json:"proven,omitempty"`
+	UntilMS  int64    `json:"until_ms"`
 }
 
 // EncodePattern encodes a pattern for the store.
 func EncodePattern(p quarantine.Pattern) ([]byte, error) {
 	until := time.Now().Add(p.Until - clock.Now())
-	return json.Marshal(patternRecord{Parts: p.Parts, Crashes: p.Crashes, UntilMS: until.UnixMilli()})
+	return json.Marshal(patternRecord{Elements: p.Elements, Crashes: p.Crashes, Proven: p.Proven, UntilMS: until.UnixMilli()})
 }
 
 func decodePattern(value []byte) (quarantine.Pattern, error) {
@@ -138,9 +140,9 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return quarantine.Pattern{}, errors.Wrap(err, "decode pattern")
 	}
-	if len(r.Parts) == 0 {
-		return quarantine.Pattern{}, errors.New("pattern without parts")
+	if len(r.Elements) == 0 {
+		return quarantine.Pattern{}, errors.New("pattern without elements")
 	}
 	until := clock.Now() + time.Until(time.UnixMilli(r.UntilMS))
-	return quarantine.Pattern{Parts: r.Parts, Crashes: r.Crashes, Until: until}, nil
+	return quarantine.Pattern{Elements: r.Elements, Crashes: r.Crashes, Proven: r.Proven, Until: until}, nil
 }
