Jobs of a stage call that its server interrupted no longer share calls with each other

What callers saw: the pieces of several requests run in one call; if one of them ends its server, the others are requested again together with it, and end with it again. Cause: nothing remembered which jobs had been in an interrupted call. Ruled out: a call of its own for each suspect (up to 44 pieces share a call, and answers are also broken off by servers that live). Change: until one of its calls is answered, a job shares no server with another one that the same server interrupted; other jobs still fill its calls.

--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -212,7 +212,7 @@
 	memoryLeft := m.availableMemory(now)
 	clear(m.pool.piecesAhead)
 	for _, r := range ready {
-		if !r.job.started && !s.hasMemoryFor(r.job, now) || !r.mayRunOn(m, m.pool.piecesAhead, now) {
+		if !r.job.started && !s.hasMemoryFor(r.job, now) || !r.mayRunOn(m, m.pool.piecesAhead, now) || r.job.isSeparate(m, pieces) {
 			continue
 		}
 		n := m.fittingPieces(r.stageRun, m.pool.spec.BatchSize-len(pieces), memoryLeft)
--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -21,7 +21,9 @@
 	started bool
 	done    bool
 	// suspended jobs start no more calls.
-	suspended      bool
+	suspended bool
+	// interruptedBy is the server that interrupted the job's last call, or nil.
+	interruptedBy  *server
 	recomputations int
 	// flooding is true if the job's customer sent much more than usual when the job was
 	// submitted.
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -176,12 +176,16 @@
 	delete(s.calls, id)
 	c.server.callEnded(c, now, result.Status)
 	c.server.suspendCalls(now, result.RetryAfter)
+	if result.Status == Interrupted {
+		separateJobs(c)
+	}
 	if result.Status != Answered || len(result.Results) != len(c.pieces) {
 		for _, it := range c.pieces {
 			s.retryPiece(it, c, now, result.Status != ServerFull)
 		}
 	} else {
 		for i, it := range c.pieces {
+			it.run.job.interruptedBy = nil
 			s.pieceDone(it, c, result.Results[i], now)
 		}
 	}
