A second copy of a stage call's answer is not taken for the next one

What callers could get: results of another request. An operator told us of servers that send an answer twice, late, on a connection that is in use again. Cause: stage calls reuse connections, and nothing in their answers names the call; the copy was taken for the answer to the next call, whose own went to the one after it. Ruled out: plain requests and streams, which use a connection each and compare the ID. Change: a connection compares the bodies of its answers. Handles are unique, so an answer with handles that came before is a copy: the call counts as incomplete and the connection is closed, as it is after an answer without handles, whose copy could not be recognized. Test: TestSecondCopyOfAnswerIsNotTakenForTheNext failed before (h1 for h2; after a call that frees results h3 for h4), passes now.

--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,8 @@
 	OnNotice func(sentAt time.Duration, n notice.Notice, mayEndLimit bool)
 }
 
+var errSecondCopy = errors.New("second copy of the response to an earlier call")
+
 var stagingOutcomes = map[platform.PieceOutcome]staging.Outcome{
 	platform.PieceCompleted: staging.Succeeded, platform.PieceTimedOut: staging.DeadlinePassed, platform.PieceInputMissing: staging.InputMissing,
 	platform.PieceOutOfMemory: staging.OutOfMemory, platform.PieceFailed: staging.Failed,
@@ -81,6 +84,12 @@
 		return result, err
 	}
 	defer release()
+	reuse := false
+	defer func() {
+		if !reuse {
+			resp.Discard()
+		}
+	}()
 	if info.NotExecuted {
 		result.Status = staging.ServerFull
 		return result, errors.New(causeServerFull)
@@ -92,6 +101,13 @@
 	if err != nil {
 		return result, err
 	}
+	// A late second copy is recognized only by its handles, which no other response has. So a
+	// connection on which the server answered without any is not used again.
+	reuse = slices.ContainsFunc(outcomes, func(m platform.PieceResult) bool { return m.Handle != "" })
+	if reuse && resp.Repeats() {
+		reuse = false
+		return result, errSecondCopy
+	}
 	result.Status = staging.Answered
 	for _, m := range outcomes {
 		result.Results = append(result.Results, staging.Result{Outcome: stagingOutcomes[m.Outcome], Handle: m.Handle})
@@ -123,7 +139,11 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	info := s.decodeResponse(resp, f.Server, sentAt, false)
-	if _, err = bounded.ReadAll(resp.Body, maxFreeResponseBytes); err == nil && info.RetryAfter > 0 {
+	data, err := bounded.ReadAll(resp.Body, maxFreeResponseBytes)
+	if platform.IsStageRunResponse(data) {
+		resp.Discard()
+	}
+	if err == nil && info.RetryAfter > 0 {
 		err = errors.New(causeServerFull)
 	}
 	return info.RetryAfter, err
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,10 +9,12 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
 
@@ -39,6 +41,8 @@
 	// maxStrayBytes bounds the body of a skipped response.
 	maxStrayBytes   = 1 << 20
 	readBufferBytes = 4 << 10
+	// maxDigests bounds the responses of a connection that are compared with the next one.
+	maxDigests = 8
 	// maxHeadBytes bounds the head of a response.
 	maxHeadBytes = 64 << 10
 )
@@ -62,8 +66,17 @@
 // Response is the response of a server. Its body must be closed.
 type Response struct {
 	*http.Response
+	body *responseBody
 }
 
+// Repeats reports whether an earlier response on the same connection had the same body. It is
+// valid once the body was read to its end. A server may send a second copy of a response where
+// the next one is expected; without an ID in responses that must differ, only this shows it.
+func (r *Response) Repeats() bool { return r.body.repeats }
+
+// Discard makes the connection not be used again.
+func (r *Response) Discard() { r.body.reusable = false }
+
 // Framing is how a response marks the end of its body.
 type Framing uint8
 
@@ -116,6 +129,17 @@
 	reader    *bufio.Reader
 	limit     *limitedReader
 	idleSince time.Time
+	// digests are those of the bodies of the newest responses.
+	digests []uint64
+}
+
+// recordBody records the digest of a body, and reports whether a response before it had the
+// same one.
+func (c *conn) recordBody(digest uint64) bool {
+	repeats := slices.Contains(c.digests, digest)
+	c.digests = append(c.digests, digest)
+	c.digests = c.digests[max(0, len(c.digests)-maxDigests):]
+	return repeats
 }
 
 func newConn(raw net.Conn) *conn {
@@ -148,8 +172,12 @@
 		}
 		return nil, errors.Mark(err, ErrNoResponse)
 	}
-	resp.Body = &responseBody{ReadCloser: resp.Body, client: c, conn: cn, address: req.Address, stopCloseOnCancel: stopCloseOnCancel, reusable: req.ReuseConnection && !resp.Close}
-	return &Response{resp}, nil
+	body := &responseBody{
+		ReadCloser: resp.Body, client: c, conn: cn, address: req.Address, stopCloseOnCancel: stopCloseOnCancel,
+		reusable: req.ReuseConnection && !resp.Close, digest: xxhash.New(),
+	}
+	resp.Body = body
+	return &Response{resp, body}, nil
 }
 
 func (c *Client) connect(ctx context.Context, req *Request) (*conn, error) {
@@ -252,13 +280,21 @@
 	reusable          bool
 	readToEnd         bool
 	closed            bool
+	// digest is that of the bytes read so far; repeats is set at the end of the body.
+	digest  *xxhash.Digest
+	repeats bool
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
+	if !b.reusable {
+		return n, err
+	}
+	_, _ = b.digest.Write(p[:n])
+	if err == io.EOF && !b.readToEnd {
 		b.readToEnd = true
+		b.repeats = b.conn.recordBody(b.digest.Sum64())
 	}
 	return n, err
 }
