Test of a stopping entry: its clients are not in step

Seen: TestNoRequestIsCutAtTheEndOfTheDrain failed once (no request was refused). Cause: eight clients that began together are answered together, so the entry may find itself without a request between two waves and end before it refuses any. Change: the clients begin a fraction of a request's time apart, as the comment promised a steady load. The checks are unchanged.

--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -17,16 +17,22 @@
 // when its time to stop is nearly over, and ends while servers run them: under a steady load
 // it is never without one.
 func TestNoRequestIsCutAtTheEndOfTheDrain(t *testing.T) {
+	const (
+		clientCount = 8
+		runTime     = 200 * time.Millisecond
+	)
 	f := newFleet(t)
-	f.startServer("plain", "p1", 0).SetDelay(200 * time.Millisecond)
+	f.startServer("plain", "p1", 0).SetDelay(runTime)
 	f.putConfig()
 	f.shutdownGrace = shutdownReserve + 2*time.Second
 	e := f.startEntry("e1", 0).waitReady()
 
 	var clients sync.WaitGroup
 	var answered, refused atomic.Int64
-	for i := range 8 {
+	for i := range clientCount {
 		clients.Go(func() {
+			// Clients in step would all be without an answer at the same moments.
+			time.Sleep(time.Duration(i) * runTime / clientCount)
 			for n := 0; ; n++ {
 				got := e.do(keyedCall(standin.PathUnsafe, fmt.Sprint("r", i, ".", n), "key-1"))
 				select {
