A new session begins with what servers said about themselves

What callers could see: after a restart of an entry, requests to a server that had told another entry that it leaves (an operator's report: a server that had left was in use again after a restart). Cause: notices go to the placing entry and on as news; an entry that starts is told only if it is the next one after the placing entry, else within a minute. Change: both sides of a new session tell all that holds, as they do with what is held back.

--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -251,3 +251,27 @@
 	f.rewriteTime = time.Hour
 	f.startEntry("e2", time.Hour).waitReady()
 }
+
+// TestRestartedEntryKnowsServersThatLeave guards against a server that is used again by an
+// entry which has started anew, although it said to another one that it leaves.
+func TestRestartedEntryKnowsServersThatLeave(t *testing.T) {
+	f := newFleet(t)
+	leaving, other := f.startServer("plain", "p1", 0), f.startServer("plain", "p2", 0)
+	sayLeaving(leaving)
+	f.putConfig()
+	first := f.startEntry("e1", 0).waitReady().waitRegistered()
+	f.startEntry("e2", 0).waitReady().waitRegistered()
+	for i := range 8 {
+		assert.Equal(t, first.do(keyedCall(standin.PathSafe, fmt.Sprint("r", i), "key-1")).status, http.StatusOK)
+	}
+	assert.Equal(t, len(leaving.ExecutedRequests()), 1)
+
+	restarted := f.startEntry("e3", 0).waitReady().waitRegistered()
+	eventually(t, "the entries have a session", func() bool { return restarted.links.PlanningPeer() != nil })
+	eventually(t, "the new entry knows that the server leaves", func() bool { return !restarted.servers.Takes("p1") })
+	for i := range 8 {
+		assert.Equal(t, restarted.do(keyedCall(standin.PathSafe, fmt.Sprint("s", i), "key-1")).status, http.StatusOK)
+	}
+	assert.Equal(t, len(leaving.ExecutedRequests()), 1)
+	assert.Equal(t, len(other.ExecutedRequests()), 15)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -59,9 +59,13 @@
 	}
 }
 
-// run exchanges messages until the session ends.
+// run tells what this entry knows of servers and requests, and exchanges messages until the
+// session ends.
 func (p *Peer) run() {
 	p.sendPatterns(p.planner.Patterns())
+	if p.local.Notices != nil {
+		p.sendNotices(p.local.Notices())
+	}
 	p.session.run(p.statusMessage, p.handleMessage)
 	p.endSession()
 }
