--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -143,8 +143,8 @@
 	return changed
 }
 
-// addServer starts a server and writes its record to the store.
-func (f *fleet) addServer(service string) {
+// addServer starts a server, writes its record to the store and returns it.
+func (f *fleet) addServer(service string) *server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastServerNumber++
@@ -161,6 +161,7 @@
 	f.activeServers[id] = s
 	f.allServers = append(f.allServers, s.Server)
 	f.putServerRecord(s, false)
+	return s
 }
 
 func (f *fleet) putServerRecord(s *server, draining bool) {
