A response to any entry shows that a server still runs; what is released stays so

What callers could see: a sound request held back for 5 s, because the connections of one entry to two servers were reset while these went on to answer others. Cause: only the entries that know of the ends can refute them by responses. Change: what is held back names the servers that ended, and each entry that learns it watches them until they could be back. A request that is released elsewhere is acquitted, so that entries do not blame and release it in turn. Tests: TestOtherInstancesRefute and TestReleasedRequestStaysReleased (did not compile before: the ends were not told; without acquit the second one fails at the third end).

--- a/core/quarantine/pattern.go
+++ b/core/quarantine/pattern.go
@@ -38,6 +38,14 @@
 	toldUntil time.Duration
 	// lastServer is the start of the server that ended last.
 	lastServer notice.Server
+	// Ends are the servers that ended, as far as responses may still show that they run.
+	Ends []End
+}
+
+// End is the end of a server.
+type End struct {
+	Server notice.Server
+	At     time.Duration
 }
 
 // isRequest reports whether the pattern is the identity of one request.
@@ -198,6 +206,7 @@
 		if c.explainedBy(p, now) {
 			p.addCrash(c)
 			p.SettlesAt = max(p.SettlesAt, c.settlesAt())
+			p.Ends = append(p.Ends, End{c.server, c.at})
 		}
 	}
 	p.scheduleTrial(now)
@@ -281,10 +290,25 @@
 	p.toldUntil = p.Until
 	p.scheduleTrial(now)
 	t.patterns = append(t.patterns, &p)
+	t.watchEnds(now, &p)
 	t.releaseSound(now, slices.DeleteFunc(slices.Clone(p.Elements), func(e string) bool { return !t.sound.has(e) }))
 	return true
 }
 
+// watchEnds records the ends of servers that another instance blames on one request, so that
+// a response to this instance can refute them.
+func (t *Table) watchEnds(now time.Duration, p *Pattern) {
+	if !p.isRequest() {
+		return
+	}
+	for _, end := range p.Ends[:min(len(p.Ends), provenCrashes)] {
+		if now < end.At+minRestartTime {
+			c := t.crashOf(now, Attempt{Server: end.Server, EndedAt: end.At})
+			c.add(p.Elements, false)
+		}
+	}
+}
+
 // update takes over what another instance knows of the pattern, and reports whether that is
 // news.
 func (p *Pattern) update(now time.Duration, other Pattern) bool {
@@ -299,11 +323,24 @@
 	return worse || renewed
 }
 
-// Forget removes a pattern that another instance released, and reports whether it was known.
+// Forget removes a pattern that another instance released, so that it is not found again from
+// the same evidence. It reports whether the pattern was known.
 func (t *Table) Forget(elements []string) bool {
-	before := len(t.patterns)
-	t.patterns = slices.DeleteFunc(t.patterns, func(p *Pattern) bool { return slices.Equal(p.Elements, elements) })
-	return len(t.patterns) < before
+	p := t.find(elements)
+	if p == nil {
+		return false
+	}
+	t.patterns = slices.DeleteFunc(t.patterns, func(other *Pattern) bool { return other == p })
+	switch {
+	case p.isRequest():
+		for _, c := range t.crashes {
+			c.acquit(p.Elements[0])
+		}
+	case len(p.Elements) == 1:
+		// Parts are released only if a request with them completed.
+		t.sound.add(p.Elements[0])
+	}
+	return true
 }
 
 func (t *Table) find(elements []string) *Pattern {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -103,6 +103,17 @@
 	return true
 }
 
+// acquit removes the attempts at a request.
+func (c *crash) acquit(identity string) {
+	isOfRequest := func(elements []string) bool {
+		id, ok := identityOf(elements)
+		return ok && id == identity
+	}
+	c.answering = slices.DeleteFunc(c.answering, isOfRequest)
+	c.waiting = slices.DeleteFunc(c.waiting, isOfRequest)
+	delete(c.identities, identity)
+}
+
 // settlesAt returns the time from which all attempts that the crash interrupted are known.
 func (c *crash) settlesAt() time.Duration { return c.at + settleTime }
 
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -219,6 +219,14 @@
 	tab.Forget(found.Elements)
 	assert.Assert(t, !tab.held("bad"))
 
+	// What was released is not found again from the same evidence.
+	finder := crashed()
+	finder.Forget(found.Elements)
+	finder.attempt("s8", "bad", InterruptedAnswering)
+	assert.Assert(t, !finder.held("bad"))
+
+	tab = newTable()
+
 	tab.attempt("s9", "sys", Completed)
 	tab.Learn(tab.now, Pattern{Elements: []string{"bad", "sys"}, Until: tab.now + time.Minute})
 	assert.Assert(t, tab.held("bad") && !tab.held("sys"))
--- a/core/quarantine/request_test.go
+++ b/core/quarantine/request_test.go
@@ -85,6 +85,41 @@
 	assert.Assert(t, other.held("request:bad") && !other.held("request:a-popular"))
 }
 
+// TestOtherInstancesRefute guards against a sound request that is held back because the
+// connections of one instance to several servers were reset, while the servers went on to
+// answer others.
+func TestOtherInstancesRefute(t *testing.T) {
+	tab, other := newTable(), newTable()
+	tab.attempt("s1", "request:x", InterruptedWaiting)
+	tab.attempt("s2", "request:x", InterruptedWaiting)
+	found := tab.TakeChanges()[0].Pattern
+	other.now = tab.now
+	assert.Assert(t, other.Learn(other.now, found) && other.held("request:x"))
+
+	other.now += 10 * ms
+	answered := Attempt{Server: notice.Server{ID: "s2"}, Elements: []string{"request:y"}, BeganAt: other.now, EndedAt: other.now + ms, Ending: Completed}
+	assert.Assert(t, other.Report(answered.EndedAt, answered), "others must hear it")
+	assert.Assert(t, !other.held("request:x"))
+	assert.Assert(t, tab.Report(answered.EndedAt, answered))
+	assert.Assert(t, !tab.held("request:x"))
+}
+
+// TestReleasedRequestStaysReleased guards against instances that blame and release a request in
+// turn: one has the evidence, another one knows that the request is sound.
+func TestReleasedRequestStaysReleased(t *testing.T) {
+	tab := newTable()
+	tab.attempt("s1", "request:x", InterruptedWaiting)
+	tab.attempt("s2", "request:x", InterruptedWaiting)
+	tab.settle()
+	assert.Assert(t, tab.held("request:x"))
+	assert.Assert(t, tab.Forget([]string{"request:x"}))
+	tab.attempt("s3", "request:x", InterruptedWaiting)
+	tab.settle()
+	assert.Assert(t, !tab.held("request:x"))
+	tab.attempt("s4", "request:x", InterruptedWaiting)
+	assert.Assert(t, tab.held("request:x"), "new evidence counts")
+}
+
 // TestRestartedServerRefutesNothing guards against evidence that is lost because a server
 // which crashed has started again under its ID, and serves other requests before its new start
 // is known.
