--- a/core/quarantine/evaluate.go
+++ b/core/quarantine/evaluate.go
@@ -9,7 +9,11 @@
 
 // scheduleEvaluation makes Evaluate search for patterns, but not too often.
 func (t *Table) scheduleEvaluation(now time.Duration) {
-	at := max(now, t.evaluatedAt+evaluationInterval)
+	attempts := 0
+	for _, c := range t.crashes {
+		attempts += len(c.answering) + len(c.waiting)
+	}
+	at := max(now, t.evaluatedAt+time.Duration(attempts)*evaluationTimePerAttempt)
 	if !t.evaluationDue || at < t.nextEvaluation {
 		t.evaluationDue, t.nextEvaluation = true, at
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -39,8 +39,9 @@
 	settleTime = 300 * time.Millisecond
 	// minRestartTime is the least time that a crashed server takes to start again.
 	minRestartTime = time.Second
-	// evaluationInterval is the least time between two searches for patterns.
-	evaluationInterval = 20 * time.Millisecond
+	// evaluationTimePerAttempt is the least time between two searches for patterns, for each
+	// interrupted attempt that is known.
+	evaluationTimePerAttempt = 10 * time.Microsecond
 	// The following bound the memory, and the time to find a pattern.
 	maxCrashes          = 32
 	maxAttemptsPerCrash = 64
