--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -117,3 +117,18 @@
 		assert.Equal(t, k.usablePeer() != nil, closed)
 	}
 }
+
+// TestCheckLeavesSessionIdle guards against sessions that are kept for requests which the other
+// entry only had checked: they have no server, so no progress follows.
+func TestCheckLeavesSessionIdle(t *testing.T) {
+	local := &LocalEntry{Ready: func() bool { return true }, Stopping: func() bool { return false }}
+	p := newPeerWithStatus(local, 1, false)
+	for _, answer := range []planner.Placement{{ID: "checked"}, {ID: "refused", RefusalReason: planner.HeldBack}} {
+		p.incoming[answer.ID] = true
+		p.sendPlacement(answer)
+		assert.Assert(t, p.idle(), answer.ID)
+	}
+	p.incoming["placed"] = true
+	p.sendPlacement(planner.Placement{ID: "placed", Server: "s"})
+	assert.Assert(t, !p.idle())
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -263,7 +263,7 @@
 }
 
 func (p *Peer) sendPlacement(answer planner.Placement) {
-	if answer.RefusalReason != 0 {
+	if !answer.Placed() {
 		p.removeIncoming(answer.ID)
 	}
 	p.session.send(encodePlacement(answer))
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -109,7 +109,8 @@
 	Local bool
 }
 
-// Placement is the answer to a Request: the server and its inputs, or a refusal.
+// Placement is the answer to a Request: the server and its inputs, or a refusal, or neither if
+// the request was only checked and is not held back.
 type Placement struct {
 	ID string
 	// RefusalReason is 0 if the request was placed.
@@ -123,6 +124,9 @@
 	SoftwareVersion string
 }
 
+// Placed reports whether a server was chosen. It is not for a request that was only checked.
+func (p *Placement) Placed() bool { return p.RefusalReason == 0 && p.Server != "" }
+
 // Phase is the progress of a placed request.
 type Phase uint8
 
