Stage servers that want no calls are kept in notice.Pauses, as all other servers are

The stage scheduler had the same logic a second time: until when a server wants no calls, and the first end of several.

--- a/core/staging/admit.go
+++ b/core/staging/admit.go
@@ -86,8 +86,8 @@
 // backlogTime returns the time that the pool needs for the queued pieces of started
 // jobs and of jobs at least as urgent as j.
 func (p *pool) backlogTime(j *job, now time.Duration) time.Duration {
-	if end, ok := p.suspensionEnd(now); ok {
-		return end - now
+	if wait := p.timeToFirstCall(now); wait > 0 {
+		return wait
 	}
 	rate := p.piecesPerSecond(now)
 	if rate == 0 {
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -72,7 +72,9 @@
 	readyBuffer     []readyRun
 	candidateBuffer []candidate
 	piecesAhead     map[string]int
-	notices         *notice.Table
+	// notices and pauses are what servers said about themselves.
+	notices *notice.Table
+	pauses  *notice.Pauses
 }
 
 // findOrCreateServer returns the pool's server with that definition, or a new one.
@@ -153,9 +155,6 @@
 	// before pausedUntil.
 	consecutiveFailures int
 	pausedUntil         time.Duration
-	// suspendedUntil is the time until which the server wants no calls; answers to
-	// earlier calls do not change it.
-	suspendedUntil time.Duration
 	// lastAnsweredStart is the latest expectedStart of a call that was answered.
 	lastAnsweredStart time.Duration
 
@@ -189,7 +188,7 @@
 // usable reports whether the server accepts calls. A server with an overdue call
 // accepts one call at a time, as a trial.
 func (m *server) usable(now time.Duration) bool {
-	return m.listed && now >= m.pausedUntil && now >= m.suspendedUntil && (m.activeCalls() == 0 || !m.hasOverdueCall())
+	return m.listed && now >= m.pausedUntil && !m.wantsNoCalls(now) && (m.activeCalls() == 0 || !m.hasOverdueCall())
 }
 
 // piecesPerSecond returns the throughput of the server with full batches.
@@ -279,26 +278,23 @@
 	m.lastCallEnd = now
 }
 
-// suspendCalls prevents calls to the server for the time that it asked for.
-func (m *server) suspendCalls(now, d time.Duration) {
-	if d > 0 {
-		m.suspendedUntil = max(m.suspendedUntil, now+d)
-	}
+// wantsNoCalls reports whether the server asked for no calls for a time that has not passed.
+// Answers to earlier calls do not change it.
+func (m *server) wantsNoCalls(now time.Duration) bool {
+	return !m.pool.pauses.Empty() && m.pool.pauses.Active(now, m.start())
 }
 
-// suspensionEnd returns the time at which the first of the pool's servers may be called
-// again, and false if one of them is not suspended or there are none.
-func (p *pool) suspensionEnd(now time.Duration) (time.Duration, bool) {
-	var end time.Duration
+// timeToFirstCall returns the time until one of the pool's servers wants calls; 0 if one does
+// or there are none.
+func (p *pool) timeToFirstCall(now time.Duration) time.Duration {
+	if p.pauses.Empty() {
+		return 0
+	}
+	starts := make([]notice.Server, len(p.servers))
 	for i, m := range p.servers {
-		if now >= m.suspendedUntil {
-			return 0, false
-		}
-		if i == 0 || m.suspendedUntil < end {
-			end = m.suspendedUntil
-		}
+		starts[i] = m.start()
 	}
-	return end, len(p.servers) > 0
+	return p.pauses.Remaining(now, starts)
 }
 
 // pauseCalls prevents calls to the server for a time that grows with each consecutive
@@ -384,7 +380,7 @@
 
 // isFreeDue reports whether the collected results are to be freed now.
 func (m *server) isFreeDue(now time.Duration) bool {
-	if len(m.handlesToFree) == 0 || now < m.suspendedUntil || m.pool.notices.Wait(now, m.start()) > 0 {
+	if len(m.handlesToFree) == 0 || m.wantsNoCalls(now) || m.pool.notices.Wait(now, m.start()) > 0 {
 		return false
 	}
 	delay, batch := freeDelay, maxFreeBatch
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -40,8 +40,9 @@
 	// meanLateness is a moving average of how much longer jobs took than expected,
 	// latenessDeviation that of the distance from this average.
 	meanLateness, latenessDeviation time.Duration
-	// notices are the limits that servers name.
+	// notices are the limits that servers name, pauses those that want no calls for a time.
 	notices *notice.Table
+	pauses  *notice.Pauses
 }
 
 // SetNotices sets the table with the limits that servers name. It must be called before
@@ -59,7 +60,7 @@
 func New() *Scheduler {
 	return &Scheduler{
 		pools: map[string]*pool{}, jobs: map[string]*job{}, calls: map[uint64]*call{}, pendingFrees: map[uint64]pendingFree{},
-		specVersion: 1, demand: fairshare.New(), notices: notice.NewTable(nil),
+		specVersion: 1, demand: fairshare.New(), notices: notice.NewTable(nil), pauses: notice.NewPauses(),
 	}
 }
 
@@ -68,7 +69,7 @@
 func (s *Scheduler) SetPool(name string, spec PoolSpec, servers []Server) {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{name: name, piecesAhead: map[string]int{}, notices: s.notices}
+		p = &pool{name: name, piecesAhead: map[string]int{}, notices: s.notices, pauses: s.pauses}
 		s.pools[name] = p
 		s.sortedPools = append(s.sortedPools, p)
 		slices.SortFunc(s.sortedPools, func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
@@ -175,7 +176,7 @@
 	}
 	delete(s.calls, id)
 	c.server.callEnded(c, now, result.Status)
-	c.server.suspendCalls(now, result.RetryAfter)
+	s.pause(now, c.server, result.RetryAfter)
 	if result.Status == Interrupted {
 		separateJobs(c)
 	}
@@ -192,6 +193,13 @@
 	s.dispatch(now)
 }
 
+// pause prevents calls to a server for the time that it asked for, if any.
+func (s *Scheduler) pause(now time.Duration, m *server, d time.Duration) {
+	if d > 0 {
+		s.pauses.Start(now, m.start(), d)
+	}
+}
+
 // FreeDone handles the end of a FreeRequest. If the server refused it and wants no
 // requests for the time retryAfter, the results are freed later. Otherwise their memory is
 // available again.
@@ -202,7 +210,7 @@
 	}
 	delete(s.pendingFrees, id)
 	if retryAfter > 0 {
-		f.server.suspendCalls(now, retryAfter)
+		s.pause(now, f.server, retryAfter)
 		f.server.requeueFree(f, now)
 	} else {
 		f.server.usedBytes = max(0, f.server.usedBytes-f.bytes)
