The newest patterns are kept when there are too many

What could happen: a caller that invents requests which crash servers, two servers each, fills the table of 64; the next request that crashes servers would not be held back. Change: the pattern that no request matched for the longest time makes room. Test: TestNewestPatternsAreKept failed before at request 64.

--- a/core/quarantine/evaluate.go
+++ b/core/quarantine/evaluate.go
@@ -55,7 +55,7 @@
 			best, most, leastCrowd = identity, count, crowd
 		}
 	}
-	if most < minRequestCrashes || len(t.patterns) >= maxPatterns {
+	if most < minRequestCrashes {
 		return false
 	}
 	t.addPattern(now, []string{best}, crashes)
@@ -90,7 +90,7 @@
 	settled := slices.DeleteFunc(slices.Clone(t.crashes), func(c *crash) bool { return len(c.suspects(now)) == 0 })
 	crashes := t.unexplained(settled, now, func(p *Pattern) bool { return !p.isRequest() })
 	common := t.mostSpecific(crashes, now)
-	if common == nil || len(t.patterns) >= maxPatterns {
+	if common == nil {
 		return false
 	}
 	t.addPattern(now, common, crashes)
--- a/core/quarantine/pattern.go
+++ b/core/quarantine/pattern.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -179,15 +180,29 @@
 
 // expire removes the patterns that no request matched for retention.
 func (t *Table) expire(now time.Duration) {
-	t.patterns = slices.DeleteFunc(t.patterns, func(p *Pattern) bool {
-		if p.Until > now {
-			return false
+	for _, p := range slices.Clone(t.patterns) {
+		if p.Until <= now {
+			t.drop(p)
 		}
-		c := p.asChange()
-		c.Released, c.Expired = true, true
-		t.changes = append(t.changes, c)
-		return true
-	})
+	}
+}
+
+// makeRoom removes the pattern that no request matched for the longest time if there are too
+// many to add another one.
+func (t *Table) makeRoom() {
+	if len(t.patterns) < maxPatterns {
+		return
+	}
+	oldest := slices.MinFunc(t.patterns, func(a, b *Pattern) int { return cmp.Compare(a.Until, b.Until) })
+	t.drop(oldest)
+}
+
+// drop removes a pattern that no request matched lately.
+func (t *Table) drop(p *Pattern) {
+	t.patterns = slices.DeleteFunc(t.patterns, func(other *Pattern) bool { return other == p })
+	c := p.asChange()
+	c.Released, c.Expired = true, true
+	t.changes = append(t.changes, c)
 }
 
 // release removes a pattern that was wrong.
@@ -200,6 +215,7 @@
 
 // addPattern holds back a pattern that explains some of the crashes.
 func (t *Table) addPattern(now time.Duration, elements []string, crashes []*crash) {
+	t.makeRoom()
 	p := &Pattern{Elements: elements, Until: now + retention}
 	t.patterns = append(t.patterns, p)
 	for _, c := range crashes {
@@ -284,9 +300,7 @@
 	if known := t.find(p.Elements); known != nil {
 		return known.update(now, p)
 	}
-	if len(t.patterns) >= maxPatterns {
-		return false
-	}
+	t.makeRoom()
 	p.toldUntil = p.Until
 	p.scheduleTrial(now)
 	t.patterns = append(t.patterns, &p)
--- a/core/quarantine/request_test.go
+++ b/core/quarantine/request_test.go
@@ -213,6 +213,21 @@
 	assert.Assert(t, len(tab.crashes) <= maxCrashes && len(tab.patterns) == 0 && len(tab.placed) == 0)
 }
 
+// TestNewestPatternsAreKept guards against a caller that fills the table with requests which
+// crash servers, so that the next one is not held back.
+func TestNewestPatternsAreKept(t *testing.T) {
+	tab := newTable()
+	for i := range maxPatterns + 5 {
+		bad := fmt.Sprint("request:", i)
+		tab.attempt(fmt.Sprint("a", i), bad, InterruptedWaiting)
+		tab.attempt(fmt.Sprint("b", i), bad, InterruptedWaiting)
+		tab.settle()
+		assert.Assert(t, tab.held(bad), "request %d", i)
+		assert.Assert(t, len(tab.patterns) <= maxPatterns)
+	}
+	assert.Assert(t, !tab.held("request:0"))
+}
+
 // TestIdentityTellsRequestsApart checks that each field of a request counts, and where one
 // ends.
 func TestIdentityTellsRequestsApart(t *testing.T) {
