A server that answers long after an end that was reported has not crashed

Seen on reading: an answer that a living server broke off counted as its crash for ten minutes in a quiet service, since only responses within a second refute it. Change: a response to an attempt of the same start from ten seconds on refutes it as well: a new start would be known by then. TestRestartedServerRefutesNothing, extended, failed without it.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -11,6 +11,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -37,8 +38,10 @@
 	// settleTime is how long after the end of a server the last of its attempts may be
 	// reported, or a response that shows that the server still runs.
 	settleTime = 300 * time.Millisecond
-	// minRestartTime is the least time that a crashed server takes to start again.
+	// minRestartTime is the least time that a crashed server takes to start again, and
+	// startKnownTime the time after a crash from which that start is known.
 	minRestartTime = time.Second
+	startKnownTime = 10 * time.Second
 	// evaluationTimePerAttempt is the least time between two searches for patterns, for each
 	// interrupted attempt that is known.
 	evaluationTimePerAttempt = 10 * time.Microsecond
@@ -120,6 +123,12 @@
 
 func (c *crash) settled(now time.Duration) bool { return now >= c.settlesAt() }
 
+// refutedBy reports whether a response to an attempt that began at the given time shows that
+// the server has not crashed. It may have started again since, and its new start not be known.
+func (c *crash) refutedBy(beganAt time.Duration) bool {
+	return beganAt > c.at && beganAt < c.at+minRestartTime || beganAt >= c.at+startKnownTime
+}
+
 // suspects returns the elements of the attempts one of which may have caused the crash.
 func (c *crash) suspects(now time.Duration) [][]string {
 	switch {
@@ -207,12 +216,10 @@
 		slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.identities[element] })
 }
 
-// ServerAnswered records that a server answered an attempt that began at the given time, so
-// it has not crashed shortly before. It reports whether that refutes evidence.
+// ServerAnswered records that the start of a server answered an attempt that began at the
+// given time, so it has not crashed before. It reports whether that refutes evidence.
 func (t *Table) ServerAnswered(server notice.Server, beganAt time.Duration) bool {
-	refuted := slices.DeleteFunc(slices.Clone(t.crashes), func(c *crash) bool {
-		return c.server != server || beganAt <= c.at || beganAt >= c.at+minRestartTime
-	})
+	refuted := slices.DeleteFunc(slices.Clone(t.crashes), func(c *crash) bool { return c.server != server || !c.refutedBy(beganAt) })
 	for _, c := range refuted {
 		t.crashes = slices.DeleteFunc(t.crashes, func(other *crash) bool { return other == c })
 		t.discountCrash(c)
@@ -222,9 +229,12 @@
 
 // interrupted records an attempt that its server interrupted.
 func (t *Table) interrupted(now time.Duration, a Attempt) bool {
-	c := t.crashOf(now, a)
 	elements := eligible(a.Elements)
-	if len(elements) == 0 || !c.add(elements, a.Ending == InterruptedAnswering) {
+	if len(elements) == 0 {
+		return false
+	}
+	c := t.crashOf(now, a)
+	if !c.add(elements, a.Ending == InterruptedAnswering) {
 		return false
 	}
 	t.countCrash(now, c, elements)
@@ -255,7 +265,7 @@
 	}
 	c := &crash{server: a.Server, at: min(now, a.EndedAt), identities: map[string]bool{}}
 	t.crashes = append(t.crashes, c)
-	slices.SortStableFunc(t.crashes, func(a, b *crash) int { return int(a.at - b.at) })
+	slices.SortStableFunc(t.crashes, func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
 	return c
 }
 
--- a/core/quarantine/request_test.go
+++ b/core/quarantine/request_test.go
@@ -132,6 +132,11 @@
 	}
 	tab.settle()
 	assert.Assert(t, tab.held("request:bad"))
+
+	// Later its new start would be known: it never crashed.
+	tab.now += startKnownTime
+	tab.attempt("s1", "request:s1", Completed)
+	assert.Equal(t, len(tab.patterns), 0)
 }
 
 // TestTrialOfRequestProves checks that a request is tried once, and not again for long if
