--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,7 +26,9 @@
 	// endedBeforeEvent counts the streams that a server ended after the head of its answer
 	// and before the first event.
 	endedBeforeEvent tally.Counter
-	retries          tally.Counter
+	// interrupted counts the attempts under which servers may have crashed.
+	interrupted tally.Counter
+	retries     tally.Counter
 	// resumedByClients counts the streams that clients take up again, resumedByEntry those
 	// that the entry tries to resume within one response.
 	resumedByClients, resumedByEntry tally.Counter
@@ -48,6 +50,7 @@
 		clientDisconnects: scope.Counter("clients_left"),
 		streamsAborted:    scope.Counter("streams_broken_off"),
 		endedBeforeEvent:  scope.Counter("streams_ended_before_event"),
+		interrupted:       scope.Counter("attempts_interrupted"),
 		retries:           scope.Counter("requests_repeated"),
 		resumedByClients:  scope.Tagged(map[string]string{"by": "client"}).Counter("streams_resumed"),
 		resumedByEntry:    scope.Tagged(map[string]string{"by": "entry"}).Counter("streams_resumed"),
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -37,6 +37,7 @@
 // reportAttempt reports how an attempt at a server ended.
 func (g *Gateway) reportAttempt(req *request, srv notice.Server, beganAt time.Duration, ending quarantine.Ending) {
 	if ending.Interrupted() {
+		g.metrics.interrupted.Inc(1)
 		req.log.Info("Server may have crashed under the request.", "server", srv.ID, "identity", req.identity, "began", ending == quarantine.InterruptedAnswering)
 	}
 	g.Links.ReportAttempts(quarantine.Attempt{Server: srv, Elements: req.elements(), BeganAt: beganAt, EndedAt: clock.Now(), Ending: ending})
