--- a/core/quarantine/evaluate.go
+++ b/core/quarantine/evaluate.go
@@ -44,15 +44,15 @@
 // settles with them. It reports whether there was one.
 func (t *Table) addIdentityPattern(now time.Duration) bool {
 	crashes := t.unexplained(t.crashes, now, nil)
-	best, leastCrowd := "", 0
+	best, fewestOthers := "", 0
 	most := minRequestCrashes - 1
 	for identity := range identitiesOf(crashes) {
 		if t.sound.has(identity) {
 			continue
 		}
-		count, crowd := crashesOf(crashes, identity)
-		if cmp.Or(cmp.Compare(count, most), cmp.Compare(leastCrowd, crowd), cmp.Compare(best, identity)) > 0 {
-			best, most, leastCrowd = identity, count, crowd
+		count, others := crashesOf(crashes, identity)
+		if cmp.Or(cmp.Compare(count, most), cmp.Compare(fewestOthers, others), cmp.Compare(best, identity)) > 0 {
+			best, most, fewestOthers = identity, count, others
 		}
 	}
 	if most < minRequestCrashes {
@@ -74,14 +74,14 @@
 // crashesOf returns the number of crashes that interrupted a request, and that of the
 // requests which they interrupted in all. The fewer these are, the more likely one of them
 // is the cause.
-func crashesOf(crashes []*crash, identity string) (count, crowd int) {
+func crashesOf(crashes []*crash, identity string) (count, others int) {
 	for _, c := range crashes {
 		if c.identities[identity] {
 			count++
-			crowd += len(c.identities)
+			others += len(c.identities)
 		}
 	}
-	return count, crowd
+	return count, others
 }
 
 // addPartPattern holds back the parts that crashes have in common which no pattern of parts
--- a/core/quarantine/pattern.go
+++ b/core/quarantine/pattern.go
@@ -187,9 +187,9 @@
 	}
 }
 
-// makeRoom removes the pattern that no request matched for the longest time if there are too
+// evictIfFull removes the pattern that no request matched for the longest time if there are too
 // many to add another one.
-func (t *Table) makeRoom() {
+func (t *Table) evictIfFull() {
 	if len(t.patterns) < maxPatterns {
 		return
 	}
@@ -215,7 +215,7 @@
 
 // addPattern holds back a pattern that explains some of the crashes.
 func (t *Table) addPattern(now time.Duration, elements []string, crashes []*crash) {
-	t.makeRoom()
+	t.evictIfFull()
 	p := &Pattern{Elements: elements, Until: now + retention}
 	t.patterns = append(t.patterns, p)
 	for _, c := range crashes {
@@ -300,7 +300,7 @@
 	if known := t.find(p.Elements); known != nil {
 		return known.update(now, p)
 	}
-	t.makeRoom()
+	t.evictIfFull()
 	p.toldUntil = p.Until
 	p.scheduleTrial(now)
 	t.patterns = append(t.patterns, &p)
@@ -323,7 +323,7 @@
 	}
 }
 
-// update takes over what another instance knows of the pattern, and reports whether that is
+// update merges what another instance knows of the pattern, and reports whether that is
 // news.
 func (p *Pattern) update(now time.Duration, other Pattern) bool {
 	worse := other.Crashes > p.Crashes || other.Proven && !p.Proven
@@ -348,7 +348,7 @@
 	switch {
 	case p.isRequest():
 		for _, c := range t.crashes {
-			c.acquit(p.Elements[0])
+			c.removeRequest(p.Elements[0])
 		}
 	case len(p.Elements) == 1:
 		// Parts are released only if a request with them completed.
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -107,8 +107,8 @@
 	return true
 }
 
-// acquit removes the attempts at a request.
-func (c *crash) acquit(identity string) {
+// removeRequest removes the attempts at a request.
+func (c *crash) removeRequest(identity string) {
 	isOfRequest := func(elements []string) bool {
 		id, ok := identityOf(elements)
 		return ok && id == identity
