A pattern that is known as sound is released once, and not passed on

Change: what is sound here is no news; a released pattern is not learned again for 2 s, as its release may overtake it. Test: TestSoundPatternIsNotPassedOn; before, the pattern was news again each time.

--- a/core/quarantine/pattern.go
+++ b/core/quarantine/pattern.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
@@ -16,6 +18,9 @@
 	partTrialDelay    = 10 * time.Second
 	requestTrialDelay = 5 * time.Second
 	maxTrialDoublings = 6
+	// releaseMemory is how long a released pattern is not learned again: what other
+	// instances tell may arrive by a slower way than its release.
+	releaseMemory = 2 * time.Second
 )
 
 // Pattern is a set of elements that requests whose servers ended had in common.
@@ -206,13 +211,30 @@
 }
 
 // release removes a pattern that was wrong.
-func (t *Table) release(p *Pattern) {
+func (t *Table) release(now time.Duration, p *Pattern) {
 	t.patterns = slices.DeleteFunc(t.patterns, func(other *Pattern) bool { return other == p })
 	c := p.asChange()
 	c.Released = true
 	t.changes = append(t.changes, c)
+	t.rememberRelease(now, p.Elements)
 }
 
+// rememberRelease records that a pattern was released.
+func (t *Table) rememberRelease(now time.Duration, elements []string) {
+	maps.DeleteFunc(t.released, func(_ string, at time.Duration) bool { return now-at >= releaseMemory })
+	if len(t.released) < maxPatterns {
+		t.released[patternKey(elements)] = now
+	}
+}
+
+// wasReleased reports whether a pattern was released a moment ago.
+func (t *Table) wasReleased(now time.Duration, elements []string) bool {
+	at, ok := t.released[patternKey(elements)]
+	return ok && now-at < releaseMemory
+}
+
+func patternKey(elements []string) string { return strings.Join(elements, ",") }
+
 // addPattern holds back a pattern that explains some of the crashes.
 func (t *Table) addPattern(now time.Duration, elements []string, crashes []*crash) {
 	t.evictIfFull()
@@ -231,14 +253,14 @@
 
 // discountCrash takes back a crash that did not happen from the patterns that it counts for,
 // and releases those that have too few left.
-func (t *Table) discountCrash(c *crash) {
+func (t *Table) discountCrash(now time.Duration, c *crash) {
 	for _, p := range slices.Clone(t.patterns) {
 		if !p.isRequest() || p.Proven || !c.identities[p.Elements[0]] {
 			continue
 		}
 		p.Crashes--
 		if p.Crashes < minRequestCrashes {
-			t.release(p)
+			t.release(now, p)
 		}
 	}
 }
@@ -277,7 +299,7 @@
 			continue
 		}
 		found = true
-		t.release(p)
+		t.release(now, p)
 		if len(rest) == 0 || t.find(rest) != nil {
 			continue
 		}
@@ -293,7 +315,7 @@
 // whether that is news.
 func (t *Table) Learn(now time.Duration, p Pattern) bool {
 	t.expire(now)
-	if p.Until <= now || len(p.Elements) == 0 || len(p.Elements) > maxParts {
+	if p.Until <= now || len(p.Elements) == 0 || len(p.Elements) > maxParts || t.wasReleased(now, p.Elements) {
 		return false
 	}
 	p.Until, p.SettlesAt = min(p.Until, now+retention), min(p.SettlesAt, now+settleTime)
@@ -305,8 +327,9 @@
 	p.scheduleTrial(now)
 	t.patterns = append(t.patterns, &p)
 	t.watchEnds(now, &p)
-	t.releaseSound(now, slices.DeleteFunc(slices.Clone(p.Elements), func(e string) bool { return !t.sound.has(e) }))
-	return true
+	// What is sound is released at all instances, and not passed on.
+	sound := slices.DeleteFunc(slices.Clone(p.Elements), func(e string) bool { return !t.sound.has(e) })
+	return !t.releaseSound(now, sound)
 }
 
 // watchEnds records the ends of servers that another instance blames on one request, so that
@@ -339,7 +362,8 @@
 
 // Forget removes a pattern that another instance released, so that it is not found again from
 // the same evidence. It reports whether the pattern was known.
-func (t *Table) Forget(elements []string) bool {
+func (t *Table) Forget(now time.Duration, elements []string) bool {
+	t.rememberRelease(now, elements)
 	p := t.find(elements)
 	if p == nil {
 		return false
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -155,6 +155,8 @@
 	sound    soundElements
 	patterns []*Pattern
 	changes  []Change
+	// released are the times at which patterns were released lately, by patternKey.
+	released map[string]time.Duration
 	// evaluationDue is set while there is evidence that was not searched for patterns;
 	// nextEvaluation is when to do so. evaluatedAt is the time of the last search.
 	evaluationDue               bool
@@ -162,7 +164,9 @@
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{placed: map[string]placed{}, sound: newSoundElements()} }
+func New() *Table {
+	return &Table{placed: map[string]placed{}, sound: newSoundElements(), released: map[string]time.Duration{}}
+}
 
 // Begin records that a request with the given elements was placed on a server.
 func (t *Table) Begin(now time.Duration, id string, server notice.Server, elements []string) {
@@ -196,7 +200,7 @@
 
 // completed records that the elements of an attempt are sound.
 func (t *Table) completed(now time.Duration, a Attempt) bool {
-	refuted := t.ServerAnswered(a.Server, a.BeganAt)
+	refuted := t.ServerAnswered(now, a.Server, a.BeganAt)
 	for _, e := range a.Elements {
 		refuted = refuted || t.isSuspect(e)
 		t.sound.add(e)
@@ -218,11 +222,11 @@
 
 // ServerAnswered records that the start of a server answered an attempt that began at the
 // given time, so it has not crashed before. It reports whether that refutes evidence.
-func (t *Table) ServerAnswered(server notice.Server, beganAt time.Duration) bool {
+func (t *Table) ServerAnswered(now time.Duration, server notice.Server, beganAt time.Duration) bool {
 	refuted := slices.DeleteFunc(slices.Clone(t.crashes), func(c *crash) bool { return c.server != server || !c.refutedBy(beganAt) })
 	for _, c := range refuted {
 		t.crashes = slices.DeleteFunc(t.crashes, func(other *crash) bool { return other == c })
-		t.discountCrash(c)
+		t.discountCrash(now, c)
 	}
 	return len(refuted) > 0
 }
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -216,12 +216,12 @@
 	tab := newTable()
 	tab.Learn(0, found)
 	assert.Assert(t, tab.held("x bad"))
-	tab.Forget(found.Elements)
+	tab.Forget(tab.now, found.Elements)
 	assert.Assert(t, !tab.held("bad"))
 
 	// What was released is not found again from the same evidence.
 	finder := crashed()
-	finder.Forget(found.Elements)
+	finder.Forget(finder.now, found.Elements)
 	finder.attempt("s8", "bad", InterruptedAnswering)
 	assert.Assert(t, !finder.held("bad"))
 
--- a/core/quarantine/request_test.go
+++ b/core/quarantine/request_test.go
@@ -112,7 +112,7 @@
 	tab.attempt("s2", "request:x", InterruptedWaiting)
 	tab.settle()
 	assert.Assert(t, tab.held("request:x"))
-	assert.Assert(t, tab.Forget([]string{"request:x"}))
+	assert.Assert(t, tab.Forget(tab.now, []string{"request:x"}))
 	tab.attempt("s3", "request:x", InterruptedWaiting)
 	tab.settle()
 	assert.Assert(t, !tab.held("request:x"))
@@ -120,6 +120,29 @@
 	assert.Assert(t, tab.held("request:x"), "new evidence counts")
 }
 
+// TestSoundPatternIsNotPassedOn guards against instances that tell each other the same pattern
+// without end: those that know it as sound release it, and each pass it on as news.
+func TestSoundPatternIsNotPassedOn(t *testing.T) {
+	finder := newTable()
+	finder.attempt("s1", "request:popular", InterruptedWaiting)
+	finder.attempt("s2", "request:popular", InterruptedWaiting)
+	found := finder.TakeChanges()[0].Pattern
+
+	knowing, other := newTable(), newTable()
+	knowing.now, other.now = finder.now, finder.now
+	knowing.attempt("s9", "request:popular", Completed)
+	assert.Assert(t, !knowing.Learn(knowing.now, found), "it must not be passed on")
+	assert.Assert(t, knowing.TakeChanges()[0].Released)
+	assert.Assert(t, !knowing.Learn(knowing.now, found))
+	assert.Equal(t, len(knowing.TakeChanges()), 0, "it is released once")
+
+	// The release may overtake the pattern.
+	assert.Assert(t, !other.Forget(other.now, found.Elements))
+	assert.Assert(t, !other.Learn(other.now, found) && !other.held("request:popular"))
+	other.now += releaseMemory
+	assert.Assert(t, other.Learn(other.now, found) && other.held("request:popular"))
+}
+
 // TestRestartedServerRefutesNothing guards against evidence that is lost because a server
 // which crashed has started again under its ID, and serves other requests before its new start
 // is known.
--- a/internal/planner/quarantine.go
+++ b/internal/planner/quarantine.go
@@ -33,7 +33,7 @@
 func (p *Planner) ForgetPattern(elements []string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.quarantine.Forget(elements)
+	return p.quarantine.Forget(clock.Now(), elements)
 }
 
 // Patterns returns the patterns of requests that are held back.
@@ -173,7 +173,7 @@
 	server := notice.Server{ID: c.Server.ID, StartTime: c.Server.StartTime}
 	p.mu.Lock()
 	if status == staging.Answered {
-		p.quarantine.ServerAnswered(server, beganAt)
+		p.quarantine.ServerAnswered(clock.Now(), server, beganAt)
 	}
 	var attempts []quarantine.Attempt
 	for _, id := range requestIDs(c) {
