Endings are sent by their number; one removal of a pattern

Seen on reading the change again: a map of endings that was searched backwards for each attempt of another entry, though both sides have the same numbers, as phases of progress do; drop and release of a pattern were the same but for a flag. No behaviour changes; the tests of core/quarantine, internal/peer and of crashing requests pass.

--- a/core/quarantine/pattern.go
+++ b/core/quarantine/pattern.go
@@ -203,20 +203,20 @@
 }
 
 // drop removes a pattern that no request matched lately.
-func (t *Table) drop(p *Pattern) {
-	t.patterns = slices.DeleteFunc(t.patterns, func(other *Pattern) bool { return other == p })
-	c := p.asChange()
-	c.Released, c.Expired = true, true
-	t.changes = append(t.changes, c)
-}
+func (t *Table) drop(p *Pattern) { t.remove(p, true) }
 
 // release removes a pattern that was wrong.
 func (t *Table) release(now time.Duration, p *Pattern) {
+	t.remove(p, false)
+	t.rememberRelease(now, p.Elements)
+}
+
+// remove removes a pattern and records the change.
+func (t *Table) remove(p *Pattern, expired bool) {
 	t.patterns = slices.DeleteFunc(t.patterns, func(other *Pattern) bool { return other == p })
 	c := p.asChange()
-	c.Released = true
+	c.Released, c.Expired = true, expired
 	t.changes = append(t.changes, c)
-	t.rememberRelease(now, p.Elements)
 }
 
 // rememberRelease records that a pattern was released.
--- a/internal/peer/evidence.go
+++ b/internal/peer/evidence.go
@@ -12,11 +12,6 @@
 // maxAttemptsPerMessage bounds the attempts in one message.
 const maxAttemptsPerMessage = 256
 
-var endings = map[quarantine.Ending]peerpb.Ending{
-	quarantine.Completed: peerpb.Ending_ENDING_COMPLETED, quarantine.InterruptedWaiting: peerpb.Ending_ENDING_INTERRUPTED_WAITING,
-	quarantine.InterruptedAnswering: peerpb.Ending_ENDING_INTERRUPTED_ANSWERING,
-}
-
 // sendEvidence tells the other entry how attempts ended.
 func (p *Peer) sendEvidence(attempts []quarantine.Attempt) {
 	now := clock.Now()
@@ -24,7 +19,7 @@
 		wire := &peerpb.Evidence{}
 		for _, a := range part {
 			wire.Attempts = append(wire.Attempts, &peerpb.Attempt{
-				Server: a.Server.ID, StartTime: a.Server.StartTime, Elements: a.Elements, Ending: endings[a.Ending],
+				Server: a.Server.ID, StartTime: a.Server.StartTime, Elements: a.Elements, Ending: peerpb.Ending(a.Ending),
 				BeganAgoMs: (now - a.BeganAt).Milliseconds(), EndedAgoMs: (now - a.EndedAt).Milliseconds(),
 			})
 		}
@@ -37,16 +32,10 @@
 	now := clock.Now()
 	var attempts []quarantine.Attempt
 	for _, w := range m.GetAttempts() {
-		a := quarantine.Attempt{
-			Server: notice.Server{ID: w.GetServer(), StartTime: w.GetStartTime()}, Elements: w.GetElements(),
+		attempts = append(attempts, quarantine.Attempt{
+			Server: notice.Server{ID: w.GetServer(), StartTime: w.GetStartTime()}, Elements: w.GetElements(), Ending: quarantine.Ending(w.GetEnding()),
 			BeganAt: now - milliseconds(w.GetBeganAgoMs()), EndedAt: now - milliseconds(w.GetEndedAgoMs()),
-		}
-		for ending, wireEnding := range endings {
-			if wireEnding == w.GetEnding() {
-				a.Ending = ending
-			}
-		}
-		attempts = append(attempts, a)
+		})
 	}
 	p.links.reportAttempts(attempts, p)
 }
