What a request has in common with others is worked out once

Seen on reading the change again: each check and each report of an attempt built the parts of the prompt and the elements anew, once more for the identity and once for the placement; they are set when the request is accepted now. The same test of an interrupted connection stood twice in plain attempts. No behaviour changes; the tests of internal/gateway and of crashing requests pass.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -5,7 +5,6 @@
 	"slices"
 	"sync"
 
-	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer"
@@ -124,7 +123,7 @@
 	now := clock.Now()
 	pr := planner.Request{
 		ID: req.ID, Identity: req.identity, PieceKey: req.PieceKey, Priority: req.priority, TimeToObjective: req.objectiveDeadline - now, TimeToDeadline: req.deadline - now,
-		Pool: req.service, Zone: g.Settings.Zone, MaxTokens: req.MaxTokens, Avoid: avoid, Customer: req.customer, Owner: g.Owner,
+		Pool: req.service, Zone: g.Settings.Zone, MaxTokens: req.MaxTokens, Avoid: avoid, Customer: req.customer, Owner: g.Owner, PromptParts: req.promptParts,
 	}
 	if req.route.Resumable {
 		pr.ResumableFor = req.resumableUntil - now
@@ -132,7 +131,6 @@
 	if req.LastEventID != "" {
 		pr.Resume = &planner.Resume{Stream: req.streamID(), Version: g.Planner.StreamVersion(req.streamID())}
 	}
-	pr.PromptParts = req.promptParts()
 	for i, st := range req.route.Stages {
 		pieces := 0
 		if i < len(req.PieceCounts) {
@@ -142,11 +140,3 @@
 	}
 	return pr
 }
-
-func (r *request) promptParts() []placement.PromptPart {
-	var parts []placement.PromptPart
-	for _, p := range r.PromptParts {
-		parts = append(parts, placement.PromptPart{ID: p.ID, Tokens: p.Tokens})
-	}
-	return parts
-}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -228,8 +228,8 @@
 	resp, err := g.Upstream.Do(ctx, g.encodeRequest(req, srv, nil, -1))
 	if err != nil {
 		o := outcome{notRun: errors.Is(err, upstream.ErrNotSent), cause: err.Error()}
-		if !o.notRun && ctx.Err() == nil && connectionEnded(err) {
-			o.ending = quarantine.InterruptedWaiting
+		if !o.notRun {
+			o.ending = interruption(ctx, err, quarantine.InterruptedWaiting)
 		}
 		return o
 	}
@@ -250,15 +250,19 @@
 	}
 	a, err := g.readResponse(req, resp)
 	if err != nil {
-		o := outcome{framing: framing.String(), cause: "incomplete response: " + err.Error()}
-		if ctx.Err() == nil && connectionEnded(err) {
-			o.ending = quarantine.InterruptedAnswering
-		}
-		return o
+		return outcome{framing: framing.String(), cause: "incomplete response: " + err.Error(), ending: interruption(ctx, err, quarantine.InterruptedAnswering)}
 	}
 	return outcome{framing: framing.String(), response: a, ending: quarantine.Completed}
 }
 
+// interruption returns the given ending if the server ended the connection of an attempt.
+func interruption(ctx context.Context, err error, ending quarantine.Ending) quarantine.Ending {
+	if ctx.Err() == nil && connectionEnded(err) {
+		return ending
+	}
+	return quarantine.Other
+}
+
 // blockingCause repeats, before each attempt, the checks whose result may have changed
 // since the request was accepted. It returns why the request must not be sent, or "".
 func (g *Gateway) blockingCause(req *request, srv placement.Server) string {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/magnoliawheel/magnoliawheel/core/jitter"
+	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
@@ -39,10 +40,13 @@
 	target         string
 	host           string
 	body           []byte
-	// identity is the same for all requests of clients that repeat this one; see
-	// quarantine.Request.
-	identity string
-	attempts int
+	// promptParts are those of PromptParts. identity is the same for all requests of clients
+	// that repeat this one, and elements are what it may have in common with others that
+	// crash servers; see package quarantine.
+	promptParts []placement.PromptPart
+	identity    string
+	elements    []string
+	attempts    int
 	// onEnd are called when the request has ended.
 	onEnd []func()
 	log   logr.Logger
@@ -85,7 +89,7 @@
 	if r := g.readBody(w, hr, req); r != nil {
 		return req, r
 	}
-	req.identity = req.quarantineIdentity()
+	req.setElements()
 	return req, nil
 }
 
