One list of the entries with a session; releases refuse nothing

Seen on reading the change again: the statuses of a yielding entry went over all sessions by a loop of their own, beside the one that tells patterns; and each release of a pattern had all pending requests checked, which only a new pattern can hold back. No behaviour changes; the tests of internal/peer, internal/planner and of crashing requests pass.

--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -201,16 +202,22 @@
 
 // sendStatuses sends the status of this entry in all sessions at once.
 func (l *Links) sendStatuses() {
+	for _, p := range l.peers() {
+		p.session.sendStatus()
+	}
+}
+
+// peers returns the entries that this one has a session with.
+func (l *Links) peers() []*Peer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	all := slices.Collect(maps.Keys(l.inboundPeers))
 	for _, k := range l.links {
 		if p := k.currentPeer(); p != nil {
-			p.session.sendStatus()
+			all = append(all, p)
 		}
 	}
-	for p := range l.inboundPeers {
-		p.session.sendStatus()
-	}
+	return all
 }
 
 // WaitSettled waits until it is known which entry places the requests of this one, or
--- a/internal/peer/patterns.go
+++ b/internal/peer/patterns.go
@@ -85,19 +85,3 @@
 		}
 	}
 }
-
-// peers returns the entries that this one has a session with.
-func (l *Links) peers() []*Peer {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var all []*Peer
-	for p := range l.inboundPeers {
-		all = append(all, p)
-	}
-	for _, k := range l.links {
-		if p := k.currentPeer(); p != nil {
-			all = append(all, p)
-		}
-	}
-	return all
-}
--- a/internal/planner/quarantine.go
+++ b/internal/planner/quarantine.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
@@ -84,7 +85,7 @@
 // next evaluation of the evidence. It returns the changed patterns. The caller holds the lock.
 func (p *Planner) applyQuarantine(now time.Duration) []quarantine.Change {
 	changes := p.quarantine.TakeChanges()
-	if len(changes) > 0 {
+	if slices.ContainsFunc(changes, func(c quarantine.Change) bool { return !c.Released }) {
 		p.refuseHeld(now)
 	}
 	if at, due := p.quarantine.NextEvaluation(); due {
