--- a/core/backends/backends.go
+++ b/core/backends/backends.go
@@ -29,6 +29,13 @@
 	// of one start.
 	StartTime, Sequence int64
 	Leaving             bool
+	Zone                string
+	// ReadAt is when the record was read. ColdFor is how long the server was still cold when
+	// it wrote the record.
+	ReadAt, ColdFor time.Duration
+	// RunningFor is how long the server was running when the record was read, as far as the
+	// reader knows; 0 for a server that has just started.
+	RunningFor time.Duration
 }
 
 // serverState is the last known state of a server.
@@ -41,11 +48,19 @@
 	missingSince           time.Duration
 	// expiredInOutage is true if the record disappeared around an outage of the store.
 	expiredInOutage bool
+	zone            string
+	// startedAt is the estimated time of the server's start. coldUntil is the end of the
+	// latest cold period that its records announced.
+	startedAt, coldUntil time.Duration
 }
 
 // Set is a set of servers. It is not safe for concurrent use.
 type Set struct {
 	servers map[string]*serverState
+	// evacuated are the zones whose servers get no new work. evacuationEnded is when the
+	// latest evacuation of a zone ended.
+	evacuated       map[string]bool
+	evacuationEnded map[string]time.Duration
 	// lastReadFailure is the time of the latest failed read of the store, valid if
 	// readFailed.
 	lastReadFailure time.Duration
@@ -53,7 +68,9 @@
 }
 
 // New returns an empty set.
-func New() *Set { return &Set{servers: map[string]*serverState{}} }
+func New() *Set {
+	return &Set{servers: map[string]*serverState{}, evacuated: map[string]bool{}, evacuationEnded: map[string]time.Duration{}}
+}
 
 // isNewer reports whether a record is newer than the known state of its server.
 func (st *serverState) isNewer(r Record) bool {
@@ -91,9 +108,15 @@
 func (s *Set) RecordSeen(r Record) bool {
 	st := s.servers[r.ID]
 	if st == nil || st.startTime != r.StartTime {
-		s.servers[r.ID] = &serverState{startTime: r.StartTime, sequence: r.Sequence, leaving: r.Leaving}
+		s.servers[r.ID] = &serverState{
+			startTime: r.StartTime, sequence: r.Sequence, leaving: r.Leaving, zone: r.Zone,
+			startedAt: r.ReadAt - r.RunningFor, coldUntil: r.ReadAt + r.ColdFor,
+		}
 		return true
 	}
+	if r.ColdFor > 0 {
+		st.coldUntil = max(st.coldUntil, r.ReadAt+r.ColdFor)
+	}
 	changed := r.Leaving && !st.leaving || st.recordMissing
 	st.leaving = st.leaving || r.Leaving
 	st.sequence = max(st.sequence, r.Sequence)
@@ -113,10 +136,36 @@
 	return true
 }
 
-// Usable reports whether a server accepts new work.
+// Usable reports whether a server accepts new work and its zone is not evacuated.
 func (s *Set) Usable(id string) bool {
 	st := s.servers[id]
-	return st != nil && !st.leaving && !st.removed && (!st.recordMissing || st.expiredInOutage)
+	return st != nil && !st.leaving && !st.removed && (!st.recordMissing || st.expiredInOutage) && !s.evacuated[st.zone]
+}
+
+// SetEvacuated begins or ends the evacuation of a zone.
+func (s *Set) SetEvacuated(now time.Duration, zone string, evacuated bool) {
+	if s.evacuated[zone] && !evacuated {
+		s.evacuationEnded[zone] = now
+	}
+	s.evacuated[zone] = evacuated
+}
+
+// Evacuated reports whether a zone is evacuated.
+func (s *Set) Evacuated(zone string) bool { return s.evacuated[zone] }
+
+// ColdUntil returns the time until which a server is presumed to be cold: as long as its
+// records say, and for coldStart after its start and after the end of an evacuation of its
+// zone. Its record may announce the cold period only some time later.
+func (s *Set) ColdUntil(id string, coldStart time.Duration) time.Duration {
+	st := s.servers[id]
+	if st == nil {
+		return 0
+	}
+	until := max(st.coldUntil, st.startedAt+coldStart)
+	if endedAt, ok := s.evacuationEnded[st.zone]; ok {
+		until = max(until, endedAt+coldStart)
+	}
+	return until
 }
 
 // RemoveExpired marks servers without a record as removed, discards the state of those
--- a/core/backends/backends_test.go
+++ b/core/backends/backends_test.go
@@ -156,3 +156,41 @@
 	s.RecordSeen(Record{ID: "a", StartTime: 2})
 	assert.Assert(t, s.Usable("a"))
 }
+
+// TestEvacuatedZoneGetsNoWork guards against new work for servers of a zone that the operator
+// has evacuated, also for those that appear there meanwhile.
+func TestEvacuatedZoneGetsNoWork(t *testing.T) {
+	s := New()
+	s.RecordSeen(Record{ID: "a", Zone: "x"})
+	s.RecordSeen(Record{ID: "b", Zone: "y"})
+	s.SetEvacuated(time.Second, "x", true)
+	s.RecordSeen(Record{ID: "new", Zone: "x"})
+	assert.Assert(t, !s.Usable("a") && !s.Usable("new") && s.Usable("b"))
+	assert.Assert(t, s.Evacuated("x") && !s.Evacuated("y"))
+	s.SetEvacuated(2*time.Second, "x", false)
+	assert.Assert(t, s.Usable("a") && s.Usable("new"))
+}
+
+// TestServerIsPresumedCold guards against a server that is overloaded while it is cold,
+// because its record announces that too late or not at all.
+func TestServerIsPresumedCold(t *testing.T) {
+	const coldStart = 3 * time.Second
+	s := New()
+	s.RecordSeen(Record{ID: "old", Zone: "x", ReadAt: 10 * time.Second, RunningFor: time.Minute})
+	s.RecordSeen(Record{ID: "new", Zone: "y", ReadAt: 10 * time.Second})
+	assert.Assert(t, s.ColdUntil("old", coldStart) <= 10*time.Second)
+	assert.Equal(t, s.ColdUntil("new", coldStart), 13*time.Second)
+	assert.Equal(t, s.ColdUntil("unknown", coldStart), time.Duration(0))
+
+	s.RecordSeen(Record{ID: "old", Zone: "x", ReadAt: 20 * time.Second, ColdFor: 4 * time.Second})
+	s.RecordSeen(Record{ID: "old", Zone: "x", ReadAt: 21 * time.Second, ColdFor: time.Second})
+	assert.Equal(t, s.ColdUntil("old", coldStart), 24*time.Second, "a later record does not shorten the period")
+
+	s.SetEvacuated(30*time.Second, "x", true)
+	s.SetEvacuated(35*time.Second, "x", false)
+	assert.Equal(t, s.ColdUntil("old", coldStart), 38*time.Second)
+	s.SetEvacuated(40*time.Second, "x", false)
+	assert.Equal(t, s.ColdUntil("old", coldStart), 38*time.Second, "the evacuation had ended before")
+	s.RecordSeen(Record{ID: "old", Zone: "x", StartTime: 2, ReadAt: 50 * time.Second})
+	assert.Equal(t, s.ColdUntil("old", coldStart), 53*time.Second, "another start")
+}
--- a/core/notice/limit.go
+++ b/core/notice/limit.go
@@ -25,9 +25,12 @@
 }
 
 // refill adds the tokens of the time since the last call.
-func (r *rate) refill(now time.Duration) {
+func (r *rate) refill(now time.Duration) { r.refillUpTo(now, max(1, burstTime*r.perSecond)) }
+
+// refillUpTo adds the tokens of the time since the last call, up to the given number.
+func (r *rate) refillUpTo(now time.Duration, most float64) {
 	if now > r.updatedAt {
-		r.tokens = min(r.tokens+r.perSecond*(now-r.updatedAt).Seconds(), max(1, burstTime*r.perSecond))
+		r.tokens = min(r.tokens+r.perSecond*(now-r.updatedAt).Seconds(), most)
 		r.updatedAt = now
 	}
 }
@@ -79,13 +82,13 @@
 	return st.rate
 }
 
-// Wait returns the time until a server may get a request within its limit.
+// Wait returns the time until a server may get a request within its limits.
 func (t *Table) Wait(now time.Duration, s Server) time.Duration {
-	r := t.rate(now, s)
-	if r == nil {
-		return 0
+	wait := t.coldWait(now, s)
+	if r := t.rate(now, s); r != nil {
+		wait = max(wait, r.wait(now))
 	}
-	return r.wait(now)
+	return wait
 }
 
 // RecordCall records a request to a server.
@@ -93,16 +96,24 @@
 	if r := t.rate(now, s); r != nil {
 		r.tokens--
 	}
+	if r := t.coldRate(now, s); r != nil {
+		r.tokens--
+	}
 }
 
 // Rate returns the requests per second that a server may get from this instance, and false
-// if it names no limit.
+// if it names no limit and is not cold.
 func (t *Table) Rate(now time.Duration, s Server) (float64, bool) {
-	r := t.rate(now, s)
-	if r == nil {
+	named, cold := t.rate(now, s), t.coldRate(now, s)
+	switch {
+	case named == nil && cold == nil:
 		return 0, false
+	case named == nil:
+		return cold.perSecond, true
+	case cold == nil:
+		return named.perSecond, true
 	}
-	return r.perSecond, true
+	return min(named.perSecond, cold.perSecond), true
 }
 
 // EntryShare divides limits among entries that call servers without a word to each other.
@@ -118,10 +129,21 @@
 
 // Of returns the part of a server's limit that the entry may use.
 func (e EntryShare) Of(s Server, limit float64) float64 {
+	return e.amongCallers(s, unspentRequests+int(min(limit, float64(e.Entries))))
+}
+
+// OfCold returns the part of the limit of a cold server that the entry may use, if at most
+// holders entries may call the server. It is a ColdShare for servers that each entry calls on
+// its own.
+func (e EntryShare) OfCold(s Server, holders int) float64 { return e.amongCallers(s, holders) }
+
+// amongCallers returns the part of an entry if a server is called by at most the given number
+// of entries.
+func (e EntryShare) amongCallers(s Server, most int) float64 {
 	if e.Entries <= 0 {
 		return 0
 	}
-	callers := min(e.Entries, unspentRequests+int(min(limit, float64(e.Entries))))
+	callers := min(e.Entries, most)
 	first := int(hash(s) % uint64(e.Entries))
 	if (e.Rank-first+e.Entries)%e.Entries >= callers {
 		return 0
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -1,6 +1,6 @@
 // Package notice holds what backend servers say about themselves in their responses, and
 // keeps to it: that they leave, how many requests a second they take, and for how long an
-// instance must not call them.
+// instance must not call them. It also limits the requests to servers that are cold.
 //
 // A server says so to the instance that sent it a request. That it leaves, and its limit,
 // concern all instances, so each passes them on: to the one that places requests, which
@@ -80,6 +80,9 @@
 type Table struct {
 	share   Share
 	servers map[Server]*state
+	// cold are the servers that are presumed to be cold; coldShare is nil until it is set.
+	cold      map[Server]*coldServer
+	coldShare ColdShare
 }
 
 // NewTable returns an empty table. share is the instance's part of the servers' limits; nil
@@ -88,7 +91,7 @@
 	if share == nil {
 		share = func(Server, float64) float64 { return 1 }
 	}
-	return &Table{share: share, servers: map[Server]*state{}}
+	return &Table{share: share, servers: map[Server]*state{}, cold: map[Server]*coldServer{}}
 }
 
 // Observe handles the response to a request that was sent at sentAt, and reports whether
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 )
 
 // Server is a model server.
@@ -47,6 +48,8 @@
 	MaxTokens int
 	// Avoid lists the IDs of servers that must not be chosen.
 	Avoid []string
+	// Residency permits the regions of which servers may be chosen.
+	Residency residency.Policy
 	// SoftwareVersion, if set, is the only version of which servers may be chosen.
 	SoftwareVersion *string
 	// InputBytesByZone are the sizes of the results that the server will read, by
@@ -112,6 +115,8 @@
 	PromptTokens, UncachedTokens, QueuedTokens int
 	// Running is the number of other requests on the server.
 	Running int
+	// Cold is true if the request uses up the limit of a cold server.
+	Cold bool
 }
 
 // Choose returns the best server for a request and records the request there. It
@@ -122,7 +127,7 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	chosen := Choice{Server: best.def, PromptTokens: c.promptTokens, UncachedTokens: best.uncachedTokens(c), QueuedTokens: best.pendingPrefillTokens, Running: best.running}
+	chosen := Choice{Server: best.def, PromptTokens: c.promptTokens, UncachedTokens: best.uncachedTokens(c), QueuedTokens: best.pendingPrefillTokens, Running: best.running, Cold: t.notices.IsCold(now, best.def.Start())}
 	t.Finish(now, r.ID, Cancelled)
 	p := &placedRequest{server: best, placedAt: now, pendingPrefillTokens: chosen.UncachedTokens, reservedTokens: c.promptTokens + r.MaxTokens}
 	t.requests[r.ID] = p
@@ -134,16 +139,23 @@
 }
 
 // accepts reports whether the server may be chosen for the request.
-func (r *Request) accepts(s *Server) bool {
-	if r.SoftwareVersion != nil && s.SoftwareVersion != *r.SoftwareVersion {
+func (r *Request) accepts(s *server) bool {
+	if r.SoftwareVersion != nil && s.def.SoftwareVersion != *r.SoftwareVersion {
 		return false
 	}
-	return !slices.Contains(r.Avoid, s.ID)
+	return r.Residency.Allows(s.region) && !slices.Contains(r.Avoid, s.def.ID)
 }
 
 // HasServer reports whether there is a server that may be chosen for the request.
 func (t *Table) HasServer(r Request) bool {
-	return slices.ContainsFunc(t.serversByPool[r.Pool], func(s *server) bool { return r.accepts(&s.def) })
+	return slices.ContainsFunc(t.serversByPool[r.Pool], r.accepts)
+}
+
+// OutsideResidency reports whether the pool has servers, but none in the regions that the
+// request permits.
+func (t *Table) OutsideResidency(r Request) bool {
+	servers := t.serversByPool[r.Pool]
+	return len(servers) > 0 && !slices.ContainsFunc(servers, func(s *server) bool { return r.Residency.Allows(s.region) })
 }
 
 // LimitWait returns the time until one of the servers that may be chosen for the request
@@ -151,7 +163,7 @@
 func (t *Table) LimitWait(now time.Duration, r Request) time.Duration {
 	shortest := time.Duration(-1)
 	for _, s := range t.serversByPool[r.Pool] {
-		if !r.accepts(&s.def) {
+		if !r.accepts(s) {
 			continue
 		}
 		if wait := t.notices.Wait(now, s.def.Start()); shortest < 0 || wait < shortest {
@@ -196,7 +208,7 @@
 	affinity := t.affinityServer(c)
 	region := t.regionByZone[c.Zone]
 	for _, s := range t.serversByPool[c.Pool] {
-		if !c.accepts(&s.def) || t.notices.Wait(now, s.def.Start()) > 0 {
+		if !c.accepts(s) || t.notices.Wait(now, s.def.Start()) > 0 {
 			continue
 		}
 		cost := s.cost(now, c, s == affinity) + s.networkCost(c.Zone, region)
@@ -219,6 +231,9 @@
 	var preferred *server
 	var highestWeight uint64
 	for _, s := range t.serversByPool[c.Pool] {
+		if !c.Residency.Allows(s.region) {
+			continue
+		}
 		if s.cache.has(shared.key) {
 			return nil
 		}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 )
 
 const ms = time.Millisecond
@@ -24,7 +25,7 @@
 }
 
 func request(id string, parts ...PromptPart) Request {
-	return Request{ID: id, Pool: "p", Zone: "x", Parts: parts, MaxTokens: 100}
+	return Request{ID: id, Pool: "p", Zone: "x", Parts: parts, MaxTokens: 100, Residency: residency.Unrestricted()}
 }
 
 func choose(t *testing.T, tab *Table, now time.Duration, r Request) string {
@@ -195,12 +196,12 @@
 		for zone, n := range tt.busy {
 			tab.SetServers("p", []Server{{ID: zone, Zone: zone, Slots: 64, CacheTokens: 100000}})
 			for i := range n {
-				tab.Choose(0, Request{ID: fmt.Sprint(i), Pool: "p", Zone: "a1"})
+				tab.Choose(0, Request{ID: fmt.Sprint(i), Pool: "p", Zone: "a1", Residency: residency.Unrestricted()})
 				tab.RequestStarted(0, fmt.Sprint(i))
 			}
 		}
 		tab.SetServers("p", defs)
-		got, ok := tab.Choose(0, Request{ID: "r", Pool: "p", Zone: "a1"})
+		got, ok := tab.Choose(0, Request{ID: "r", Pool: "p", Zone: "a1", Residency: residency.Unrestricted()})
 		assert.Assert(t, ok)
 		assert.Equal(t, got.Zone, tt.want, tt.name)
 	}
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -96,6 +96,8 @@
 	// PromptHeldBack is the code of a request that crashes servers, or whose prompt has parts
 	// that do.
 	PromptHeldBack Code = 2020
+	// OutsideResidency is the code of a request that no server in its allowed regions can run.
+	OutsideResidency Code = 2021
 
 	DeadlineExceeded Code = 3001
 	ServerFailed     Code = 3002
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -41,6 +41,7 @@
 	{ConfigMayBeOld, "config_may_be_old", 503, "no", "The route or key is unknown, but the configuration may be outdated.", "Retry after the time in Retry-After."},
 	{StreamNotResumable, "stream_not_resumable", 503, "no", "No usable server runs the software version that began the stream, or no entry knows that version.", "Resume after the time in Retry-After, or start the stream anew."},
 	{PromptHeldBack, "prompt_held_back", 503, "no", "Servers crashed under this request, or when they began to answer prompts with the same parts, so it is sent to no more of them.", "Change the request, or come back after the time in Retry-After."},
+	{OutsideResidency, "outside_residency", 503, "no", "No server that the request needs is in a region that both the route and the customer allow.", "Retry after the time in Retry-After, or correct the allowed regions."},
 	{DeadlineExceeded, "deadline_exceeded", 504, "varies", "The deadline passed before the answer was complete.", "Repeat only if effects is no."},
 	{ServerFailed, "server_failed", 502, "varies", "The backend server failed the call.", "Repeat only if effects is no."},
 	{AgentLost, "agent_lost", 502, "unknown", "The agent that accepted the work is gone.", "Do not repeat work that is not idempotent."},
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -6,6 +6,9 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 )
 
 // RouteKind determines whether requests of a route may be repeated.
@@ -54,6 +57,8 @@
 	// Public routes need no customer key.
 	Public    bool
 	Resumable bool
+	// Residency permits the regions that may hold the route's requests.
+	Residency residency.Policy
 }
 
 // Idempotent reports whether a request of the route may run more than once.
@@ -61,6 +66,15 @@
 	return r.Kind == Safe || r.Kind == Stream && r.Resumable
 }
 
+// ResidencyFor returns the regions that may hold a request of a customer on a route, which is
+// both the route's and the customer's restriction. customer is nil for a request without a key.
+func (r *Route) ResidencyFor(customer *Customer) residency.Policy {
+	if customer == nil {
+		return r.Residency
+	}
+	return r.Residency.And(customer.Residency)
+}
+
 // PickService returns the name of a service chosen by weight; point is in [0, 1).
 func (r *Route) PickService(point float64) string {
 	total := 0
@@ -112,6 +126,8 @@
 	// MaxConns is the number of connections that one server accepts from all callers
 	// together.
 	MaxConns int
+	// Cold bounds the requests that the service's servers get while they are cold.
+	Cold notice.ColdLimit
 	// Batch is set for services of stages, Model for model servers.
 	Batch *BatchServers
 	Model *ModelServers
@@ -122,6 +138,8 @@
 	Name string
 	// Priority overrides the route's priority if it is set.
 	Priority *int
+	// Residency permits the regions that may hold the customer's requests.
+	Residency residency.Policy
 }
 
 // Limits bound what a client may send.
--- a/core/staging/admit.go
+++ b/core/staging/admit.go
@@ -108,7 +108,8 @@
 			busyTime += m.availableAt(now) - now
 		}
 	}
-	return busyTime/time.Duration(max(usable, 1)) + time.Duration(float64(pieces)/rate*float64(time.Second))
+	backlog := busyTime/time.Duration(max(usable, 1)) + time.Duration(float64(pieces)/rate*float64(time.Second))
+	return max(backlog, p.regionalBacklog(j, now))
 }
 
 // admissible reports whether a job with the expected duration is worth accepting. It
--- a/core/staging/bench_test.go
+++ b/core/staging/bench_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 )
 
 // BenchmarkQueuePieceWith60Servers measures queueing a piece and selecting a server for
@@ -17,13 +19,13 @@
 	s.SetPool("a", PoolSpec{Slots: 1, BatchSize: 10, CallOverhead: 100 * time.Millisecond, TimePerPiece: 10 * time.Millisecond, MemoryBytes: 1 << 40}, servers)
 	now := time.Duration(0)
 	for i := range 30 {
-		s.Submit(now, Job{ID: fmt.Sprint("busy", i), Stages: []Stage{{Pool: "a", Pieces: 10}}, ObjectiveDeadline: time.Hour, Deadline: time.Hour})
+		s.Submit(now, Job{ID: fmt.Sprint("busy", i), Stages: []Stage{{Pool: "a", Pieces: 10}}, ObjectiveDeadline: time.Hour, Deadline: time.Hour, Residency: residency.Unrestricted()})
 	}
 	s.TakeActions()
 	pieces := 0
 	b.ReportAllocs()
 	for b.Loop() {
-		s.Submit(now, Job{ID: "j", Key: "k", Stages: []Stage{{Pool: "a", Pieces: 10}}, ObjectiveDeadline: now + time.Hour, Deadline: now + time.Hour})
+		s.Submit(now, Job{ID: "j", Key: "k", Stages: []Stage{{Pool: "a", Pieces: 10}}, ObjectiveDeadline: now + time.Hour, Deadline: now + time.Hour, Residency: residency.Unrestricted()})
 		acts := s.TakeActions()
 		for _, c := range acts.Calls {
 			s.CallDone(now, c.ID, CallResult{Status: Answered, Results: make([]Result, len(c.Items))})
--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -73,8 +73,8 @@
 	if len(ready) == 0 {
 		return false
 	}
-	for _, m := range p.candidates(now, n) {
-		pieces := s.selectPieces(m.server, ready, now)
+	for _, m := range p.candidates(now, n, ready) {
+		pieces := s.selectPieces(m, ready, now)
 		if len(pieces) > 0 {
 			s.sendCall(m.server, pieces, now)
 			return true
@@ -171,13 +171,18 @@
 	*server
 	overdue bool
 	end     time.Duration
+	// restrictedOnly is set for a slow server that is used only for jobs that may not run
+	// in all regions, since the other servers would finish the other pieces sooner.
+	restrictedOnly bool
 }
 
 // candidates returns the servers that can start a call now, ordered by the expected end
 // of the call; servers with an overdue call come last. Slow servers are omitted if the
-// others would finish the queued pieces sooner. The result is valid until the next call.
-func (p *pool) candidates(now time.Duration, pieces int) []candidate {
+// others would finish the queued pieces sooner, unless the job of a ready run may not use
+// the others. The result is valid until the next call.
+func (p *pool) candidates(now time.Duration, pieces int, ready []readyRun) []candidate {
 	lowest := p.lowestSlowness(now)
+	hasRestricted := slices.ContainsFunc(ready, func(r readyRun) bool { return r.job.def.Residency.Restricted() })
 	batchSize := min(pieces, p.spec.BatchSize)
 	options := p.candidateBuffer[:0]
 	for _, m := range p.servers {
@@ -185,10 +190,11 @@
 			continue
 		}
 		end := m.availableAt(now) + time.Duration(float64(p.normalCallTime(batchSize))*m.slowness(now))
-		if m.slowness(now) > slowThreshold*lowest && end > now+p.drainTime(pieces, m, now) {
+		slow := m.slowness(now) > slowThreshold*lowest && end > now+p.drainTime(pieces, m, now)
+		if slow && !hasRestricted {
 			continue
 		}
-		options = append(options, candidate{m, m.hasOverdueCall(), end})
+		options = append(options, candidate{m, m.hasOverdueCall(), end, slow})
 	}
 	slices.SortFunc(options, func(a, b candidate) int {
 		return cmp.Or(trueFirst(!a.overdue, !b.overdue), cmp.Compare(a.end, b.end), cmp.Compare(a.def.ID, b.def.ID))
@@ -207,12 +213,15 @@
 }
 
 // selectPieces selects the pieces of the next call to a server.
-func (s *Scheduler) selectPieces(m *server, ready []readyRun, now time.Duration) []pieceRef {
+func (s *Scheduler) selectPieces(m candidate, ready []readyRun, now time.Duration) []pieceRef {
 	var pieces []pieceRef
 	memoryLeft := m.availableMemory(now)
 	clear(m.pool.piecesAhead)
 	for _, r := range ready {
-		if !r.job.started && !s.hasMemoryFor(r.job, now) || !r.mayRunOn(m, m.pool.piecesAhead, now) || r.job.isSeparate(m, pieces) {
+		if !m.allows(r.job) || m.restrictedOnly && !r.job.def.Residency.Restricted() {
+			continue
+		}
+		if !r.job.started && !s.hasMemoryFor(r.job, now) || !r.mayRunOn(m.server, m.pool.piecesAhead, now) || r.job.isSeparate(m.server, pieces) {
 			continue
 		}
 		n := m.fittingPieces(r.stageRun, m.pool.spec.BatchSize-len(pieces), memoryLeft)
--- a/core/staging/flood_test.go
+++ b/core/staging/flood_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 )
 
 // floodEvent is the end of a call, the start of a request, or the end of a free request.
@@ -114,7 +116,7 @@
 			}
 			w.scheduler.Submit(now, Job{
 				ID: id, Key: id, Customer: fmt.Sprint("c", customer), Stages: []Stage{{Pool: "a", Pieces: 2, ResultBytes: 1_000_000}},
-				ObjectiveDeadline: now + floodObjective, Deadline: now + 12*time.Second, RequestDuration: 200 * time.Millisecond,
+				ObjectiveDeadline: now + floodObjective, Deadline: now + 12*time.Second, RequestDuration: 200 * time.Millisecond, Residency: residency.Unrestricted(),
 			})
 			w.takeActions(now)
 		}
--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -104,6 +104,9 @@
 		}
 		r := j.runs[m.Stage]
 		r.pieces[m.Piece] = piece{handle: m.Handle, server: r.pool.findServer(m.ServerID)}
+		if srv := r.pieces[m.Piece].server; srv != nil && !srv.allows(j) {
+			r.pieces[m.Piece] = piece{}
+		}
 	}
 	for _, r := range j.runs {
 		r.countResults()
--- a/core/staging/limit_test.go
+++ b/core/staging/limit_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 )
 
 // TestLimitedServerGetsFewCalls plays jobs on two servers, one of which names a limit of a
@@ -33,7 +34,7 @@
 			s.CallDone(now, c.ID, CallResult{Results: results})
 		}
 		if now%(100*time.Millisecond) == 0 {
-			s.Submit(now, Job{ID: fmt.Sprint("j", now), Stages: []Stage{{Pool: "p", ResultBytes: 100, Pieces: 2}}, ObjectiveDeadline: now + 2*time.Second, Deadline: now + 4*time.Second})
+			s.Submit(now, Job{ID: fmt.Sprint("j", now), Stages: []Stage{{Pool: "p", ResultBytes: 100, Pieces: 2}}, ObjectiveDeadline: now + 2*time.Second, Deadline: now + 4*time.Second, Residency: residency.Unrestricted()})
 		}
 		s.Tick(now)
 		actions := s.TakeActions()
--- a/core/staging/property_test.go
+++ b/core/staging/property_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 )
 
 // simulation answers the scheduler's calls with random outcomes and checks its actions.
@@ -116,7 +118,7 @@
 	w.submitted[id] = true
 	w.jobs[id] = Job{
 		ID: id, Key: id, Stages: stages, Priority: rapid.IntRange(0, 2).Draw(w.t, "priority"),
-		ObjectiveDeadline: w.now + 2*time.Second, Deadline: w.now + 20*time.Second, ReaderZone: "z0",
+		ObjectiveDeadline: w.now + 2*time.Second, Deadline: w.now + 20*time.Second, ReaderZone: "z0", Residency: residency.Unrestricted(),
 	}
 	w.scheduler.Submit(w.now, w.jobs[id])
 	w.checkActions()
--- a/core/staging/separate_test.go
+++ b/core/staging/separate_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 )
 
 // TestJobsOfInterruptedCallAreSeparated guards against sound jobs that are taken for the one
@@ -17,7 +19,7 @@
 	s.SetPool("p", PoolSpec{Slots: 1, BatchSize: 8, CallOverhead: 100 * time.Millisecond, TimePerPiece: 5 * time.Millisecond, MemoryBytes: 1 << 20},
 		[]Server{{ID: "s0"}, {ID: "s1"}, {ID: "s2"}, {ID: "s3"}})
 	for i := range 8 {
-		s.Submit(0, Job{ID: fmt.Sprint("j", i), Stages: []Stage{{Pool: "p", ResultBytes: 100, Pieces: 1}}, ObjectiveDeadline: 2 * time.Second, Deadline: 4 * time.Second})
+		s.Submit(0, Job{ID: fmt.Sprint("j", i), Stages: []Stage{{Pool: "p", ResultBytes: 100, Pieces: 1}}, ObjectiveDeadline: 2 * time.Second, Deadline: 4 * time.Second, Residency: residency.Unrestricted()})
 	}
 	// interrupted counts the interrupted calls of each job; open are the calls at servers.
 	interrupted := map[string]int{}
--- a/core/staging/session_test.go
+++ b/core/staging/session_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 )
 
 // TestScenarios runs the scenarios in testdata. Commands:
@@ -87,8 +89,8 @@
 	}
 	var servers []Server
 	for line := range strings.SplitSeq(strings.TrimSpace(d.Input), "\n") {
-		id, zone, _ := strings.Cut(line, " ")
-		servers = append(servers, Server{ID: id, Address: id, Zone: zone})
+		fields := append(strings.Fields(line), "", "")
+		servers = append(servers, Server{ID: fields[0], Address: fields[0], Zone: fields[1], Region: fields[2]})
 	}
 	x.scheduler.SetPool(name, spec, servers)
 }
@@ -96,7 +98,12 @@
 func (x *scriptRunner) parseJob(t *testing.T, d *datadriven.TestData, id string) Job {
 	j := Job{
 		ID: id, Key: "key-" + id, Priority: intArg(t, d, "rank", 0), ObjectiveDeadline: x.now + millisArg(t, d, "due", 2000),
-		Deadline: x.now + millisArg(t, d, "deadline", 10000), RequestDuration: millisArg(t, d, "after", 0),
+		Deadline: x.now + millisArg(t, d, "deadline", 10000), RequestDuration: millisArg(t, d, "after", 0), Residency: residency.Unrestricted(),
+	}
+	if d.HasArg("region") {
+		var region string
+		d.ScanArgs(t, "region", &region)
+		j.Residency = residency.Only(region)
 	}
 	if d.HasArg("zone") {
 		d.ScanArgs(t, "zone", &j.ReaderZone)
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -114,6 +114,10 @@
 	if def.Customer != "" && len(def.PriorResults) == 0 {
 		j.flooding = s.demand.Add(now, def.Customer)
 	}
+	if j.isOutsideResidency() {
+		s.refuse(j, now, OutsideResidency, 0)
+		return
+	}
 	expected, ok := s.estimateDuration(j, now)
 	if !ok || !j.started && !s.admissible(j, now, expected) {
 		s.refuse(j, now, Overloaded, expected)
--- a/core/staging/types.go
+++ b/core/staging/types.go
@@ -1,6 +1,10 @@
 package staging
 
-import "time"
+import (
+	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
+)
 
 // PoolSpec describes the servers of a pool; each value is per server.
 type PoolSpec struct {
@@ -17,7 +21,7 @@
 
 // Server is a member of a pool.
 type Server struct {
-	ID, Address, Zone string
+	ID, Address, Zone, Region string
 	// StartTime distinguishes restarts under the same ID.
 	StartTime int64
 }
@@ -56,6 +60,8 @@
 	Owner string
 	// PriorResults are results that another scheduler obtained for the job.
 	PriorResults []ResultLocation
+	// Residency permits the regions whose servers may compute and keep the job's results.
+	Residency residency.Policy
 }
 
 // ResultLocation holds the server that keeps the result of a piece, and the handle that
@@ -120,11 +126,13 @@
 	DeadlineUnreachable
 	// RepeatedFailures means that one piece failed too often.
 	RepeatedFailures
+	// OutsideResidency means that no server of a stage is in a region that the job permits.
+	OutsideResidency
 )
 
 // String returns the reason in words.
 func (r RefusalReason) String() string {
-	names := [...]string{"", "overloaded", "too late", "failing"}
+	names := [...]string{"", "overloaded", "too late", "failing", "no server in the allowed regions"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,8 +69,15 @@
 type Servers interface {
 	// Usable returns the servers of a service that accept new requests.
 	Usable(service string) []platform.Server
-	// Takes reports whether a server accepts new requests.
+	// Takes reports whether a server accepts new requests, and its zone is not evacuated.
 	Takes(id string) bool
+	// Evacuated reports whether a zone is evacuated.
+	Evacuated(zone string) bool
+	// Zone returns the availability zone of a server, or "" if it is not known.
+	Zone(id string) string
+	// ColdUntil returns the time until which a server is presumed to be cold, if its
+	// service's servers are cold for coldStart after their start.
+	ColdUntil(id string, coldStart time.Duration) time.Duration
 	// Loaded reports whether the list of servers has been read.
 	Loaded() bool
 	// StartTime returns the start time of a server, or 0 if it is not known.
@@ -117,6 +124,8 @@
 	stoppingSince, endsAt atomic.Int64
 
 	metrics *metrics
+	// configChanges wakes the requests that wait for a placement.
+	configChanges configChanges
 
 	// poolsMu serializes UpdatePools.
 	poolsMu sync.Mutex
@@ -142,6 +151,7 @@
 		allowanceShare: budget.AllowanceShare{Window: o.Settings.RetryBudget.Window, Interval: max(o.RegistryReadInterval, o.Settings.RetryBudget.Window)},
 	}
 	g.notices = notice.NewTable(func(s notice.Server, limit float64) float64 { return g.entryShare.Of(s, limit) })
+	g.notices.SetColdShare(func(_ time.Duration, s notice.Server, holders int) float64 { return g.entryShare.OfCold(s, holders) })
 	g.plainServers.SetNotices(g.notices)
 	return g
 }
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -90,9 +90,10 @@
 // limitWait returns the time until one of a service's servers may get a request of this
 // entry within its limit; 0 if one may get it now or there are none.
 func (g *Gateway) limitWait(req *request, avoid []string) time.Duration {
+	allowed := g.residency(req)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.plainServers.LimitWait(clock.Now(), placement.Request{Pool: req.service, Avoid: avoid})
+	return g.plainServers.LimitWait(clock.Now(), placement.Request{Pool: req.service, Avoid: avoid, Residency: allowed})
 }
 
 // isCoolingDown reports whether a server wants no requests now.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -27,13 +27,14 @@
 	for plannerChanges := 0; ; plannerChanges++ {
 		g.Links.WaitSettled(ctx)
 		pr := g.placementRequest(req, avoid)
+		pr.Residency = g.residency(req)
 		pr.PriorResults = reported.all()
 		plannerPeer := g.Links.PlanningPeer()
 		if plannerChanges >= maxPlannerChanges {
 			plannerPeer = nil
 		}
 		start := clock.Now()
-		answer, ok := g.requestPlacement(ctx, plannerPeer, &pr, reported)
+		answer, ok := g.requestPlacement(ctx, plannerPeer, &pr, reported, func() bool { return g.residency(req).Equal(pr.Residency) })
 		progress := func(p planner.Phase) { g.reportProgress(plannerPeer, req.ID, p, reported) }
 		g.metrics.placementTime.RecordDuration(clock.Now() - start)
 		if ok || ctx.Err() != nil {
@@ -100,8 +101,9 @@
 
 // requestPlacement requests the placement from plannerPeer, or from this entry if
 // plannerPeer is nil. It returns false if the other entry was lost or handed the request
-// over, or if ctx ended.
-func (g *Gateway) requestPlacement(ctx context.Context, plannerPeer *peer.Peer, pr *planner.Request, reported *reportedResults) (planner.Placement, bool) {
+// over, if ctx ended, or if the request is no longer valid after a change of the
+// configuration.
+func (g *Gateway) requestPlacement(ctx context.Context, plannerPeer *peer.Peer, pr *planner.Request, reported *reportedResults, isValid func() bool) (planner.Placement, bool) {
 	replies := make(chan placementReply, 1)
 	if plannerPeer == nil {
 		g.Planner.Place(*pr, planner.Callbacks{
@@ -111,11 +113,20 @@
 	} else {
 		plannerPeer.Place(pr, func(p planner.Placement, ok bool) { replies <- placementReply{p, ok} }, reported.add)
 	}
-	select {
-	case a := <-replies:
-		return a.placement, a.ok
-	case <-ctx.Done():
-		return planner.Placement{}, false
+	for {
+		configChanged := g.configChanges.next()
+		if !isValid() {
+			g.reportProgress(plannerPeer, pr.ID, planner.Cancelled, reported)
+			reported.take()
+			return planner.Placement{}, false
+		}
+		select {
+		case a := <-replies:
+			return a.placement, a.ok
+		case <-ctx.Done():
+			return planner.Placement{}, false
+		case <-configChanged:
+		}
 	}
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -55,8 +55,10 @@
 	switch o.cause {
 	case causeServerFull:
 		return result.QueueFull
-	case causeServerLeaving:
+	case causeServerLeaving, causeZoneEvacuated:
 		return result.ServerLeaving
+	case causeOutsideResidency:
+		return result.OutsideResidency
 	case causeServerCoolingDown, causeLimitReached:
 		return result.QueueFull
 	case causeKeysNotConfirmed:
@@ -71,6 +73,9 @@
 const (
 	causeServerFull        = "server full"
 	causeServerLeaving     = "server is leaving"
+	causeZoneEvacuated     = "zone of the server is evacuated"
+	causeOutsideResidency  = "no server in the allowed regions"
+	causeGrantExpired      = "grant for a cold server expired"
 	causeServerCoolingDown = "server wants no requests yet"
 	causeLimitReached      = "limits of the servers reached"
 	causeKeysNotConfirmed  = "keys not confirmed by the store"
@@ -135,6 +140,9 @@
 // noServerOutcome returns the outcome of a request for which there is no server, or none
 // that takes one more now.
 func (g *Gateway) noServerOutcome(req *request, avoid []string) outcome {
+	if o, outside := g.residencyOutcome(req); outside {
+		return o
+	}
 	if wait := g.limitWait(req, avoid); wait > 0 {
 		return outcome{notRun: true, cause: causeLimitReached, retryAfter: cooldownRetryAfter(req.ID, wait)}
 	}
@@ -163,10 +171,11 @@
 }
 
 func (g *Gateway) choosePlainServer(req *request, avoid []string) (placement.Server, bool) {
+	allowed := g.residency(req)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.plainServers.SetServers(req.service, placementServers(g.Servers.Usable(req.service)))
-	chosen, ok := g.plainServers.Choose(clock.Now(), placement.Request{ID: req.ID, Pool: req.service, Zone: g.Settings.Zone, Avoid: avoid})
+	chosen, ok := g.plainServers.Choose(clock.Now(), placement.Request{ID: req.ID, Pool: req.service, Zone: g.Settings.Zone, Avoid: avoid, Residency: allowed})
 	return chosen.Server, ok
 }
 
@@ -193,7 +202,7 @@
 	if o.response != nil {
 		status = o.response.status
 	}
-	req.log.Info("Attempt finished.", "server", srv.ID, "route", req.route.Name, "version", req.configVersion, "identity", req.identity,
+	req.log.Info("Attempt finished.", "server", srv.ID, "route", req.route.Name, "version", req.configVersion, "residency", req.residency.String(), "identity", req.identity,
 		"took", clock.Now()-start, "status", status, "framing", o.framing, "not_run", o.notRun, "cause", o.cause)
 	return o
 }
@@ -271,8 +280,12 @@
 		return causeKeysNotConfirmed
 	case req.keyRequired && g.Config.Table().Customer(req.APIKey) == nil:
 		return causeKeyRevoked
+	case g.Servers.Evacuated(g.Servers.Zone(srv.ID)):
+		return causeZoneEvacuated
 	case !g.Servers.Takes(srv.ID):
 		return causeServerLeaving
+	case !g.allows(req, srv.ID):
+		return causeOutsideResidency
 	case g.isCoolingDown(srv):
 		return causeServerCoolingDown
 	}
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
@@ -15,6 +19,8 @@
 	defer g.poolsMu.Unlock()
 	complete := g.Config.Table() != nil && g.Servers.Loaded() && g.PatternsTried()
 	g.Planner.SetPools(g.pools())
+	g.configChanges.publish(g.Config.Table())
+	g.markColdPlainServers()
 	if complete {
 		g.initialized.Store(true)
 	}
@@ -28,17 +34,58 @@
 	}
 	var all []planner.Pool
 	for _, svc := range t.Services() {
-		all = append(all, plannerPool(svc, g.Servers.Usable(svc.Name)))
+		all = append(all, g.plannerPool(svc, g.Servers.Usable(svc.Name)))
 	}
 	return all
 }
 
-func plannerPool(svc *routes.Service, servers []platform.Server) planner.Pool {
-	p := planner.Pool{Name: svc.Name}
+// coldLimit returns the limit of a service's cold servers.
+func (g *Gateway) coldLimit(svc *routes.Service) notice.ColdLimit {
+	limit := svc.Cold
+	limit.Overage, limit.Slack = g.Settings.ColdBound.Overage, g.Settings.ColdBound.Slack
+	return limit
+}
+
+// coldUntil returns the times until which the servers of a service are presumed to be cold;
+// nil if cold servers are not limited.
+func (g *Gateway) coldUntil(svc *routes.Service, servers []platform.Server) map[notice.Server]time.Duration {
+	if !svc.Cold.Enabled() {
+		return nil
+	}
+	until := make(map[notice.Server]time.Duration, len(servers))
+	for _, s := range servers {
+		until[notice.Server{ID: s.ID, StartTime: s.StartTime}] = g.Servers.ColdUntil(s.ID, svc.Cold.ColdStart)
+	}
+	return until
+}
+
+// markColdPlainServers limits the requests that this entry sends to cold servers of services
+// that each entry calls on its own.
+func (g *Gateway) markColdPlainServers() {
+	t := g.Config.Table()
+	if t == nil {
+		return
+	}
+	now := clock.Now()
+	for _, svc := range t.Services() {
+		if svc.Model != nil || svc.Batch != nil || !svc.Cold.Enabled() {
+			continue
+		}
+		until := g.coldUntil(svc, g.Servers.Usable(svc.Name))
+		g.mu.Lock()
+		for s, end := range until {
+			g.notices.MarkCold(now, s, end, g.coldLimit(svc))
+		}
+		g.mu.Unlock()
+	}
+}
+
+func (g *Gateway) plannerPool(svc *routes.Service, servers []platform.Server) planner.Pool {
+	p := planner.Pool{Name: svc.Name, ColdLimit: g.coldLimit(svc), ColdUntil: g.coldUntil(svc, servers)}
 	if svc.Batch != nil {
 		p.StageSpec = poolSpec(svc.Batch)
 		for _, s := range servers {
-			p.StageServers = append(p.StageServers, staging.Server{ID: s.ID, Address: s.Address, Zone: s.Zone, StartTime: s.StartTime})
+			p.StageServers = append(p.StageServers, staging.Server{ID: s.ID, Address: s.Address, Zone: s.Zone, Region: g.Settings.Regions[s.Zone], StartTime: s.StartTime})
 		}
 		return p
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -68,8 +68,8 @@
 func (g *Gateway) requestTrial(ctx context.Context, req *request) *refusal {
 	ctx, cancel := context.WithTimeout(ctx, trialAnswerTimeout)
 	defer cancel()
-	check := &planner.Request{ID: req.ID, Identity: req.identity, PromptParts: req.promptParts, TimeToDeadline: req.remaining(), Owner: g.Owner, CheckOnly: true}
-	answer, ok := g.requestPlacement(ctx, g.Links.PlanningPeer(), check, &reportedResults{})
+	check := &planner.Request{ID: req.ID, Identity: req.identity, PromptParts: req.promptParts, TimeToDeadline: req.remaining(), Owner: g.Owner, CheckOnly: true, Residency: req.residency}
+	answer, ok := g.requestPlacement(ctx, g.Links.PlanningPeer(), check, &reportedResults{}, func() bool { return true })
 	switch {
 	case !ok:
 		return newRefusal(result.PromptHeldBack, causeHeldBack, trialAnswerTimeout)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,6 +12,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/jitter"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
@@ -35,11 +36,14 @@
 	// resumableUntil is the arrival time plus the timeout of the client.
 	resumableUntil time.Duration
 	keyRequired    bool
-	header         http.Header
-	method         string
-	target         string
-	host           string
-	body           []byte
+	// residency permits the regions that may hold the request by the configuration under
+	// which it was accepted.
+	residency residency.Policy
+	header    http.Header
+	method    string
+	target    string
+	host      string
+	body      []byte
 	// promptParts are those of PromptParts. identity is the same for all requests of clients
 	// that repeat this one, and elements are what it may have in common with others that
 	// crash servers; see package quarantine.
@@ -112,6 +116,10 @@
 			return r
 		}
 	}
+	req.residency = route.ResidencyFor(t.Customer(req.APIKey))
+	if r := refuseConflict(req.residency); r != nil {
+		return r
+	}
 	timeout := defaultTimeout
 	if req.Timeout > 0 {
 		timeout = req.Timeout
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -26,6 +26,8 @@
 	Bodies *bounded.Budget
 	// AcceptsRequests reports whether a server accepts new requests.
 	AcceptsRequests func(id string) bool
+	// Evacuated, if set, reports whether the zone of a server is evacuated.
+	Evacuated func(id string) bool
 	// OnNotice, if set, receives what servers say about themselves in response to calls that
 	// were sent at sentAt; see Gateway.ObserveNotice.
 	OnNotice func(sentAt time.Duration, n notice.Notice, mayEndLimit bool)
@@ -128,6 +130,9 @@
 
 // Free implements planner.StageCaller.
 func (s *StageClient) Free(ctx context.Context, f staging.FreeRequest) (time.Duration, error) {
+	if s.Evacuated != nil && s.Evacuated(f.Server.ID) {
+		return 0, errors.New(causeZoneEvacuated)
+	}
 	body, err := platform.EncodeStageFree(f.Handles)
 	if err != nil {
 		return 0, err
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/magnoliawheel/magnoliawheel/core/delegation"
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/quarantine"
@@ -140,6 +141,8 @@
 		return result.PromptHeldBack
 	case planner.LimitReached:
 		return result.QueueFull
+	case staging.OutsideResidency:
+		return result.OutsideResidency
 	case planner.VersionUnknown, planner.VersionGone:
 		return result.StreamNotResumable
 	}
@@ -150,7 +153,7 @@
 func (s *streamRequest) send(ctx context.Context, p planner.Placement, progress progressFunc) (bool, *refusal) {
 	req := s.req
 	srv := placement.Server{ID: p.Server, Address: p.Address, StartTime: s.gateway.Servers.StartTime(p.Server)}
-	if r := s.blockingCause(srv, p.SoftwareVersion); r != "" {
+	if r := s.blockingCause(srv, &p); r != "" {
 		progress(planner.Cancelled)
 		s.avoid = append(s.avoid, p.Server)
 		return false, s.retryNotSent(r)
@@ -200,15 +203,18 @@
 	s.gateway.reportAttempt(s.req, srv, s.sentAt, ending)
 }
 
-// blockingCause returns why the request must not be sent to the server that was chosen as
-// one of the given version, or "".
-func (s *streamRequest) blockingCause(srv placement.Server, version string) string {
+// blockingCause returns why the request must not be sent to the server of its placement, or
+// "".
+func (s *streamRequest) blockingCause(srv placement.Server, p *planner.Placement) string {
 	if r := s.gateway.blockingCause(s.req, srv); r != "" {
 		return r
 	}
-	if s.req.LastEventID != "" && s.gateway.Servers.SoftwareVersion(srv.ID) != version {
+	if s.req.LastEventID != "" && s.gateway.Servers.SoftwareVersion(srv.ID) != p.SoftwareVersion {
 		return causeOtherVersion
 	}
+	if p.Cold && clock.Now()-p.GrantedAt > delegation.GrantValidity {
+		return causeGrantExpired
+	}
 	return ""
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,8 +87,9 @@
 	upstreamClient := upstream.New()
 	n.servers = watch.NewServers(n.store, o.Settings.MaxDrainDelay, o.Log.WithName("servers"), n.updatePools)
 	n.config = watch.NewConfig(n.store, o.Settings.MaxConfigDelay, o.Log.WithName("config"), func(*routes.Table) { n.updatePools() })
+	n.config.OnEvacuation(n.servers.SetEvacuated)
 	bodies := gateway.NewBodyBudget()
-	stages := &gateway.StageClient{Client: upstreamClient, Bodies: bodies, AcceptsRequests: n.servers.Takes, OnNotice: func(sentAt time.Duration, word notice.Notice, mayEndLimit bool) {
+	stages := &gateway.StageClient{Client: upstreamClient, Bodies: bodies, AcceptsRequests: n.servers.Takes, Evacuated: func(id string) bool { return n.servers.Evacuated(n.servers.Zone(id)) }, OnNotice: func(sentAt time.Duration, word notice.Notice, mayEndLimit bool) {
 		n.gateway.ObserveNotice(sentAt, word, mayEndLimit)
 	}}
 	n.planner = planner.New(stages, o.Settings.Regions, o.Log.WithName("planner"))
@@ -116,6 +117,7 @@
 		Settings: o.Settings, Log: o.Log.WithName("gateway"), Scope: o.Scope, Owner: owner,
 		RegistryReadInterval: maxRegistryReadGap,
 	})
+	n.planner.SetColdShare(n.links.ColdShare)
 	n.restoreGuard = &restoreGuard{
 		store: n.store, config: n.config, log: o.Log.WithName("config"), rewriteTime: operatorRewriteTime,
 		isFirst: func() bool { return n.links.PlanningPeer() == nil },
@@ -123,7 +125,7 @@
 	n.registry = &registry{
 		store: n.store, links: n.links, localEntry: n.localEntry, log: o.Log.WithName("registry"),
 		name: o.Settings.Node, address: n.peerAddress(), startID: startID, isSmall: o.Settings.Cores > 0 && o.Settings.Cores < smallEntryCores,
-		readInterval: registryReadInterval, onRestart: n.gateway.RecordRestart, onEntries: n.gateway.UpdateEntries,
+		readInterval: registryReadInterval, onRestart: n.gateway.RecordRestart, onEntries: n.updateEntries,
 	}
 	return n
 }
@@ -156,6 +158,12 @@
 
 func (n *Node) updatePools() { n.gateway.UpdatePools() }
 
+// updateEntries handles the number of registered entries and of those before this one.
+func (n *Node) updateEntries(count, before int) {
+	n.gateway.UpdateEntries(count, before)
+	n.links.SetEntryCount(count)
+}
+
 func (n *Node) peerAddress() string {
 	return net.JoinHostPort(n.opts.Settings.IP, strconv.Itoa(n.opts.Settings.FirstPort))
 }
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -67,6 +67,8 @@
 	// stalePosition receives a value when an entry reports another position than the
 	// known one.
 	stalePosition chan struct{}
+	// shares tracks whose parts of what all entries share this one may spend.
+	shares *shares
 
 	mu    sync.Mutex
 	links []*link
@@ -105,7 +107,7 @@
 // NewLinks returns Links without sessions. The planner p places the requests of other
 // entries.
 func NewLinks(local *LocalEntry, p *planner.Planner, log logr.Logger) *Links {
-	return &Links{local: local, planner: p, log: log, settled: make(chan struct{}), stalePosition: make(chan struct{}, 1), inboundPeers: map[*Peer]bool{}}
+	return &Links{local: local, planner: p, log: log, settled: make(chan struct{}), stalePosition: make(chan struct{}, 1), inboundPeers: map[*Peer]bool{}, shares: newShares()}
 }
 
 // Serve accepts sessions until ctx ends.
@@ -329,6 +331,17 @@
 func (l *Links) PlanningPeer() *Peer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	p := l.planningPeer()
+	if p == nil {
+		l.shares.follow("")
+	} else {
+		l.shares.follow(p.Owner())
+	}
+	return p
+}
+
+// planningPeer is PlanningPeer for a caller that holds the lock.
+func (l *Links) planningPeer() *Peer {
 	var firstLive *Peer
 	mayReturn := false
 	for _, k := range l.links {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -149,7 +149,12 @@
 	case *peerpb.Message_Place:
 		p.handleRequest(body.Place)
 	case *peerpb.Message_Placed:
-		p.handlePlacement(decodePlacement(body.Placed))
+		answer := decodePlacement(body.Placed)
+		if answer.Cold {
+			now := clock.Now()
+			answer.GrantedAt = now - p.age.Age(time.Duration(body.Placed.GetClockUs())*time.Microsecond, now)
+		}
+		p.handlePlacement(answer)
 	case *peerpb.Message_Made:
 		p.handleResultChanges(body.Made)
 	case *peerpb.Message_Changes:
@@ -187,7 +192,8 @@
 	p.remoteClockUs = status.GetClockUs()
 	p.mu.Unlock()
 	p.handleTopics(status)
-	p.measureAge(status.GetClockUs())
+	age := p.measureAge(status.GetClockUs())
+	p.links.shares.reported(clock.Now()-age, status.GetOwner(), status.GetDelegates())
 	p.session.setLag(milliseconds(status.GetLagMs()))
 	if p.local.OnConfigVersion != nil {
 		p.local.OnConfigVersion(status.GetConfigVersion(), !status.GetConfigUnchecked())
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -35,6 +35,7 @@
 	defer p.mu.Unlock()
 	status := p.local.wireStatus()
 	status.EchoClockUs = p.remoteClockUs
+	status.Delegates = p.links.shares.delegatesTo(p.owner)
 	var messages []*peerpb.Message
 	for i, t := range p.local.Topics {
 		state, changes := p.topicState(i, t)
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -15,6 +15,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer/peerpb"
@@ -179,6 +180,7 @@
 		Id: r.ID, Key: r.PieceKey, Rank: uint32(r.Priority), DueMs: r.TimeToObjective.Milliseconds(), DeadlineMs: r.TimeToDeadline.Milliseconds(),
 		Pool: r.Pool, Zone: r.Zone, MaxTokens: uint32(r.MaxTokens), Avoid: r.Avoid, Customer: r.Customer, ClockUs: clock.Now().Microseconds(),
 		ResumableMs: r.ResumableFor.Milliseconds(), Identity: r.Identity, CheckOnly: r.CheckOnly,
+		Residency: &peerpb.Residency{Restricted: r.Residency.Restricted(), Regions: r.Residency.Regions()},
 	}
 	for _, stage := range r.Stages {
 		wireStage := &peerpb.Stage{Pool: stage.Pool, Bytes: uint64(stage.ResultBytes), Pieces: uint32(stage.Pieces)}
@@ -225,6 +227,10 @@
 		TimeToObjective: milliseconds(place.GetDueMs()), TimeToDeadline: milliseconds(place.GetDeadlineMs()),
 		Pool: place.GetPool(), Zone: place.GetZone(), MaxTokens: int(place.GetMaxTokens()), Avoid: place.GetAvoid(), Customer: place.GetCustomer(),
 		ResumableFor: milliseconds(place.GetResumableMs()), Identity: place.GetIdentity(), CheckOnly: place.GetCheckOnly(),
+		Residency: residency.Unrestricted(),
+	}
+	if place.GetResidency().GetRestricted() {
+		r.Residency = residency.Only(place.GetResidency().GetRegions()...)
 	}
 	for _, wireStage := range place.GetStages() {
 		st := staging.Stage{Pool: wireStage.GetPool(), ResultBytes: int64(wireStage.GetBytes()), Pieces: int(wireStage.GetPieces())}
@@ -250,6 +256,7 @@
 	return &peerpb.Message{Body: &peerpb.Message_Placed{Placed: &peerpb.Placed{
 		Id: p.ID, Reason: uint32(p.RefusalReason), RetryAfterMs: p.RetryAfter.Milliseconds(),
 		Inputs: p.Inputs, Server: p.Server, Address: p.Address, Version: p.SoftwareVersion,
+		Cold: p.Cold, ClockUs: p.GrantedAt.Microseconds(),
 	}}}
 }
 
@@ -257,6 +264,7 @@
 	return planner.Placement{
 		ID: p.GetId(), RefusalReason: staging.RefusalReason(p.GetReason()), RetryAfter: milliseconds(p.GetRetryAfterMs()),
 		Inputs: p.GetInputs(), Server: p.GetServer(), Address: p.GetAddress(), SoftwareVersion: p.GetVersion(),
+		Cold: p.GetCold(),
 	}
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -45,6 +45,10 @@
 	StageSpec    *staging.PoolSpec
 	StageServers []staging.Server
 	ModelServers []placement.Server
+	// ColdLimit bounds the requests to cold servers. ColdUntil is the time until which each
+	// server is presumed to be cold, if there is a limit.
+	ColdLimit notice.ColdLimit
+	ColdUntil map[notice.Server]time.Duration
 }
 
 // pendingRequest is a request that is not placed yet.
@@ -153,6 +157,7 @@
 func (p *Planner) SetPools(pools []Pool) {
 	p.update(func(now time.Duration) {
 		for _, pool := range pools {
+			p.markCold(now, &pool)
 			if pool.StageSpec != nil {
 				p.scheduler.SetPool(pool.Name, *pool.StageSpec, pool.StageServers)
 			} else {
@@ -193,6 +198,7 @@
 			ID: req.ID, Key: req.PieceKey, Stages: req.Stages, Priority: req.Priority,
 			ObjectiveDeadline: now + req.TimeToObjective, Deadline: now + req.TimeToDeadline, RequestDuration: placement.ExpectedFirstEvent(parts),
 			ReaderZone: p.modelServers.LikelyZone(now, parts), Customer: req.Customer, Owner: req.Owner, PriorResults: req.PriorResults,
+			Residency: req.Residency,
 		})
 	})
 }
@@ -242,7 +248,7 @@
 func (pr *pendingRequest) placementRequest() placement.Request {
 	req := &pr.req
 	return placement.Request{
-		ID: req.ID, Pool: req.Pool, Zone: req.Zone, Parts: req.PromptParts, MaxTokens: req.MaxTokens, Avoid: req.Avoid, SoftwareVersion: pr.version,
+		ID: req.ID, Pool: req.Pool, Zone: req.Zone, Parts: req.PromptParts, MaxTokens: req.MaxTokens, Avoid: req.Avoid, SoftwareVersion: pr.version, Residency: req.Residency,
 	}
 }
 
@@ -310,7 +316,7 @@
 
 // refuse returns the answer to a request that is refused for pr.refusal.
 func (p *Planner) refuse(now time.Duration, pr *pendingRequest) Placement {
-	p.log.Info("Request refused.", "request", pr.req.ID, "owner", pr.req.Owner, "reason", ReasonText(pr.refusal), "stream", pr.req.resumedStream(),
+	p.log.Info("Request refused.", "request", pr.req.ID, "owner", pr.req.Owner, "reason", ReasonText(pr.refusal), "stream", pr.req.resumedStream(), "residency", pr.req.Residency.String(),
 		"waited", now-pr.receivedAt, "retry_after", pr.retryAfter)
 	return Placement{ID: pr.req.ID, RefusalReason: pr.refusal, RetryAfter: pr.retryAfter}
 }
@@ -335,10 +341,10 @@
 	}
 	p.recordVersion(now, pr, srv.SoftwareVersion)
 	p.quarantine.Begin(now, job.JobID, srv.Start(), pr.elements)
-	p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "server_version", srv.SoftwareVersion, "pinned", pr.version != nil, "elements", pr.elements, "prompt", srv.PromptTokens, "uncached", srv.UncachedTokens, "queued", srv.QueuedTokens,
+	p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "server_version", srv.SoftwareVersion, "pinned", pr.version != nil, "elements", pr.elements, "residency", pr.req.Residency.String(), "cold", srv.Cold, "prompt", srv.PromptTokens, "uncached", srv.UncachedTokens, "queued", srv.QueuedTokens,
 		"running", srv.Running, "expected", expected, "due", pr.req.TimeToObjective,
 		"waited", now-pr.receivedAt, "results", len(job.Handles), "made", len(pr.req.PriorResults), "jobs", p.scheduler.JobCount())
-	return Placement{ID: job.JobID, Inputs: job.Handles, Server: srv.ID, Address: srv.Address, SoftwareVersion: srv.SoftwareVersion}
+	return Placement{ID: job.JobID, Inputs: job.Handles, Server: srv.ID, Address: srv.Address, SoftwareVersion: srv.SoftwareVersion, Cold: srv.Cold, GrantedAt: now}
 }
 
 // JobCount returns the number of requests whose stages are running or whose results are
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
 )
 
@@ -58,7 +59,7 @@
 	}
 	p.SetPools(pools)
 	placed := make(chan Placement, 1)
-	p.Place(Request{ID: "r", Stages: []staging.Stage{{Pool: "a", Pieces: 1}}, Pool: "m", TimeToObjective: time.Minute, TimeToDeadline: time.Minute},
+	p.Place(Request{ID: "r", Stages: []staging.Stage{{Pool: "a", Pieces: 1}}, Pool: "m", TimeToObjective: time.Minute, TimeToDeadline: time.Minute, Residency: residency.Unrestricted()},
 		Callbacks{OnPlacement: func(a Placement) { placed <- a }, OnResultChanges: func([]staging.ResultLocation) {}})
 	hangingServer := <-stages.calls
 	deadline := time.After(eventTimeout)
--- a/internal/planner/quarantine.go
+++ b/internal/planner/quarantine.go
@@ -128,6 +128,9 @@
 	if refusal := p.setVersion(now, pr); refusal != 0 {
 		return refusal
 	}
+	if refusal := p.checkResidency(pr); refusal != 0 {
+		return refusal
+	}
 	return p.checkLimits(now, pr)
 }
 
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -5,6 +5,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/quarantine"
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
 )
 
@@ -38,6 +39,8 @@
 	// ResumableFor is how long the client may resume the stream that the request begins or
 	// continues; 0 if it may not.
 	ResumableFor time.Duration
+	// Residency permits the regions that may hold the request.
+	Residency residency.Policy
 }
 
 // Elements returns what the request may have in common with others that crash servers.
@@ -122,6 +125,10 @@
 	Address string
 	// SoftwareVersion is that of the server.
 	SoftwareVersion string
+	// Cold is set if the request uses up the limit of a cold server. It must be sent within
+	// delegation.GrantValidity of GrantedAt, by the clock of this instance.
+	Cold      bool
+	GrantedAt time.Duration
 }
 
 // Placed reports whether a server was chosen. It is not for a request that was only checked.
--- a/internal/planner/streams_test.go
+++ b/internal/planner/streams_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/core/streamversion"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
@@ -50,7 +51,7 @@
 			placed := make(chan Placement, 1)
 			p.Place(Request{
 				ID: "r", Stages: []staging.Stage{{Pool: "a", Pieces: 1, ResultBytes: 1}}, TimeToObjective: time.Minute, TimeToDeadline: time.Minute,
-				Pool: "m", Avoid: tt.avoid, Resume: tt.resume,
+				Pool: "m", Avoid: tt.avoid, Resume: tt.resume, Residency: residency.Unrestricted(),
 			}, Callbacks{OnPlacement: func(a Placement) { placed <- a }, OnResultChanges: func([]staging.ResultLocation) {}})
 			got := <-placed
 			assert.Equal(t, got.Server, tt.wantServer)
@@ -71,7 +72,7 @@
 		p := New(nil, nil, logr.Discard())
 		p.SetPools([]Pool{{Name: "m", ModelServers: []placement.Server{{ID: "m1", SoftwareVersion: "v1"}}}})
 		place := func(r Request) {
-			r.Pool, r.TimeToObjective, r.TimeToDeadline = "m", time.Minute, time.Minute
+			r.Pool, r.TimeToObjective, r.TimeToDeadline, r.Residency = "m", time.Minute, time.Minute, residency.Unrestricted()
 			placed := make(chan Placement, 1)
 			p.Place(r, Callbacks{OnPlacement: func(a Placement) { placed <- a }, OnResultChanges: func([]staging.ResultLocation) {}, Local: local})
 			assert.Equal(t, (<-placed).Server, "m1")
--- a/internal/watch/config.go
+++ b/internal/watch/config.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/magnoliawheel/magnoliawheel/core/evacuation"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/platform"
@@ -19,9 +20,13 @@
 	// waits for a change. A read may miss a change, and the next one must still be in
 	// time.
 	readWaitShare = 0.3
+	// evacuationRewriteTime is how long an evacuation that a restored store does not list
+	// stays in force, so that the operator has time to write it again.
+	evacuationRewriteTime = 3 * time.Second
 )
 
-// Config follows the configuration.
+// Config follows the configuration and the evacuations of zones, which the operator writes
+// to the same topic.
 type Config struct {
 	log      logr.Logger
 	onChange func(*routes.Table)
@@ -39,12 +44,15 @@
 	requiredVersion atomic.Uint64
 	// attested is set once an entry that is not unchecked itself has told its version.
 	attested atomic.Bool
+	// evacuations is used by the callbacks of topic, which are never concurrent.
+	evacuations  *evacuation.Set
+	onEvacuation func(zone string, evacuated bool)
 }
 
 // NewConfig returns a watcher of the configuration. A new version comes into force
 // within maxDelay, and onChange is called after each one.
 func NewConfig(store Store, maxDelay time.Duration, log logr.Logger, onChange func(*routes.Table)) *Config {
-	c := &Config{log: log, onChange: onChange}
+	c := &Config{log: log, onChange: onChange, evacuations: evacuation.New(evacuationRewriteTime), onEvacuation: func(string, bool) {}}
 	c.unchecked.Store(true)
 	c.topic = &Topic{
 		store: store, name: platform.ConfigTopic, readWait: time.Duration(readWaitShare * float64(maxDelay)), log: log,
@@ -54,6 +62,10 @@
 	return c
 }
 
+// OnEvacuation sets the function that is called when the evacuation of a zone begins or ends.
+// It must be called before Run.
+func (c *Config) OnEvacuation(f func(zone string, evacuated bool)) { c.onEvacuation = f }
+
 // Topic returns the topic with the configuration.
 func (c *Config) Topic() *Topic { return c.topic }
 
@@ -113,13 +125,14 @@
 	if position.Era == 0 {
 		c.Release()
 	}
+	c.evacuationsChanged(nil, c.evacuations.RemoveUnconfirmed(clock.Now()))
 	c.confirmedAt.Store(int64(asOf))
 	c.storeLost.Store(false)
 }
 
-// applyRecords puts newer versions among the records into force.
+// applyRecords puts newer versions and evacuations among the records into force.
 func (c *Config) applyRecords(records []platform.KeyedRecord, set recordSet) []platform.KeyedRecord {
-	var applied []platform.KeyedRecord
+	applied := c.applyEvacuations(records, set)
 	written := false
 	for _, rec := range records {
 		if rec.Key != platform.ConfigKey || rec.Deleted {
--- a/internal/watch/servers.go
+++ b/internal/watch/servers.go
@@ -70,6 +70,13 @@
 	return s.servers[id].SoftwareVersion
 }
 
+// Zone returns the availability zone of a server, or "" if it is not known.
+func (s *Servers) Zone(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers[id].Zone
+}
+
 // MarkLeaving records that a server has said to be leaving. It reports whether that is
 // new.
 func (s *Servers) MarkLeaving(id string, startTime int64) bool {
@@ -83,6 +90,29 @@
 	return changed
 }
 
+// SetEvacuated begins or ends the evacuation of a zone.
+func (s *Servers) SetEvacuated(zone string, evacuated bool) {
+	s.mu.Lock()
+	s.backendSet.SetEvacuated(clock.Now(), zone, evacuated)
+	s.mu.Unlock()
+	s.onChange()
+}
+
+// Evacuated reports whether a zone is evacuated.
+func (s *Servers) Evacuated(zone string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.backendSet.Evacuated(zone)
+}
+
+// ColdUntil returns the time until which a server is presumed to be cold, if its service's
+// servers are cold for coldStart after their start.
+func (s *Servers) ColdUntil(id string, coldStart time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.backendSet.ColdUntil(id, coldStart)
+}
+
 // Loaded reports whether the records were read at least once.
 func (s *Servers) Loaded() bool {
 	s.mu.Lock()
@@ -150,7 +180,14 @@
 		s.log.V(1).Info("Server record ignored.", "key", rec.Key, "offset", rec.Offset, "cause", err.Error())
 		return false
 	}
-	state := backends.Record{ID: server.ID, StartTime: server.StartTime, Sequence: server.Sequence, Leaving: server.Draining}
+	state := backends.Record{
+		ID: server.ID, StartTime: server.StartTime, Sequence: server.Sequence, Leaving: server.Draining,
+		Zone: server.Zone, ReadAt: now, ColdFor: server.ColdFor,
+	}
+	if set != newRecords {
+		// The server may have been running before; a new record is that of a new server.
+		state.RunningFor = runningFor(server.StartTime)
+	}
 	if set == restoredRecords && !s.backendSet.IsNews(state) {
 		return false
 	}
@@ -165,6 +202,12 @@
 	return changed || !existed || previous != server
 }
 
+// runningFor returns for how long a server has been running, by the time of day; longer than
+// any cold period if its start is not known.
+func runningFor(startTimeMS int64) time.Duration {
+	return max(0, time.Since(time.UnixMilli(startTimeMS)))
+}
+
 // removeMissing treats the records of servers that are missing from the given ones as
 // removed.
 func (s *Servers) removeMissing(records []platform.KeyedRecord, now time.Duration) {
