--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -49,6 +49,9 @@
 	Timeout time.Duration
 	// Objective is the latency objective. A later answer is worth less to the client.
 	Objective time.Duration
+	// MaxPause is the longest pause between two events of a stream with which the response is
+	// still on time; 0 if none is set.
+	MaxPause time.Duration
 	// Priority is 0 for the most urgent requests.
 	Priority    int
 	MaxAttempts int
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -16,7 +16,7 @@
 const maxPlannerChanges = 5
 
 // progressFunc reports the progress of a request to the entry that placed it.
-type progressFunc func(planner.Phase)
+type progressFunc func(planner.Progress)
 
 // place gets a placement from the entry that places the requests of all entries, which may
 // be this one. If that entry is lost or hands the request over, place tries again with the
@@ -35,7 +35,7 @@
 		}
 		start := clock.Now()
 		answer, ok := g.requestPlacement(ctx, plannerPeer, &pr, reported, func() bool { return g.residency(req).Equal(pr.Residency) })
-		progress := func(p planner.Phase) { g.reportProgress(plannerPeer, req.ID, p, reported) }
+		progress := func(p planner.Progress) { g.reportProgress(plannerPeer, req.ID, p, reported) }
 		g.metrics.placementTime.RecordDuration(clock.Now() - start)
 		if ok || ctx.Err() != nil {
 			req.log.Info("Placement finished.", "by", peerName(plannerPeer), "server", answer.Server, "server_version", answer.SoftwareVersion, "reason", answer.RefusalReason, "took", clock.Now()-start, "stages", len(pr.Stages))
@@ -82,7 +82,7 @@
 
 // reportProgress reports the progress of a request to the entry that placed it. If that
 // entry is lost, this one frees the results.
-func (g *Gateway) reportProgress(plannerPeer *peer.Peer, id string, progress planner.Phase, reported *reportedResults) {
+func (g *Gateway) reportProgress(plannerPeer *peer.Peer, id string, progress planner.Progress, reported *reportedResults) {
 	if plannerPeer == nil {
 		g.Planner.UpdateProgress(id, progress)
 		return
@@ -116,7 +116,7 @@
 	for {
 		configChanged := g.configChanges.next()
 		if !isValid() {
-			g.reportProgress(plannerPeer, pr.ID, planner.Cancelled, reported)
+			g.reportProgress(plannerPeer, pr.ID, planner.Progress{Phase: planner.Cancelled}, reported)
 			reported.take()
 			return planner.Placement{}, false
 		}
@@ -134,7 +134,7 @@
 	now := clock.Now()
 	pr := planner.Request{
 		ID: req.ID, Identity: req.identity, PieceKey: req.PieceKey, Priority: req.priority, TimeToObjective: req.objectiveDeadline - now, TimeToDeadline: req.deadline - now,
-		Pool: req.service, Zone: g.Settings.Zone, MaxTokens: req.MaxTokens, Avoid: avoid, Customer: req.customer, Owner: g.Owner, PromptParts: req.promptParts,
+		MaxPause: req.route.MaxPause, Pool: req.service, Zone: g.Settings.Zone, MaxTokens: req.MaxTokens, Avoid: avoid, Customer: req.customer, Owner: g.Owner, PromptParts: req.promptParts,
 	}
 	if req.route.Resumable {
 		pr.ResumableFor = req.resumableUntil - now
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliawheel/magnoliawheel/core/eventstream"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
 )
 
@@ -45,6 +46,9 @@
 	// eventDue is set if an earlier attempt broke off within an event, so that the stream
 	// has at least one more.
 	eventDue bool
+	// lastForwardedAt is when the last whole event arrived; 0 before the first. longestPause
+	// is the longest time between two events.
+	lastForwardedAt, longestPause time.Duration
 	// splitter splits the response of the current attempt.
 	splitter *eventstream.Splitter
 	// partBytes is the size of the forwarded parts of the current event.
@@ -93,6 +97,7 @@
 		r.lastID = id
 	}
 	if len(events) > 0 {
+		r.recordPause(clock.Now())
 		r.partBytes = 0
 		if err := r.write(resp, events); err != nil {
 			return err
@@ -108,6 +113,14 @@
 	return r.write(resp, part)
 }
 
+// recordPause records the arrival of an event.
+func (r *relay) recordPause(now time.Duration) {
+	if r.lastForwardedAt > 0 {
+		r.longestPause = max(r.longestPause, now-r.lastForwardedAt)
+	}
+	r.lastForwardedAt = now
+}
+
 // finish handles the end of a response. The end of the connection may be that of the
 // server's process, so only a whole last event shows that the stream is complete.
 func (r *relay) finish(resp *upstream.Response) error {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -116,7 +116,7 @@
 	}
 	p, progress := s.gateway.place(ctx, s.req, slices.Concat(s.avoid, cooling))
 	if ctx.Err() != nil {
-		progress(planner.Cancelled)
+		progress(planner.Progress{Phase: planner.Cancelled})
 		return false, nil
 	}
 	if p.RefusalReason != 0 {
@@ -154,7 +154,7 @@
 	req := s.req
 	srv := placement.Server{ID: p.Server, Address: p.Address, StartTime: s.gateway.Servers.StartTime(p.Server)}
 	if r := s.blockingCause(srv, &p); r != "" {
-		progress(planner.Cancelled)
+		progress(planner.Progress{Phase: planner.Cancelled})
 		s.avoid = append(s.avoid, p.Server)
 		return false, s.retryNotSent(r)
 	}
@@ -181,14 +181,14 @@
 	err = s.relay.copy(resp, func() {
 		s.gateway.metrics.firstEventTime.RecordDuration(clock.Now() - req.arrivedAt)
 		req.log.Info("First event relayed.", "identity", req.identity, "server", p.Server, "server_version", p.SoftwareVersion, "route", req.route.Name, "version", req.configVersion, "held", clock.Now()-req.arrivedAt, "took", clock.Now()-start)
-		progress(planner.Started)
+		progress(planner.Progress{Phase: planner.Started, FirstEvent: clock.Now() - start})
 	})
 	if err == nil {
-		progress(planner.Complete)
+		progress(planner.Progress{Phase: planner.Complete, LongestPause: s.relay.longestPause})
 		s.report(p, quarantine.Completed)
 		s.gateway.metrics.answered.Inc(1)
 		s.gateway.metrics.requestTime.RecordDuration(clock.Now() - req.arrivedAt)
-		req.log.Info("Stream completed.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", s.relay.unfinished(),
+		req.log.Info("Stream completed.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", s.relay.unfinished(), "longest_pause", s.relay.longestPause,
 			"held", clock.Now()-req.arrivedAt, "tries", req.attempts)
 		return true, nil
 	}
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -24,13 +24,13 @@
 		s.possibleRuns++
 	}
 	if ctx.Err() != nil {
-		progress(planner.Cancelled)
+		progress(planner.Progress{Phase: planner.Cancelled})
 		return false, nil
 	}
 	if maybeSent && connectionEnded(err) {
 		s.report(p, quarantine.InterruptedWaiting)
 	}
-	progress(planner.Unreached)
+	progress(planner.Progress{Phase: planner.Unreached})
 	if !maybeSent {
 		return false, s.retryNotRun("server unreachable")
 	}
@@ -41,15 +41,15 @@
 func (s *streamRequest) handleNotRun(p planner.Placement, progress progressFunc, status int) (bool, *refusal) {
 	if status == http.StatusConflict {
 		// An input no longer exists, so the stages have to run again.
-		progress(planner.Cancelled)
+		progress(planner.Progress{Phase: planner.Cancelled})
 		return false, s.retryNotRun("input no longer exists")
 	}
 	s.avoid = append(s.avoid, p.Server)
 	if status == http.StatusMisdirectedRequest {
-		progress(planner.Unreached)
+		progress(planner.Progress{Phase: planner.Unreached})
 		return false, s.retryNotRun(causeOtherServer)
 	}
-	progress(planner.Failed)
+	progress(planner.Progress{Phase: planner.Failed})
 	if s.req.attempts >= s.req.route.MaxAttempts {
 		return false, s.refuseOrFail(result.QueueFull, causeServerFull, busyRetryAfter)
 	}
@@ -88,7 +88,7 @@
 // handleBrokenStream handles a stream that ended early.
 func (s *streamRequest) handleBrokenStream(ctx context.Context, p planner.Placement, progress progressFunc, framing upstream.Framing, err error) (bool, *refusal) {
 	if ctx.Err() != nil || errors.Is(err, errClientConnection) {
-		progress(planner.Cancelled)
+		progress(planner.Progress{Phase: planner.Cancelled})
 		if errors.Is(err, errClientConnection) {
 			s.abort("write to the client failed")
 		}
@@ -98,7 +98,7 @@
 		s.gateway.metrics.endedBeforeEvent.Inc(1)
 		s.report(p, quarantine.InterruptedAnswering)
 	}
-	progress(planner.Failed)
+	progress(planner.Progress{Phase: planner.Failed})
 	s.avoid = append(s.avoid, p.Server)
 	if !s.relay.canContinue() {
 		return false, serverFailure("stream ended where no other server can continue it")
@@ -131,7 +131,7 @@
 
 // relayNonStream relays a response that is not a stream.
 func (s *streamRequest) relayNonStream(resp *upstream.Response, info platform.ServerResponse, progress progressFunc) (bool, *refusal) {
-	progress(planner.Failed)
+	progress(planner.Progress{Phase: planner.Failed})
 	if !info.Signed || s.relay.started {
 		return false, s.retryPossiblyRun("response without the server's signature")
 	}
--- a/internal/node/placing_bench_test.go
+++ b/internal/node/placing_bench_test.go
@@ -288,8 +288,8 @@
 		return loadReport{Refused: 1}
 	}
 	time.Sleep(benchPrefill)
-	plannerPeer.ReportProgress(req.ID, planner.Started)
+	plannerPeer.ReportProgress(req.ID, planner.Progress{Phase: planner.Started})
 	time.Sleep(benchStreamTime)
-	plannerPeer.ReportProgress(req.ID, planner.Complete)
+	plannerPeer.ReportProgress(req.ID, planner.Progress{Phase: planner.Complete})
 	return loadReport{Placed: 1}
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -129,10 +129,10 @@
 
 // ReportProgress reports the progress of a request to the other entry. It returns false
 // if the session has ended.
-func (p *Peer) ReportProgress(id string, progress planner.Phase) bool {
+func (p *Peer) ReportProgress(id string, progress planner.Progress) bool {
 	p.mu.Lock()
 	ended := p.ended
-	if progress != planner.Started {
+	if progress.Phase != planner.Started {
 		delete(p.outgoing, id)
 	}
 	p.mu.Unlock()
@@ -168,7 +168,7 @@
 	case *peerpb.Message_Streams:
 		p.handleStreams(body.Streams)
 	case *peerpb.Message_Progress:
-		p.handleProgress(body.Progress.GetId(), planner.Phase(body.Progress.GetPhase()))
+		p.handleProgress(body.Progress.GetId(), decodeProgress(body.Progress))
 	}
 	for _, part := range m.GetBatch() {
 		p.handleMessage(part)
@@ -275,8 +275,8 @@
 	p.session.send(encodePlacement(answer))
 }
 
-func (p *Peer) handleProgress(id string, progress planner.Phase) {
-	if progress != planner.Started {
+func (p *Peer) handleProgress(id string, progress planner.Progress) {
+	if progress.Phase != planner.Started {
 		p.removeIncoming(id)
 	}
 	p.planner.UpdateProgress(id, progress)
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -180,6 +180,7 @@
 		Id: r.ID, Key: r.PieceKey, Rank: uint32(r.Priority), DueMs: r.TimeToObjective.Milliseconds(), DeadlineMs: r.TimeToDeadline.Milliseconds(),
 		Pool: r.Pool, Zone: r.Zone, MaxTokens: uint32(r.MaxTokens), Avoid: r.Avoid, Customer: r.Customer, ClockUs: clock.Now().Microseconds(),
 		ResumableMs: r.ResumableFor.Milliseconds(), Identity: r.Identity, CheckOnly: r.CheckOnly,
+		PauseMs:   r.MaxPause.Milliseconds(),
 		Residency: &peerpb.Residency{Restricted: r.Residency.Restricted(), Regions: r.Residency.Regions()},
 	}
 	for _, stage := range r.Stages {
@@ -227,7 +228,7 @@
 		TimeToObjective: milliseconds(place.GetDueMs()), TimeToDeadline: milliseconds(place.GetDeadlineMs()),
 		Pool: place.GetPool(), Zone: place.GetZone(), MaxTokens: int(place.GetMaxTokens()), Avoid: place.GetAvoid(), Customer: place.GetCustomer(),
 		ResumableFor: milliseconds(place.GetResumableMs()), Identity: place.GetIdentity(), CheckOnly: place.GetCheckOnly(),
-		Residency: residency.Unrestricted(),
+		Residency: residency.Unrestricted(), MaxPause: milliseconds(place.GetPauseMs()),
 	}
 	if place.GetResidency().GetRestricted() {
 		r.Residency = residency.Only(place.GetResidency().GetRegions()...)
@@ -256,7 +257,7 @@
 	return &peerpb.Message{Body: &peerpb.Message_Placed{Placed: &peerpb.Placed{
 		Id: p.ID, Reason: uint32(p.RefusalReason), RetryAfterMs: p.RetryAfter.Milliseconds(),
 		Inputs: p.Inputs, Server: p.Server, Address: p.Address, Version: p.SoftwareVersion,
-		Cold: p.Cold, ClockUs: p.GrantedAt.Microseconds(),
+		Cold: p.Cold, ClockUs: p.GrantedAt.Microseconds(), FirstEventMs: p.ExpectedFirstEvent.Milliseconds(),
 	}}}
 }
 
@@ -264,12 +265,20 @@
 	return planner.Placement{
 		ID: p.GetId(), RefusalReason: staging.RefusalReason(p.GetReason()), RetryAfter: milliseconds(p.GetRetryAfterMs()),
 		Inputs: p.GetInputs(), Server: p.GetServer(), Address: p.GetAddress(), SoftwareVersion: p.GetVersion(),
-		Cold: p.GetCold(),
+		Cold: p.GetCold(), ExpectedFirstEvent: milliseconds(p.GetFirstEventMs()),
 	}
 }
 
-func encodeProgress(id string, p planner.Phase) *peerpb.Message {
-	return &peerpb.Message{Body: &peerpb.Message_Progress{Progress: &peerpb.Progress{Id: id, Phase: peerpb.Phase(p)}}}
+func encodeProgress(id string, p planner.Progress) *peerpb.Message {
+	return &peerpb.Message{Body: &peerpb.Message_Progress{Progress: &peerpb.Progress{
+		Id: id, Phase: peerpb.Phase(p.Phase), FirstEventUs: p.FirstEvent.Microseconds(), LongestPauseUs: p.LongestPause.Microseconds(),
+	}}}
+}
+
+func decodeProgress(m *peerpb.Progress) planner.Progress {
+	return planner.Progress{Phase: planner.Phase(m.GetPhase()), FirstEvent: microseconds(m.GetFirstEventUs()), LongestPause: microseconds(m.GetLongestPauseUs())}
 }
 
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -212,16 +212,16 @@
 }
 
 // UpdateProgress records the progress of a placed request.
-func (p *Planner) UpdateProgress(id string, progress Phase) {
+func (p *Planner) UpdateProgress(id string, progress Progress) {
 	p.update(func(now time.Duration) {
-		if progress == Started {
+		if progress.Phase == Started {
 			p.modelServers.RequestStarted(now, id)
 			p.scheduler.RequestStarted(now, id)
 			return
 		}
 		p.removePending(id)
-		p.modelServers.Finish(now, id, outcomeByPhase[progress])
-		p.quarantine.End(now, id, endingByPhase[progress])
+		p.modelServers.Finish(now, id, outcomeByPhase[progress.Phase])
+		p.quarantine.End(now, id, endingByPhase[progress.Phase])
 		p.scheduler.Release(now, id)
 	})
 }
@@ -238,10 +238,10 @@
 	_, pending := p.pending[id]
 	p.mu.Unlock()
 	if pending {
-		p.UpdateProgress(id, Cancelled)
+		p.UpdateProgress(id, Progress{Phase: Cancelled})
 		return
 	}
-	time.AfterFunc(abandonedResultRetention, func() { p.UpdateProgress(id, Cancelled) })
+	time.AfterFunc(abandonedResultRetention, func() { p.UpdateProgress(id, Progress{Phase: Cancelled}) })
 }
 
 // placementRequest returns what the choice of a server depends on.
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -41,6 +41,9 @@
 	ResumableFor time.Duration
 	// Residency permits the regions that may hold the request.
 	Residency residency.Policy
+	// MaxPause is the longest pause between two events with which the response is on time; 0
+	// if the route sets none.
+	MaxPause time.Duration
 }
 
 // Elements returns what the request may have in common with others that crash servers.
@@ -129,6 +132,9 @@
 	// delegation.GrantValidity of GrantedAt, by the clock of this instance.
 	Cold      bool
 	GrantedAt time.Duration
+	// ExpectedFirstEvent is the expected time from sending the request to its first event; 0
+	// if it is not known.
+	ExpectedFirstEvent time.Duration
 }
 
 // Placed reports whether a server was chosen. It is not for a request that was only checked.
@@ -148,6 +154,14 @@
 	Cancelled
 )
 
+// Progress is what the entry that serves a placed request reports of it.
+type Progress struct {
+	Phase Phase
+	// FirstEvent is the time from sending the request to its first event, known in phase
+	// Started; LongestPause is the longest time between two events, known in phase Complete.
+	FirstEvent, LongestPause time.Duration
+}
+
 // endingByPhase are the endings that the entry which placed a request learns from. Those that
 // may have crashed a server are reported with Planner.ReportAttempts.
 var endingByPhase = map[Phase]quarantine.Ending{Complete: quarantine.Completed}
