--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -49,6 +49,10 @@
 	// storeAddress is the address at which new entries reach the store; "" is the
 	// address of the store itself.
 	storeAddress string
+	// regions maps availability zones to regions for new entries.
+	regions map[string]string
+	// coldBound bounds the requests to cold servers for new entries.
+	coldBound platform.ColdBound
 
 	mu sync.Mutex
 	// reportedReady maps the names of entries to the newest state that each of them has
@@ -113,7 +117,7 @@
 		Node: name, Zone: "z", IP: "127.0.0.1", ClientAddress: freeAddress(f.t), ReadinessAddress: freeAddress(f.t),
 		FirstPort: f.peerPort(name), StoreAddress: cmp.Or(f.storeAddress, f.store.Address()), ShutdownGrace: cmp.Or(f.shutdownGrace, 30*time.Second), KeyValidity: keyValidity,
 		MaxConfigDelay: 2500 * time.Millisecond, MaxDrainDelay: 2500 * time.Millisecond,
-		Cores:       f.cores,
+		Cores: f.cores, Regions: f.regions, ColdBound: f.coldBound,
 		RetryBudget: platform.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Allowance: 80},
 	}
 	n := New(Options{Settings: settings, Log: f.stateLogger(name), Scope: tally.NoopScope})
