--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -59,6 +59,8 @@
 	allServers       []*standin.Server
 	lastServerNumber int
 	configVersion    int
+	// zoneByServer maps all servers that were ever started to their zones.
+	zoneByServer map[string]string
 	// keys are those in the newest configuration version, revokedKeys those that earlier
 	// versions had.
 	keys, revokedKeys []string
@@ -71,6 +73,8 @@
 	// version is that of the server's software.
 	version string
 	relay   *harness.Relay
+	// zone is homeZone or otherZone.
+	zone string
 }
 
 // entry is an entry process with the relays in front of its client and peer ports, and the
@@ -99,7 +103,7 @@
 }
 
 func newFleet(t *testing.T, entries int) *fleet {
-	f := &fleet{t: t, dir: t.TempDir(), store: standin.NewStore(), activeServers: map[string]*server{}, serverRecords: map[string][]byte{}}
+	f := &fleet{t: t, dir: t.TempDir(), store: standin.NewStore(), activeServers: map[string]*server{}, serverRecords: map[string][]byte{}, zoneByServer: map[string]string{}}
 	t.Cleanup(f.store.Close)
 	f.store.TransformValues(f.rewritePeerAddress)
 	for service, n := range serversPerService {
@@ -154,6 +158,8 @@
 		events = streamEvents
 	}
 	s := &server{Server: standin.NewServer(id, events), service: service, version: softwareVersions[f.lastServerNumber%len(softwareVersions)]}
+	s.zone = f.zoneWithFewest(service)
+	f.zoneByServer[id] = s.zone
 	s.SetVersion(s.version)
 	s.SetDelay(responseDelay)
 	f.t.Cleanup(s.CloseClientConnections)
@@ -165,7 +171,7 @@
 }
 
 func (f *fleet) putServerRecord(s *server, draining bool) {
-	f.writeServerRecord(s.ID, standin.VersionedServerRecord(s.service, s.relay.Addr(), s.version, draining))
+	f.writeServerRecord(s.ID, standin.InZone(standin.VersionedServerRecord(s.service, s.relay.Addr(), s.version, draining), s.zone))
 }
 
 // writeServerRecord writes the record of a server; nil deletes it.
@@ -179,7 +185,7 @@
 // rewriteRecords writes the newest records of the configuration and of all servers again.
 func (f *fleet) rewriteRecords() {
 	f.mu.Lock()
-	f.store.Put(platform.ConfigTopic, platform.ConfigKey, standin.ConfigRecord(f.configVersion, f.keys))
+	f.store.Put(platform.ConfigTopic, platform.ConfigKey, f.configRecord())
 	f.mu.Unlock()
 	f.recordsMu.Lock()
 	defer f.recordsMu.Unlock()
@@ -202,7 +208,7 @@
 	defer f.mu.Unlock()
 	f.configVersion++
 	f.keys = change(f.keys)
-	f.store.Put(platform.ConfigTopic, platform.ConfigKey, standin.ConfigRecord(f.configVersion, f.keys))
+	f.store.Put(platform.ConfigTopic, platform.ConfigKey, f.configRecord())
 }
 
 func (f *fleet) newEntry(name string) *entry {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -2,7 +2,7 @@
 // what callers and servers observe. A seed determines the sequence of faults: connections
 // are delayed, reset and silenced; processes are killed, paused, terminated and restarted;
 // the store becomes unavailable or drops responses; servers misbehave, drain and crash; API
-// keys are added and revoked.
+// keys are added and revoked; a zone is evacuated, and one route may be held only in one region.
 package soak
 
 import (
@@ -106,7 +106,9 @@
 	in := newInjector(f, seed)
 	l := &requestLog{}
 	stop := startCallers(f, l, seed, timeoutUnderFaults)
+	stopEvacuations := f.evacuateRepeatedly(seed)
 	in.run(d)
+	stopEvacuations()
 	for _, e := range f.entries {
 		e.waitUntilReady()
 	}
@@ -114,9 +116,11 @@
 	stop()
 	requestsUnderFaults := len(l.requests)
 	rollingRestart(t, f, l, seed)
+	checkRollingRestart(t, f, l.requests[requestsUnderFaults:])
+	checkEvacuation(t, f, l, seed)
+	checkResidency(t, f, l)
 	checkInvariants(t, f, in, l)
 	checkEntriesCooperate(t, f)
-	checkRollingRestart(t, f, l.requests[requestsUnderFaults:])
 	t.Logf("%d requests, %d of them under faults; requests by status: %v", len(l.requests), requestsUnderFaults, countByStatus(l.requests))
 	resumed, continued := countResumed(l.requests)
 	t.Logf("%d streams taken up by callers, %d of them continued", resumed, continued)
