--- a/core/backends/backends.go
+++ b/core/backends/backends.go
@@ -147,9 +147,16 @@
 	if s.evacuated[zone] && !evacuated {
 		s.evacuationEnded[zone] = now
 	}
-	s.evacuated[zone] = evacuated
+	if evacuated {
+		s.evacuated[zone] = true
+	} else {
+		delete(s.evacuated, zone)
+	}
 }
 
+// EvacuatedZones returns the number of evacuated zones.
+func (s *Set) EvacuatedZones() int { return len(s.evacuated) }
+
 // Evacuated reports whether a zone is evacuated.
 func (s *Set) Evacuated(zone string) bool { return s.evacuated[zone] }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,8 @@
 	Takes(id string) bool
 	// Evacuated reports whether a zone is evacuated.
 	Evacuated(zone string) bool
+	// EvacuatedZones returns the number of evacuated zones.
+	EvacuatedZones() int
 	// Zone returns the availability zone of a server, or "" if it is not known.
 	Zone(id string) string
 	// ColdUntil returns the time until which a server is presumed to be cold, if its
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,11 @@
 	// cooldowns counts the responses with which servers asked for no requests,
 	// serversLeaving the servers that first said in a response that they are leaving.
 	cooldowns, serversLeaving tally.Counter
+	// zonesEvacuated is the number of evacuated zones, serversCold that of servers which are
+	// presumed to be cold. grantsExpired counts the requests that were placed on a cold server
+	// and could not be sent there in time.
+	zonesEvacuated, serversCold tally.Gauge
+	grantsExpired               tally.Counter
 	// requestTime is the time to the end of a response, firstEventTime that to the first
 	// event of a stream, placementTime that of the placement.
 	requestTime, firstEventTime, placementTime tally.Histogram
@@ -57,6 +62,9 @@
 		limits:            scope.Counter("server_limits"),
 		cooldowns:         scope.Counter("server_cooldowns"),
 		serversLeaving:    scope.Counter("servers_leaving"),
+		zonesEvacuated:    scope.Gauge("zones_evacuated"),
+		serversCold:       scope.Gauge("servers_cold"),
+		grantsExpired:     scope.Counter("cold_grants_expired"),
 		requestTime:       scope.Histogram("request_seconds", buckets),
 		firstEventTime:    scope.Histogram("first_event_seconds", buckets),
 		placementTime:     scope.Histogram("placement_seconds", buckets),
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -21,6 +21,8 @@
 	g.Planner.SetPools(g.pools())
 	g.configChanges.publish(g.Config.Table())
 	g.markColdPlainServers()
+	g.metrics.serversCold.Update(float64(g.Planner.ColdServers(clock.Now()) + g.coldPlainServers()))
+	g.metrics.zonesEvacuated.Update(float64(g.Servers.EvacuatedZones()))
 	if complete {
 		g.initialized.Store(true)
 	}
@@ -59,6 +61,13 @@
 	return until
 }
 
+// coldPlainServers returns the number of plain servers that are presumed to be cold.
+func (g *Gateway) coldPlainServers() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.notices.ColdCount(clock.Now())
+}
+
 // markColdPlainServers limits the requests that this entry sends to cold servers of services
 // that each entry calls on its own.
 func (g *Gateway) markColdPlainServers() {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -213,6 +213,7 @@
 		return causeOtherVersion
 	}
 	if p.Cold && clock.Now()-p.GrantedAt > delegation.GrantValidity {
+		s.gateway.metrics.grantsExpired.Inc(1)
 		return causeGrantExpired
 	}
 	return ""
--- a/internal/watch/servers.go
+++ b/internal/watch/servers.go
@@ -105,6 +105,13 @@
 	return s.backendSet.Evacuated(zone)
 }
 
+// EvacuatedZones returns the number of evacuated zones.
+func (s *Servers) EvacuatedZones() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.backendSet.EvacuatedZones()
+}
+
 // ColdUntil returns the time until which a server is presumed to be cold, if its service's
 // servers are cold for coldStart after their start.
 func (s *Servers) ColdUntil(id string, coldStart time.Duration) time.Duration {
