Placement takes its times from measured speeds and charges pauses

The choice of a server charged 3 ms per running stream, whatever the size of the prompt, and assumed 60 tokens/ms everywhere.

Change: each server has an estimate of core/serverspeed. A prompt pays for each stream on the server whose longest on-time pause it would come near to, and a request pays for the prompts that still wait where it is placed, and for a late first event of its own. Some servers, the fastest ones, cost more for requests without a long prompt, as many as long prompts run at a time and at most a quarter of the pool. Without a longest on-time pause neither applies.

Ruled out: charging pauses without reserved servers.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -1,6 +1,7 @@
 // Package placement chooses model servers. It compares the prompt tokens that a server
-// would have to process, those that it still has to process for other requests, its
-// running requests, its recent failures, and the network distance. It has no clock and
+// would have to process, those that it still has to process for other requests, the pauses
+// that processing them causes, its running requests, its recent failures, and the network
+// distance. It takes all times from the measured speeds of the servers. It has no clock and
 // does no I/O.
 package placement
 
@@ -13,6 +14,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/residency"
+	"github.com/magnoliawheel/magnoliawheel/core/serverspeed"
 )
 
 // Server is a model server.
@@ -55,6 +57,12 @@
 	// InputBytesByZone are the sizes of the results that the server will read, by
 	// availability zone.
 	InputBytesByZone map[string]int64
+	// MaxPause is the longest pause between two events with which the response is on time; 0
+	// means that pauses do not count.
+	MaxPause time.Duration
+	// TimeToObjective is the time until which the first event is on time; 0 or less means
+	// that it makes no difference any more, or never does.
+	TimeToObjective time.Duration
 }
 
 // Outcome is how a placed request ended.
@@ -80,11 +88,17 @@
 	requests      map[string]*placedRequest
 	// notices are the limits that servers name.
 	notices *notice.Table
+	speeds  *serverspeed.Model
+	// reserves holds the servers kept for long prompts, by pool.
+	reserves map[string]*reserve
 }
 
 // New returns an empty table. regions maps availability zones to regions.
 func New(regions map[string]string) *Table {
-	return &Table{regionByZone: regions, serversByPool: map[string][]*server{}, requests: map[string]*placedRequest{}, notices: notice.NewTable(nil)}
+	return &Table{
+		regionByZone: regions, serversByPool: map[string][]*server{}, requests: map[string]*placedRequest{},
+		notices: notice.NewTable(nil), speeds: serverspeed.New(), reserves: map[string]*reserve{},
+	}
 }
 
 // SetNotices sets the table with the limits that servers name.
@@ -98,7 +112,7 @@
 	for _, def := range defs {
 		i := slices.IndexFunc(old, func(s *server) bool { return s.def.ID == def.ID && s.def.StartTime == def.StartTime })
 		if i < 0 {
-			servers = append(servers, &server{def: def, region: t.regionByZone[def.Zone], cache: newPrefixCache()})
+			servers = append(servers, &server{def: def, region: t.regionByZone[def.Zone], cache: newPrefixCache(), speed: t.speeds.Server(pool, def.Start())})
 			continue
 		}
 		old[i].def, old[i].region = def, t.regionByZone[def.Zone]
@@ -117,23 +131,40 @@
 	Running int
 	// Cold is true if the request uses up the limit of a cold server.
 	Cold bool
+	// ExpectedFirstEvent is the expected time from sending the request to its first event.
+	ExpectedFirstEvent time.Duration
+	// TokensPerMS is the expected rate at which the server processes prompts, and Slowdown
+	// the factor by which it is slower than usual at this moment.
+	TokensPerMS, Slowdown float64
+	// ExpectedPause is the time for which the request is expected to pause streams on the
+	// server, Interference the cost of that and of the pauses of its own response, in
+	// milliseconds.
+	ExpectedPause time.Duration
+	Interference  float64
 }
 
 // Choose returns the best server for a request and records the request there. It
 // returns false if there is none, or none that may get a request within its limit.
 func (t *Table) Choose(now time.Duration, r Request) (Choice, bool) {
+	t.updateReserve(now, r.Pool)
 	c := newChoice(&r)
 	best := t.cheapest(now, c)
 	if best == nil {
 		return Choice{}, false
 	}
-	chosen := Choice{Server: best.def, PromptTokens: c.promptTokens, UncachedTokens: best.uncachedTokens(c), QueuedTokens: best.pendingPrefillTokens, Running: best.running, Cold: t.notices.IsCold(now, best.def.Start())}
+	chosen := best.describe(now, c)
+	chosen.Cold = t.notices.IsCold(now, best.def.Start())
 	t.Finish(now, r.ID, Cancelled)
-	p := &placedRequest{server: best, placedAt: now, pendingPrefillTokens: chosen.UncachedTokens, reservedTokens: c.promptTokens + r.MaxTokens}
+	p := &placedRequest{
+		server: best, pool: r.Pool, placedAt: now, pendingPrefillTokens: chosen.UncachedTokens, reservedTokens: c.promptTokens + r.MaxTokens, maxPause: r.MaxPause, isLong: c.isLong,
+		expectedFirstEvent: chosen.ExpectedFirstEvent, prefillTokens: chosen.QueuedTokens + chosen.UncachedTokens, runningAtStart: chosen.Running,
+	}
 	t.requests[r.ID] = p
 	t.notices.RecordCall(now, best.def.Start())
 	best.add(p)
-	p.expectedPrefillTime = time.Duration(best.pendingPrefillMS() * float64(time.Millisecond))
+	if p.isLong {
+		t.reserveFor(r.Pool).count(now, 1)
+	}
 	best.cache.add(c.prefixes, int(cacheMemoryShare*float64(best.def.CacheTokens)))
 	return chosen, true
 }
@@ -188,6 +219,8 @@
 	prefixes     []prefix
 	promptTokens int
 	inputBytes   int64
+	// isLong is set if the prompt makes other responses late on any server.
+	isLong bool
 }
 
 func newChoice(r *Request) *choice {
@@ -205,6 +238,7 @@
 func (t *Table) cheapest(now time.Duration, c *choice) *server {
 	var cheapest *server
 	var leastCost float64
+	c.isLong = t.isLong(c)
 	affinity := t.affinityServer(c)
 	region := t.regionByZone[c.Zone]
 	for _, s := range t.serversByPool[c.Pool] {
@@ -261,6 +295,33 @@
 	}
 }
 
+// ObserveFirstEvent learns from the time from sending a request to its first event, before
+// RequestStarted. It returns the time that was expected, or 0 if the request is not known.
+func (t *Table) ObserveFirstEvent(now time.Duration, id string, took time.Duration) time.Duration {
+	p := t.requests[id]
+	if p == nil || p.hasStarted {
+		return 0
+	}
+	t.speeds.ObserveFirstEvent(now, p.server.speed, serverspeed.FirstEvent{Tokens: p.prefillTokens, Running: p.runningAtStart, Took: took})
+	return p.expectedFirstEvent
+}
+
+// ObservePause learns from the longest pause of a response, before Finish.
+func (t *Table) ObservePause(id string, pause time.Duration) {
+	if p := t.requests[id]; p != nil {
+		t.speeds.ObservePause(p.server.speed, p.tokensBeside, p.runningBeside, pause)
+	}
+}
+
+// ExportSpeeds returns what is known of the speeds of servers.
+func (t *Table) ExportSpeeds(now time.Duration) []serverspeed.Speed { return t.speeds.Export(now) }
+
+// ImportSpeeds learns speeds of servers from another instance. It returns the number of servers
+// of which less was known.
+func (t *Table) ImportSpeeds(now time.Duration, speeds []serverspeed.Speed) int {
+	return t.speeds.Import(now, speeds)
+}
+
 // Finish handles the end of a request.
 func (t *Table) Finish(now time.Duration, id string, outcome Outcome) {
 	p := t.requests[id]
@@ -270,6 +331,9 @@
 	delete(t.requests, id)
 	s := p.server
 	s.remove(p)
+	if p.isLong {
+		t.reserveFor(p.pool).count(now, -1)
+	}
 	switch outcome {
 	case Complete:
 		s.recordOutcome(now, 0)
@@ -284,16 +348,13 @@
 	}
 }
 
-// firstEventTime is the time to the first event of a request whose prompt is processed.
-const firstEventTime = 130 * time.Millisecond
-
-// ExpectedFirstEvent returns the time to the first event on an idle server that has cached
-// nothing of the prompt.
-func ExpectedFirstEvent(r Request) time.Duration {
+// ExpectedFirstEvent returns the time to the first event on an idle server of usual speed that
+// has cached nothing of the prompt.
+func (t *Table) ExpectedFirstEvent(r Request) time.Duration {
 	promptTokens := 0
 	for _, p := range r.Parts {
 		promptTokens += p.Tokens
 	}
-	prefillMS := float64(promptTokens) / prefillTokensPerMS
-	return firstEventTime + time.Duration(prefillMS*float64(time.Millisecond))
+	estimate := t.speeds.PoolEstimate(r.Pool, 0)
+	return estimate.FirstEvent(promptTokens)
 }
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -6,11 +6,10 @@
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/backoff"
+	"github.com/magnoliawheel/magnoliawheel/core/serverspeed"
 )
 
 const (
-	// prefillTokensPerMS is the speed at which a server processes a prompt.
-	prefillTokensPerMS = 60.0
 	// uncachedPrefillWeight multiplies the cost of processing uncached parts of a prompt.
 	// Caching them on a second server costs memory and time that other requests could
 	// use.
@@ -18,8 +17,6 @@
 	// affinityUncachedShare is the fraction of the prompt that the affinity server is
 	// assumed to process while no server is known to have it cached.
 	affinityUncachedShare = 0.5
-	// runningCostMS is the delay that each running request adds to a new one.
-	runningCostMS = 3.0
 	// otherZoneCostMS and otherRegionCostMS are the costs, for latency and traffic, of
 	// using a server in another availability zone of the same region and in another
 	// region.
@@ -33,9 +30,9 @@
 	failureCostMS = 4000.0
 	// overdueCostMS is the cost of each overdue request on the server.
 	overdueCostMS = 1500.0
-	// overdueAfter is how long after the expected end of prompt processing a request
-	// without a first event counts as overdue.
-	overdueAfter = 900 * time.Millisecond
+	// overdueAfter is how long after the expected time a request without a first event
+	// counts as overdue.
+	overdueAfter = 770 * time.Millisecond
 	// failureWeight is the weight of the newest request in the failure share.
 	failureWeight = 0.35
 	// failureHalfLife is the time in which a failure share halves without requests.
@@ -59,8 +56,16 @@
 	// running is the number of requests on the server. pendingPrefillTokens and
 	// reservedTokens are the sums over these requests.
 	running, pendingPrefillTokens, reservedTokens int
-	// waiting are the requests without a first event.
-	waiting []*placedRequest
+	// placed are these requests, waiting those of them without a first event.
+	placed, waiting []*placedRequest
+	// pauseLimits counts these requests by their longest on-time pause.
+	pauseLimits []pauseLimit
+	// isReserved is set while the server is kept for long prompts. speedStep is the speed
+	// by which such servers are chosen.
+	isReserved bool
+	speedStep  int
+	// speed is the measured speed of the server.
+	speed *serverspeed.Server
 	// cache holds the prompt prefixes that the server is assumed to have cached.
 	cache *prefixCache
 	// failureShare is the weighted share of recent requests that failed, at the time
@@ -73,11 +78,24 @@
 
 // placedRequest is a request on a server.
 type placedRequest struct {
-	server   *server
+	server *server
+	pool   string
+	// isLong is set if its prompt makes other responses late.
+	isLong   bool
 	placedAt time.Duration
-	// expectedPrefillTime is the time that the server needs to process its pending
-	// prompts, including that of this request, as estimated when the request was placed.
-	expectedPrefillTime time.Duration
+	// expectedFirstEvent is the time to the first event that was expected when the request
+	// was placed. Until then the server had to process prefillTokens, of this request and of
+	// earlier ones, and ran runningAtStart other requests.
+	expectedFirstEvent            time.Duration
+	prefillTokens, runningAtStart int
+	// hasStarted is set once the first event was seen.
+	hasStarted bool
+	// tokensBeside are the most prompt tokens that the server had to process for other
+	// requests at any time since the first event, and runningBeside the number of requests
+	// then.
+	tokensBeside, runningBeside int
+	// maxPause is the longest on-time pause; 0 if pauses do not count.
+	maxPause time.Duration
 	// pendingPrefillTokens is the number of prompt tokens of this request that the server
 	// still has to process.
 	pendingPrefillTokens int
@@ -102,7 +120,12 @@
 	s.running++
 	s.pendingPrefillTokens += p.pendingPrefillTokens
 	s.reservedTokens += p.reservedTokens
+	s.placed = append(s.placed, p)
 	s.waiting = append(s.waiting, p)
+	s.countPauseLimit(p.maxPause, 1)
+	for _, other := range s.placed {
+		other.recordBeside()
+	}
 }
 
 // remove removes a request from the server.
@@ -110,14 +133,30 @@
 	s.prefillDone(p)
 	s.running--
 	s.reservedTokens -= p.reservedTokens
+	s.placed = without(s.placed, p)
+	s.countPauseLimit(p.maxPause, -1)
 }
 
 // prefillDone records that the prompt of a request need not be processed any more.
 func (s *server) prefillDone(p *placedRequest) {
 	s.pendingPrefillTokens -= p.pendingPrefillTokens
 	p.pendingPrefillTokens = 0
-	if i := slices.Index(s.waiting, p); i >= 0 {
-		s.waiting = slices.Delete(s.waiting, i, i+1)
+	s.waiting = without(s.waiting, p)
+	p.hasStarted = true
+	p.recordBeside()
+}
+
+func without(requests []*placedRequest, p *placedRequest) []*placedRequest {
+	if i := slices.Index(requests, p); i >= 0 {
+		return slices.Delete(requests, i, i+1)
+	}
+	return requests
+}
+
+// recordBeside records the prompts that the server processes while the response runs.
+func (p *placedRequest) recordBeside() {
+	if p.hasStarted && p.server.pendingPrefillTokens > p.tokensBeside {
+		p.tokensBeside, p.runningBeside = p.server.pendingPrefillTokens, p.server.running
 	}
 }
 
@@ -141,12 +180,17 @@
 // cost returns the expected time to the first event in milliseconds, plus the costs that
 // this choice causes for other requests. It excludes the network distance.
 func (s *server) cost(now time.Duration, c *choice, hasAffinity bool) float64 {
-	uncached := float64(s.uncachedTokens(c))
+	speed := s.speed.Estimate(now, s.running)
+	uncached := s.uncachedTokens(c)
 	if hasAffinity {
-		uncached *= affinityUncachedShare
+		uncached = int(affinityUncachedShare * float64(uncached))
+	}
+	cost := speed.PrefillMS(s.pendingPrefillTokens) + uncachedPrefillWeight*speed.PrefillMS(uncached)
+	cost += speed.RunningMS * float64(s.running)
+	cost += s.interference(&speed, c.Request, uncached) + s.objectiveCost(&speed, c.Request, uncached)
+	if s.isReserved && c.MaxPause > 0 && !c.isLong {
+		cost += reservedCostMS
 	}
-	cost := s.pendingPrefillMS() + uncachedPrefillWeight*uncached/prefillTokensPerMS
-	cost += runningCostMS * float64(s.running)
 	cost += failureCostMS * s.currentFailureShare(now)
 	if c.inputBytes > 0 {
 		cost += crossZoneCostMSPerMB * float64(c.inputBytes-c.InputBytesByZone[s.def.Zone]) / bytesPerMB
@@ -158,13 +202,24 @@
 		cost += unavailableCostMS
 	}
 	for _, p := range s.waiting {
-		if now-p.placedAt > p.expectedPrefillTime+overdueAfter {
+		if now-p.placedAt > p.expectedFirstEvent+overdueAfter {
 			cost += overdueCostMS
 		}
 	}
 	return cost
 }
 
+// describe returns what the choice of the server depends on.
+func (s *server) describe(now time.Duration, c *choice) Choice {
+	speed := s.speed.Estimate(now, s.running)
+	uncached := s.uncachedTokens(c)
+	return Choice{
+		Server: s.def, PromptTokens: c.promptTokens, UncachedTokens: uncached, QueuedTokens: s.pendingPrefillTokens, Running: s.running,
+		ExpectedFirstEvent: speed.FirstEvent(s.pendingPrefillTokens + uncached), TokensPerMS: speed.TokensPerMS, Slowdown: speed.Slowdown,
+		ExpectedPause: time.Duration(speed.PauseMS(uncached) * float64(time.Millisecond)), Interference: s.interference(&speed, c.Request, uncached),
+	}
+}
+
 // isFull reports whether the server lacks a slot or memory for the request.
 func (s *server) isFull(c *choice) bool {
 	if s.def.Slots > 0 && s.running >= s.def.Slots {
@@ -173,12 +228,6 @@
 	return s.def.CacheTokens > 0 && s.reservedTokens+c.promptTokens+c.MaxTokens > s.def.CacheTokens
 }
 
-// pendingPrefillMS returns the time to process the pending prompt tokens of the running
-// requests, in milliseconds.
-func (s *server) pendingPrefillMS() float64 {
-	return float64(s.pendingPrefillTokens) / prefillTokensPerMS
-}
-
 // uncachedTokens returns the number of prompt tokens that the server has not cached.
 func (s *server) uncachedTokens(c *choice) int {
 	uncached := c.promptTokens
--- a/core/serverspeed/export.go
+++ b/core/serverspeed/export.go
@@ -29,7 +29,7 @@
 		if age := now - s.sampledAt; s.samples > 0 && age < retention {
 			speeds = append(speeds, Speed{
 				Server: s.id, TokensPerMS: s.speed.tokensPerMS, FirstEventMS: s.speed.firstEventMS,
-				Slowdown: math.Exp(s.currentSlowdown(now)), Samples: s.samples, Age: age,
+				Slowdown: s.slowdownFactor(now), Samples: s.samples, Age: age,
 			})
 		}
 	}
--- a/core/serverspeed/serverspeed.go
+++ b/core/serverspeed/serverspeed.go
@@ -40,6 +40,8 @@
 	// slowdownHalfLife is the time in which the logarithm of a slowdown halves. The moments
 	// for which machines are slow last about 0.6 s.
 	slowdownHalfLife = 350 * time.Millisecond
+	// slowdownRetention is the age from which a slowdown is negligible.
+	slowdownRetention = 10 * slowdownHalfLife
 	// retention is the age from which the samples of a server count no more for its pool,
 	// and are not reported.
 	retention = 10 * time.Minute
@@ -141,15 +143,14 @@
 
 // Estimate returns what is expected of the server while it runs so many other requests.
 func (s *Server) Estimate(now time.Duration, running int) Estimate {
-	slowdown := math.Exp(s.currentSlowdown(now))
-	return s.pool.estimate(s.longTerm(), slowdown, running)
+	return s.pool.estimate(s.longTerm(), s.slowdownFactor(now), running)
 }
 
-// PoolEstimate returns what is expected of the median server of a pool without running
-// requests.
-func (m *Model) PoolEstimate(poolName string) Estimate {
+// PoolEstimate returns what is expected of the median server of a pool while it runs so many
+// other requests.
+func (m *Model) PoolEstimate(poolName string, running int) Estimate {
 	p := m.pool(poolName)
-	return p.estimate(p.median, 1, 0)
+	return p.estimate(p.median, 1, running)
 }
 
 // longTerm returns the long-term values: those of the pool before the first sample.
@@ -162,12 +163,20 @@
 
 // currentSlowdown returns the logarithm of the slowdown.
 func (s *Server) currentSlowdown(now time.Duration) float64 {
-	if s.slowdown == 0 {
+	if s.slowdown == 0 || now-s.slowdownAt >= slowdownRetention {
 		return 0
 	}
 	return s.slowdown * math.Exp2(-float64(now-s.slowdownAt)/float64(slowdownHalfLife))
 }
 
+// slowdownFactor returns the factor by which work takes longer than usual.
+func (s *Server) slowdownFactor(now time.Duration) float64 {
+	if slowdown := s.currentSlowdown(now); slowdown != 0 {
+		return math.Exp(slowdown)
+	}
+	return 1
+}
+
 // FirstEvent is a measured first event.
 type FirstEvent struct {
 	// Tokens are the prompt tokens that had to be processed before it, those queued before
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -196,7 +196,7 @@
 		parts := pr.placementRequest()
 		p.scheduler.Submit(now, staging.Job{
 			ID: req.ID, Key: req.PieceKey, Stages: req.Stages, Priority: req.Priority,
-			ObjectiveDeadline: now + req.TimeToObjective, Deadline: now + req.TimeToDeadline, RequestDuration: placement.ExpectedFirstEvent(parts),
+			ObjectiveDeadline: now + req.TimeToObjective, Deadline: now + req.TimeToDeadline, RequestDuration: p.modelServers.ExpectedFirstEvent(parts),
 			ReaderZone: p.modelServers.LikelyZone(now, parts), Customer: req.Customer, Owner: req.Owner, PriorResults: req.PriorResults,
 			Residency: req.Residency,
 		})
