Planner learns server speeds from the progress of requests

Cause: entries report the time to the first event and the longest pause of each stream, and nothing used them.

Change: the planner feeds both to the placement table, gives it the longest on-time pause and the time left until the objective, and sets the expected first event of a placement. The log line of a placement has the inputs of the decision; new counters and histograms show measured and expected times, pauses, long prompts, and uses of reserved servers. Export and import of speeds are ready for other entries; an entry passes on only what it measured itself, so that old values do not go round.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -141,6 +141,9 @@
 	// milliseconds.
 	ExpectedPause time.Duration
 	Interference  float64
+	// Long is set if the prompt makes other responses late on any server, Reserved if the
+	// server is kept for such prompts.
+	Long, Reserved bool
 }
 
 // Choose returns the best server for a request and records the request there. It
--- a/core/serverspeed/export.go
+++ b/core/serverspeed/export.go
@@ -22,11 +22,12 @@
 	Age     time.Duration
 }
 
-// Export returns what is known of the servers with samples within the retention time.
+// Export returns what this instance has measured within the retention time. What it has learned
+// from others it does not pass on, so that old values do not go round.
 func (m *Model) Export(now time.Duration) []Speed {
 	var speeds []Speed
 	for _, s := range m.servers {
-		if age := now - s.sampledAt; s.samples > 0 && age < retention {
+		if age := now - s.sampledAt; s.isMeasured && age < retention {
 			speeds = append(speeds, Speed{
 				Server: s.id, TokensPerMS: s.speed.tokensPerMS, FirstEventMS: s.speed.firstEventMS,
 				Slowdown: s.slowdownFactor(now), Samples: s.samples, Age: age,
@@ -58,9 +59,9 @@
 }
 
 func (m *Model) importSpeed(now time.Duration, v Speed) bool {
-	weight := min(v.Samples, maxSamples) * math.Exp2(-float64(v.Age)/float64(sampleHalfLife))
+	weight := agedWeight(min(v.Samples, maxSamples), v.Age)
 	s := m.servers[v.Server]
-	if s != nil && s.samples >= weight {
+	if s != nil && agedWeight(s.samples, now-s.sampledAt) >= weight {
 		return false
 	}
 	if s == nil {
@@ -70,7 +71,12 @@
 		m.servers[v.Server] = s
 	}
 	s.setValues(speed{v.TokensPerMS, v.FirstEventMS}, weight)
-	s.samples, s.sampledAt = weight, now-v.Age
+	s.samples, s.sampledAt, s.isMeasured = min(v.Samples, maxSamples), now-v.Age, false
 	s.slowdown, s.slowdownAt = math.Log(max(1, v.Slowdown)), now
 	return true
 }
+
+// agedWeight returns the weight of samples of an age.
+func agedWeight(samples float64, age time.Duration) float64 {
+	return samples * math.Exp2(-float64(age)/float64(sampleHalfLife))
+}
--- a/core/serverspeed/serverspeed.go
+++ b/core/serverspeed/serverspeed.go
@@ -73,6 +73,8 @@
 	speed   speed
 	fit     fit
 	samples float64
+	// isMeasured is set if a sample of this instance is among them.
+	isMeasured bool
 	// sampledAt is the time of the newest sample.
 	sampledAt time.Duration
 	// slowdown is the logarithm of the slowdown at the time slowdownAt.
@@ -206,7 +208,7 @@
 	idleTokens := float64(f.Tokens) * s.pool.loadFactor(f.Running)
 	s.pool.observeLoad(f.Running, relativeError*prefillMS/expectedMS)
 	s.adjust(idleTokens, expectedMS*math.Exp(relativeError))
-	s.samples, s.sampledAt = min(s.samples+1, maxSamples), now
+	s.samples, s.sampledAt, s.isMeasured = min(s.samples+1, maxSamples), now, true
 	m.refreshMedian(now, s.pool)
 }
 
--- a/core/serverspeed/serverspeed_test.go
+++ b/core/serverspeed/serverspeed_test.go
@@ -129,8 +129,12 @@
 	s := second.Server("p", id)
 	e := s.Estimate(0, 0)
 	near(t, e.TokensPerMS, first.Server("p", id).longTerm().tokensPerMS, 1e-9)
-	observe(second, s, 0, 40, 50, 100)
-	assert.Equal(t, second.Import(0, speeds), 0)
+	assert.Equal(t, len(second.Export(0)), 0, "values of others are not passed on")
+	speeds[0].Age = 0
+	assert.Equal(t, second.Import(ms, speeds), 1, "newer values are learned")
+	now = observe(second, s, 0, 40, 50, 100)
+	speeds[0].Age = 10 * time.Second
+	assert.Equal(t, second.Import(now, speeds), 0)
 	for _, invalid := range []Speed{
 		{}, {TokensPerMS: math.NaN(), FirstEventMS: 1, Slowdown: 1, Samples: 1}, {TokensPerMS: 1, FirstEventMS: math.Inf(1), Slowdown: 1, Samples: 1},
 		{TokensPerMS: 1, FirstEventMS: 1, Slowdown: 1, Samples: 1, Age: retention},
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
@@ -100,6 +101,7 @@
 	// released, onEvidence the attempts of stage calls that may have crashed servers.
 	onQuarantine func([]quarantine.Change)
 	onEvidence   func(...quarantine.Attempt)
+	metrics      *metrics
 	// decided are the requests that were refused or only checked, and that are not answered
 	// yet.
 	decided []*pendingRequest
@@ -115,6 +117,7 @@
 		stages: stages, log: log, scheduler: scheduler, modelServers: modelServers, notices: notices,
 		streams: streamversion.New(), poolVersions: streamversion.NewPools(), quarantine: quarantine.New(),
 		pending: map[string]*pendingRequest{}, wake: make(chan struct{}, 1),
+		metrics: newMetrics(tally.NoopScope),
 	}
 }
 
@@ -214,6 +217,7 @@
 // UpdateProgress records the progress of a placed request.
 func (p *Planner) UpdateProgress(id string, progress Progress) {
 	p.update(func(now time.Duration) {
+		p.observeSpeed(now, id, progress)
 		if progress.Phase == Started {
 			p.modelServers.RequestStarted(now, id)
 			p.scheduler.RequestStarted(now, id)
@@ -249,6 +253,7 @@
 	req := &pr.req
 	return placement.Request{
 		ID: req.ID, Pool: req.Pool, Zone: req.Zone, Parts: req.PromptParts, MaxTokens: req.MaxTokens, Avoid: req.Avoid, SoftwareVersion: pr.version, Residency: req.Residency,
+		MaxPause: req.MaxPause,
 	}
 }
 
@@ -330,6 +335,7 @@
 	expected, _ := p.scheduler.ExpectedDuration(job.JobID)
 	req := pr.placementRequest()
 	req.InputBytesByZone = job.BytesByZone
+	req.TimeToObjective = pr.req.TimeToObjective - (now - pr.receivedAt)
 	srv, ok := p.modelServers.Choose(now, req)
 	if !ok {
 		p.scheduler.Release(now, job.JobID)
@@ -341,10 +347,12 @@
 	}
 	p.recordVersion(now, pr, srv.SoftwareVersion)
 	p.quarantine.Begin(now, job.JobID, srv.Start(), pr.elements)
+	p.metrics.countPlacement(&srv)
 	p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "server_version", srv.SoftwareVersion, "pinned", pr.version != nil, "elements", pr.elements, "residency", pr.req.Residency.String(), "cold", srv.Cold, "prompt", srv.PromptTokens, "uncached", srv.UncachedTokens, "queued", srv.QueuedTokens,
-		"running", srv.Running, "expected", expected, "due", pr.req.TimeToObjective,
+		"running", srv.Running, "first_event", srv.ExpectedFirstEvent, "tokens_per_ms", srv.TokensPerMS, "slowdown", srv.Slowdown, "pause", srv.ExpectedPause, "interference", srv.Interference,
+		"max_pause", pr.req.MaxPause, "to_objective", req.TimeToObjective, "long", srv.Long, "reserved", srv.Reserved, "expected", expected, "due", pr.req.TimeToObjective,
 		"waited", now-pr.receivedAt, "results", len(job.Handles), "made", len(pr.req.PriorResults), "jobs", p.scheduler.JobCount())
-	return Placement{ID: job.JobID, Inputs: job.Handles, Server: srv.ID, Address: srv.Address, SoftwareVersion: srv.SoftwareVersion, Cold: srv.Cold, GrantedAt: now}
+	return Placement{ID: job.JobID, Inputs: job.Handles, Server: srv.ID, Address: srv.Address, SoftwareVersion: srv.SoftwareVersion, Cold: srv.Cold, GrantedAt: now, ExpectedFirstEvent: srv.ExpectedFirstEvent}
 }
 
 // JobCount returns the number of requests whose stages are running or whose results are
