Entries tell each other the speeds of model servers

Cause: the entry that places requests alone measures the servers, so the next one began with the starting values.

Change: a new session begins with one message of up to 256 speeds; the backup, or the entry that places requests from now on, is told all, and again each minute. An entry passes on only what it measured itself, and takes over what has more weight than what it knows, after its age. Ruled out: all speeds in each new session, since with 2,700 servers and 360 entries that open one at once it would be about 58 MB (computed, not measured).

--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -166,11 +166,13 @@
 	ticker := time.NewTicker(linkCheckInterval)
 	defer ticker.Stop()
 	var backup *Peer
+	var speeds speedsTimer
 	yielding := false
 	for settled := false; ; {
 		l.maintainSessions(ctx)
 		yielding = l.yield(yielding)
 		backup = l.updateBackup(backup)
+		l.tellSpeeds(&speeds, backup)
 		if !settled && (time.Since(startTime) > maxSettlingTime || l.isSettled()) {
 			settled = true
 			close(l.settled)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -66,6 +66,7 @@
 	if p.local.Notices != nil {
 		p.sendNotices(p.local.Notices())
 	}
+	p.sendFirstSpeeds(p.planner.Speeds())
 	p.session.run(p.statusMessage, p.handleMessage)
 	p.endSession()
 }
@@ -165,6 +166,8 @@
 		p.handleEvidence(body.Evidence)
 	case *peerpb.Message_Notices:
 		p.handleNotices(body.Notices)
+	case *peerpb.Message_Speeds:
+		p.handleSpeeds(body.Speeds)
 	case *peerpb.Message_Streams:
 		p.handleStreams(body.Streams)
 	case *peerpb.Message_Progress:
