A hot shared prompt part is kept by as many servers as its demand takes

Cause: the streams of a shared part all go to the server that has it cached until queues there cost more than processing it again, and copies on further servers then stay in use after the demand fell.

Change: placement averages, for each shared part, the time that processing the rest of its prompts takes. Each 15% of a server's time take one server that keeps the part; the others with a copy cost a little more, so that unneeded copies expire.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -91,13 +91,14 @@
 	speeds  *serverspeed.Model
 	// reserves holds the servers kept for long prompts, by pool.
 	reserves map[string]*reserve
+	demands  map[demandKey]*demand
 }
 
 // New returns an empty table. regions maps availability zones to regions.
 func New(regions map[string]string) *Table {
 	return &Table{
 		regionByZone: regions, serversByPool: map[string][]*server{}, requests: map[string]*placedRequest{},
-		notices: notice.NewTable(nil), speeds: serverspeed.New(), reserves: map[string]*reserve{},
+		notices: notice.NewTable(nil), speeds: serverspeed.New(), reserves: map[string]*reserve{}, demands: map[demandKey]*demand{},
 	}
 }
 
@@ -144,6 +145,9 @@
 	// Long is set if the prompt makes other responses late on any server, Reserved if the
 	// server is kept for such prompts.
 	Long, Reserved bool
+	// Keepers is the number of servers that keep the shared part of the prompt; 0 if one is
+	// enough for it.
+	Keepers int
 }
 
 // Choose returns the best server for a request and records the request there. It
@@ -151,6 +155,7 @@
 func (t *Table) Choose(now time.Duration, r Request) (Choice, bool) {
 	t.updateReserve(now, r.Pool)
 	c := newChoice(&r)
+	t.recordDemand(now, c)
 	best := t.cheapest(now, c)
 	if best == nil {
 		return Choice{}, false
@@ -224,6 +229,10 @@
 	inputBytes   int64
 	// isLong is set if the prompt makes other responses late on any server.
 	isLong bool
+	// keepers are the servers that keep the shared part of the prompt, of sharedTokens tokens;
+	// nil if one is enough for it.
+	keepers      map[*server]bool
+	sharedTokens int
 }
 
 func newChoice(r *Request) *choice {
@@ -243,6 +252,7 @@
 	var leastCost float64
 	c.isLong = t.isLong(c)
 	affinity := t.affinityServer(c)
+	c.keepers, c.sharedTokens = t.keepersOf(c)
 	region := t.regionByZone[c.Zone]
 	for _, s := range t.serversByPool[c.Pool] {
 		if !c.accepts(s) || t.notices.Wait(now, s.def.Start()) > 0 {
@@ -261,10 +271,10 @@
 // that prompts placed by other instances are probably cached there. It returns nil if a
 // server has the parts cached or nothing is shared.
 func (t *Table) affinityServer(c *choice) *server {
-	if len(c.prefixes) < 2 {
+	shared, ok := c.sharedPrefix()
+	if !ok {
 		return nil
 	}
-	shared := c.prefixes[len(c.prefixes)-2]
 	var preferred *server
 	var highestWeight uint64
 	for _, s := range t.serversByPool[c.Pool] {
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -182,10 +182,11 @@
 func (s *server) cost(now time.Duration, c *choice, hasAffinity bool) float64 {
 	speed := s.speed.Estimate(now, s.running)
 	uncached := s.uncachedTokens(c)
+	cost := s.copyCost(c, uncached, speed.TokensPerMS)
 	if hasAffinity {
 		uncached = int(affinityUncachedShare * float64(uncached))
 	}
-	cost := speed.PrefillMS(s.pendingPrefillTokens) + uncachedPrefillWeight*speed.PrefillMS(uncached)
+	cost += speed.PrefillMS(s.pendingPrefillTokens) + uncachedPrefillWeight*speed.PrefillMS(uncached)
 	cost += speed.RunningMS * float64(s.running)
 	cost += s.interference(&speed, c.Request, uncached) + s.objectiveCost(&speed, c.Request, uncached)
 	if s.isReserved && c.MaxPause > 0 && !c.isLong {
@@ -217,7 +218,7 @@
 		Server: s.def, PromptTokens: c.promptTokens, UncachedTokens: uncached, QueuedTokens: s.pendingPrefillTokens, Running: s.running,
 		ExpectedFirstEvent: speed.FirstEvent(s.pendingPrefillTokens + uncached), TokensPerMS: speed.TokensPerMS, Slowdown: speed.Slowdown,
 		ExpectedPause: time.Duration(speed.PauseMS(uncached) * float64(time.Millisecond)), Interference: s.interference(&speed, c.Request, uncached),
-		Long: c.isLong, Reserved: s.isReserved,
+		Long: c.isLong, Reserved: s.isReserved, Keepers: len(c.keepers),
 	}
 }
 
