Load factors of a pool follow within a minute

Cause: in the simulation of TestLongPromptsDelayFewStreams, times of prompts of more than 8,000 tokens were 24% (even servers) and 29% (uneven servers) off on average, since the load factors were still rising after a minute.

Change: each sample moves them by 4% of its error instead of 1%.

--- a/core/serverspeed/pool.go
+++ b/core/serverspeed/pool.go
@@ -14,7 +14,7 @@
 	minMedianSamples = 3.0
 	// loadGain and pauseGain are the weights of the newest sample in the load factors and in
 	// the pause share of a pool. All servers of the pool contribute samples.
-	loadGain, pauseGain = 0.01, 0.02
+	loadGain, pauseGain = 0.04, 0.02
 	// loadDecay is the strength with which load factors return to 1. Servers with always the
 	// same load do not tell the factor from their speed; the speed covers both then.
 	loadDecay = 0.02
