Costs of pauses count only where responses are late by pauses

Change: each pool learns the share of responses that are late by a pause; the costs of pauses and the reserved servers count from 0 without any to whole at one in a hundred.

--- a/core/placement/interference.go
+++ b/core/placement/interference.go
@@ -61,18 +61,18 @@
 // interference returns the cost of the pauses that a request with so many uncached tokens
 // causes for the requests on the server, and that its own response gets because of the
 // prompts that the server has still to process.
-func (s *server) interference(speed *serverspeed.Estimate, r *Request, uncached int) float64 {
-	if r.MaxPause <= 0 && len(s.pauseLimits) == 0 {
+func (s *server) interference(speed *serverspeed.Estimate, c *choice, uncached int) float64 {
+	if c.pauseWeight == 0 || c.MaxPause <= 0 && len(s.pauseLimits) == 0 {
 		return 0
 	}
 	pendingMS, addedMS := speed.PauseMS(s.pendingPrefillTokens), speed.PauseMS(uncached)
-	cost := lateCost(pendingMS, r.MaxPause)
+	cost := lateCost(pendingMS, c.MaxPause)
 	for _, l := range s.pauseLimits {
 		// A server that processes one prompt after the other joins the pauses.
 		joined := lateCost(pendingMS+addedMS, l.maxPause) - lateCost(pendingMS, l.maxPause)
 		cost += float64(l.requests) * max(joined, lateCost(addedMS, l.maxPause))
 	}
-	return cost
+	return c.pauseWeight * cost
 }
 
 // objectiveCost returns the cost of a first event that is late.
--- a/core/placement/interference_test.go
+++ b/core/placement/interference_test.go
@@ -10,6 +10,9 @@
 
 const maxPause = 400 * ms
 
+// latePauses makes the costs of pauses count whole in a pool.
+func latePauses(tab *Table) { tab.evidenceFor("p").lateShare = fullEvidence }
+
 // stream places a request with a longest on-time pause.
 func stream(t *testing.T, tab *Table, id string, maxPause time.Duration, parts ...PromptPart) string {
 	t.Helper()
@@ -34,6 +37,7 @@
 		{"long rest, pauses do not count", 30_000, 0, true},
 	} {
 		tab := newTable("x", "x")
+		latePauses(tab)
 		first := choose(t, tab, 0, request("first", doc, PromptPart{ID: "q", Tokens: 1}))
 		tab.Finish(0, "first", Complete)
 		for i := range 3 {
@@ -58,6 +62,7 @@
 		{maxPause, true, true},
 	} {
 		tab := newTable("x", "x")
+		latePauses(tab)
 		doc := PromptPart{ID: "doc", Tokens: 24_000}
 		first := choose(t, tab, 0, request("first", doc, PromptPart{ID: "q", Tokens: 1}))
 		if tt.started {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -91,6 +91,8 @@
 	speeds  *serverspeed.Model
 	// reserves holds the servers kept for long prompts, by pool.
 	reserves map[string]*reserve
+	// evidence tells, by pool, whether responses are late by pauses.
+	evidence map[string]*pauseEvidence
 	demands  map[demandKey]*demand
 }
 
@@ -98,7 +100,7 @@
 func New(regions map[string]string) *Table {
 	return &Table{
 		regionByZone: regions, serversByPool: map[string][]*server{}, requests: map[string]*placedRequest{},
-		notices: notice.NewTable(nil), speeds: serverspeed.New(), reserves: map[string]*reserve{}, demands: map[demandKey]*demand{},
+		notices: notice.NewTable(nil), speeds: serverspeed.New(), reserves: map[string]*reserve{}, evidence: map[string]*pauseEvidence{}, demands: map[demandKey]*demand{},
 	}
 }
 
@@ -227,6 +229,8 @@
 	prefixes     []prefix
 	promptTokens int
 	inputBytes   int64
+	// pauseWeight is the weight of the costs of pauses in the pool.
+	pauseWeight float64
 	// isLong is set if the prompt makes other responses late on any server.
 	isLong bool
 	// keepers are the servers that keep the shared part of the prompt, of sharedTokens tokens;
@@ -250,6 +254,7 @@
 func (t *Table) cheapest(now time.Duration, c *choice) *server {
 	var cheapest *server
 	var leastCost float64
+	c.pauseWeight = t.evidenceFor(c.Pool).weight()
 	c.isLong = t.isLong(c)
 	affinity := t.affinityServer(c)
 	c.keepers, c.sharedTokens = t.keepersOf(c)
@@ -322,6 +327,9 @@
 // ObservePause learns from the longest pause of a response, before Finish.
 func (t *Table) ObservePause(id string, pause time.Duration) {
 	if p := t.requests[id]; p != nil {
+		if p.maxPause > 0 {
+			t.evidenceFor(p.pool).observe(pause > p.maxPause)
+		}
 		t.speeds.ObservePause(p.server.speed, p.tokensBeside, p.runningBeside, pause)
 	}
 }
--- a/core/placement/reserve.go
+++ b/core/placement/reserve.go
@@ -103,7 +103,7 @@
 // isLong reports whether the prompt would make other responses late on all servers, also on
 // those that have most of it cached.
 func (t *Table) isLong(c *choice) bool {
-	if c.MaxPause <= 0 {
+	if c.MaxPause <= 0 || c.pauseWeight == 0 {
 		return false
 	}
 	least := c.promptTokens
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -188,9 +188,9 @@
 	}
 	cost += speed.PrefillMS(s.pendingPrefillTokens) + uncachedPrefillWeight*speed.PrefillMS(uncached)
 	cost += speed.RunningMS * float64(s.running)
-	cost += s.interference(&speed, c.Request, uncached) + s.objectiveCost(&speed, c.Request, uncached)
+	cost += s.interference(&speed, c, uncached) + s.objectiveCost(&speed, c.Request, uncached)
 	if s.isReserved && c.MaxPause > 0 && !c.isLong {
-		cost += reservedCostMS
+		cost += c.pauseWeight * reservedCostMS
 	}
 	cost += failureCostMS * s.currentFailureShare(now)
 	if c.inputBytes > 0 {
@@ -217,7 +217,7 @@
 	return Choice{
 		Server: s.def, PromptTokens: c.promptTokens, UncachedTokens: uncached, QueuedTokens: s.pendingPrefillTokens, Running: s.running,
 		ExpectedFirstEvent: speed.FirstEvent(s.pendingPrefillTokens + uncached), TokensPerMS: speed.TokensPerMS, Slowdown: speed.Slowdown,
-		ExpectedPause: time.Duration(speed.PauseMS(uncached) * float64(time.Millisecond)), Interference: s.interference(&speed, c.Request, uncached),
+		ExpectedPause: time.Duration(speed.PauseMS(uncached) * float64(time.Millisecond)), Interference: s.interference(&speed, c, uncached),
 		Long: c.isLong, Reserved: s.isReserved, Keepers: len(c.keepers),
 	}
 }
