Reported time of work in the scheduling of stages

Cause: the scheduler learned only from calls that had ended how long work takes on a server. Machines that others share are slow for moments of about 0.6 s, which is two calls: it learned of a moment when it had passed, and went on avoiding the server after it.

Change: core/loadreport keeps the newest report of a server start and a forecast for each call, with and without the report. A call that one of them fits better moves the weight of the reports, which begins at 0. The reported figure tends to "as usual" with its age and is not used after 600 ms. The log lines of stage calls have the report of the response (load), what was known when the call was sent (work_time) and its weight (report_trust).

Two tests that build a CallResult name its fields now, since it has one more; the random test of the scheduler answers with random reports as well.

--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -281,6 +281,7 @@
 	c.expectedStart = m.availableAt(now)
 	expected := time.Duration(float64(m.pool.normalCallTime(len(pieces))) * m.slowness(now))
 	c.expectedEnd = c.expectedStart + expected
+	c.forecast, c.overdueExtension = m.forecast(now), m.overdueExtension(now, len(pieces))
 	for _, it := range pieces {
 		it.run.setFirstCallZone(m.def.Zone)
 	}
@@ -295,6 +296,9 @@
 		action.WaitTime = max(action.WaitTime, now-it.run.inputsReadyAt(now))
 	}
 	action.MemoryLeft = m.availableMemory(now)
+	if m.pace.Known() {
+		action.WorkTime, action.ReportTrust = c.forecast.WorkTime, m.pace.Trust()
+	}
 	s.actions.Calls = append(s.actions.Calls, action)
 }
 
--- a/core/staging/property_test.go
+++ b/core/staging/property_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/magnoliawheel/magnoliawheel/core/loadreport"
 	"github.com/magnoliawheel/magnoliawheel/core/residency"
 )
 
@@ -219,10 +220,19 @@
 		retryAfter = time.Duration(rapid.IntRange(0, 400).Draw(w.t, "retry after")) * time.Millisecond
 	}
 	w.suspend(c.Server.ID, retryAfter)
-	w.scheduler.CallDone(w.now, c.ID, CallResult{status, results, retryAfter})
+	w.scheduler.CallDone(w.now, c.ID, CallResult{Status: status, Results: results, RetryAfter: retryAfter, Load: w.randomLoad()})
 	w.checkActions()
 }
 
+// randomLoad returns a report that may be true, false or missing.
+func (w *simulation) randomLoad() *loadreport.Report {
+	percent := rapid.IntRange(0, 2000).Draw(w.t, "work time percent")
+	if percent < 500 {
+		return nil
+	}
+	return &loadreport.Report{Slots: 1, WorkTime: float64(percent) / 500}
+}
+
 // checkCaches compares what the scheduler caches with values computed anew.
 func (w *simulation) checkCaches() {
 	claimed, started, flood := map[*pool]int64{}, map[*pool]int64{}, map[*pool]int64{}
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/backoff"
+	"github.com/magnoliawheel/magnoliawheel/core/loadreport"
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
 )
 
@@ -24,6 +25,10 @@
 	// are requested from other servers.
 	overdueFactor = 2.0
 	overdueSlack  = 250 * time.Millisecond
+	// maxOverdueExtension bounds how much later a call is overdue because its machine is
+	// reported to be slow, so that a false report does not hide a server that has stopped.
+	// Machines are slow for moments of about 0.6 s.
+	maxOverdueExtension = 600 * time.Millisecond
 	// unaccountedExpiryShare is the fraction of the retention time within which the results
 	// of other schedulers are assumed to expire.
 	unaccountedExpiryShare = 0.6
@@ -151,6 +156,8 @@
 	// pool's description.
 	slownessRatio float64
 	lastCallEnd   time.Duration
+	// pace is what the server reports about the time of work on its machine.
+	pace loadreport.Pace
 	// consecutiveFailures counts failed and overdue calls in a row. No call starts
 	// before pausedUntil.
 	consecutiveFailures int
@@ -172,6 +179,10 @@
 	pieces []pieceRef
 	// The server is expected to work on the call from expectedStart to expectedEnd.
 	expectedStart, expectedEnd time.Duration
+	// forecast is the expected slowness, and overdueExtension how much later than usual
+	// the call is overdue, both by what the server had reported when the call was sent.
+	forecast         loadreport.Forecast
+	overdueExtension time.Duration
 	// overdue is set once the pieces of the call were requested from other servers.
 	overdue bool
 	// answerLost marks an overdue call after which the server answered a later call.
@@ -228,14 +239,32 @@
 	return n
 }
 
-// slowness returns the slowness ratio. Above 1 it decays while the server is idle, so
-// that a server which was slow is tried again.
+// slowness returns the expected time of a call relative to the time in the pool's
+// description, by the server's calls and by what it reports.
 func (m *server) slowness(now time.Duration) float64 {
-	if m.slownessRatio <= 1 || len(m.calls) > 0 {
-		return m.slownessRatio
+	return m.pace.Estimate(now, m.decayed(m.slownessRatio, now), m.decayed(m.pace.Usual(), now))
+}
+
+// decayed returns a slowness ratio that was measured with the last call. Above 1 it decays
+// while the server is idle, so that a server which was slow is tried again.
+func (m *server) decayed(ratio float64, now time.Duration) float64 {
+	if ratio <= 1 || len(m.calls) > 0 {
+		return ratio
 	}
 	halfTimes := float64(now-m.lastCallEnd) / float64(slownessHalfTime)
-	return max(1, m.slownessRatio/(1+halfTimes))
+	return max(1, ratio/(1+halfTimes))
+}
+
+// forecast returns the expected slowness of a call that is sent now.
+func (m *server) forecast(now time.Duration) loadreport.Forecast {
+	return m.pace.Forecast(now, m.decayed(m.slownessRatio, now), m.decayed(m.pace.Usual(), now))
+}
+
+// overdueExtension returns how much later than usual a call of n pieces is overdue, because
+// the machine is known to be slow at the moment.
+func (m *server) overdueExtension(now time.Duration, n int) time.Duration {
+	extra := m.pace.Excess(now) * float64(m.pool.normalCallTime(n))
+	return min(time.Duration(extra), maxOverdueExtension)
 }
 
 // availableAt returns the expected time at which the server can start another call.
@@ -256,15 +285,16 @@
 	return max(now, ends[excess])
 }
 
-// callEnded updates the server's state after a call.
-func (m *server) callEnded(c *call, now time.Duration, status CallStatus) {
+// callEnded updates the server's state after a call. load is what the server told in its
+// response, or nil.
+func (m *server) callEnded(c *call, now time.Duration, status CallStatus, load *loadreport.Report) {
 	if i := slices.Index(m.calls, c); i >= 0 {
 		m.calls = slices.Delete(m.calls, i, i+1)
 	}
 	switch {
 	case status == Answered:
 		m.consecutiveFailures = 0
-		m.updateSlowness(c, now)
+		m.updateSlowness(c, now, load)
 		m.markLostAnswers(c)
 		if !m.hasOverdueCall() {
 			m.pausedUntil = now
@@ -276,6 +306,9 @@
 		m.pauseCalls(now, failurePauses)
 	}
 	m.lastCallEnd = now
+	if load != nil {
+		m.pace.Observe(now, *load, m.slownessRatio)
+	}
 }
 
 // wantsNoCalls reports whether the server asked for no calls for a time that has not passed.
@@ -313,8 +346,9 @@
 	}
 }
 
-// updateSlowness includes the duration of an answered call in the slowness ratio.
-func (m *server) updateSlowness(c *call, now time.Duration) {
+// updateSlowness includes the duration of an answered call in the slowness ratio, and
+// compares it with what the server reported.
+func (m *server) updateSlowness(c *call, now time.Duration, load *loadreport.Report) {
 	normalTime := m.pool.normalCallTime(len(c.pieces))
 	elapsed := now - max(c.expectedStart, m.lastCallEnd)
 	if c.expectedStart > now {
@@ -322,6 +356,7 @@
 	}
 	sample := min(max(float64(elapsed)/float64(normalTime), minSlowness), maxSlowness)
 	m.slownessRatio += slownessWeight * (sample - m.slownessRatio)
+	m.pace.CallAnswered(c.forecast, sample, load)
 }
 
 // recordOutOfMemory handles a server's report that it has no memory for a result. It
@@ -410,7 +445,7 @@
 	}
 	normalTime := c.server.pool.normalCallTime(len(c.pieces))
 	limit := c.expectedStart + max(time.Duration(overdueFactor*float64(normalTime)), normalTime+overdueSlack)
-	if now < limit {
+	if now < limit || now < limit+max(c.overdueExtension, c.server.overdueExtension(now, len(c.pieces))) {
 		return
 	}
 	c.overdue = true
--- a/core/staging/session_test.go
+++ b/core/staging/session_test.go
@@ -147,7 +147,7 @@
 			results[i] = Result{Outcome: map[string]Outcome{"late": DeadlinePassed, "gone": InputMissing, "memory": OutOfMemory, "error": Failed}[outcomes[i]]}
 		}
 	}
-	x.scheduler.CallDone(x.now, callID, CallResult{status, results, millisArg(t, d, "retry", 0)})
+	x.scheduler.CallDone(x.now, callID, CallResult{Status: status, Results: results, RetryAfter: millisArg(t, d, "retry", 0)})
 }
 
 // formatActions formats the actions since the last command and records the calls.
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -179,7 +179,7 @@
 		return
 	}
 	delete(s.calls, id)
-	c.server.callEnded(c, now, result.Status)
+	c.server.callEnded(c, now, result.Status, result.Load)
 	s.pause(now, c.server, result.RetryAfter)
 	if result.Status == Interrupted {
 		separateJobs(c)
--- a/core/staging/types.go
+++ b/core/staging/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/magnoliawheel/magnoliawheel/core/loadreport"
 	"github.com/magnoliawheel/magnoliawheel/core/residency"
 )
 
@@ -98,6 +99,10 @@
 	// MemoryLeft is the memory, in bytes, that the server has left for results after
 	// the call.
 	MemoryLeft int64
+	// WorkTime is the server's reported time of work, weighted by its age (1 is as usual),
+	// and ReportTrust the weight of its reports (0 to 1); WorkTime is 0 if it never
+	// reported one.
+	WorkTime, ReportTrust float64
 }
 
 // FreeRequest is an action: free results on a server.
@@ -206,4 +211,6 @@
 	Results []Result
 	// RetryAfter is the time for which the server wants no calls; 0 if it does not say.
 	RetryAfter time.Duration
+	// Load is what the server told about its load; nil if it told nothing.
+	Load *loadreport.Report
 }
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -79,7 +79,7 @@
 // readResult reads the response to a call.
 func (s *StageClient) readResult(resp *upstream.Response, c staging.Call, sentAt time.Duration) (staging.CallResult, error) {
 	info := s.decodeResponse(resp, c.Server, sentAt, resp.StatusCode == http.StatusOK)
-	result := staging.CallResult{Status: staging.Incomplete, RetryAfter: info.RetryAfter}
+	result := staging.CallResult{Status: staging.Incomplete, RetryAfter: info.RetryAfter, Load: info.Load}
 	data, release, err := s.Bodies.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		result.Status = failedStatus(err)
--- a/internal/planner/calls.go
+++ b/internal/planner/calls.go
@@ -18,10 +18,11 @@
 	result, err := p.stages.Run(ctx, c)
 	elapsed := clock.Now() - start
 	if result.Status != staging.Answered {
-		p.log.Info("Stage call failed.", "call", c.ID, "requests", requestIDs(c), "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", elapsed, "cause", telemetry.ErrorText(err), "retry_after", result.RetryAfter)
+		p.log.Info("Stage call failed.", "call", c.ID, "requests", requestIDs(c), "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", elapsed, "cause", telemetry.ErrorText(err), "retry_after", result.RetryAfter,
+			"load", result.Load, "work_time", c.WorkTime, "report_trust", c.ReportTrust)
 	} else {
 		p.log.Info("Stage call completed.", "call", c.ID, "requests", requestIDs(c), "pool", c.Pool, "server", c.Server.ID, "pieces", len(c.Items), "took", elapsed, "expected", c.ExpectedTime,
-			"waited", c.WaitTime, "memory_left", c.MemoryLeft)
+			"waited", c.WaitTime, "memory_left", c.MemoryLeft, "load", result.Load, "work_time", c.WorkTime, "report_trust", c.ReportTrust)
 	}
 	p.reportStageCall(c, result.Status, start)
 	p.update(func(now time.Duration) { p.scheduler.CallDone(now, c.ID, result) })
