Reported queues in the choice of servers of plain services

Cause: an entry chose the server of a plain request by its own requests only, and the first by ID among equals; it knew nothing of what the other entries had sent there.

Ruled out: the server with the shortest reported queue (all entries hear of it and go there), and a fixed limit of the age (a server that falsely reports a long queue is then not checked for as long).

Change: each entry adds the expected extra wait to the cost of a server: the reported waiting requests per slot, compared with the median of the service, times the time that an answer takes there without a queue. A difference counts for a part of the requests that grows with it, chosen by request ID, and a short queue for at most 2 in n; equal queues are divided at random. An answer that takes three times as long as the reports allow, or a third, takes 70% off the weight of the server's reports. The term is 0 for a service of which no server sent a report within 2 s.

Responses to requests that free results carry the report of a stage server to the scheduler too, so that it hears of a slow machine while a call runs.

"Attempt finished." has the reported queue, its weight and the report of the response; an answer that contradicts the reports is logged with its inputs.

Measured: with 200 entries that heard the same, the one idle server of 8 gets between a sixth and half of the requests, the one full server less than 1 in 16 (TestPrefersShorterQueues).

--- a/core/loadreport/table.go
+++ b/core/loadreport/table.go
@@ -24,9 +24,18 @@
 	// takes into account, on average. A server that reports a shorter queue than all others
 	// gets at most about this many times its share in addition.
 	attractedServers = 2.0
+	// tieSpread bounds the random extra wait that divides requests among servers with equal
+	// queues. It is less than the cost of one more request or of another zone in placement.
+	tieSpread = 2 * time.Millisecond
 	// contradictionRatio is the ratio of the measured to the expected time of an answer, or
 	// its inverse, from which an answer contradicts the report.
 	contradictionRatio = 3.0
+	// minContradiction is the difference from which an answer contradicts the report. Smaller
+	// ones come from the network and from the scheduling of processes.
+	minContradiction = 10 * time.Millisecond
+	// shortQueue is the number of rounds below which an answer shows the service time. Long
+	// queues may be reported falsely, and would make it too small.
+	shortQueue = 1.0
 	// trustAfterContradiction multiplies the trust in a server's reports at a contradiction;
 	// below minTrust it is 0. trustRecovery is the weight of an answer that agrees.
 	trustAfterContradiction = 0.3
@@ -124,22 +133,35 @@
 	}
 	serviceTime, known := t.serviceTimes[a.Service]
 	if !known {
-		if a.Report != nil {
+		if a.Report != nil && longest < shortQueue {
 			t.serviceTimes[a.Service] = boundServiceTime(float64(a.Time) / (1 + longest))
 		}
 		return false
 	}
-	ratio := float64(a.Time) / float64(serviceTime)
-	tooSlow := ratio > contradictionRatio*(1+longest)
+	tooSlow := isMuchLonger(a.Time, serviceTime, 1+longest)
 	if a.Report == nil && !tooSlow {
 		return false
 	}
-	contradicts = tooSlow || ratio < (1+shortest)/contradictionRatio
+	contradicts = tooSlow || isMuchShorter(a.Time, serviceTime, 1+shortest)
+	if longest < shortQueue {
+		t.updateServiceTime(a.Service, float64(a.Time)/float64(serviceTime)/(1+longest), q.trust)
+	}
 	q.updateTrust(contradicts)
-	t.updateServiceTime(a.Service, ratio/(1+longest))
 	return contradicts
 }
 
+// isMuchLonger and isMuchShorter report whether a time contradicts the expectation that a
+// request takes the given number of service times.
+func isMuchLonger(d, serviceTime time.Duration, rounds float64) bool {
+	expected := float64(serviceTime) * rounds
+	return float64(d) > contradictionRatio*expected && float64(d)-expected >= float64(minContradiction)
+}
+
+func isMuchShorter(d, serviceTime time.Duration, rounds float64) bool {
+	expected := float64(serviceTime) * rounds
+	return float64(d) < expected/contradictionRatio && expected-float64(d) >= float64(minContradiction)
+}
+
 func (q *queue) updateTrust(contradicts bool) {
 	if !contradicts {
 		q.trust += trustRecovery * (1 - q.trust)
@@ -151,10 +173,10 @@
 }
 
 // updateServiceTime includes an answer whose time without waiting was ratio times the service
-// time.
-func (t *Table) updateServiceTime(service string, ratio float64) {
+// time, at a server whose reports have the given trust.
+func (t *Table) updateServiceTime(service string, ratio, trust float64) {
 	ratio = min(max(ratio, 1/maxServiceTimeStep), maxServiceTimeStep)
-	t.serviceTimes[service] = boundServiceTime(float64(t.serviceTimes[service]) * (1 + serviceTimeWeight*(ratio-1)))
+	t.serviceTimes[service] = boundServiceTime(float64(t.serviceTimes[service]) * (1 + trust*serviceTimeWeight*(ratio-1)))
 }
 
 func boundServiceTime(d float64) time.Duration {
@@ -162,29 +184,39 @@
 }
 
 // ExtraWaits returns how much longer than usual a request is expected to wait at each of a
-// service's servers, 0 without a report. A difference to the median counts only for a part of
+// service's servers, 0 if none of them sent a report lately. A difference to the median counts only for a part of
 // the requests, chosen by their IDs, so that the entries do not all move their requests to
-// the same server: the part grows with the difference.
+// the same server: the part grows with the difference. Servers without a difference differ by
+// less than tieSpread.
 func (t *Table) ExtraWaits(now time.Duration, service, requestID string, servers []notice.Server) []time.Duration {
+	waits := make([]time.Duration, len(servers))
+	if !slices.ContainsFunc(servers, func(s notice.Server) bool { return t.hasValidReport(now, s) }) {
+		return waits
+	}
 	median := t.medianRounds(now, servers)
 	serviceTime, known := t.serviceTimes[service]
 	if !known {
 		serviceTime = defaultServiceTime
 	}
-	waits := make([]time.Duration, len(servers))
 	for i, s := range servers {
+		waits[i] = time.Duration(uniform(requestID, s, "tie") * float64(tieSpread))
 		q := t.queues[s]
 		if q == nil {
 			continue
 		}
 		rounds := q.trust * q.freshness(now) * (q.rounds - median)
-		if uniform(requestID, s) < regardedShare(rounds, len(servers)) {
-			waits[i] = time.Duration(rounds * float64(serviceTime))
+		if uniform(requestID, s, "queue") < regardedShare(rounds, len(servers)) {
+			waits[i] += time.Duration(rounds * float64(serviceTime))
 		}
 	}
 	return waits
 }
 
+func (t *Table) hasValidReport(now time.Duration, s notice.Server) bool {
+	q := t.queues[s]
+	return q != nil && now-q.reportedAt < queueValidity
+}
+
 // regardedShare returns the share of the requests for which it counts that the queue of one of
 // n servers differs from the median by the given number of rounds.
 func regardedShare(rounds float64, n int) float64 {
@@ -195,11 +227,11 @@
 	return share
 }
 
-// uniform returns a number in [0, 1) that is the same for the same request and server, and
-// independent for others.
-func uniform(requestID string, s notice.Server) float64 {
+// uniform returns a number in [0, 1) that is the same for the same request, server and
+// purpose, and independent for others.
+func uniform(requestID string, s notice.Server, purpose string) float64 {
 	const buckets = 1 << 32
-	return float64(xxhash.Sum64String(requestID+"/"+s.ID)%buckets) / buckets
+	return float64(xxhash.Sum64String(requestID+"/"+s.ID+"/"+purpose)%buckets) / buckets
 }
 
 func (q *queue) freshness(now time.Duration) float64 {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/magnoliawheel/magnoliawheel/core/loadreport"
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/residency"
 )
@@ -80,6 +81,8 @@
 	requests      map[string]*placedRequest
 	// notices are the limits that servers name.
 	notices *notice.Table
+	// loads, if set, are the queues that servers report.
+	loads *loadreport.Table
 }
 
 // New returns an empty table. regions maps availability zones to regions.
@@ -90,6 +93,9 @@
 // SetNotices sets the table with the limits that servers name.
 func (t *Table) SetNotices(n *notice.Table) { t.notices = n }
 
+// SetLoads sets the table with the queues that servers report.
+func (t *Table) SetLoads(l *loadreport.Table) { t.loads = l }
+
 // SetServers sets the servers of a pool that accept new requests. Servers that were
 // there before keep their state.
 func (t *Table) SetServers(pool string, defs []Server) {
@@ -207,11 +213,15 @@
 	var leastCost float64
 	affinity := t.affinityServer(c)
 	region := t.regionByZone[c.Zone]
-	for _, s := range t.serversByPool[c.Pool] {
+	queueCosts := t.queueCosts(now, c)
+	for i, s := range t.serversByPool[c.Pool] {
 		if !c.accepts(s) || t.notices.Wait(now, s.def.Start()) > 0 {
 			continue
 		}
 		cost := s.cost(now, c, s == affinity) + s.networkCost(c.Zone, region)
+		if queueCosts != nil {
+			cost += queueCosts[i]
+		}
 		if cheapest == nil || cost < leastCost || cost == leastCost && cmp.Less(s.def.ID, cheapest.def.ID) {
 			cheapest, leastCost = s, cost
 		}
@@ -219,6 +229,24 @@
 	return cheapest
 }
 
+// queueCosts returns, in milliseconds, the extra waits at the pool's servers by their
+// reported queues; nil if there are no reports.
+func (t *Table) queueCosts(now time.Duration, c *choice) []float64 {
+	if t.loads == nil || t.loads.Empty() {
+		return nil
+	}
+	servers := t.serversByPool[c.Pool]
+	starts := make([]notice.Server, len(servers))
+	for i, s := range servers {
+		starts[i] = s.def.Start()
+	}
+	costs := make([]float64, len(servers))
+	for i, wait := range t.loads.ExtraWaits(now, c.Pool, c.ID, starts) {
+		costs[i] = float64(wait) / float64(time.Millisecond)
+	}
+	return costs
+}
+
 // affinityServer returns the server that is preferred for the shared parts of a prompt
 // while no server is known to have them cached. It is the same at every instance, so
 // that prompts placed by other instances are probably cached there. It returns nil if a
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawheel/magnoliawheel/core/loadreport"
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/residency"
 )
@@ -234,3 +236,43 @@
 		assert.Equal(t, refused > 0, servers == 1)
 	}
 }
+
+// TestPrefersShorterQueues guards against requests that wait at a server with a long queue
+// while others are idle, and against entries that all move theirs to the same server. It plays
+// 200 entries that have all heard the same.
+func TestPrefersShorterQueues(t *testing.T) {
+	const entries = 200
+	long, idle := loadreport.Report{Running: 4, Waiting: 12, Slots: 4}, loadreport.Report{Slots: 4}
+	chosen := func(reports ...loadreport.Report) map[string]int {
+		count := map[string]int{}
+		for entry := range entries {
+			tab, loads := newTable("x", "x", "x", "x", "x", "x", "x", "x"), loadreport.NewTable()
+			tab.SetLoads(loads)
+			for i, r := range reports {
+				loads.Observe(0, notice.Server{ID: fmt.Sprint("s", i)}, r)
+			}
+			count[choose(t, tab, 100*ms, request(fmt.Sprint("r", entry)))]++
+		}
+		return count
+	}
+	count := chosen(long, idle, idle, idle, idle, idle, idle, idle)
+	assert.Assert(t, count["s0"] < entries/16, "%v", count)
+	assert.Assert(t, slices.Max(slices.Collect(maps.Values(count))) < entries/4, "%v", count)
+	count = chosen(long, idle, long, long, long, long, long, long)
+	assert.Assert(t, count["s1"] > entries/6 && count["s1"] < entries/2, "%v", count)
+}
+
+// TestPoolsWithoutReportsAreServedAsBefore compares the choices for a pool whose servers send
+// no reports, while those of another pool do, with those of a table that knows no reports.
+func TestPoolsWithoutReportsAreServedAsBefore(t *testing.T) {
+	before, after, loads := newTable("x", "x", "y", "z"), newTable("x", "x", "y", "z"), loadreport.NewTable()
+	after.SetLoads(loads)
+	loads.Observe(0, notice.Server{ID: "other"}, loadreport.Report{Running: 4, Waiting: 40, Slots: 4})
+	for i := range 200 {
+		now, r := time.Duration(i)*7*ms, request(fmt.Sprint("r", i), PromptPart{ID: fmt.Sprint("q", i%5), Tokens: 300 * (i % 7)})
+		assert.Equal(t, choose(t, after, now, r), choose(t, before, now, r))
+		for _, tab := range []*Table{before, after} {
+			tab.Finish(now+3*ms, fmt.Sprint("r", i-i%6), Outcome(i%4))
+		}
+	}
+}
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -438,6 +438,15 @@
 	m.bytesToFree += f.bytes
 }
 
+// ObserveLoad handles what a server told about its load in a response to anything but a call.
+func (s *Scheduler) ObserveLoad(now time.Duration, def Server, load loadreport.Report) {
+	for _, p := range s.sortedPools {
+		if m := p.findServer(def.ID); m != nil && m.def == def {
+			m.pace.Observe(now, load, m.slownessRatio)
+		}
+	}
+}
+
 // checkOverdue requests the pieces of an overdue call from other servers.
 func (s *Scheduler) checkOverdue(c *call, now time.Duration) {
 	if c.overdue {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/magnoliawheel/magnoliawheel/core/budget"
+	"github.com/magnoliawheel/magnoliawheel/core/loadreport"
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
@@ -141,6 +142,8 @@
 	pauses     *notice.Pauses
 	notices    *notice.Table
 	entryShare notice.EntryShare
+	// loads is what the servers of plain services reported about their queues.
+	loads *loadreport.Table
 }
 
 // New returns a gateway.
@@ -148,11 +151,13 @@
 	g := &Gateway{
 		Options: o, metrics: newMetrics(o.Scope), plainServers: placement.New(o.Settings.Regions), retryBudgets: map[string]*budget.Budget{},
 		pauses:         notice.NewPauses(),
+		loads:          loadreport.NewTable(),
 		allowanceShare: budget.AllowanceShare{Window: o.Settings.RetryBudget.Window, Interval: max(o.RegistryReadInterval, o.Settings.RetryBudget.Window)},
 	}
 	g.notices = notice.NewTable(func(s notice.Server, limit float64) float64 { return g.entryShare.Of(s, limit) })
 	g.notices.SetColdShare(func(_ time.Duration, s notice.Server, holders int) float64 { return g.entryShare.OfCold(s, holders) })
 	g.plainServers.SetNotices(g.notices)
+	g.plainServers.SetLoads(g.loads)
 	return g
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,9 @@
 	// cooldowns counts the responses with which servers asked for no requests,
 	// serversLeaving the servers that first said in a response that they are leaving.
 	cooldowns, serversLeaving tally.Counter
+	// falseLoads counts the answers of plain services that contradict what their
+	// server reported about its load.
+	falseLoads tally.Counter
 	// requestTime is the time to the end of a response, firstEventTime that to the first
 	// event of a stream, placementTime that of the placement.
 	requestTime, firstEventTime, placementTime tally.Histogram
@@ -57,6 +60,7 @@
 		limits:            scope.Counter("server_limits"),
 		cooldowns:         scope.Counter("server_cooldowns"),
 		serversLeaving:    scope.Counter("servers_leaving"),
+		falseLoads:        scope.Counter("server_load_contradictions"),
 		requestTime:       scope.Histogram("request_seconds", buckets),
 		firstEventTime:    scope.Histogram("first_event_seconds", buckets),
 		placementTime:     scope.Histogram("placement_seconds", buckets),
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/magnoliawheel/magnoliawheel/core/loadreport"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/quarantine"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
@@ -48,6 +49,8 @@
 	retryAfter time.Duration
 	// ending says whether the attempt may have crashed its server.
 	ending quarantine.Ending
+	// load is what the server reported about its load; nil if it reported nothing.
+	load *loadreport.Report
 }
 
 // code returns the result code of a request that has not run.
@@ -193,6 +196,7 @@
 		defer cancel()
 	}
 	start := clock.Now()
+	rounds, trust := g.reportedQueue(srv)
 	o := g.sendPlain(ctx, req, srv)
 	if o.ending != quarantine.Other {
 		g.reportAttempt(req, srv.Start(), start, o.ending)
@@ -203,7 +207,8 @@
 		status = o.response.status
 	}
 	req.log.Info("Attempt finished.", "server", srv.ID, "route", req.route.Name, "version", req.configVersion, "residency", req.residency.String(), "identity", req.identity,
-		"took", clock.Now()-start, "status", status, "framing", o.framing, "not_run", o.notRun, "cause", o.cause)
+		"took", clock.Now()-start, "status", status, "framing", o.framing, "not_run", o.notRun, "cause", o.cause,
+		"reported_queue", rounds, "report_trust", trust, "load", o.load)
 	return o
 }
 
@@ -239,18 +244,22 @@
 		o := outcome{notRun: errors.Is(err, upstream.ErrNotSent), cause: err.Error()}
 		if !o.notRun {
 			o.ending = interruption(ctx, err, quarantine.InterruptedWaiting)
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				g.checkLoad(req, srv, clock.Now()-sentAt, nil)
+			}
 		}
 		return o
 	}
 	defer func() { _ = resp.Body.Close() }()
 	info := platform.DecodeServerResponse(resp.StatusCode, resp.Header)
 	g.handleNotices(req, srv, sentAt, info)
+	g.handleLoad(req, srv, clock.Now()-sentAt, resp.StatusCode, info)
 	if info.NotExecuted {
 		cause := causeServerFull
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			cause = causeOtherServer
 		}
-		return outcome{notRun: true, cause: cause}
+		return outcome{notRun: true, cause: cause, load: info.Load}
 	}
 	framing := resp.Framing()
 	g.metrics.countFraming(framing)
@@ -261,7 +270,7 @@
 	if err != nil {
 		return outcome{framing: framing.String(), cause: "incomplete response: " + err.Error(), ending: interruption(ctx, err, quarantine.InterruptedAnswering)}
 	}
-	return outcome{framing: framing.String(), response: a, ending: quarantine.Completed}
+	return outcome{framing: framing.String(), response: a, ending: quarantine.Completed, load: info.Load}
 }
 
 // interruption returns the given ending if the server ended the connection of an attempt.
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/magnoliawheel/magnoliawheel/core/loadreport"
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/bounded"
@@ -31,6 +33,11 @@
 	// OnNotice, if set, receives what servers say about themselves in response to calls that
 	// were sent at sentAt; see Gateway.ObserveNotice.
 	OnNotice func(sentAt time.Duration, n notice.Notice, mayEndLimit bool)
+	// OnLoad, if set, receives what servers say about their load in responses to anything but
+	// calls.
+	OnLoad func(server staging.Server, load loadreport.Report)
+	// Scope, if set, receives the metrics of the servers' load reports.
+	Scope tally.Scope
 }
 
 var errSecondCopy = errors.New("second copy of the response to an earlier call")
@@ -79,6 +86,7 @@
 // readResult reads the response to a call.
 func (s *StageClient) readResult(resp *upstream.Response, c staging.Call, sentAt time.Duration) (staging.CallResult, error) {
 	info := s.decodeResponse(resp, c.Server, sentAt, resp.StatusCode == http.StatusOK)
+	s.countLoad(c, info.Load)
 	result := staging.CallResult{Status: staging.Incomplete, RetryAfter: info.RetryAfter, Load: info.Load}
 	data, release, err := s.Bodies.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
@@ -144,6 +152,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	info := s.decodeResponse(resp, f.Server, sentAt, false)
+	if info.Load != nil && s.OnLoad != nil {
+		s.OnLoad(f.Server, *info.Load)
+	}
 	data, err := bounded.ReadAll(resp.Body, maxFreeResponseBytes)
 	if platform.IsStageRunResponse(data) {
 		resp.Discard()
--- a/internal/gateway/stages_test.go
+++ b/internal/gateway/stages_test.go
@@ -7,13 +7,17 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawheel/magnoliawheel/core/loadreport"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
 	"github.com/magnoliawheel/magnoliawheel/platform"
+	"github.com/magnoliawheel/magnoliawheel/platform/standin"
 )
 
 // repeatingServer is a stage server that sends its response to the first call on a connection
@@ -96,3 +100,28 @@
 		})
 	}
 }
+
+// TestStageResponsesCarryLoad guards against load reports that do not reach the scheduler: of
+// answered calls, of refused ones, and of requests that free results.
+func TestStageResponsesCarryLoad(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			standin.SetLoad(w.Header(), "1,2,4,250")
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, `{"items":[{"handle":"h"}]}`)
+		}))
+		t.Cleanup(srv.Close)
+		var freed loadreport.Report
+		stages := &StageClient{
+			Client: upstream.New(), Bodies: NewBodyBudget(), AcceptsRequests: func(string) bool { return true },
+			OnLoad: func(_ staging.Server, load loadreport.Report) { freed = load },
+		}
+		server := staging.Server{ID: "s", Address: strings.TrimPrefix(srv.URL, "http://")}
+		want := loadreport.Report{Running: 1, Waiting: 2, Slots: 4, WorkTime: 2.5}
+		result, _ := stages.Run(context.Background(), staging.Call{Server: server, Items: make([]staging.Item, 1)})
+		assert.Assert(t, result.Load != nil, "status %d", status)
+		assert.DeepEqual(t, *result.Load, want)
+		_, _ = stages.Free(context.Background(), staging.FreeRequest{Server: server})
+		assert.DeepEqual(t, freed, want)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,9 +13,11 @@
 	"github.com/go-logr/logr"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/magnoliawheel/magnoliawheel/core/loadreport"
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/quarantine"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
+	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/gateway"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
@@ -91,7 +93,7 @@
 	bodies := gateway.NewBodyBudget()
 	stages := &gateway.StageClient{Client: upstreamClient, Bodies: bodies, AcceptsRequests: n.servers.Takes, Evacuated: func(id string) bool { return n.servers.Evacuated(n.servers.Zone(id)) }, OnNotice: func(sentAt time.Duration, word notice.Notice, mayEndLimit bool) {
 		n.gateway.ObserveNotice(sentAt, word, mayEndLimit)
-	}}
+	}, OnLoad: func(server staging.Server, load loadreport.Report) { n.planner.LearnLoad(server, load) }, Scope: o.Scope}
 	n.planner = planner.New(stages, o.Settings.Regions, o.Log.WithName("planner"))
 	n.quarantine = watch.NewQuarantine(n.store, o.Log.WithName("quarantine"), n.planner, n.updatePools)
 	n.quarantineWriter = newQuarantineWriter(n.store, o.Log.WithName("quarantine"))
