--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,6 +42,9 @@
 	// and could not be sent there in time.
 	zonesEvacuated, serversCold tally.Gauge
 	grantsExpired               tally.Counter
+	// falseLoads counts the answers of plain services that contradict what their
+	// server reported about its load.
+	falseLoads tally.Counter
 	// requestTime is the time to the end of a response, firstEventTime that to the first
 	// event of a stream, placementTime that of the placement.
 	requestTime, firstEventTime, placementTime tally.Histogram
@@ -65,6 +68,7 @@
 		zonesEvacuated:    scope.Gauge("zones_evacuated"),
 		serversCold:       scope.Gauge("servers_cold"),
 		grantsExpired:     scope.Counter("cold_grants_expired"),
+		falseLoads:        scope.Counter("server_load_contradictions"),
 		requestTime:       scope.Histogram("request_seconds", buckets),
 		firstEventTime:    scope.Histogram("first_event_seconds", buckets),
 		placementTime:     scope.Histogram("placement_seconds", buckets),
