Second attempts of streams whose first event is overdue

Cause: a stream of a resumable route that a server accepts and never answers waits until its deadline, although another server could serve it.

Ruled out: deciding the race between the first byte and the cancellation where events are relayed: the relay would have to know of attempts. A timer per stream without an expected time: deployments whose placements name none are served as before.

Change: the entry watches each attempt whose placement names an expected time. One state decides whether the response or the cancellation came first; reads of an attempt that was given up return no byte. When core/secondattempt gives an attempt up, its connection is closed, the placing entry is told that it failed, and the request is placed again without that server. An attempt continues if no other server may serve the request. Denials for passing reasons are reconsidered after a quarter of the time waited, so that the waiting streams of a slow system cost little. Log lines and counters: second_attempts{result}, second_attempts_denied{reason}.

--- a/core/secondattempt/secondattempt.go
+++ b/core/secondattempt/secondattempt.go
@@ -24,8 +24,11 @@
 	// minSpareTime is the time that must be left for the rest of the stream after the expected
 	// first event of another server.
 	minSpareTime = 500 * time.Millisecond
-	// recheckInterval is the time to the next check after a denial for a passing reason.
-	recheckInterval = 250 * time.Millisecond
+	// minRecheckInterval is the least time to the next decision after a denial for a passing
+	// reason. It grows with the time waited, by recheckShare, so that the many waiting streams of
+	// a slow system cost little.
+	minRecheckInterval = 250 * time.Millisecond
+	recheckShare       = 0.25
 )
 
 // Denial is why an overdue attempt is not given up.
@@ -80,8 +83,9 @@
 	// PlacementTime is how long the placement of this attempt took, which is expected of the
 	// next one too.
 	PlacementTime time.Duration
-	// OtherServer is set if another server may serve the request.
-	OtherServer bool
+	// HasOtherServer reports whether another server may serve the request. It is called only if
+	// the first event is overdue.
+	HasOtherServer func() bool
 	// TakeRetry deducts a retry from the budget and returns false if the budget is exhausted.
 	// It is called last, only if nothing else denies the second attempt.
 	TakeRetry func() bool
@@ -201,7 +205,7 @@
 		d.Denial = t.passingDenial(now, a, &f, &d)
 	}
 	if d.Denial.passing() {
-		d.CheckIn = recheckInterval
+		d.CheckIn = max(minRecheckInterval, scaled(d.Waited, recheckShare))
 	}
 	if d.GiveUp = d.Denial == None; d.GiveUp {
 		t.record(now, a, true)
@@ -211,7 +215,7 @@
 
 // passingDenial returns the reason for which the attempt may not be given up now, or None.
 func (t *Tracker) passingDenial(now time.Duration, a *Attempt, f *Facts, d *Decision) Denial {
-	if !f.OtherServer {
+	if !f.HasOtherServer() {
 		return NoOtherServer
 	}
 	d.LateServers, d.OnTimeServers = t.countServers(now, a)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
+	"github.com/magnoliawheel/magnoliawheel/core/secondattempt"
 	"github.com/magnoliawheel/magnoliawheel/internal/bounded"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer"
@@ -112,6 +113,9 @@
 	// RegistryReadInterval is the longest time between two reads of the list of
 	// registered entries.
 	RegistryReadInterval time.Duration
+	// ExpectedFirstEvent, if set, replaces the expected times to first events in placements.
+	// Tests set it.
+	ExpectedFirstEvent func(planner.Placement) time.Duration
 }
 
 // Gateway is the HTTP handler for client requests.
@@ -123,7 +127,8 @@
 	// the process ends at the latest; 0 before.
 	stoppingSince, endsAt atomic.Int64
 
-	metrics *metrics
+	metrics        *metrics
+	secondAttempts secondAttempts
 	// configChanges wakes the requests that wait for a placement.
 	configChanges configChanges
 
@@ -148,6 +153,7 @@
 	g := &Gateway{
 		Options: o, metrics: newMetrics(o.Scope), plainServers: placement.New(o.Settings.Regions), retryBudgets: map[string]*budget.Budget{},
 		pauses:         notice.NewPauses(),
+		secondAttempts: secondAttempts{trackers: map[string]*secondattempt.Tracker{}},
 		allowanceShare: budget.AllowanceShare{Window: o.Settings.RetryBudget.Window, Interval: max(o.RegistryReadInterval, o.Settings.RetryBudget.Window)},
 	}
 	g.notices = notice.NewTable(func(s notice.Server, limit float64) float64 { return g.entryShare.Of(s, limit) })
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/core/secondattempt"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
 )
 
@@ -29,6 +30,9 @@
 	// interrupted counts the attempts under which servers may have crashed.
 	interrupted tally.Counter
 	retries     tally.Counter
+	// secondAttemptsMade counts the attempts that were given up because their first event was
+	// overdue, secondAttemptsWon those after which another server sent the first event.
+	secondAttemptsMade, secondAttemptsWon tally.Counter
 	// resumedByClients counts the streams that clients take up again, resumedByEntry those
 	// that the entry tries to resume within one response.
 	resumedByClients, resumedByEntry tally.Counter
@@ -45,21 +49,23 @@
 func newMetrics(scope tally.Scope) *metrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(smallestBucket, bucketGrowth, bucketCount)
 	return &metrics{
-		scope:             scope,
-		answered:          scope.Counter("requests_answered"),
-		clientDisconnects: scope.Counter("clients_left"),
-		streamsAborted:    scope.Counter("streams_broken_off"),
-		endedBeforeEvent:  scope.Counter("streams_ended_before_event"),
-		interrupted:       scope.Counter("attempts_interrupted"),
-		retries:           scope.Counter("requests_repeated"),
-		resumedByClients:  scope.Tagged(map[string]string{"by": "client"}).Counter("streams_resumed"),
-		resumedByEntry:    scope.Tagged(map[string]string{"by": "entry"}).Counter("streams_resumed"),
-		limits:            scope.Counter("server_limits"),
-		cooldowns:         scope.Counter("server_cooldowns"),
-		serversLeaving:    scope.Counter("servers_leaving"),
-		requestTime:       scope.Histogram("request_seconds", buckets),
-		firstEventTime:    scope.Histogram("first_event_seconds", buckets),
-		placementTime:     scope.Histogram("placement_seconds", buckets),
+		scope:              scope,
+		answered:           scope.Counter("requests_answered"),
+		clientDisconnects:  scope.Counter("clients_left"),
+		streamsAborted:     scope.Counter("streams_broken_off"),
+		endedBeforeEvent:   scope.Counter("streams_ended_before_event"),
+		interrupted:        scope.Counter("attempts_interrupted"),
+		retries:            scope.Counter("requests_repeated"),
+		secondAttemptsMade: scope.Tagged(map[string]string{"result": "made"}).Counter("second_attempts"),
+		secondAttemptsWon:  scope.Tagged(map[string]string{"result": "won"}).Counter("second_attempts"),
+		resumedByClients:   scope.Tagged(map[string]string{"by": "client"}).Counter("streams_resumed"),
+		resumedByEntry:     scope.Tagged(map[string]string{"by": "entry"}).Counter("streams_resumed"),
+		limits:             scope.Counter("server_limits"),
+		cooldowns:          scope.Counter("server_cooldowns"),
+		serversLeaving:     scope.Counter("servers_leaving"),
+		requestTime:        scope.Histogram("request_seconds", buckets),
+		firstEventTime:     scope.Histogram("first_event_seconds", buckets),
+		placementTime:      scope.Histogram("placement_seconds", buckets),
 	}
 }
 
@@ -68,6 +74,11 @@
 	m.scope.Tagged(map[string]string{"code": info.Name}).Counter("requests_refused").Inc(1)
 }
 
+// countDeniedSecondAttempt counts an overdue attempt that is not given up.
+func (m *metrics) countDeniedSecondAttempt(d secondattempt.Denial) {
+	m.scope.Tagged(map[string]string{"reason": d.String()}).Counter("second_attempts_denied").Inc(1)
+}
+
 // countFraming counts a server's response by the way in which it marks its end.
 func (m *metrics) countFraming(f upstream.Framing) {
 	m.scope.Tagged(map[string]string{"framing": f.String()}).Counter("server_responses").Inc(1)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,6 +17,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/streamversion"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
+	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
 
@@ -42,8 +43,11 @@
 	possibleRuns int
 	relay        *relay
 	placements   int
-	// sentAt is when the last attempt began.
-	sentAt time.Duration
+	// sentAt is when the last attempt began, and placementTime how long its placement took.
+	sentAt, placementTime time.Duration
+	// secondMade is set once an attempt was given up because its first event was overdue, and
+	// secondWon once the first event of a later one has arrived.
+	secondMade, secondWon bool
 }
 
 // serveStream serves a request whose response is a stream of events.
@@ -114,7 +118,12 @@
 	if remaining > 0 {
 		return false, s.refuseOrFail(result.QueueFull, causeServerCoolingDown, cooldownRetryAfter(s.req.ID, remaining))
 	}
+	placementBegan := clock.Now()
 	p, progress := s.gateway.place(ctx, s.req, slices.Concat(s.avoid, cooling))
+	s.placementTime = clock.Now() - placementBegan
+	if f := s.gateway.ExpectedFirstEvent; f != nil {
+		p.ExpectedFirstEvent = f(p)
+	}
 	if ctx.Err() != nil {
 		progress(planner.Progress{Phase: planner.Cancelled})
 		return false, nil
@@ -162,25 +171,38 @@
 	s.recordVersion(p.SoftwareVersion)
 	start := clock.Now()
 	s.sentAt = start
-	resp, err := s.gateway.Upstream.Do(ctx, s.gateway.encodeRequest(req, srv, p.Inputs, modelPriority(req)))
+	watch, attemptCtx := s.watchAttempt(ctx, &p, srv.Start())
+	defer watch.close()
+	resp, err := s.gateway.Upstream.Do(attemptCtx, s.gateway.encodeRequest(req, srv, p.Inputs, modelPriority(req)))
 	if err != nil {
+		if watch.end() {
+			s.countRun(!errors.Is(err, upstream.ErrNotSent))
+			return s.handleGivenUp(p, watch, progress)
+		}
 		return s.handleSendError(ctx, p, progress, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	info := platform.DecodeServerResponse(resp.StatusCode, resp.Header)
 	s.gateway.handleNotices(req, srv, start, info)
+	isStream := !info.NotExecuted && resp.StatusCode == http.StatusOK && info.Signed
+	if !isStream && !watch.respond(false) {
+		s.countRun(!info.NotExecuted)
+		return s.handleGivenUp(p, watch, progress)
+	}
 	if info.NotExecuted {
 		req.log.Info("Server did not run the request.", "server", p.Server, "status", resp.StatusCode, "took", clock.Now()-start)
 		return s.handleNotRun(p, progress, resp.StatusCode)
 	}
 	s.possibleRuns++
 	s.gateway.metrics.countFraming(resp.Framing())
-	if resp.StatusCode != http.StatusOK || !info.Signed {
+	if !isStream {
 		return s.relayNonStream(resp, info, progress)
 	}
+	resp.Body = watch.body(resp.Body)
 	err = s.relay.copy(resp, func() {
 		s.gateway.metrics.firstEventTime.RecordDuration(clock.Now() - req.arrivedAt)
 		req.log.Info("First event relayed.", "identity", req.identity, "server", p.Server, "server_version", p.SoftwareVersion, "route", req.route.Name, "version", req.configVersion, "held", clock.Now()-req.arrivedAt, "took", clock.Now()-start)
+		s.countFirstEvent()
 		progress(planner.Progress{Phase: planner.Started, FirstEvent: clock.Now() - start})
 	})
 	if err == nil {
@@ -192,6 +214,9 @@
 			"held", clock.Now()-req.arrivedAt, "tries", req.attempts)
 		return true, nil
 	}
+	if watch.end() {
+		return s.handleGivenUp(p, watch, progress)
+	}
 	req.log.Info("Stream from the server ended early.", "identity", req.identity, "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", s.relay.unfinished(),
 		"took", clock.Now()-start, "cause", err.Error())
 	return s.handleBrokenStream(ctx, p, progress, resp.Framing(), err)
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawheel/magnoliawheel/internal/planner"
 	"github.com/magnoliawheel/magnoliawheel/platform"
 	"github.com/magnoliawheel/magnoliawheel/platform/standin"
 	"github.com/magnoliawheel/magnoliawheel/test/harness"
@@ -46,6 +47,11 @@
 	shutdownGrace time.Duration
 	// rewriteTime replaces operatorRewriteTime for new entries unless it is 0.
 	rewriteTime time.Duration
+	// expectedFirstEvent, if set, replaces the expected time to the first event in placements.
+	expectedFirstEvent func(planner.Placement) time.Duration
+	// scope, if set, receives the metrics of new entries, and onLog their log lines.
+	scope tally.Scope
+	onLog func(line string)
 	// storeAddress is the address at which new entries reach the store; "" is the
 	// address of the store itself.
 	storeAddress string
@@ -116,7 +122,12 @@
 		Cores:       f.cores,
 		RetryBudget: platform.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Allowance: 80},
 	}
-	n := New(Options{Settings: settings, Log: f.stateLogger(name), Scope: tally.NoopScope})
+	scope := f.scope
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	n := New(Options{Settings: settings, Log: f.stateLogger(name), Scope: scope})
+	n.gateway.ExpectedFirstEvent = f.expectedFirstEvent
 	if f.readInterval > 0 {
 		n.registry.readInterval = f.readInterval
 	}
@@ -149,7 +160,11 @@
 	f.mu.Lock()
 	f.reportedReady[name] = map[string]bool{}
 	f.mu.Unlock()
+	onLog := f.onLog
 	return funcr.NewJSON(func(line string) {
+		if onLog != nil {
+			onLog(line)
+		}
 		var state struct {
 			Message string `json:"msg"`
 			Entry   string `json:"entry"`
