Admission goes by idle servers; copies of shared parts by evidence of late pauses

Four of 452 dossiers were refused, the largest ones: most measured speeds are those of busy servers, and admission took them for idle ones. Shared parts read again rose by half, since parts of usual demand were kept by several servers.

Change: admission takes the shorter one of the measured and the usual time. A part is copied when its prompts take half a server's time; where responses are late by pauses, from 0.15 as before.

--- a/core/placement/copies.go
+++ b/core/placement/copies.go
@@ -11,9 +11,11 @@
 	// demandMeanTime is the time over which the demand for a shared part is averaged.
 	demandMeanTime = 10 * time.Second
 	// maxCopyUse is the share of a server's time that the prompts which begin with one shared
-	// part may take before another server keeps the part as well. More would join the pauses
-	// of the streams there.
-	maxCopyUse = 0.15
+	// part may take before another server keeps the part as well. On pools where responses are
+	// late by pauses it falls to pausedCopyUse, since more would join the pauses of the streams
+	// there. On others, copies for less demand only processed the part again.
+	maxCopyUse    = 0.5
+	pausedCopyUse = 0.15
 	// copiesInterval is the least time between two choices of the servers that keep a part.
 	copiesInterval = time.Second
 	// extraCopyCostMS is the cost of a server that has a part cached although others keep it.
@@ -50,8 +52,11 @@
 	d.usedAt = now
 }
 
-// copies returns the number of servers that the demand takes.
-func (d *demand) copies() int { return int(math.Ceil(d.use / maxCopyUse)) }
+// copies returns the number of servers that the demand takes. pauseWeight is the weight of the
+// costs of pauses in the pool.
+func (d *demand) copies(pauseWeight float64) int {
+	return int(math.Ceil(d.use / (maxCopyUse - pauseWeight*(maxCopyUse-pausedCopyUse))))
+}
 
 // sharedPrefix returns the longest prefix that other prompts may share; false if there is none.
 func (c *choice) sharedPrefix() (prefix, bool) {
@@ -77,9 +82,10 @@
 	estimate := t.speeds.PoolEstimate(c.Pool, 1)
 	restMS := estimate.PrefillMS(c.prefixes[len(c.prefixes)-1].tokens)
 	d.add(now, time.Duration(restMS*float64(time.Millisecond)))
-	if now >= d.nextChoice && (d.keepers != nil || d.copies() > 1) {
+	copies := d.copies(t.evidenceFor(c.Pool).weight())
+	if now >= d.nextChoice && (d.keepers != nil || copies > 1) {
 		d.nextChoice = now + copiesInterval
-		d.keepers = t.chooseKeepers(c.Pool, shared.path, d.copies())
+		d.keepers = t.chooseKeepers(c.Pool, shared.path, copies)
 	}
 }
 
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -397,13 +397,15 @@
 	}
 }
 
-// ExpectedFirstEvent returns the time to the first event on an idle server of usual speed that
-// has cached nothing of the prompt.
+// ExpectedFirstEvent returns the time to the first event on an idle server that has cached
+// nothing of the prompt. Requests are refused by it, so it is not longer than at the usual
+// speed: most measured times are those of busy servers, and made admission refuse the largest
+// prompts although idle servers could serve them in time.
 func (t *Table) ExpectedFirstEvent(r Request) time.Duration {
 	promptTokens := 0
 	for _, p := range r.Parts {
 		promptTokens += p.Tokens
 	}
 	estimate := t.speeds.PoolEstimate(r.Pool, 0)
-	return estimate.FirstEvent(promptTokens)
+	return min(estimate.FirstEvent(promptTokens), serverspeed.UsualFirstEvent(promptTokens))
 }
--- a/core/serverspeed/serverspeed.go
+++ b/core/serverspeed/serverspeed.go
@@ -179,6 +179,13 @@
 	return 1
 }
 
+// UsualFirstEvent returns the time to the first event on a server of usual speed after so many
+// prompt tokens have been processed.
+func UsualFirstEvent(tokens int) time.Duration {
+	usual := Estimate{TokensPerMS: startTokensPerMS, FirstEventMS: startFirstEventMS}
+	return usual.FirstEvent(tokens)
+}
+
 // FirstEvent is a measured first event.
 type FirstEvent struct {
 	// Tokens are the prompt tokens that had to be processed before it, those queued before
