--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -267,6 +267,7 @@
 	region := t.regionByZone[c.Zone]
 	queueCosts := t.queueCosts(now, c)
 	for i, s := range t.serversByPool[c.Pool] {
+		s.reported.expire(now)
 		if !c.accepts(s) || t.notices.Wait(now, s.def.Start()) > 0 {
 			continue
 		}
@@ -314,7 +315,7 @@
 		if !c.Residency.Allows(s.region) {
 			continue
 		}
-		if s.cache.has(shared.key) {
+		if s.hasCached(&shared) {
 			return nil
 		}
 		if h := rendezvousWeight(shared.path, s.def.ID); preferred == nil || h > highestWeight {
@@ -394,6 +395,7 @@
 		s.pausedUntil = now + unreachedPauses.Delay(s.consecutiveUnreached)
 		s.consecutiveUnreached++
 		s.cache.clear()
+		s.reported = reportedParts{}
 	}
 }
 
--- a/core/placement/prefix.go
+++ b/core/placement/prefix.go
@@ -11,6 +11,8 @@
 	// path names the parts in order; key is its hash.
 	path string
 	key  uint64
+	// part is the ID of the last part.
+	part string
 	// tokens counts only the last part.
 	tokens int
 }
@@ -21,7 +23,7 @@
 	path := ""
 	for i, p := range parts {
 		path += "/" + p.ID
-		prefixes[i] = prefix{path, xxhash.Sum64String(path), p.Tokens}
+		prefixes[i] = prefix{path, xxhash.Sum64String(path), p.ID, p.Tokens}
 	}
 	return prefixes
 }
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -68,6 +68,8 @@
 	speed *serverspeed.Server
 	// cache holds the prompt prefixes that the server is assumed to have cached.
 	cache *prefixCache
+	// reported are the parts that the server itself reported to have cached.
+	reported reportedParts
 	// failureShare is the weighted share of recent requests that failed, at the time
 	// failureShareAt.
 	failureShare         float64
@@ -234,7 +236,7 @@
 func (s *server) uncachedTokens(c *choice) int {
 	uncached := c.promptTokens
 	for _, p := range c.prefixes {
-		if !s.cache.has(p.key) {
+		if !s.hasCached(&p) {
 			break
 		}
 		uncached -= p.tokens
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,6 +132,7 @@
 
 	metrics        *metrics
 	secondAttempts secondAttempts
+	cacheReader    cacheReader
 	// configChanges wakes the requests that wait for a placement.
 	configChanges configChanges
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,6 +120,7 @@
 		Settings: o.Settings, Log: o.Log.WithName("gateway"), Scope: o.Scope, Owner: owner,
 		RegistryReadInterval: maxRegistryReadGap,
 	})
+	n.planner.OnTakeover(func() { go n.gateway.ReadCaches(context.Background()) })
 	n.planner.SetColdShare(n.links.ColdShare)
 	n.restoreGuard = &restoreGuard{
 		store: n.store, config: n.config, log: o.Log.WithName("config"), rewriteTime: operatorRewriteTime,
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -102,6 +102,10 @@
 	onQuarantine func([]quarantine.Change)
 	onEvidence   func(...quarantine.Attempt)
 	metrics      *metrics
+	// onTakeover, if set, is called when the planner begins to place requests. placedAt is when
+	// it was last asked to place one.
+	onTakeover func()
+	placedAt   time.Duration
 	// decided are the requests that were refused or only checked, and that are not answered
 	// yet.
 	decided []*pendingRequest
@@ -182,6 +186,7 @@
 // Place starts the placement of a request. It replaces a pending request with the same
 // ID.
 func (p *Planner) Place(req Request, callbacks Callbacks) {
+	p.noticeTakeover()
 	p.update(func(now time.Duration) {
 		p.scheduler.Release(now, req.ID)
 		p.removePending(req.ID)
