Order and admission of stage work at a shortage

The refusal's log line has kind, shortage and over_share; the planner counts requests at a shortage, those over their share, promises made and kept, and refusals by reason.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,6 +93,9 @@
 		n.gateway.ObserveNotice(sentAt, word, mayEndLimit)
 	}}
 	n.planner = planner.New(stages, o.Settings.Regions, o.Log.WithName("planner"))
+	if o.Scope != nil {
+		n.planner.SetScope(o.Scope)
+	}
 	n.quarantine = watch.NewQuarantine(n.store, o.Log.WithName("quarantine"), n.planner, n.updatePools)
 	n.quarantineWriter = newQuarantineWriter(n.store, o.Log.WithName("quarantine"))
 	n.planner.OnQuarantine(func(changes []quarantine.Change) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
@@ -72,8 +73,9 @@
 
 // Planner places requests. It is safe for concurrent use.
 type Planner struct {
-	stages StageCaller
-	log    logr.Logger
+	stages  StageCaller
+	log     logr.Logger
+	metrics metrics
 
 	mu           sync.Mutex
 	scheduler    *staging.Scheduler
@@ -112,7 +114,7 @@
 	scheduler.SetNotices(notices)
 	modelServers.SetNotices(notices)
 	return &Planner{
-		stages: stages, log: log, scheduler: scheduler, modelServers: modelServers, notices: notices,
+		stages: stages, log: log, metrics: newMetrics(tally.NoopScope), scheduler: scheduler, modelServers: modelServers, notices: notices,
 		streams: streamversion.New(), poolVersions: streamversion.NewPools(), quarantine: quarantine.New(),
 		pending: map[string]*pendingRequest{}, wake: make(chan struct{}, 1),
 	}
@@ -197,7 +199,7 @@
 		p.scheduler.Submit(now, staging.Job{
 			ID: req.ID, Key: req.PieceKey, Stages: req.Stages, Priority: req.Priority,
 			ObjectiveDeadline: now + req.TimeToObjective, Deadline: now + req.TimeToDeadline, RequestDuration: placement.ExpectedFirstEvent(parts),
-			ReaderZone: p.modelServers.LikelyZone(now, parts), Customer: req.Customer, Owner: req.Owner, PriorResults: req.PriorResults,
+			ReaderZone: p.modelServers.LikelyZone(now, parts), Customer: req.Customer, Identity: req.Identity, Owner: req.Owner, PriorResults: req.PriorResults,
 			Residency: req.Residency,
 		})
 	})
@@ -259,6 +261,7 @@
 	change(now)
 	changes := p.applyQuarantine(now)
 	actions := p.scheduler.TakeActions()
+	p.metrics.record(actions)
 	callbacks := p.collectCallbacks(now, actions)
 	callbacks = append(callbacks, p.quarantineCallbacks(append(changes, p.quarantine.TakeChanges()...))...)
 	wake := !p.ticking && !p.scheduler.Idle()
@@ -301,7 +304,7 @@
 	for _, r := range actions.Refusals {
 		if pr := p.pending[r.JobID]; pr != nil {
 			p.log.Info("Request refused.", "request", r.JobID, "owner", pr.req.Owner, "reason", r.Reason.String(), "due", pr.req.TimeToObjective,
-				"expected", r.ExpectedTime, "waited", now-pr.receivedAt, "retry_after", r.RetryAfter, "jobs", p.scheduler.JobCount())
+				"expected", r.ExpectedTime, "waited", now-pr.receivedAt, "retry_after", r.RetryAfter, "jobs", p.scheduler.JobCount(), "kind", r.Kind, "shortage", r.Shortage, "over_share", r.Excess)
 			reply(pr, Placement{ID: r.JobID, RefusalReason: r.Reason, RetryAfter: r.RetryAfter})
 		}
 	}
