--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,7 +95,9 @@
 		n.gateway.ObserveNotice(sentAt, word, mayEndLimit)
 	}, OnLoad: func(server staging.Server, load loadreport.Report) { n.planner.LearnLoad(server, load) }, Scope: o.Scope}
 	n.planner = planner.New(stages, o.Settings.Regions, o.Log.WithName("planner"))
-	n.planner.SetScope(o.Scope)
+	if o.Scope != nil {
+		n.planner.SetScope(o.Scope)
+	}
 	n.quarantine = watch.NewQuarantine(n.store, o.Log.WithName("quarantine"), n.planner, n.updatePools)
 	n.quarantineWriter = newQuarantineWriter(n.store, o.Log.WithName("quarantine"))
 	n.planner.OnQuarantine(func(changes []quarantine.Change) {
