Revert the order and admission of stage work at a shortage

Its own load test improves (others' on-time share in a burst), but its Retry-After times of up to 60 s exceed what clients wait, so that refused clients don't come back, and shares by kind refuse work that uneven servers could still take.

Left: the load test shows real faults of the present order (an urgent burst takes the capacity of all later objectives; waits count work that comes later).

--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -109,36 +109,28 @@
 type readyRun struct {
 	*stageRun
 	requested bool
-	order     jobOrder
+	deadline  time.Duration
 }
 
 // readyRuns returns the runs with pieces that can be requested, except those for whose
-// jobs there is no memory, and the number of all pieces that can be requested. Jobs after one
-// without memory don't start either: small ones would take all memory that becomes free, and a
-// large one would never start. Runs that are partly requested come first, because their results
-// occupy memory until the run is complete; then the order is by urgency. The result is valid until the next call.
+// jobs there is no memory, and the number of all pieces that can be requested. Runs that
+// are partly requested come first, because their results occupy memory until the run is
+// complete; then the order is by urgency. The result is valid until the next call.
 func (p *pool) readyRuns(s *Scheduler, now time.Duration) ([]readyRun, int) {
 	p.queuedRuns = slices.DeleteFunc(p.queuedRuns, func(r *stageRun) bool { return len(r.queuedPieces) == 0 })
 	ready := p.readyBuffer[:0]
 	pieces := 0
-	var blocked *readyRun
 	for _, r := range p.queuedRuns {
 		if !r.inputsReady() || r.shouldDelay() {
 			continue
 		}
 		pieces += len(r.queuedPieces)
-		next := readyRun{r, r.anyRequested(), r.job.order(now)}
 		if r.job.started || s.hasMemoryFor(r.job, now) {
-			ready = append(ready, next)
-		} else if blocked == nil || next.order.compare(blocked.order) < 0 {
-			blocked = &next
+			ready = append(ready, readyRun{r, r.anyRequested(), r.job.schedulingDeadline(now)})
 		}
 	}
-	if blocked != nil {
-		ready = slices.DeleteFunc(ready, func(r readyRun) bool { return !r.job.started && blocked.order.compare(r.order) < 0 })
-	}
 	slices.SortFunc(ready, func(a, b readyRun) int {
-		return cmp.Or(trueFirst(a.requested, b.requested), a.order.compare(b.order), cmp.Compare(a.job.def.ID, b.job.def.ID), cmp.Compare(a.stage, b.stage))
+		return cmp.Or(trueFirst(a.requested, b.requested), cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.job.def.ID, b.job.def.ID), cmp.Compare(a.stage, b.stage))
 	})
 	p.readyBuffer = ready
 	return ready, pieces
@@ -162,31 +154,18 @@
 
 // schedulingDeadline returns the sort key of jobs, the most urgent first: the time at which
 // the request must start to reach its objective, adjusted for priority. Jobs of customers
-// that flood follow the others, and jobs that can't reach their objective follow all until
-// their deadline is near.
+// that flood follow the others, and jobs that can't reach their objective follow all.
 func (j *job) schedulingDeadline(now time.Duration) time.Duration {
 	deadline := j.def.ObjectiveDeadline + time.Duration(j.def.Priority)*priorityStep
-	missed := j.missesObjective(now)
-	if missed {
+	if now+j.minRemainingTime()+j.def.RequestDuration > j.def.ObjectiveDeadline {
 		deadline += missedObjectivePenalty
 	}
 	if j.flooding {
 		deadline += floodPenalty
-	} else if missed {
-		deadline = min(deadline, j.def.Deadline)
 	}
 	return deadline - j.def.RequestDuration
 }
 
-// missesObjective reports whether the job can't reach its objective even on idle servers.
-func (j *job) missesObjective(now time.Duration) bool {
-	return now+j.minRemainingTime()+j.def.RequestDuration > j.def.ObjectiveDeadline
-}
-
-// comesLast reports whether the job waits until there is capacity besides that for the other
-// jobs.
-func (j *job) comesLast() bool { return j.flooding || j.excess }
-
 // candidate is a server that can start a call, with the expected end of that call.
 type candidate struct {
 	*server
@@ -305,9 +284,6 @@
 	c.forecast, c.overdueExtension = m.forecast(now), m.overdueExtension(now, len(pieces))
 	for _, it := range pieces {
 		it.run.setFirstCallZone(m.def.Zone)
-		if it.run.job.startedAt == 0 {
-			it.run.job.startedAt = now
-		}
 	}
 	s.calls[c.id] = c
 	m.calls = append(m.calls, c)
--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -20,8 +20,6 @@
 	// started is true once a piece was requested, done once all stages are complete.
 	started bool
 	done    bool
-	// startedAt is when the first piece was requested.
-	startedAt time.Duration
 	// suspended jobs start no more calls.
 	suspended bool
 	// interruptedBy is the server that interrupted the job's last call, or nil.
@@ -30,12 +28,6 @@
 	// flooding is true if the job's customer sent much more than usual when the job was
 	// submitted.
 	flooding bool
-	// kind groups jobs that share the capacity of their pools with jobs of other kinds.
-	// shortage is true if a pool was short of capacity when the job was submitted, excess if
-	// the job then exceeded the share of its kind, promised if it was refused before and came
-	// back at the time that it was given.
-	kind                       string
-	shortage, excess, promised bool
 	// accepted is true from the submission of the job until its removal.
 	accepted bool
 	// remaining caches minRemainingTime while pathsVersion is the scheduler's
@@ -326,6 +318,5 @@
 func (s *Scheduler) refuse(j *job, now time.Duration, reason RefusalReason, expected time.Duration) {
 	s.actions.Refusals = append(s.actions.Refusals, Refusal{
 		JobID: j.def.ID, Reason: reason, RetryAfter: s.retryAfter(j, now), ExpectedTime: expected,
-		Kind: j.kind, Shortage: j.shortage, Excess: j.excess,
 	})
 }
--- a/core/staging/property_test.go
+++ b/core/staging/property_test.go
@@ -249,7 +249,7 @@
 			if !r.resultsFreed && j.started {
 				started[r.pool] += r.resultBytes * int64(len(r.pieces))
 			}
-			if !r.resultsFreed && !j.started && j.comesLast() {
+			if !r.resultsFreed && !j.started && j.flooding {
 				flood[r.pool] += r.resultBytes * int64(len(r.pieces))
 			}
 		}
--- a/core/staging/run.go
+++ b/core/staging/run.go
@@ -57,7 +57,7 @@
 	switch {
 	case r.job.started:
 		started = claimed
-	case r.job.comesLast():
+	case r.job.flooding:
 		flood = claimed
 	}
 	r.pool.claimedBytes += claimed - r.claimedBytes
@@ -192,9 +192,6 @@
 		return
 	}
 	r.setFreed(true)
-	if r.pool != nil && r.isComplete() && r.job.startedAt > 0 {
-		r.job.scheduler.shares[r.pool].recordHold(now - r.job.startedAt)
-	}
 	for i := range r.pieces {
 		if p := &r.pieces[i]; p.handle != "" {
 			p.server.queueFree(p.handle, r.resultBytes, now)
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -37,12 +37,9 @@
 	demand *fairshare.Tracker
 	// specVersion changes with the description of a pool; it is never 0.
 	specVersion uint64
-	// promises are the times at which refused requests were told to come back, by identity.
-	promises map[string]time.Duration
-	// shares hold the demand of the kinds of jobs for each pool.
-	shares map[*pool]*poolDemand
-	// latenessByKind is how much longer jobs took than expected.
-	latenessByKind map[string]*lateness
+	// meanLateness is a moving average of how much longer jobs took than expected,
+	// latenessDeviation that of the distance from this average.
+	meanLateness, latenessDeviation time.Duration
 	// notices are the limits that servers name, pauses those that want no calls for a time.
 	notices *notice.Table
 	pauses  *notice.Pauses
@@ -63,7 +60,7 @@
 func New() *Scheduler {
 	return &Scheduler{
 		pools: map[string]*pool{}, jobs: map[string]*job{}, calls: map[uint64]*call{}, pendingFrees: map[uint64]pendingFree{},
-		specVersion: 1, demand: fairshare.New(), promises: map[string]time.Duration{}, latenessByKind: map[string]*lateness{}, shares: map[*pool]*poolDemand{}, notices: notice.NewTable(nil), pauses: notice.NewPauses(),
+		specVersion: 1, demand: fairshare.New(), notices: notice.NewTable(nil), pauses: notice.NewPauses(),
 	}
 }
 
@@ -74,7 +71,6 @@
 	if p == nil {
 		p = &pool{name: name, piecesAhead: map[string]int{}, notices: s.notices, pauses: s.pauses}
 		s.pools[name] = p
-		s.shares[p] = newPoolDemand()
 		s.sortedPools = append(s.sortedPools, p)
 		slices.SortFunc(s.sortedPools, func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
 	}
@@ -115,7 +111,6 @@
 		return
 	}
 	j := s.newJob(def)
-	j.kind = kindOf(&def, now)
 	if def.Customer != "" && len(def.PriorResults) == 0 {
 		j.flooding = s.demand.Add(now, def.Customer)
 	}
@@ -123,9 +118,6 @@
 		s.refuse(j, now, OutsideResidency, 0)
 		return
 	}
-	if !j.started {
-		s.classify(j, now)
-	}
 	expected, ok := s.estimateDuration(j, now)
 	if !ok || !j.started && !s.admissible(j, now, expected) {
 		s.refuse(j, now, Overloaded, expected)
@@ -135,9 +127,6 @@
 	s.jobs[def.ID] = j
 	s.jobsByArrival = append(s.jobsByArrival, j)
 	j.accepted = true
-	if !j.started {
-		s.recordAccepted(j, now)
-	}
 	j.adoptPriorResults()
 	for _, r := range j.runs {
 		if len(r.queuedPieces) > 0 {
@@ -245,7 +234,6 @@
 			s.removeJob(j, now)
 		}
 	}
-	s.refuseUnservable(now)
 	s.dispatch(now)
 }
 
--- a/core/staging/types.go
+++ b/core/staging/types.go
@@ -56,9 +56,6 @@
 	// Customer sent the request. At a shortage, the jobs of a customer that floods come
 	// after those of the others.
 	Customer string
-	// Identity is the same for all requests that repeat this one, as a client does that was
-	// refused; "" if it is not known.
-	Identity string
 	// Owner identifies the instance that submitted the job. It changes when that
 	// instance restarts.
 	Owner string
@@ -156,10 +153,6 @@
 	RetryAfter time.Duration
 	// ExpectedTime is how long the stages were expected to take, for logs.
 	ExpectedTime time.Duration
-	// Kind is the kind of the job. Shortage tells that a pool was short of capacity when the
-	// job was submitted, Excess that the job then exceeded the share of its kind.
-	Kind             string
-	Shortage, Excess bool
 }
 
 // Actions are to be carried out by the caller.
@@ -170,8 +163,6 @@
 	Refusals      []Refusal
 	// ResultChanges are new and lost results, by job ID.
 	ResultChanges map[string][]ResultLocation
-	// Shortage counts, since the last actions, the jobs submitted at a shortage.
-	Shortage ShortageCounts
 }
 
 // Outcome is the result status of one piece of a call.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,9 +95,7 @@
 		n.gateway.ObserveNotice(sentAt, word, mayEndLimit)
 	}, OnLoad: func(server staging.Server, load loadreport.Report) { n.planner.LearnLoad(server, load) }, Scope: o.Scope}
 	n.planner = planner.New(stages, o.Settings.Regions, o.Log.WithName("planner"))
-	if o.Scope != nil {
-		n.planner.SetScope(o.Scope)
-	}
+	n.planner.SetScope(o.Scope)
 	n.quarantine = watch.NewQuarantine(n.store, o.Log.WithName("quarantine"), n.planner, n.updatePools)
 	n.quarantineWriter = newQuarantineWriter(n.store, o.Log.WithName("quarantine"))
 	n.planner.OnQuarantine(func(changes []quarantine.Change) {
--- a/internal/planner/metrics.go
+++ b/internal/planner/metrics.go
@@ -51,9 +51,7 @@
 }
 
 // SetScope sets the scope that receives the planner's metrics, before its first use.
-func (p *Planner) SetScope(scope tally.Scope) {
-	p.metrics, p.shortageMetrics = newMetrics(scope), newShortageMetrics(scope)
-}
+func (p *Planner) SetScope(scope tally.Scope) { p.metrics = newMetrics(scope) }
 
 func (m *metrics) countPlacement(c *placement.Choice) {
 	m.expectedPause.RecordDuration(c.ExpectedPause)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -73,9 +73,8 @@
 
 // Planner places requests. It is safe for concurrent use.
 type Planner struct {
-	stages          StageCaller
-	log             logr.Logger
-	shortageMetrics shortageMetrics
+	stages StageCaller
+	log    logr.Logger
 
 	mu           sync.Mutex
 	scheduler    *staging.Scheduler
@@ -119,7 +118,7 @@
 	scheduler.SetNotices(notices)
 	modelServers.SetNotices(notices)
 	return &Planner{
-		stages: stages, log: log, shortageMetrics: newShortageMetrics(tally.NoopScope), scheduler: scheduler, modelServers: modelServers, notices: notices,
+		stages: stages, log: log, scheduler: scheduler, modelServers: modelServers, notices: notices,
 		streams: streamversion.New(), poolVersions: streamversion.NewPools(), quarantine: quarantine.New(),
 		pending: map[string]*pendingRequest{}, wake: make(chan struct{}, 1),
 		metrics: newMetrics(tally.NoopScope),
@@ -206,7 +205,7 @@
 		p.scheduler.Submit(now, staging.Job{
 			ID: req.ID, Key: req.PieceKey, Stages: req.Stages, Priority: req.Priority,
 			ObjectiveDeadline: now + req.TimeToObjective, Deadline: now + req.TimeToDeadline, RequestDuration: p.modelServers.ExpectedFirstEvent(parts),
-			ReaderZone: p.modelServers.LikelyZone(now, parts), Customer: req.Customer, Identity: req.Identity, Owner: req.Owner, PriorResults: req.PriorResults,
+			ReaderZone: p.modelServers.LikelyZone(now, parts), Customer: req.Customer, Owner: req.Owner, PriorResults: req.PriorResults,
 			Residency: req.Residency,
 		})
 	})
@@ -270,7 +269,6 @@
 	change(now)
 	changes := p.applyQuarantine(now)
 	actions := p.scheduler.TakeActions()
-	p.shortageMetrics.record(actions)
 	callbacks := p.collectCallbacks(now, actions)
 	callbacks = append(callbacks, p.quarantineCallbacks(append(changes, p.quarantine.TakeChanges()...))...)
 	wake := !p.ticking && !p.scheduler.Idle()
@@ -313,7 +311,7 @@
 	for _, r := range actions.Refusals {
 		if pr := p.pending[r.JobID]; pr != nil {
 			p.log.Info("Request refused.", "request", r.JobID, "owner", pr.req.Owner, "reason", r.Reason.String(), "due", pr.req.TimeToObjective,
-				"expected", r.ExpectedTime, "waited", now-pr.receivedAt, "retry_after", r.RetryAfter, "jobs", p.scheduler.JobCount(), "kind", r.Kind, "shortage", r.Shortage, "over_share", r.Excess)
+				"expected", r.ExpectedTime, "waited", now-pr.receivedAt, "retry_after", r.RetryAfter, "jobs", p.scheduler.JobCount())
 			reply(pr, Placement{ID: r.JobID, RefusalReason: r.Reason, RetryAfter: r.RetryAfter})
 		}
 	}
