Streams are read from servers at full speed

Cause: the relay wrote each event to the client before it read the next one, so a client that reads slowly stopped the reading, and the server cut the response off. A client that accepted nothing for 10 s lost its response.

Ruled out: memory for each stream from the share of all streams from its first byte on.

Change: core/readbuffer decides how much is held and whose stream ends first: the one that needs the longest for what it holds at its measured rate. internal/gateway reads into an outbox per stream, which a second goroutine writes. The splitter is read into directly, so an event is copied as often as before. At its own bound (1/112 of the memory limit, 1.3 MiB at 144 MiB) a stream is not read; at the total (1/7) the slowest reader ends without the end of its response. A response that is complete is delivered past its deadline, until the client has accepted nothing for 15 min or the process ends. The responses held as a whole get 1/4 of the memory limit, at most 48 MiB as before, so 36 instead of 48 MiB at 144 MiB.

Tests of relay.go wait for delivery, which now has a goroutine of its own; what they check is unchanged. The part of a long event is checked with a relay of its own.

--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -2,7 +2,13 @@
 // I/O.
 package eventstream
 
-import "bytes"
+import (
+	"bytes"
+	"slices"
+)
+
+// maxKeptBytes bounds the buffer that a splitter keeps after a large event.
+const maxKeptBytes = 32 << 10
 
 // Splitter splits the bytes of one response. A line ends with CR, LF or both, and an event
 // with an empty line. The zero Splitter is ready for use.
@@ -30,8 +36,21 @@
 // Add adds bytes of the response and returns the whole events that were not returned
 // before. They are valid until the next call.
 func (s *Splitter) Add(p []byte) []byte {
+	copy(s.Space(len(p)), p)
+	return s.Added(len(p))
+}
+
+// Space returns space for at least n further bytes of the response, so that they need not be
+// copied; Added adds them. It is valid until the next call.
+func (s *Splitter) Space(n int) []byte {
 	s.discardEvents()
-	s.buf = append(s.buf, p...)
+	s.buf = slices.Grow(s.buf, n)
+	return s.buf[len(s.buf):cap(s.buf)]
+}
+
+// Added adds the first n bytes of the space that Space returned, as Add does.
+func (s *Splitter) Added(n int) []byte {
+	s.buf = s.buf[:len(s.buf)+n]
 	for ; s.scanned < len(s.buf); s.scanned++ {
 		s.scan(s.buf[s.scanned])
 	}
@@ -72,7 +91,11 @@
 	if s.eventsEnd == 0 {
 		return
 	}
-	s.buf = append(s.buf[:0], s.buf[s.eventsEnd:]...)
+	kept := s.buf[:0]
+	if cap(s.buf) > maxKeptBytes {
+		kept = nil
+	}
+	s.buf = append(kept, s.buf[s.eventsEnd:]...)
 	s.scanned -= s.eventsEnd
 	s.lineStart = max(0, s.lineStart-s.eventsEnd)
 	s.eventsEnd = 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/budget"
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/readbuffer"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/internal/bounded"
@@ -89,8 +90,11 @@
 	MarkLeaving(id string, startTime int64) bool
 }
 
-// NewBodyBudget returns the budget for the responses that an entry reads at the same time.
-func NewBodyBudget() *bounded.Budget { return bounded.NewBudget(maxBodiesBytes) }
+// NewBodyBudget returns the budget for the responses that an entry with the given memory limit
+// holds as a whole at the same time.
+func NewBodyBudget(memoryLimit int64) *bounded.Budget {
+	return bounded.NewBudget(readbuffer.SharesOf(memoryLimit).Responses)
+}
 
 // Options configures a Gateway.
 type Options struct {
@@ -124,6 +128,10 @@
 	stoppingSince, endsAt atomic.Int64
 
 	metrics *metrics
+	// streams holds what streams have for their clients.
+	streams *readBuffers
+	// ending is closed shortly before a stopping process ends.
+	ending chan struct{}
 	// configChanges wakes the requests that wait for a placement.
 	configChanges configChanges
 
@@ -145,7 +153,9 @@
 
 // New returns a gateway.
 func New(o Options) *Gateway {
+	shares := readbuffer.SharesOf(o.Settings.MemoryLimitBytes)
 	g := &Gateway{
+		streams: newReadBuffers("stream", shares.Streams, o.Scope), ending: make(chan struct{}),
 		Options: o, metrics: newMetrics(o.Scope), plainServers: placement.New(o.Settings.Regions), retryBudgets: map[string]*budget.Budget{},
 		pauses:         notice.NewPauses(),
 		allowanceShare: budget.AllowanceShare{Window: o.Settings.RetryBudget.Window, Interval: max(o.RegistryReadInterval, o.Settings.RetryBudget.Window)},
@@ -195,7 +205,7 @@
 	defer cancel()
 	g.countRequest(req.service)
 	if req.route.Kind == routes.Stream {
-		g.serveStream(ctx, w, req)
+		g.serveStream(hr.Context(), ctx, w, req)
 		return
 	}
 	g.servePlain(ctx, w, req)
@@ -289,7 +299,9 @@
 func (g *Gateway) Stop(within time.Duration) {
 	now := clock.Now()
 	g.endsAt.CompareAndSwap(0, int64(now+within))
-	g.stoppingSince.CompareAndSwap(0, int64(now))
+	if g.stoppingSince.CompareAndSwap(0, int64(now)) {
+		time.AfterFunc(within-lastAnswerTime, func() { close(g.ending) })
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.allowanceShare.Stop()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -23,8 +23,6 @@
 const (
 	// maxResponseBytes bounds the body of a response that is not a stream.
 	maxResponseBytes = 16 << 20
-	// maxBodiesBytes bounds the bodies of all responses that are held at the same time.
-	maxBodiesBytes = 48 << 20
 	// busyRetryAfter is the Retry-After time if no server can run the request now.
 	busyRetryAfter = 250 * time.Millisecond
 	// attemptTimeFraction is the fraction of the remaining time that one attempt of an
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -8,18 +9,18 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliawheel/magnoliawheel/core/eventstream"
+	"github.com/magnoliawheel/magnoliawheel/core/readbuffer"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
 )
 
 const (
-	relayBufferBytes = 8 << 10
+	// readSpaceBytes is the least space for one read from a server.
+	readSpaceBytes = 4 << 10
 	// maxEventPartBytes is the size from which an event is forwarded in parts, and
 	// maxEventBytes bounds the sum of them.
 	maxEventPartBytes = 256 << 10
 	maxEventBytes     = maxResponseBytes
-	// clientWriteTimeout bounds a write to the client.
-	clientWriteTimeout = 10 * time.Second
 )
 
 // errClientConnection marks errors of the connection to the client.
@@ -35,11 +36,12 @@
 
 // relay copies a stream of events to the client. It forwards only complete events, so
 // that an attempt which resumes the stream on another server begins at an event
-// boundary.
+// boundary. What it forwards waits in the outbox for the client; the relay itself only reads
+// from servers.
 type relay struct {
-	w          http.ResponseWriter
-	controller *http.ResponseController
-	started    bool
+	w       http.ResponseWriter
+	out     *outbox
+	started bool
 	// events is the number of forwarded events, lastID the ID of the last one that has one.
 	events int
 	lastID string
@@ -51,32 +53,33 @@
 	lastForwardedAt, longestPause time.Duration
 	// splitter splits the response of the current attempt.
 	splitter *eventstream.Splitter
-	// partBytes is the size of the forwarded parts of the current event.
-	partBytes int
-	buf       []byte
+	// attemptEvents is the number of events of the current attempt that were counted.
+	attemptEvents int
+	// partBytes is the size of the forwarded parts of the current event, unfinishedHeld the
+	// number of bytes of it that count as held for the client.
+	partBytes, unfinishedHeld int
+	// paused is the time for which reading paused because the outbox was full.
+	paused time.Duration
 }
 
-func newRelay(w http.ResponseWriter) *relay {
-	return &relay{w: w, controller: http.NewResponseController(w), splitter: &eventstream.Splitter{}}
+func newRelay(w http.ResponseWriter, out *outbox) *relay {
+	return &relay{w: w, out: out, splitter: &eventstream.Splitter{}}
 }
 
 // copy relays the response of one attempt. onFirstByte is called at its first byte. A
 // nil error means that the response was complete.
-func (r *relay) copy(resp *upstream.Response, onFirstByte func()) error {
-	if r.buf == nil {
-		r.buf = make([]byte, relayBufferBytes)
-	}
+func (r *relay) copy(ctx context.Context, resp *upstream.Response, onFirstByte func()) error {
 	r.eventDue = r.splitter.InEvent() || r.eventDue && r.splitter.Events() == 0
-	r.splitter, r.partBytes = &eventstream.Splitter{}, 0
+	r.splitter, r.partBytes, r.attemptEvents = &eventstream.Splitter{}, 0, 0
 	for {
-		n, err := resp.Body.Read(r.buf)
+		n, err := resp.Body.Read(r.splitter.Space(readSpaceBytes))
 		if n > 0 {
 			if onFirstByte != nil {
 				onFirstByte()
 				onFirstByte = nil
 			}
-			if werr := r.forward(resp, r.buf[:n]); werr != nil {
-				return werr
+			if ferr := r.forward(ctx, resp, r.splitter.Added(n)); ferr != nil {
+				return ferr
 			}
 		}
 		if err == io.EOF {
@@ -88,29 +91,48 @@
 	}
 }
 
-// forward writes the events that p completes.
-func (r *relay) forward(resp *upstream.Response, p []byte) error {
-	before := r.splitter.Events()
-	events := r.splitter.Add(p)
-	r.events += r.splitter.Events() - before
+// forward forwards whole events that the splitter has returned.
+func (r *relay) forward(ctx context.Context, resp *upstream.Response, events []byte) error {
+	r.events += r.splitter.Events() - r.attemptEvents
+	r.attemptEvents = r.splitter.Events()
 	if id := r.splitter.LastID(); id != "" {
 		r.lastID = id
 	}
 	if len(events) > 0 {
 		r.recordPause(clock.Now())
 		r.partBytes = 0
-		if err := r.write(resp, events); err != nil {
+		if err := r.write(ctx, resp, events); err != nil {
 			return err
 		}
 	}
 	if len(r.splitter.Unfinished()) < maxEventPartBytes {
-		return nil
+		return r.holdUnfinished()
 	}
 	part := r.splitter.TakeUnfinished()
 	if r.partBytes += len(part); r.partBytes > maxEventBytes {
 		return errEventTooLarge
 	}
-	return r.write(resp, part)
+	if err := r.holdUnfinished(); err != nil {
+		return err
+	}
+	return r.write(ctx, resp, part)
+}
+
+// holdUnfinished counts the begun event as held for the client, unless it is small.
+func (r *relay) holdUnfinished() error {
+	n := len(r.splitter.Unfinished())
+	if n < readSpaceBytes {
+		n = 0
+	}
+	if n == r.unfinishedHeld {
+		return nil
+	}
+	verdict := r.out.reader.resize(n - r.unfinishedHeld)
+	r.unfinishedHeld = n
+	if verdict == readbuffer.Ended {
+		return errors.Mark(errSlowReader, errClientConnection)
+	}
+	return nil
 }
 
 // recordPause records the arrival of an event.
@@ -160,16 +182,14 @@
 	writeHead(r.w, resp.StatusCode, resp.Header)
 }
 
-func (r *relay) write(resp *upstream.Response, p []byte) error {
+// write adds p to what waits for the client. Time for which the outbox is full is not a pause
+// of the server.
+func (r *relay) write(ctx context.Context, resp *upstream.Response, p []byte) error {
 	r.writeHeadOnce(resp)
-	_ = r.controller.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
-	if _, err := r.w.Write(p); err != nil {
-		return errors.Mark(err, errClientConnection)
-	}
-	if err := r.controller.Flush(); err != nil {
-		return errors.Mark(err, errClientConnection)
-	}
-	return nil
+	paused, err := r.out.append(ctx, p)
+	r.paused += paused
+	r.lastForwardedAt += paused
+	return err
 }
 
 // readResponse reads the response to a request to its end. Its body counts in the budget
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -8,8 +9,11 @@
 	"testing"
 	"testing/iotest"
 
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawheel/magnoliawheel/core/readbuffer"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
 )
 
@@ -27,6 +31,23 @@
 	return resp
 }
 
+// newTestRelay returns a relay to w with the bounds of an entry without a memory limit.
+func newTestRelay(w http.ResponseWriter) *relay {
+	buffers := newReadBuffers("stream", readbuffer.SharesOf(0).Streams, tally.NoopScope)
+	return newRelay(w, newOutbox(w, buffers, logr.Discard(), func(error) {}))
+}
+
+// forwardBytes forwards bytes of a response that is not read by copy.
+func forwardBytes(r *relay, p []byte) error {
+	return r.forward(context.Background(), chunkedResponse(nil), r.splitter.Add(p))
+}
+
+// awaitDelivery waits until everything that the relay forwarded was written.
+func awaitDelivery(t *testing.T, r *relay) {
+	t.Helper()
+	assert.NilError(t, r.out.finish(nil, nil))
+}
+
 // TestRelayForwardsCompleteEvents guards against parts of events, and streams that end
 // within one, reaching the client.
 func TestRelayForwardsCompleteEvents(t *testing.T) {
@@ -48,9 +69,10 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			w := httptest.NewRecorder()
-			r := newRelay(w)
+			r := newTestRelay(w)
 			firstByteCalls := 0
-			err := r.copy(chunkedResponse(tt.body), func() { firstByteCalls++ })
+			err := r.copy(t.Context(), chunkedResponse(tt.body), func() { firstByteCalls++ })
+			awaitDelivery(t, r)
 			assert.Equal(t, err != nil, tt.wantErr)
 			assert.Equal(t, w.Body.String(), tt.want)
 			assert.Equal(t, r.events, tt.wantEvents)
@@ -64,34 +86,41 @@
 // event: if nothing but the connection marks the end, an empty stream is not complete.
 func TestConnectionEndBeforeFirstEvent(t *testing.T) {
 	for _, body := range []string{"", ": alive\n\n"} {
-		assert.NilError(t, newRelay(httptest.NewRecorder()).copy(chunkedResponse(strings.NewReader(body)), nil))
-		err := newRelay(httptest.NewRecorder()).copy(untilCloseResponse(strings.NewReader(body)), nil)
+		assert.NilError(t, newTestRelay(httptest.NewRecorder()).copy(t.Context(), chunkedResponse(strings.NewReader(body)), nil))
+		err := newTestRelay(httptest.NewRecorder()).copy(t.Context(), untilCloseResponse(strings.NewReader(body)), nil)
 		assert.ErrorIs(t, err, errNoEvent)
 	}
-	assert.NilError(t, newRelay(httptest.NewRecorder()).copy(untilCloseResponse(strings.NewReader("data: a\n\n")), nil))
+	assert.NilError(t, newTestRelay(httptest.NewRecorder()).copy(t.Context(), untilCloseResponse(strings.NewReader("data: a\n\n")), nil))
 }
 
 // TestEmptyRestIsNotComplete guards against a stream that broke off within an event
 // counting as complete because the server that resumed it sent nothing.
 func TestEmptyRestIsNotComplete(t *testing.T) {
-	r := newRelay(httptest.NewRecorder())
-	assert.ErrorIs(t, r.copy(chunkedResponse(strings.NewReader("id: 1\n\nid: 2\n")), nil), errEndsWithinEvent)
+	r := newTestRelay(httptest.NewRecorder())
+	assert.ErrorIs(t, r.copy(t.Context(), chunkedResponse(strings.NewReader("id: 1\n\nid: 2\n")), nil), errEndsWithinEvent)
 	for range 2 {
-		assert.ErrorIs(t, r.copy(chunkedResponse(strings.NewReader("")), nil), errNoEvent)
+		assert.ErrorIs(t, r.copy(t.Context(), chunkedResponse(strings.NewReader("")), nil), errNoEvent)
 	}
-	assert.NilError(t, r.copy(chunkedResponse(strings.NewReader("id: 2\n\n")), nil))
-	assert.NilError(t, r.copy(chunkedResponse(strings.NewReader("")), nil), "no event is known to be missing")
+	assert.NilError(t, r.copy(t.Context(), chunkedResponse(strings.NewReader("id: 2\n\n")), nil))
+	assert.NilError(t, r.copy(t.Context(), chunkedResponse(strings.NewReader("")), nil), "no event is known to be missing")
 }
 
 // TestLongEventIsForwardedInParts guards against an event of any length being kept in
 // memory until it is complete.
 func TestLongEventIsForwardedInParts(t *testing.T) {
 	event := "data: " + strings.Repeat("x", 3*maxEventPartBytes) + "\n\n"
+	const firstPart = 2 * maxEventPartBytes
 	w := httptest.NewRecorder()
-	r := newRelay(w)
-	assert.NilError(t, r.forward(chunkedResponse(nil), []byte(event[:2*maxEventPartBytes])))
-	assert.Equal(t, w.Body.Len(), 2*maxEventPartBytes)
-	assert.NilError(t, r.forward(chunkedResponse(nil), []byte(event[2*maxEventPartBytes:])))
+	r := newTestRelay(w)
+	assert.NilError(t, forwardBytes(r, []byte(event[:firstPart])))
+	awaitDelivery(t, r)
+	assert.Equal(t, w.Body.Len(), firstPart)
+
+	w = httptest.NewRecorder()
+	r = newTestRelay(w)
+	assert.NilError(t, forwardBytes(r, []byte(event[:firstPart])))
+	assert.NilError(t, forwardBytes(r, []byte(event[firstPart:])))
+	awaitDelivery(t, r)
 	assert.Equal(t, w.Body.String(), event)
 	assert.Equal(t, r.events, 1)
 }
@@ -100,12 +129,12 @@
 // servers being joined: once a part of a long event was forwarded, no other server can
 // continue it.
 func TestStreamCutInForwardedEventIsNotResumed(t *testing.T) {
-	r := newRelay(httptest.NewRecorder())
-	assert.NilError(t, r.forward(chunkedResponse(nil), []byte("id: 1\n\nid: 2\n")))
+	r := newTestRelay(httptest.NewRecorder())
+	assert.NilError(t, forwardBytes(r, []byte("id: 1\n\nid: 2\n")))
 	assert.Assert(t, !r.partForwarded())
-	assert.NilError(t, r.forward(chunkedResponse(nil), []byte("data: "+strings.Repeat("x", maxEventPartBytes))))
+	assert.NilError(t, forwardBytes(r, []byte("data: "+strings.Repeat("x", maxEventPartBytes))))
 	assert.Assert(t, r.partForwarded())
-	assert.NilError(t, r.forward(chunkedResponse(nil), []byte("\n\nid: 3\n")))
+	assert.NilError(t, forwardBytes(r, []byte("\n\nid: 3\n")))
 	assert.Assert(t, !r.partForwarded())
 }
 
@@ -120,12 +149,11 @@
 // BenchmarkRelayEvent measures forwarding one event of a resumable stream, without
 // network I/O.
 func BenchmarkRelayEvent(b *testing.B) {
-	r := newRelay(&discardWriter{http.Header{}})
-	resp := chunkedResponse(nil)
+	r := newTestRelay(&discardWriter{http.Header{}})
 	event := []byte("id: 17\ndata: " + strings.Repeat("x", 45) + "\n\n")
 	b.ReportAllocs()
 	for b.Loop() {
-		if err := r.forward(resp, event); err != nil {
+		if err := forwardBytes(r, event); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/gateway/stages_test.go
+++ b/internal/gateway/stages_test.go
@@ -75,7 +75,7 @@
 func TestSecondCopyOfAnswerIsNotTakenForTheNext(t *testing.T) {
 	for _, firstFrees := range []bool{false, true} {
 		t.Run(fmt.Sprint("first frees results: ", firstFrees), func(t *testing.T) {
-			stages := &StageClient{Client: upstream.New(), Bodies: NewBodyBudget(), AcceptsRequests: func(string) bool { return true }}
+			stages := &StageClient{Client: upstream.New(), Bodies: NewBodyBudget(0), AcceptsRequests: func(string) bool { return true }}
 			server := repeatingServer(t)
 			ctx := context.Background()
 			if firstFrees {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliawheel/magnoliawheel/core/delegation"
+	"github.com/magnoliawheel/magnoliawheel/core/eventstream"
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/quarantine"
@@ -37,17 +39,23 @@
 	gateway *Gateway
 	req     *request
 	w       http.ResponseWriter
-	avoid   []string
+	// client ends when the client disconnects.
+	client context.Context
+	avoid  []string
 	// possibleRuns counts the attempts in which a server may have run the request.
 	possibleRuns int
 	relay        *relay
 	placements   int
 	// sentAt is when the last attempt began.
 	sentAt time.Duration
+	// logCompletion, if set, records the end of a stream whose client read its last bytes for
+	// the given time after the server had completed it.
+	logCompletion func(readAfter time.Duration)
 }
 
-// serveStream serves a request whose response is a stream of events.
-func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, req *request) {
+// serveStream serves a request whose response is a stream of events. client ends when the
+// client disconnects, ctx also at the deadline.
+func (g *Gateway) serveStream(client, ctx context.Context, w http.ResponseWriter, req *request) {
 	if g.stoppingFor() > newStreamGrace {
 		g.refuse(w, req, &refusal{code: result.EntryDraining, retryAfter: stoppingRetryAfter, cause: "entry is stopping", closeConnection: true})
 		return
@@ -56,14 +64,20 @@
 		g.metrics.resumedByClients.Inc(1)
 		req.log.Info("Client resumes a stream.", "stream", req.ResumedStream, "last_event", req.LastEventID, "version_known", g.Planner.StreamVersion(req.streamID()) != nil)
 	}
-	s := &streamRequest{gateway: g, req: req, w: w, relay: newRelay(w)}
+	// The attempts end as soon as the client cannot get their events.
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	out := newOutbox(w, g.streams, req.log, cancel)
+	defer out.close()
+	s := &streamRequest{gateway: g, req: req, w: w, client: client, relay: newRelay(w, out)}
 	for {
 		done, r := s.attempt(ctx)
-		if ctx.Err() != nil {
-			s.handleContextEnd(ctx)
+		if done {
+			s.deliver()
 			return
 		}
-		if done {
+		if ctx.Err() != nil {
+			s.handleContextEnd()
 			return
 		}
 		if r == nil {
@@ -77,12 +91,15 @@
 	}
 }
 
-// handleContextEnd ends a request whose client disconnected or whose deadline passed.
-func (s *streamRequest) handleContextEnd(ctx context.Context) {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		s.gateway.metrics.clientDisconnects.Inc(1)
-		s.req.log.Info("Client disconnected.", "held", clock.Now()-s.req.arrivedAt, "tries", s.req.attempts, "events", s.relay.events)
-		panic(http.ErrAbortHandler)
+// handleContextEnd ends a request whose client cannot get the response, or whose deadline
+// passed.
+func (s *streamRequest) handleContextEnd() {
+	err := s.relay.out.failure()
+	if s.hasClientLeft(err) {
+		s.logClientLeft()
+	}
+	if err != nil {
+		s.abort(err.Error())
 	}
 	if s.relay.started {
 		s.abort("deadline exceeded")
@@ -94,14 +111,55 @@
 	s.gateway.refuse(s.w, s.req, deadlineFailure("deadline exceeded"))
 }
 
+// hasClientLeft reports whether the client has disconnected. Its context also ends if the entry
+// itself has ended the connection, with which the outbox then has failed.
+func (s *streamRequest) hasClientLeft(failure error) bool {
+	return s.client.Err() != nil && !errors.IsAny(failure, errSlowReader, errProcessEnds, errDeliveryTimeout, os.ErrDeadlineExceeded)
+}
+
+// logClientLeft ends a request whose client has disconnected.
+func (s *streamRequest) logClientLeft() {
+	s.gateway.metrics.clientDisconnects.Inc(1)
+	s.req.log.Info("Client disconnected.", "held", clock.Now()-s.req.arrivedAt, "tries", s.req.attempts, "events", s.relay.events)
+	panic(http.ErrAbortHandler)
+}
+
 // abort closes the client's connection, so that the client cannot mistake the partial
-// response for a complete one.
+// response for a complete one. The client gets what waits for it first.
 func (s *streamRequest) abort(cause string) {
+	lastDelivery, cancel := context.WithTimeout(s.client, lastDeliveryTimeout)
+	defer cancel()
+	_ = s.relay.out.finish(lastDelivery.Done(), errDeliveryTimeout)
+	s.logAbort(cause)
+}
+
+func (s *streamRequest) logAbort(cause string) {
 	s.gateway.metrics.streamsAborted.Inc(1)
-	s.req.log.Info("Stream aborted.", "cause", cause, "events", s.relay.events, "held", clock.Now()-s.req.arrivedAt, "tries", s.req.attempts)
+	s.req.log.Info("Stream aborted.", "cause", cause, "events", s.relay.events, "held", clock.Now()-s.req.arrivedAt, "tries", s.req.attempts,
+		"max_buffered", s.relay.out.maxHeld(), "reading_paused", s.relay.paused)
 	panic(http.ErrAbortHandler)
 }
 
+// deliver waits until the client has a response that the server has completed, which may be
+// after the deadline.
+func (s *streamRequest) deliver() {
+	waitStart := clock.Now()
+	// A client that reads slowly may take long; what only attempts need is freed.
+	s.req.body, s.relay.splitter = nil, &eventstream.Splitter{}
+	stopWaiting := context.AfterFunc(s.client, func() { s.relay.out.fail(context.Cause(s.client)) })
+	defer stopWaiting()
+	err := s.relay.out.finish(s.gateway.ending, errProcessEnds)
+	switch {
+	case s.hasClientLeft(err):
+		s.logClientLeft()
+	case err != nil:
+		s.logAbort(err.Error())
+	}
+	if s.logCompletion != nil {
+		s.logCompletion(clock.Now() - waitStart)
+	}
+}
+
 // attempt places the request and sends it once. It returns true if the client got a
 // complete response, a refusal if the request failed, or neither if it is to be placed
 // again.
@@ -178,7 +236,7 @@
 	if resp.StatusCode != http.StatusOK || !info.Signed {
 		return s.relayNonStream(resp, info, progress)
 	}
-	err = s.relay.copy(resp, func() {
+	err = s.relay.copy(ctx, resp, func() {
 		s.gateway.metrics.firstEventTime.RecordDuration(clock.Now() - req.arrivedAt)
 		req.log.Info("First event relayed.", "identity", req.identity, "server", p.Server, "server_version", p.SoftwareVersion, "route", req.route.Name, "version", req.configVersion, "held", clock.Now()-req.arrivedAt, "took", clock.Now()-start)
 		progress(planner.Progress{Phase: planner.Started, FirstEvent: clock.Now() - start})
@@ -186,10 +244,13 @@
 	if err == nil {
 		progress(planner.Progress{Phase: planner.Complete, LongestPause: s.relay.longestPause})
 		s.report(p, quarantine.Completed)
-		s.gateway.metrics.answered.Inc(1)
-		s.gateway.metrics.requestTime.RecordDuration(clock.Now() - req.arrivedAt)
-		req.log.Info("Stream completed.", "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", s.relay.unfinished(), "longest_pause", s.relay.longestPause,
-			"held", clock.Now()-req.arrivedAt, "tries", req.attempts)
+		framing, unfinished := resp.Framing().String(), s.relay.unfinished()
+		s.logCompletion = func(readAfter time.Duration) {
+			s.gateway.metrics.answered.Inc(1)
+			s.gateway.metrics.requestTime.RecordDuration(clock.Now() - req.arrivedAt)
+			req.log.Info("Stream completed.", "server", p.Server, "framing", framing, "events", s.relay.events, "unfinished", unfinished, "longest_pause", s.relay.longestPause,
+				"held", clock.Now()-req.arrivedAt, "tries", req.attempts, "max_buffered", s.relay.out.maxHeld(), "reading_paused", s.relay.paused, "read_after", readAfter)
+		}
 		return true, nil
 	}
 	req.log.Info("Stream from the server ended early.", "identity", req.identity, "server", p.Server, "framing", resp.Framing().String(), "events", s.relay.events, "unfinished", s.relay.unfinished(),
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -89,8 +89,8 @@
 func (s *streamRequest) handleBrokenStream(ctx context.Context, p planner.Placement, progress progressFunc, framing upstream.Framing, err error) (bool, *refusal) {
 	if ctx.Err() != nil || errors.Is(err, errClientConnection) {
 		progress(planner.Progress{Phase: planner.Cancelled})
-		if errors.Is(err, errClientConnection) {
-			s.abort("write to the client failed")
+		if ctx.Err() == nil {
+			s.abort(err.Error())
 		}
 		return false, nil
 	}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -42,6 +42,10 @@
 	// two reads of the records of entries; 0 keeps the default.
 	cores        float64
 	readInterval time.Duration
+	// memoryLimit is the memory limit of new entries in bytes; 0 is none. scope receives their
+	// metrics unless it is nil.
+	memoryLimit int64
+	scope       tally.Scope
 	// shutdownGrace is how long new entries may take to stop; 0 is a long time.
 	shutdownGrace time.Duration
 	// rewriteTime replaces operatorRewriteTime for new entries unless it is 0.
@@ -113,10 +117,10 @@
 		Node: name, Zone: "z", IP: "127.0.0.1", ClientAddress: freeAddress(f.t), ReadinessAddress: freeAddress(f.t),
 		FirstPort: f.peerPort(name), StoreAddress: cmp.Or(f.storeAddress, f.store.Address()), ShutdownGrace: cmp.Or(f.shutdownGrace, 30*time.Second), KeyValidity: keyValidity,
 		MaxConfigDelay: 2500 * time.Millisecond, MaxDrainDelay: 2500 * time.Millisecond,
-		Cores:       f.cores,
+		Cores: f.cores, MemoryLimitBytes: f.memoryLimit,
 		RetryBudget: platform.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Allowance: 80},
 	}
-	n := New(Options{Settings: settings, Log: f.stateLogger(name), Scope: tally.NoopScope})
+	n := New(Options{Settings: settings, Log: f.stateLogger(name), Scope: cmp.Or(f.scope, tally.NoopScope)})
 	if f.readInterval > 0 {
 		n.registry.readInterval = f.readInterval
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,7 +88,7 @@
 	n.servers = watch.NewServers(n.store, o.Settings.MaxDrainDelay, o.Log.WithName("servers"), n.updatePools)
 	n.config = watch.NewConfig(n.store, o.Settings.MaxConfigDelay, o.Log.WithName("config"), func(*routes.Table) { n.updatePools() })
 	n.config.OnEvacuation(n.servers.SetEvacuated)
-	bodies := gateway.NewBodyBudget()
+	bodies := gateway.NewBodyBudget(o.Settings.MemoryLimitBytes)
 	stages := &gateway.StageClient{Client: upstreamClient, Bodies: bodies, AcceptsRequests: n.servers.Takes, Evacuated: func(id string) bool { return n.servers.Evacuated(n.servers.Zone(id)) }, OnNotice: func(sentAt time.Duration, word notice.Notice, mayEndLimit bool) {
 		n.gateway.ObserveNotice(sentAt, word, mayEndLimit)
 	}}
