Plain responses of slow readers make room for others

Cause: a plain response counts in the memory for whole responses until its client has read it, however slowly, and a write to the client had no time limit. Some clients that read nothing held all of it, and the requests of all others failed as "incomplete response".

Ruled out: moving read responses into the memory for streams; one of 16 MiB would end hundreds of slow streams for a client that reads it in a moment.

Change: when the budget is spent, the response that is read most slowly relative to its size is ended, if its client needs at least 10 s for the rest; its length shows that it is incomplete. A read of known size takes its first buffer accordingly.

--- a/internal/bounded/budget.go
+++ b/internal/bounded/budget.go
@@ -10,12 +10,20 @@
 // minBufferBytes is the size of the first buffer of a read.
 const minBufferBytes = 4 << 10
 
+// maxExpectedBytes bounds the first buffer of a read of known size. A sender that announces more
+// than it sends does not hold more.
+const maxExpectedBytes = 256 << 10
+
 // ErrBudgetSpent means that other readers hold so much data that there is no space for more.
 var ErrBudgetSpent = errors.New("budget for data is spent")
 
 // Budget bounds the data that several readers hold at the same time. It is safe for
 // concurrent use.
 type Budget struct {
+	// reclaim, if set, is called when the budget does not suffice. It reports whether it made
+	// others give back data, after which the attempt is repeated.
+	reclaim func() bool
+
 	mu   sync.Mutex
 	left int64
 }
@@ -23,7 +31,21 @@
 // NewBudget returns a budget of the given number of bytes.
 func NewBudget(bytes int64) *Budget { return &Budget{left: bytes} }
 
+// SetReclaim sets a function that is called when the budget does not suffice; see Budget. It
+// must be set before the budget is used.
+func (b *Budget) SetReclaim(f func() bool) { b.reclaim = f }
+
+// take takes n bytes out of the budget, if need be out of what others give back for it.
 func (b *Budget) take(n int64) bool {
+	for !b.tryTake(n) {
+		if b.reclaim == nil || !b.reclaim() {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *Budget) tryTake(n int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if n > b.left {
@@ -42,6 +64,13 @@
 // ReadAll reads r to its end, as the function ReadAll does. It returns ErrBudgetSpent if
 // the budget does not suffice. The data counts until release is called.
 func (b *Budget) ReadAll(r io.Reader, limit int64) (data []byte, release func(), err error) {
+	return b.ReadSized(r, 0, limit)
+}
+
+// ReadSized reads r as ReadAll does. If the expected size, negative if unknown, is right and not
+// very large, the data needs no more memory than that.
+func (b *Budget) ReadSized(r io.Reader, expected, limit int64) (data []byte, release func(), err error) {
+	firstBytes := max(minBufferBytes, min(expected, maxExpectedBytes)+1)
 	var buf []byte
 	fail := func(err error) ([]byte, func(), error) {
 		b.giveBack(int64(cap(buf)))
@@ -49,7 +78,7 @@
 	}
 	for {
 		if len(buf) == cap(buf) {
-			size := min(max(minBufferBytes, 2*int64(cap(buf))), limit+1)
+			size := min(max(firstBytes, 2*int64(cap(buf))), limit+1)
 			if !b.take(size) {
 				return fail(ErrBudgetSpent)
 			}
--- a/internal/bounded/budget_test.go
+++ b/internal/bounded/budget_test.go
@@ -63,3 +63,29 @@
 	assert.Assert(t, errors.Is(err, broken))
 	assert.Equal(t, b.left, int64(1<<20))
 }
+
+// TestBudgetReclaims guards against a read that fails although others would give back data for
+// it, and against one that asks for ever.
+func TestBudgetReclaims(t *testing.T) {
+	b := NewBudget(100 << 10)
+	var releases []func()
+	b.SetReclaim(func() bool {
+		if len(releases) == 0 {
+			return false
+		}
+		releases[0]()
+		releases = releases[1:]
+		return true
+	})
+	const size = 30 << 10
+	for range 5 {
+		_, release, err := b.ReadSized(strings.NewReader(strings.Repeat("x", size)), size, size)
+		assert.NilError(t, err)
+		releases = append(releases, release)
+	}
+	assert.Equal(t, len(releases), 3)
+	assert.Equal(t, b.left, int64(100<<10-3*(size+1)))
+	_, _, err := b.ReadAll(endless{}, 1<<20)
+	assert.Assert(t, errors.Is(err, ErrBudgetSpent), "%v", err)
+	assert.Equal(t, len(releases), 0)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,10 +128,11 @@
 	stoppingSince, endsAt atomic.Int64
 
 	metrics *metrics
-	// streams holds what streams have for their clients.
-	streams *readBuffers
-	// ending is closed shortly before a stopping process ends.
-	ending chan struct{}
+	// streams are the clients of streams, responses those of responses held as a whole.
+	streams, responses *readBuffers
+	// ending ends shortly before a stopping process does.
+	ending context.Context
+	end    context.CancelFunc
 	// configChanges wakes the requests that wait for a placement.
 	configChanges configChanges
 
@@ -155,11 +156,16 @@
 func New(o Options) *Gateway {
 	shares := readbuffer.SharesOf(o.Settings.MemoryLimitBytes)
 	g := &Gateway{
-		streams: newReadBuffers("stream", shares.Streams, o.Scope), ending: make(chan struct{}),
-		Options: o, metrics: newMetrics(o.Scope), plainServers: placement.New(o.Settings.Regions), retryBudgets: map[string]*budget.Budget{},
+		streams:   newReadBuffers("stream", shares.Streams, o.Scope),
+		responses: newReadBuffers("response", unlimited, o.Scope),
+		Options:   o, metrics: newMetrics(o.Scope), plainServers: placement.New(o.Settings.Regions), retryBudgets: map[string]*budget.Budget{},
 		pauses:         notice.NewPauses(),
 		allowanceShare: budget.AllowanceShare{Window: o.Settings.RetryBudget.Window, Interval: max(o.RegistryReadInterval, o.Settings.RetryBudget.Window)},
 	}
+	g.ending, g.end = context.WithCancel(context.Background())
+	if g.Bodies != nil {
+		g.Bodies.SetReclaim(g.responses.endSlowest)
+	}
 	g.notices = notice.NewTable(func(s notice.Server, limit float64) float64 { return g.entryShare.Of(s, limit) })
 	g.notices.SetColdShare(func(_ time.Duration, s notice.Server, holders int) float64 { return g.entryShare.OfCold(s, holders) })
 	g.plainServers.SetNotices(g.notices)
@@ -300,7 +306,7 @@
 	now := clock.Now()
 	g.endsAt.CompareAndSwap(0, int64(now+within))
 	if g.stoppingSince.CompareAndSwap(0, int64(now)) {
-		time.AfterFunc(within-lastAnswerTime, func() { close(g.ending) })
+		time.AfterFunc(within-lastAnswerTime, g.end)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/outbox.go
+++ b/internal/gateway/outbox.go
@@ -73,7 +73,7 @@
 		w: w, controller: http.NewResponseController(w), onFail: onFail,
 		dataReady: make(chan struct{}, 1), spaceFree: make(chan struct{}, 1), done: make(chan struct{}),
 	}
-	o.reader = buffers.join(log, o.fail)
+	o.reader = buffers.join(log, nil, o.fail)
 	return o
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -87,6 +87,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// release gives the memory of the body back.
+	release func()
 }
 
 // servePlain serves a request whose response is not a stream.
@@ -302,18 +304,35 @@
 	}
 }
 
-// relayResponse relays a complete response to the client.
+// relayResponse relays a complete response to the client. While its client reads it, it may be
+// ended for the sake of other responses; its length shows the client that it is incomplete.
 func (g *Gateway) relayResponse(w http.ResponseWriter, req *request, a *response) {
 	if len(a.body) > 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	writeHead(w, a.status, a.header)
-	_, err := w.Write(a.body)
-	g.metrics.answered.Inc(1)
+	err := g.deliverBody(w, req, a)
+	if errors.IsAny(err, errSlowReader, errProcessEnds) {
+		g.metrics.streamsAborted.Inc(1)
+	} else {
+		g.metrics.answered.Inc(1)
+	}
 	g.metrics.requestTime.RecordDuration(clock.Now() - req.arrivedAt)
 	req.log.Info("Request answered.", "status", a.status, "bytes", len(a.body), "held", clock.Now()-req.arrivedAt, "tries", req.attempts, "cause", telemetry.ErrorText(err))
 }
 
+// deliverBody writes the body of a response to the client.
+func (g *Gateway) deliverBody(w http.ResponseWriter, req *request, a *response) error {
+	d := newDelivery(w)
+	defer d.close()
+	stopWaiting := context.AfterFunc(g.ending, func() { d.fail(errProcessEnds) })
+	defer stopWaiting()
+	reader := g.responses.join(req.log, a.release, d.fail)
+	defer reader.leave()
+	reader.resize(len(a.body))
+	return d.write(a.body, func(n int) { reader.written(n, n) })
+}
+
 // writeHead writes the status and headers of a server's response. It keeps a Connection
 // header that the entry has set, so that a stopping entry still closes the connection.
 func writeHead(w http.ResponseWriter, status int, header http.Header) {
--- a/internal/gateway/readbuffers.go
+++ b/internal/gateway/readbuffers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -13,6 +14,13 @@
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 )
 
+// slowDrainTime is the time for the rest of its data from which a reader is ended for the sake of
+// new data. A reader of 16 MiB that has just begun counts as one of 4 s.
+const slowDrainTime = 10 * time.Second
+
+// unlimited is for readers whose data is bounded by a budget.
+var unlimited = readbuffer.Limits{Total: math.MaxInt64, PerStream: math.MaxInt64}
+
 // errSlowReader marks the end of data whose reader was the slowest relative to its size when
 // the memory for all of them was exhausted.
 var errSlowReader = errors.New("read most slowly while the memory for buffers is exhausted")
@@ -39,8 +47,25 @@
 	buffers *readBuffers
 	stream  *readbuffer.Stream
 	log     logr.Logger
-	// end is called in its own goroutine when the reader is ended. The data no longer counts.
-	end func(error)
+	// release, if set, is called first when the reader is ended, end in its own goroutine. The
+	// data no longer counts.
+	release func()
+	end     func(error)
+}
+
+// endSlowest ends the slowest reader that takes at least slowDrainTime for what it holds, and
+// reports whether there was one.
+func (b *readBuffers) endSlowest() bool {
+	ended := false
+	b.change(func(now time.Duration) (readbuffer.Verdict, []*readbuffer.Stream) {
+		s := b.pool.EndSlowest(now, slowDrainTime)
+		if s == nil {
+			return readbuffer.Granted, nil
+		}
+		ended = true
+		return readbuffer.Granted, []*readbuffer.Stream{s}
+	})
+	return ended
 }
 
 // endedReader is a reader that was ended, with what decided it.
@@ -60,10 +85,10 @@
 }
 
 // join adds a reader without data. It must leave.
-func (b *readBuffers) join(log logr.Logger, end func(error)) *bufferedReader {
+func (b *readBuffers) join(log logr.Logger, release func(), end func(error)) *bufferedReader {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := &bufferedReader{buffers: b, stream: b.pool.Join(clock.Now()), log: log, end: end}
+	r := &bufferedReader{buffers: b, stream: b.pool.Join(clock.Now()), log: log, release: release, end: end}
 	b.readers[r.stream] = r
 	return r
 }
@@ -118,6 +143,9 @@
 		b.ended.Inc(1)
 		r.log.Info("Slow reader is ended because the memory for buffers is exhausted.", "kind", b.kind, "held_bytes", r.held, "bytes_per_second", r.rate,
 			"drain_time", r.drainTime, "total_bytes", total, "limit_bytes", b.pool.Limits().Total, "readers", count)
+		if r.release != nil {
+			r.release()
+		}
 		go r.end(errSlowReader)
 	}
 	return verdict
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -195,10 +195,10 @@
 // readResponse reads the response to a request to its end. Its body counts in the budget
 // until the request ends.
 func (g *Gateway) readResponse(req *request, resp *upstream.Response) (*response, error) {
-	body, release, err := g.Bodies.ReadAll(resp.Body, maxResponseBytes)
+	body, release, err := g.Bodies.ReadSized(resp.Body, resp.ContentLength, maxResponseBytes)
 	if err != nil {
 		return nil, err
 	}
 	req.onEnd = append(req.onEnd, release)
-	return &response{resp.StatusCode, resp.Header, body}, nil
+	return &response{resp.StatusCode, resp.Header, body, release}, nil
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -148,7 +148,7 @@
 	s.req.body, s.relay.splitter = nil, &eventstream.Splitter{}
 	stopWaiting := context.AfterFunc(s.client, func() { s.relay.out.fail(context.Cause(s.client)) })
 	defer stopWaiting()
-	err := s.relay.out.finish(s.gateway.ending, errProcessEnds)
+	err := s.relay.out.finish(s.gateway.ending.Done(), errProcessEnds)
 	switch {
 	case s.hasClientLeft(err):
 		s.logClientLeft()
--- a/internal/node/slow_reader_test.go
+++ b/internal/node/slow_reader_test.go
@@ -307,3 +307,50 @@
 		assert.Assert(t, err != nil)
 	}
 }
+
+// TestPlainResponseBesideSlowReaders guards against clients that do not read their plain
+// responses, and so hold all memory for them, until those of other clients fail.
+func TestPlainResponseBesideSlowReaders(t *testing.T) {
+	const slowClients = 12
+	body := strings.Repeat("x", 6<<20)
+	f := newFleet(t)
+	scope := tally.NewTestScope("", nil)
+	f.scope, f.memoryLimit = scope, 144*mebibyte
+	written := make(chan writtenStream, 1000)
+	serveBody(f.startServer("plain", "p1", 0), body, written)
+	f.startServer("model", "m1", 1)
+	f.putConfig()
+	e := f.startEntry("e1", 0).waitReady().waitRegistered()
+	var conns []net.Conn
+	for i := range slowClients {
+		conns = append(conns, e.connectSlowClient(keyedCall(standin.PathUnsafe, fmt.Sprint("slow", i), "key-1")))
+		<-written
+	}
+	ended := func() int64 { return counter(scope, "slow_readers_ended", "response") }
+	eventually(t, "a slow client makes room for others", func() bool {
+		got := make(chan reply, 2)
+		for range cap(got) {
+			go func() { got <- e.do(keyedCall(standin.PathUnsafe, "good", "key-1")) }()
+		}
+		good := <-got
+		if other := <-got; good.status != http.StatusOK || other.status != http.StatusOK {
+			return false
+		}
+		assert.Check(t, good.err)
+		assert.Check(t, good.body == body)
+		return ended() > 0
+	})
+	assert.Assert(t, ended() < slowClients/2, "%d", ended())
+	whole, broken := 0, int64(0)
+	for _, c := range conns {
+		got, err := readResponse(c)
+		switch {
+		case err != nil:
+			broken++
+		case got == body:
+			whole++
+		}
+	}
+	assert.Equal(t, broken, ended(), "a response that was ended looks complete")
+	assert.Assert(t, whole > 0)
+}
