Bodies of requests are bounded, and the slowest server loses its request

Cause: the bodies of all requests in flight were held without a bound, twice while they were sent, and a server that does not read one held it until the deadline.

When the memory is exhausted, the large request that a server reads most slowly relative to its size is ended, if the rest takes at least 10 s; it may have run, so it is answered with a server failure and not sent again. Bodies are written without a copy, in parts of 64 KiB, and freed once the server has answered completely, so that clients which read slowly do not keep their requests in memory.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,8 +128,11 @@
 	stoppingSince, endsAt atomic.Int64
 
 	metrics *metrics
-	// streams are the clients of streams, responses those of responses held as a whole.
-	streams, responses *readBuffers
+	// streams are the clients of streams, responses those of responses held as a whole, and
+	// requests the servers that read large requests.
+	streams, responses, requests *readBuffers
+	// requestBodies bounds the bodies of all requests.
+	requestBodies *bounded.Budget
 	// ending ends shortly before a stopping process does.
 	ending context.Context
 	end    context.CancelFunc
@@ -158,11 +161,13 @@
 	g := &Gateway{
 		streams:   newReadBuffers("stream", shares.Streams, o.Scope),
 		responses: newReadBuffers("response", unlimited, o.Scope),
-		Options:   o, metrics: newMetrics(o.Scope), plainServers: placement.New(o.Settings.Regions), retryBudgets: map[string]*budget.Budget{},
+		requests:  newReadBuffers("request", unlimited, o.Scope), requestBodies: bounded.NewBudget(shares.Requests),
+		Options: o, metrics: newMetrics(o.Scope), plainServers: placement.New(o.Settings.Regions), retryBudgets: map[string]*budget.Budget{},
 		pauses:         notice.NewPauses(),
 		allowanceShare: budget.AllowanceShare{Window: o.Settings.RetryBudget.Window, Interval: max(o.RegistryReadInterval, o.Settings.RetryBudget.Window)},
 	}
 	g.ending, g.end = context.WithCancel(context.Background())
+	g.requestBodies.SetReclaim(g.requests.endSlowest)
 	if g.Bodies != nil {
 		g.Bodies.SetReclaim(g.responses.endSlowest)
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -151,7 +151,7 @@
 
 // mayRetryPlain reports whether another server may be tried.
 func (g *Gateway) mayRetryPlain(req *request, last outcome) bool {
-	if !last.notRun && !req.route.Idempotent() {
+	if !last.notRun && !req.route.Idempotent() || req.abandoned.Load() {
 		return false
 	}
 	return req.attempts < req.route.MaxAttempts && req.remaining() > 0 && g.tryRetry(req.service)
@@ -234,7 +234,7 @@
 		return outcome{notRun: true, cause: r}
 	}
 	sentAt := clock.Now()
-	resp, err := g.Upstream.Do(ctx, g.encodeRequest(req, srv, nil, -1))
+	resp, err := g.sendTo(ctx, req, srv, nil, -1)
 	if err != nil {
 		o := outcome{notRun: errors.Is(err, upstream.ErrNotSent), cause: err.Error()}
 		if !o.notRun {
@@ -310,6 +310,7 @@
 	if len(a.body) > 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
+	req.releaseBody()
 	writeHead(w, a.status, a.header)
 	err := g.deliverBody(w, req, a)
 	if errors.IsAny(err, errSlowReader, errProcessEnds) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,9 +2,9 @@
 
 import (
 	"cmp"
-	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +44,10 @@
 	target    string
 	host      string
 	body      []byte
+	// release gives the memory of body back; nil if there is none. abandoned is set if that
+	// happened while the body was sent.
+	release   func()
+	abandoned atomic.Bool
 	// promptParts are those of PromptParts. identity is the same for all requests of clients
 	// that repeat this one, and elements are what it may have in common with others that
 	// crash servers; see package quarantine.
@@ -168,16 +172,18 @@
 	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, limit))
+	err := g.readRequestBody(w, hr, req, limit)
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &refusal{code: result.BodyTooLarge, cause: "body too large"}
 	}
+	if isBudgetSpent(err) {
+		return refuseForMemory()
+	}
 	if err != nil {
 		return &refusal{code: result.SlowCaller, cause: "body not received: " + err.Error(), closeConnection: true}
 	}
-	req.body = body
 	return nil
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -145,7 +145,8 @@
 func (s *streamRequest) deliver() {
 	waitStart := clock.Now()
 	// A client that reads slowly may take long; what only attempts need is freed.
-	s.req.body, s.relay.splitter = nil, &eventstream.Splitter{}
+	s.req.releaseBody()
+	s.relay.splitter = &eventstream.Splitter{}
 	stopWaiting := context.AfterFunc(s.client, func() { s.relay.out.fail(context.Cause(s.client)) })
 	defer stopWaiting()
 	err := s.relay.out.finish(s.gateway.ending.Done(), errProcessEnds)
@@ -220,7 +221,7 @@
 	s.recordVersion(p.SoftwareVersion)
 	start := clock.Now()
 	s.sentAt = start
-	resp, err := s.gateway.Upstream.Do(ctx, s.gateway.encodeRequest(req, srv, p.Inputs, modelPriority(req)))
+	resp, err := s.gateway.sendTo(ctx, req, srv, p.Inputs, modelPriority(req))
 	if err != nil {
 		return s.handleSendError(ctx, p, progress, err)
 	}
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -78,7 +78,7 @@
 // retryPossiblyRun returns nil if a request that may have run may be placed again,
 // which only idempotent requests may, and otherwise a refusal.
 func (s *streamRequest) retryPossiblyRun(cause string) *refusal {
-	if !s.req.route.Idempotent() || s.possibleRuns >= s.req.route.MaxAttempts ||
+	if s.req.abandoned.Load() || !s.req.route.Idempotent() || s.possibleRuns >= s.req.route.MaxAttempts ||
 		s.req.remaining() < minRetryTime || !s.gateway.tryRetry(s.req.service) {
 		return serverFailure(cause)
 	}
--- a/internal/node/slow_reader_test.go
+++ b/internal/node/slow_reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -19,6 +20,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawheel/magnoliawheel/core/readbuffer"
+	"github.com/magnoliawheel/magnoliawheel/platform"
 	"github.com/magnoliawheel/magnoliawheel/platform/standin"
 )
 
@@ -354,3 +356,52 @@
 	assert.Equal(t, broken, ended(), "a response that was ended looks complete")
 	assert.Assert(t, whole > 0)
 }
+
+// TestRequestsToServersThatDoNotRead guards against large requests whose servers do not read
+// them filling the memory: all of them were held until their deadlines.
+func TestRequestsToServersThatDoNotRead(t *testing.T) {
+	const slowRequests = 8
+	body := strings.Repeat("x", 6<<20)
+	f := newFleet(t)
+	scope := tally.NewTestScope("", nil)
+	f.scope, f.memoryLimit = scope, 144*mebibyte
+	s := f.startServer("plain", "p1", 0)
+	s.SetHandler(func(_ http.ResponseWriter, r *http.Request) bool {
+		if !strings.HasPrefix(standin.RequestID(r.Header), "slow") {
+			return false
+		}
+		<-r.Context().Done()
+		return true
+	})
+	f.startServer("model", "m1", 1)
+	f.configVersion++
+	config := standin.ConfigRecord(f.configVersion, f.apiKeys)
+	f.store.Put(platform.ConfigTopic, platform.ConfigKey, bytes.Replace(config, []byte(`"max_body_bytes":1000`), []byte(`"max_body_bytes":8000000`), 1))
+	e := f.startEntry("e1", 0).waitReady().waitRegistered()
+	call := func(id string) clientCall {
+		c := keyedCall(standin.PathUnsafe, id, "key-1")
+		c.body = body
+		return c
+	}
+	replies := make(chan reply, slowRequests)
+	for i := range slowRequests {
+		go func() { replies <- e.do(call(fmt.Sprint("slow", i))) }()
+	}
+	eventually(t, "a request to a server that reads is served", func() bool {
+		got := e.do(call("good"))
+		return got.status == http.StatusOK && assert.Check(t, strings.HasSuffix(got.body, body))
+	})
+	ended := counter(scope, "slow_readers_ended", "request")
+	assert.Assert(t, ended > 0 && ended < slowRequests, "%d", ended)
+	var statuses [600]int64
+	for range slowRequests {
+		got := <-replies
+		if got.err != nil {
+			// The entry refused the request before it had read all of it.
+			got.status = http.StatusServiceUnavailable
+		}
+		statuses[got.status]++
+	}
+	assert.Assert(t, statuses[http.StatusServiceUnavailable] > 0, "more requests were accepted than there is memory for")
+	assert.Assert(t, statuses[http.StatusBadGateway] >= ended, "a request that was ended has run for all the entry knows")
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -43,6 +43,8 @@
 	readBufferBytes = 4 << 10
 	// maxDigests bounds the responses of a connection that are compared with the next one.
 	maxDigests = 8
+	// bodyPartBytes is the size of the parts in which the body of a request is written.
+	bodyPartBytes = 64 << 10
 	// maxHeadBytes bounds the head of a response.
 	maxHeadBytes = 64 << 10
 )
@@ -56,6 +58,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// OnBodyWritten, if set, is called with the size of each part of the body that was written.
+	OnBodyWritten func(n int)
 	// ReuseConnection allows an idle connection. The server may close it while the
 	// request is being sent.
 	ReuseConnection bool
@@ -235,7 +239,7 @@
 
 // exchange writes the request and reads the head of its response.
 func exchange(cn *conn, req *Request) (*http.Response, error) {
-	if _, err := cn.Write(encode(req)); err != nil {
+	if err := writeRequest(cn, req); err != nil {
 		return nil, errors.Wrap(err, "write request")
 	}
 	for range maxStrayResponses {
@@ -257,7 +261,33 @@
 	return nil, errors.New("too many responses to other requests")
 }
 
-func encode(req *Request) []byte {
+// writeRequest writes the head and the first part of the body together, without a copy of the
+// body, and then the other parts.
+func writeRequest(cn *conn, req *Request) error {
+	first := req.Body[:min(len(req.Body), bodyPartBytes)]
+	buffers := net.Buffers{encodeHead(req), first}
+	if _, err := buffers.WriteTo(cn.Conn); err != nil {
+		return err
+	}
+	req.bodyWritten(len(first))
+	for rest := req.Body[len(first):]; len(rest) > 0; {
+		n, err := cn.Write(rest[:min(len(rest), bodyPartBytes)])
+		if err != nil {
+			return err
+		}
+		req.bodyWritten(n)
+		rest = rest[n:]
+	}
+	return nil
+}
+
+func (r *Request) bodyWritten(n int) {
+	if r.OnBodyWritten != nil && n > 0 {
+		r.OnBodyWritten(n)
+	}
+}
+
+func encodeHead(req *Request) []byte {
 	var b bytes.Buffer
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	_ = req.Header.Write(&b)
@@ -265,7 +295,6 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(req.Body)
 	return b.Bytes()
 }
 
