--- a/internal/bounded/budget.go
+++ b/internal/bounded/budget.go
@@ -67,10 +67,9 @@
 	return b.ReadSized(r, 0, limit)
 }
 
-// ReadSized reads r as ReadAll does. If the expected size, negative if unknown, is right and not
-// very large, the data needs no more memory than that.
+// ReadSized reads r as ReadAll does. If the expected size, negative if unknown, is right, the data
+// needs no more memory than that.
 func (b *Budget) ReadSized(r io.Reader, expected, limit int64) (data []byte, release func(), err error) {
-	firstBytes := max(minBufferBytes, min(expected, maxExpectedBytes)+1)
 	var buf []byte
 	fail := func(err error) ([]byte, func(), error) {
 		b.giveBack(int64(cap(buf)))
@@ -78,7 +77,7 @@
 	}
 	for {
 		if len(buf) == cap(buf) {
-			size := min(max(firstBytes, 2*int64(cap(buf))), limit+1)
+			size := min(nextSize(int64(cap(buf)), expected), limit+1)
 			if !b.take(size) {
 				return fail(ErrBudgetSpent)
 			}
@@ -98,3 +97,17 @@
 		}
 	}
 }
+
+// nextSize returns the size of the buffer after a full one of the given size: twice as much, or
+// what the expected data needs, and a byte to see its end, if that is between a half and the
+// double of it.
+func nextSize(size, expected int64) int64 {
+	if size == 0 {
+		return max(minBufferBytes, min(expected, maxExpectedBytes)+1)
+	}
+	next := 2 * size
+	if exact := expected + 1; exact > size && exact <= 2*next {
+		return exact
+	}
+	return next
+}
