--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -94,6 +94,7 @@
 func (g *Gateway) readCache(ctx context.Context, srv platform.Server) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, cacheListTimeout)
 	defer cancel()
+	sentAt := clock.Now()
 	resp, err := g.Upstream.Do(ctx, &upstream.Request{
 		Address: srv.Address, Method: http.MethodGet, Target: platform.CacheListPath, Host: srv.Address, Header: platform.CacheListHeader(srv.ID),
 	})
@@ -101,6 +102,7 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	g.recordNotices(notice.Server{ID: srv.ID, StartTime: srv.StartTime}, sentAt, platform.DecodeServerResponse(resp.StatusCode, resp.Header), false)
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("status %d", resp.StatusCode)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/loadreport"
 	"github.com/magnoliawheel/magnoliawheel/core/notice"
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/readbuffer"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/core/secondattempt"
@@ -93,8 +94,11 @@
 	MarkLeaving(id string, startTime int64) bool
 }
 
-// NewBodyBudget returns the budget for the responses that an entry reads at the same time.
-func NewBodyBudget() *bounded.Budget { return bounded.NewBudget(maxBodiesBytes) }
+// NewBodyBudget returns the budget for the responses that an entry with the given memory limit
+// holds as a whole at the same time.
+func NewBodyBudget(memoryLimit int64) *bounded.Budget {
+	return bounded.NewBudget(readbuffer.SharesOf(memoryLimit).Responses)
+}
 
 // Options configures a Gateway.
 type Options struct {
@@ -133,6 +137,14 @@
 	metrics        *metrics
 	secondAttempts secondAttempts
 	cacheReader    cacheReader
+	// streams are the clients of streams, responses those of responses held as a whole, and
+	// requests the servers that read large requests.
+	streams, responses, requests *readBuffers
+	// requestBodies bounds the bodies of all requests.
+	requestBodies *bounded.Budget
+	// ending ends shortly before a stopping process does.
+	ending context.Context
+	end    context.CancelFunc
 	// configChanges wakes the requests that wait for a placement.
 	configChanges configChanges
 
@@ -156,13 +168,22 @@
 
 // New returns a gateway.
 func New(o Options) *Gateway {
+	shares := readbuffer.SharesOf(o.Settings.MemoryLimitBytes)
 	g := &Gateway{
+		streams:   newReadBuffers("stream", shares.Streams, o.Scope),
+		responses: newReadBuffers("response", unlimited, o.Scope),
+		requests:  newReadBuffers("request", unlimited, o.Scope), requestBodies: bounded.NewBudget(shares.Requests),
 		Options: o, metrics: newMetrics(o.Scope), plainServers: placement.New(o.Settings.Regions), retryBudgets: map[string]*budget.Budget{},
 		pauses:         notice.NewPauses(),
 		loads:          loadreport.NewTable(),
 		secondAttempts: secondAttempts{trackers: map[string]*secondattempt.Tracker{}},
 		allowanceShare: budget.AllowanceShare{Window: o.Settings.RetryBudget.Window, Interval: max(o.RegistryReadInterval, o.Settings.RetryBudget.Window)},
 	}
+	g.ending, g.end = context.WithCancel(context.Background())
+	g.requestBodies.SetReclaim(g.requests.endSlowest)
+	if g.Bodies != nil {
+		g.Bodies.SetReclaim(g.responses.endSlowest)
+	}
 	g.notices = notice.NewTable(func(s notice.Server, limit float64) float64 { return g.entryShare.Of(s, limit) })
 	g.notices.SetColdShare(func(_ time.Duration, s notice.Server, holders int) float64 { return g.entryShare.OfCold(s, holders) })
 	g.plainServers.SetNotices(g.notices)
@@ -209,7 +230,7 @@
 	defer cancel()
 	g.countRequest(req.service)
 	if req.route.Kind == routes.Stream {
-		g.serveStream(ctx, w, req)
+		g.serveStream(hr.Context(), ctx, w, req)
 		return
 	}
 	g.servePlain(ctx, w, req)
@@ -303,7 +324,9 @@
 func (g *Gateway) Stop(within time.Duration) {
 	now := clock.Now()
 	g.endsAt.CompareAndSwap(0, int64(now+within))
-	g.stoppingSince.CompareAndSwap(0, int64(now))
+	if g.stoppingSince.CompareAndSwap(0, int64(now)) {
+		time.AfterFunc(within-lastAnswerTime, g.end)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.allowanceShare.Stop()
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -27,11 +27,19 @@
 		req.log.Info("Server names a limit.", "server", srv.ID, "limit", *info.Limit)
 		g.metrics.limits.Inc(1)
 	}
-	g.ObserveNotice(sentAt, notice.Notice{Server: server, Leaving: info.Leaving, Limit: info.Limit}, info.Signed)
+	if info.RetryAfter > 0 {
+		req.log.Info("Server wants no requests for a time.", "server", srv.ID, "retry_after", info.RetryAfter)
+	}
+	g.recordNotices(server, sentAt, info, info.Signed)
+}
+
+// recordNotices records what a response to a request that was sent at sentAt says about its
+// server. mayEndLimit is as in ObserveNotice.
+func (g *Gateway) recordNotices(server notice.Server, sentAt time.Duration, info platform.ServerResponse, mayEndLimit bool) {
+	g.ObserveNotice(sentAt, notice.Notice{Server: server, Leaving: info.Leaving, Limit: info.Limit}, mayEndLimit)
 	if info.RetryAfter <= 0 {
 		return
 	}
-	req.log.Info("Server wants no requests for a time.", "server", srv.ID, "retry_after", info.RetryAfter)
 	g.metrics.cooldowns.Inc(1)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -24,8 +24,6 @@
 const (
 	// maxResponseBytes bounds the body of a response that is not a stream.
 	maxResponseBytes = 16 << 20
-	// maxBodiesBytes bounds the bodies of all responses that are held at the same time.
-	maxBodiesBytes = 48 << 20
 	// busyRetryAfter is the Retry-After time if no server can run the request now.
 	busyRetryAfter = 250 * time.Millisecond
 	// attemptTimeFraction is the fraction of the remaining time that one attempt of an
@@ -92,6 +90,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// release gives the memory of the body back.
+	release func()
 }
 
 // servePlain serves a request whose response is not a stream.
@@ -154,7 +154,7 @@
 
 // mayRetryPlain reports whether another server may be tried.
 func (g *Gateway) mayRetryPlain(req *request, last outcome) bool {
-	if !last.notRun && !req.route.Idempotent() {
+	if !last.notRun && !req.route.Idempotent() || req.abandoned.Load() {
 		return false
 	}
 	return req.attempts < req.route.MaxAttempts && req.remaining() > 0 && g.tryRetry(req.service)
@@ -239,7 +239,7 @@
 		return outcome{notRun: true, cause: r}
 	}
 	sentAt := clock.Now()
-	resp, err := g.Upstream.Do(ctx, g.encodeRequest(req, srv, nil, -1))
+	resp, err := g.sendTo(ctx, req, srv, nil, -1)
 	if err != nil {
 		o := outcome{notRun: errors.Is(err, upstream.ErrNotSent), cause: err.Error()}
 		if !o.notRun {
@@ -313,18 +313,36 @@
 	}
 }
 
-// relayResponse relays a complete response to the client.
+// relayResponse relays a complete response to the client. While its client reads it, it may be
+// ended for the sake of other responses; its length shows the client that it is incomplete.
 func (g *Gateway) relayResponse(w http.ResponseWriter, req *request, a *response) {
 	if len(a.body) > 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
+	req.releaseBody()
 	writeHead(w, a.status, a.header)
-	_, err := w.Write(a.body)
-	g.metrics.answered.Inc(1)
+	err := g.deliverBody(w, req, a)
+	if errors.IsAny(err, errSlowReader, errProcessEnds) {
+		g.metrics.streamsAborted.Inc(1)
+	} else {
+		g.metrics.answered.Inc(1)
+	}
 	g.metrics.requestTime.RecordDuration(clock.Now() - req.arrivedAt)
 	req.log.Info("Request answered.", "status", a.status, "bytes", len(a.body), "held", clock.Now()-req.arrivedAt, "tries", req.attempts, "cause", telemetry.ErrorText(err))
 }
 
+// deliverBody writes the body of a response to the client.
+func (g *Gateway) deliverBody(w http.ResponseWriter, req *request, a *response) error {
+	d := newDelivery(w)
+	defer d.close()
+	stopWaiting := context.AfterFunc(g.ending, func() { d.fail(errProcessEnds) })
+	defer stopWaiting()
+	reader := g.responses.join(req.log, a.release, d.fail)
+	defer reader.leave()
+	reader.resize(len(a.body))
+	return d.write(a.body, func(n int) { reader.written(n, n) })
+}
+
 // writeHead writes the status and headers of a server's response. It keeps a Connection
 // header that the entry has set, so that a stopping entry still closes the connection.
 func writeHead(w http.ResponseWriter, status int, header http.Header) {
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -78,7 +78,7 @@
 // retryPossiblyRun returns nil if a request that may have run may be placed again,
 // which only idempotent requests may, and otherwise a refusal.
 func (s *streamRequest) retryPossiblyRun(cause string) *refusal {
-	if !s.req.route.Idempotent() || s.possibleRuns >= s.req.route.MaxAttempts ||
+	if s.req.abandoned.Load() || !s.req.route.Idempotent() || s.possibleRuns >= s.req.route.MaxAttempts ||
 		s.req.remaining() < minRetryTime || !s.gateway.tryRetry(s.req.service) {
 		return serverFailure(cause)
 	}
@@ -89,8 +89,8 @@
 func (s *streamRequest) handleBrokenStream(ctx context.Context, p planner.Placement, progress progressFunc, framing upstream.Framing, err error) (bool, *refusal) {
 	if ctx.Err() != nil || errors.Is(err, errClientConnection) {
 		progress(planner.Progress{Phase: planner.Cancelled})
-		if errors.Is(err, errClientConnection) {
-			s.abort("write to the client failed")
+		if ctx.Err() == nil {
+			s.abort(err.Error())
 		}
 		return false, nil
 	}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -43,14 +43,17 @@
 	// two reads of the records of entries; 0 keeps the default.
 	cores        float64
 	readInterval time.Duration
+	// memoryLimit is the memory limit of new entries in bytes; 0 is none.
+	memoryLimit int64
+	// scope receives the metrics of all entries.
+	scope tally.TestScope
 	// shutdownGrace is how long new entries may take to stop; 0 is a long time.
 	shutdownGrace time.Duration
 	// rewriteTime replaces operatorRewriteTime for new entries unless it is 0.
 	rewriteTime time.Duration
 	// expectedFirstEvent, if set, replaces the expected time to the first event in placements.
 	expectedFirstEvent func(planner.Placement) time.Duration
-	// scope, if set, receives the metrics of new entries, and onLog their log lines.
-	scope tally.Scope
+	// onLog, if set, receives the log lines of new entries.
 	onLog func(line string)
 	// storeAddress is the address at which new entries reach the store; "" is the
 	// address of the store itself.
@@ -68,7 +71,7 @@
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: standin.NewStore(), servers: map[string]*standin.Server{}, peerPorts: map[string]int{}, apiKeys: []string{"key-1"}, reportedReady: map[string]map[string]bool{}}
+	f := &fleet{t: t, store: standin.NewStore(), scope: tally.NewTestScope("", nil), servers: map[string]*standin.Server{}, peerPorts: map[string]int{}, apiKeys: []string{"key-1"}, reportedReady: map[string]map[string]bool{}}
 	t.Cleanup(f.store.Close)
 	return f
 }
@@ -123,14 +126,10 @@
 		Node: name, Zone: "z", IP: "127.0.0.1", ClientAddress: freeAddress(f.t), ReadinessAddress: freeAddress(f.t),
 		FirstPort: f.peerPort(name), StoreAddress: cmp.Or(f.storeAddress, f.store.Address()), ShutdownGrace: cmp.Or(f.shutdownGrace, 30*time.Second), KeyValidity: keyValidity,
 		MaxConfigDelay: 2500 * time.Millisecond, MaxDrainDelay: 2500 * time.Millisecond,
-		Cores: f.cores, Regions: f.regions, ColdBound: f.coldBound,
+		Cores: f.cores, Regions: f.regions, ColdBound: f.coldBound, MemoryLimitBytes: f.memoryLimit,
 		RetryBudget: platform.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Allowance: 80},
 	}
-	scope := f.scope
-	if scope == nil {
-		scope = tally.NoopScope
-	}
-	n := New(Options{Settings: settings, Log: f.stateLogger(name), Scope: scope})
+	n := New(Options{Settings: settings, Log: f.stateLogger(name), Scope: f.scope})
 	n.gateway.ExpectedFirstEvent = f.expectedFirstEvent
 	if f.readInterval > 0 {
 		n.registry.readInterval = f.readInterval
