--- a/core/placement/copies.go
+++ b/core/placement/copies.go
@@ -40,10 +40,10 @@
 	// rest of the prompts takes.
 	use    float64
 	usedAt time.Duration
-	// keepers are the servers that keep the part, from the time it takes more than one, until
+	// copyServers are the servers that keep the part, from the time it takes more than one, until
 	// nextChoice. They are nil before.
-	keepers    map[*server]bool
-	nextChoice time.Duration
+	copyServers map[*server]bool
+	nextChoice  time.Duration
 }
 
 // add adds a prompt that takes so much time.
@@ -83,9 +83,9 @@
 	restMS := estimate.PrefillMS(c.prefixes[len(c.prefixes)-1].tokens)
 	d.add(now, time.Duration(restMS*float64(time.Millisecond)))
 	copies := d.copies(t.evidenceFor(c.Pool).weight())
-	if now >= d.nextChoice && (d.keepers != nil || copies > 1) {
+	if now >= d.nextChoice && (d.copyServers != nil || copies > 1) {
 		d.nextChoice = now + copiesInterval
-		d.keepers = t.chooseKeepers(c.Pool, shared.path, copies)
+		d.copyServers = t.chooseCopyServers(c.Pool, shared.path, copies)
 	}
 }
 
@@ -107,9 +107,9 @@
 	}
 }
 
-// chooseKeepers returns the servers that keep a shared part: the first ones in an order that is
+// chooseCopyServers returns the servers that keep a shared part: the first ones in an order that is
 // the same at every instance, without those reserved for long prompts.
-func (t *Table) chooseKeepers(pool, path string, copies int) map[*server]bool {
+func (t *Table) chooseCopyServers(pool, path string, copies int) map[*server]bool {
 	type candidate struct {
 		server *server
 		weight uint64
@@ -121,36 +121,36 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
-	keepers := map[*server]bool{}
+	copyServers := map[*server]bool{}
 	for _, k := range candidates[:min(max(copies, 1), len(candidates))] {
-		keepers[k.server] = true
+		copyServers[k.server] = true
 	}
-	return keepers
+	return copyServers
 }
 
-// keepersOf returns the servers that keep the shared part of a prompt, and its size; nil if one
+// copyServersOf returns the servers that keep the shared part of a prompt, and its size; nil if one
 // server is enough for it.
-func (t *Table) keepersOf(c *choice) (keepers map[*server]bool, sharedTokens int) {
+func (t *Table) copyServersOf(c *choice) (copyServers map[*server]bool, sharedTokens int) {
 	if shared, ok := c.sharedPrefix(); ok {
 		if d := t.demands[demandKey{c.Pool, shared.key}]; d != nil {
-			return d.keepers, shared.tokens
+			return d.copyServers, shared.tokens
 		}
 	}
 	return nil, 0
 }
 
 // copyCost returns the cost of a server because of the servers that keep the shared part of a
-// prompt. A keeper without the part gets it without the cost of processing it: a copy is
+// prompt. One of these servers without the part gets it without the cost of processing it: a copy is
 // processed once, and is needed. The pauses that this causes still count.
 func (s *server) copyCost(c *choice, uncached int, tokensPerMS float64) float64 {
-	if c.keepers == nil {
+	if c.copyServers == nil {
 		return 0
 	}
 	isCached := uncached <= c.prefixes[len(c.prefixes)-1].tokens
-	switch isKeeper := c.keepers[s]; {
-	case isKeeper && !isCached:
+	switch keepsCopy := c.copyServers[s]; {
+	case keepsCopy && !isCached:
 		return -uncachedPrefillWeight * float64(c.sharedTokens) / tokensPerMS
-	case !isKeeper && isCached:
+	case !keepsCopy && isCached:
 		return extraCopyCostMS
 	}
 	return 0
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -153,9 +153,9 @@
 	// Long is set if the prompt makes other responses late on any server, Reserved if the
 	// server is kept for such prompts.
 	Long, Reserved bool
-	// Keepers is the number of servers that keep the shared part of the prompt; 0 if one is
+	// CopyServers is the number of servers that keep the shared part of the prompt; 0 if one is
 	// enough for it.
-	Keepers int
+	CopyServers int
 }
 
 // Choose returns the best server for a request and records the request there. It
@@ -239,9 +239,9 @@
 	pauseWeight float64
 	// isLong is set if the prompt makes other responses late on any server.
 	isLong bool
-	// keepers are the servers that keep the shared part of the prompt, of sharedTokens tokens;
+	// copyServers are the servers that keep the shared part of the prompt, of sharedTokens tokens;
 	// nil if one is enough for it.
-	keepers      map[*server]bool
+	copyServers  map[*server]bool
 	sharedTokens int
 }
 
@@ -263,7 +263,7 @@
 	c.pauseWeight = t.evidenceFor(c.Pool).weight()
 	c.isLong = t.isLong(c)
 	affinity := t.affinityServer(c)
-	c.keepers, c.sharedTokens = t.keepersOf(c)
+	c.copyServers, c.sharedTokens = t.copyServersOf(c)
 	region := t.regionByZone[c.Zone]
 	queueCosts := t.queueCosts(now, c)
 	for i, s := range t.serversByPool[c.Pool] {
--- a/core/placement/reported_test.go
+++ b/core/placement/reported_test.go
@@ -14,13 +14,10 @@
 // busy server has the shared part, all others are idle.
 func TestReportedPartsAreUsedAfterTakeover(t *testing.T) {
 	doc := PromptPart{ID: "doc", Tokens: 13_000}
-	newcomer := func() *Table {
-		tab := newTable("x", "x", "x", "x", "x", "x")
-		return tab
-	}
+	emptyTable := func() *Table { return newTable("x", "x", "x", "x", "x", "x") }
 	holder := "s4"
 	for _, other := range []string{"s0", "s1", "s2"} {
-		tab := newcomer()
+		tab := emptyTable()
 		assert.Assert(t, tab.LearnCached(0, notice.Server{ID: holder}, []string{"doc", other}))
 		assert.Equal(t, choose(t, tab, 0, request("r1", doc, PromptPart{ID: "q1", Tokens: 400})), holder)
 		got, ok := tab.Choose(0, request("r2", doc, PromptPart{ID: "q2", Tokens: 400}))
@@ -28,7 +25,7 @@
 		assert.Equal(t, got.ID, holder)
 		assert.Equal(t, got.UncachedTokens, 400)
 	}
-	assert.Assert(t, !newcomer().LearnCached(0, notice.Server{ID: holder, StartTime: 7}, nil), "another start")
+	assert.Assert(t, !emptyTable().LearnCached(0, notice.Server{ID: holder, StartTime: 7}, nil), "another start")
 }
 
 // TestReportedPartsExpire guards against a report that is believed after the server has evicted
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -220,7 +220,7 @@
 		Server: s.def, PromptTokens: c.promptTokens, UncachedTokens: uncached, QueuedTokens: s.pendingPrefillTokens, Running: s.running,
 		ExpectedFirstEvent: speed.FirstEvent(s.pendingPrefillTokens + uncached), TokensPerMS: speed.TokensPerMS, Slowdown: speed.Slowdown,
 		ExpectedPause: time.Duration(speed.PauseMS(uncached) * float64(time.Millisecond)), Interference: s.interference(&speed, c, uncached),
-		Long: c.isLong, Reserved: s.isReserved, Keepers: len(c.keepers),
+		Long: c.isLong, Reserved: s.isReserved, CopyServers: len(c.copyServers),
 	}
 }
 
--- a/core/secondattempt/evidence.go
+++ b/core/secondattempt/evidence.go
@@ -56,7 +56,7 @@
 	window := max(minOnTimeWindow, now-a.sentAt)
 	lateServers := map[notice.Server]bool{a.server: true}
 	for other := range t.open {
-		if now-other.sentAt >= t.patience(other.expected) {
+		if now-other.sentAt >= t.overdueAfter(other.expected) {
 			lateServers[other.server] = true
 		}
 	}
--- a/core/secondattempt/secondattempt.go
+++ b/core/secondattempt/secondattempt.go
@@ -114,9 +114,9 @@
 	Denial Denial
 	// CheckIn is the time until the next decision; 0 if there is none.
 	CheckIn time.Duration
-	// Waited is the time since the request was sent, and Patience that from which the first
+	// Waited is the time since the request was sent, and OverdueAfter that from which the first
 	// event is overdue.
-	Waited, Patience time.Duration
+	Waited, OverdueAfter time.Duration
 	// LateServers and OnTimeServers are the numbers of servers that were lately late and on
 	// time; 0 if the decision did not depend on them.
 	LateServers, OnTimeServers int
@@ -156,14 +156,14 @@
 // Began records the first event of an attempt.
 func (t *Tracker) Began(now time.Duration, a *Attempt) {
 	if t.open[a] {
-		t.record(now, a, now-a.sentAt >= t.patience(a.expected))
+		t.record(now, a, now-a.sentAt >= t.overdueAfter(a.expected))
 	}
 }
 
 // Ended records that an attempt ended without a first event, for example because its client
 // disconnected. Unless the first event was overdue, nothing follows for the server.
 func (t *Tracker) Ended(now time.Duration, a *Attempt) {
-	if t.open[a] && now-a.sentAt >= t.patience(a.expected) {
+	if t.open[a] && now-a.sentAt >= t.overdueAfter(a.expected) {
 		t.record(now, a, true)
 	}
 	delete(t.open, a)
@@ -177,8 +177,8 @@
 	t.servers.record(now, a.server, late)
 }
 
-// patience returns the time from which a first event is overdue.
-func (t *Tracker) patience(expected time.Duration) time.Duration {
+// overdueAfter returns the time from which a first event is overdue.
+func (t *Tracker) overdueAfter(expected time.Duration) time.Duration {
 	return max(scaled(expected, t.lateness.limit()), expected+minExcess)
 }
 
@@ -188,13 +188,13 @@
 	if !t.open[a] {
 		return Decision{}
 	}
-	d := Decision{Waited: now - a.sentAt, Patience: t.patience(a.expected)}
+	d := Decision{Waited: now - a.sentAt, OverdueAfter: t.overdueAfter(a.expected)}
 	another := f.PlacementTime + scaled(a.expected, anotherServerFactor*t.lateness.median())
 	if f.ToObjective < another {
-		d.Patience *= missedObjectiveFactor
+		d.OverdueAfter *= missedObjectiveFactor
 	}
-	if d.Waited < d.Patience {
-		d.CheckIn = d.Patience - d.Waited
+	if d.Waited < d.OverdueAfter {
+		d.CheckIn = d.OverdueAfter - d.Waited
 		return d
 	}
 	d.Denial = f.forbidden()
--- a/internal/gateway/second_attempt.go
+++ b/internal/gateway/second_attempt.go
@@ -149,7 +149,7 @@
 func (w *attemptWatch) log(message string, facts *secondattempt.Facts, more ...any) {
 	d := &w.decision
 	fields := append([]any{
-		"server", w.server, "waited", d.Waited, "expected", w.attempt.Expected(), "patience", d.Patience, "late_servers", d.LateServers, "on_time_servers", d.OnTimeServers,
+		"server", w.server, "waited", d.Waited, "expected", w.attempt.Expected(), "overdue_after", d.OverdueAfter, "late_servers", d.LateServers, "on_time_servers", d.OnTimeServers,
 		"due", facts.ToObjective, "deadline", facts.ToDeadline, "runs", facts.PossibleRuns, "max_attempts", facts.MaxAttempts,
 	}, more...)
 	w.req.log.Info(message, fields...)
--- a/internal/gateway/second_attempt_test.go
+++ b/internal/gateway/second_attempt_test.go
@@ -45,7 +45,7 @@
 	w, ctx := s.watchAttempt(context.Background(), &planner.Placement{Server: "s1", ExpectedFirstEvent: time.Millisecond}, notice.Server{ID: "s1"})
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w, ctx, w.decision.Patience
+	return w, ctx, w.decision.OverdueAfter
 }
 
 // bodyAt returns its first byte, or its end, at a time, whether or not the attempt is cancelled.
@@ -77,9 +77,9 @@
 	var wg sync.WaitGroup
 	for i := range rounds {
 		wg.Go(func() {
-			w, ctx, patience := watchRequest(g, fmt.Sprint("service", i))
+			w, ctx, overdueAfter := watchRequest(g, fmt.Sprint("service", i))
 			defer w.close()
-			response := bodyAt{at: time.Now().Add(patience + spread*time.Duration(i-rounds/2)/rounds)}
+			response := bodyAt{at: time.Now().Add(overdueAfter + spread*time.Duration(i-rounds/2)/rounds)}
 			if i%2 == 1 {
 				response.err = io.EOF
 			}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -355,7 +355,7 @@
 	p.metrics.countPlacement(&srv)
 	p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "server_version", srv.SoftwareVersion, "pinned", pr.version != nil, "elements", pr.elements, "residency", pr.req.Residency.String(), "cold", srv.Cold, "prompt", srv.PromptTokens, "uncached", srv.UncachedTokens, "queued", srv.QueuedTokens,
 		"running", srv.Running, "first_event", srv.ExpectedFirstEvent, "tokens_per_ms", srv.TokensPerMS, "slowdown", srv.Slowdown, "pause", srv.ExpectedPause, "interference", srv.Interference,
-		"max_pause", pr.req.MaxPause, "to_objective", req.TimeToObjective, "long", srv.Long, "reserved", srv.Reserved, "keepers", srv.Keepers, "expected", expected, "due", pr.req.TimeToObjective,
+		"max_pause", pr.req.MaxPause, "to_objective", req.TimeToObjective, "long", srv.Long, "reserved", srv.Reserved, "copy_servers", srv.CopyServers, "expected", expected, "due", pr.req.TimeToObjective,
 		"waited", now-pr.receivedAt, "results", len(job.Handles), "made", len(pr.req.PriorResults), "jobs", p.scheduler.JobCount())
 	return Placement{ID: job.JobID, Inputs: job.Handles, Server: srv.ID, Address: srv.Address, SoftwareVersion: srv.SoftwareVersion, Cold: srv.Cold, GrantedAt: now, ExpectedFirstEvent: srv.ExpectedFirstEvent}
 }
