Test of regions that move waits until the request is placed again

Traced: the test released the stage call as soon as the new version was known, a moment before the entry wakes the requests that wait; in that moment the old version still decides, as it may for the bound on configuration.

Change: the test waits for the log line of the new placement, and checks as much as before.

--- a/internal/node/residency_test.go
+++ b/internal/node/residency_test.go
@@ -112,6 +112,12 @@
 // while the configuration moves its regions, and then runs where it may no longer.
 func TestRegionsThatMoveHoldForWaitingRequests(t *testing.T) {
 	f := newFleetOfRegions(t)
+	placedAgain := make(chan struct{}, 1)
+	f.onLog = func(line string) {
+		if strings.Contains(line, "Placement is retried") {
+			placedAgain <- struct{}{}
+		}
+	}
 	release := make(chan struct{})
 	began := make(chan struct{}, 8)
 	f.servers["a1"].SetHandler(func(http.ResponseWriter, *http.Request) bool {
@@ -125,7 +131,9 @@
 	go func() { replies <- e.do(stagedCall("moved")) }()
 	<-began
 	f.putRestrictedConfig([]string{"r2"}, nil)
-	eventually(t, "the new configuration is in force", func() bool { return e.config.Table().Version == 2 })
+	// The configuration is known a moment before the requests that wait are placed again.
+	<-placedAgain
+	assert.Equal(t, e.config.Table().Version, uint64(2))
 	close(release)
 	got := <-replies
 	assert.Equal(t, got.status, http.StatusOK, got.body)
