Parts reported at a takeover are bounded for the whole pool

Cause: 1,000 parts of each of 2,700 servers would take two thirds of the 64 MB of an entry. Change: at most 300,000 a pool, which leaves 1,000 a server up to 300 servers.

--- a/core/placement/reported.go
+++ b/core/placement/reported.go
@@ -13,8 +13,10 @@
 	// reportRetention is how long the parts that a server reported count as cached. Servers
 	// evict unused parts, and those that are used are recorded as placed.
 	reportRetention = 30 * time.Second
-	// maxReportedParts bounds the parts of one server.
-	maxReportedParts = 1000
+	// maxReportedParts bounds the parts of one server, and maxPoolReportedParts those of all
+	// servers of a pool, which take about 24 bytes each.
+	maxReportedParts     = 1000
+	maxPoolReportedParts = 300_000
 )
 
 // reportedParts are the hashes of the IDs of prompt parts that a server reported to have cached.
@@ -47,8 +49,9 @@
 		if i < 0 {
 			continue
 		}
-		reported := make(map[uint64]struct{}, min(len(parts), maxReportedParts))
-		for _, part := range parts[:min(len(parts), maxReportedParts)] {
+		n := min(len(parts), maxReportedParts, maxPoolReportedParts/len(servers))
+		reported := make(map[uint64]struct{}, n)
+		for _, part := range parts[:n] {
 			reported[xxhash.Sum64String(part)] = struct{}{}
 		}
 		servers[i].reported = reportedParts{reported, now + reportRetention}
--- a/core/placement/reported_test.go
+++ b/core/placement/reported_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,3 +46,16 @@
 	tab.LearnCached(0, notice.Server{ID: "s0"}, []string{"doc"})
 	assert.Equal(t, uncached(tab, reportRetention, "late"), 13_001)
 }
+
+// TestReportedPartsAreBounded guards against growth with the number of servers and their parts.
+func TestReportedPartsAreBounded(t *testing.T) {
+	parts := make([]string, 2*maxReportedParts)
+	for i := range parts {
+		parts[i] = fmt.Sprint(i)
+	}
+	for servers, want := range map[int]int{1: maxReportedParts, 3000: maxPoolReportedParts / 3000} {
+		tab := newTable(make([]string, servers)...)
+		assert.Assert(t, tab.LearnCached(0, notice.Server{ID: "s0"}, parts))
+		assert.Equal(t, len(tab.serversByPool["p"][0].reported.parts), want)
+	}
+}
