Soak: only the runs of TestSoak restrict a route to one region

Change: the fleets of TestCrashingRequestUnderKills and TestKillsInTurn have the configuration that they had before; the check stays as it is.

--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -59,6 +59,8 @@
 	allServers       []*standin.Server
 	lastServerNumber int
 	configVersion    int
+	// restricted is set if the requests of restrictedPath may be held only in homeRegion.
+	restricted bool
 	// zoneByServer maps all servers that were ever started to their zones.
 	zoneByServer map[string]string
 	// keys are those in the newest configuration version, revokedKeys those that earlier
@@ -102,8 +104,14 @@
 	return r
 }
 
-func newFleet(t *testing.T, entries int) *fleet {
-	f := &fleet{t: t, dir: t.TempDir(), store: standin.NewStore(), activeServers: map[string]*server{}, serverRecords: map[string][]byte{}, zoneByServer: map[string]string{}}
+func newFleet(t *testing.T, entries int) *fleet { return startFleet(t, entries, false) }
+
+// newRestrictedFleet returns a fleet in which the requests of restrictedPath may be held only in
+// one region.
+func newRestrictedFleet(t *testing.T, entries int) *fleet { return startFleet(t, entries, true) }
+
+func startFleet(t *testing.T, entries int, restricted bool) *fleet {
+	f := &fleet{t: t, restricted: restricted, dir: t.TempDir(), store: standin.NewStore(), activeServers: map[string]*server{}, serverRecords: map[string][]byte{}, zoneByServer: map[string]string{}}
 	t.Cleanup(f.store.Close)
 	f.store.TransformValues(f.rewritePeerAddress)
 	for service, n := range serversPerService {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -102,7 +102,7 @@
 // runSeed runs one seed: faults under traffic, recovery, and rolling restarts under
 // traffic.
 func runSeed(t *testing.T, seed uint64, d time.Duration) {
-	f := newFleet(t, entryCount)
+	f := newRestrictedFleet(t, entryCount)
 	in := newInjector(f, seed)
 	l := &requestLog{}
 	stop := startCallers(f, l, seed, timeoutUnderFaults)
