Streams of an unknown beginning continue only where the store tells all versions

After a loss of all entries, a stream of a version whose last server had left went on at the newer one.

Change: the store holds, per service with resumable streams, the versions that may have begun them (topic keyed.versions). Each entry reads the records once when it starts; the one that places writes them, with the end of the topic as its condition, when a version appears and one minute after its last server has left: two writes a release. A version that a record lists and the process has not seen counts as ended at its start, so no time of day is compared. A record of an earlier era of the store proves nothing. Without a record an unknown stream is refused (code 2019) for the minute in which one may still be resumed, unless the platform says that the whole system starts for the first time. Servers of a version that is not stored yet begin no streams while there are others, for one second at most.

TestVersionIsRecordedWithThePlacement now says that the planner has observed all: it resumes a stream that nobody knows, which a planner that has just started refuses now.

--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -161,6 +161,8 @@
 	serviceByName map[string]*Service
 	customerByKey map[string]*Customer
 	keyRequired   bool
+	// resumableServices are the services of routes whose streams may be resumed.
+	resumableServices map[string]bool
 }
 
 // New returns a table. customerByKey maps each API key to its customer; if keyRequired
@@ -168,11 +170,14 @@
 func New(version uint64, allRoutes []*Route, services []*Service, customerByKey map[string]*Customer, keyRequired bool, limits Limits) *Table {
 	t := &Table{
 		Version: version, Limits: limits, customerByKey: customerByKey, keyRequired: keyRequired,
-		routesByHost: map[string][]*Route{}, serviceByName: map[string]*Service{},
+		routesByHost: map[string][]*Route{}, serviceByName: map[string]*Service{}, resumableServices: map[string]bool{},
 	}
 	for _, r := range allRoutes {
 		host := strings.ToLower(r.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], r)
+		for _, s := range r.Services {
+			t.resumableServices[s.Service] = t.resumableServices[s.Service] || r.Kind == Stream && r.Resumable
+		}
 	}
 	for _, hostRoutes := range t.routesByHost {
 		sort.SliceStable(hostRoutes, func(i, j int) bool { return len(hostRoutes[i].Prefix) > len(hostRoutes[j].Prefix) })
@@ -210,6 +215,10 @@
 	return all
 }
 
+// ServesResumableStreams reports whether a route sends streams that may be resumed to the
+// service.
+func (t *Table) ServesResumableStreams(service string) bool { return t.resumableServices[service] }
+
 // KeyRequired reports whether requests on non-public routes need a key.
 func (t *Table) KeyRequired() bool { return t.keyRequired }
 
--- a/core/streamversion/streamversion_test.go
+++ b/core/streamversion/streamversion_test.go
@@ -55,27 +55,3 @@
 		assert.Assert(t, len(table.entries) <= 2*rate*retention+1, "%d records at %v", len(table.entries), now)
 	}
 }
-
-func TestPools(t *testing.T) {
-	pools := NewPools()
-	only := func(at time.Duration) string {
-		version, ok := pools.Only(at, "p")
-		if !ok {
-			return "unknown"
-		}
-		return version
-	}
-	assert.Equal(t, only(0), "unknown")
-	pools.Observe(0, "p", []string{"v1", "v1"})
-	assert.Equal(t, only(time.Hour), "v1")
-	pools.Observe(10*time.Second, "p", []string{"v1", "v2"})
-	assert.Equal(t, only(11*time.Second), "unknown")
-	pools.Observe(20*time.Second, "p", []string{"v2"})
-	assert.Equal(t, only(20*time.Second+MaxAge), "unknown", "streams of v1 may still be resumed")
-	assert.Equal(t, only(20*time.Second+MaxAge+1), "v2")
-
-	pools.Observe(2*time.Hour, "p", nil)
-	assert.Equal(t, only(2*time.Hour), "v2", "servers that all crashed")
-	pools.Observe(2*time.Hour, "p", []string{"v2"})
-	assert.Equal(t, only(3*time.Hour), "v2")
-}
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -36,7 +36,9 @@
 	}
 	var all []planner.Pool
 	for _, svc := range t.Services() {
-		all = append(all, g.plannerPool(svc, g.Servers.Usable(svc.Name)))
+		pool := g.plannerPool(svc, g.Servers.Usable(svc.Name))
+		pool.HasResumableStreams = t.ServesResumableStreams(svc.Name)
+		all = append(all, pool)
 	}
 	return all
 }
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -36,7 +36,9 @@
 	servers map[string]*standin.Server
 	// peerPorts maps the names of entries to the ports on which they accept sessions of
 	// other entries.
-	peerPorts     map[string]int
+	peerPorts map[string]int
+	// started are the names of the entries that were started at least once.
+	started       map[string]bool
 	configVersion int
 	apiKeys       []string
 	// cores is the number of processor cores per entry. readInterval is the time between
@@ -71,7 +73,7 @@
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: standin.NewStore(), scope: tally.NewTestScope("", nil), servers: map[string]*standin.Server{}, peerPorts: map[string]int{}, apiKeys: []string{"key-1"}, reportedReady: map[string]map[string]bool{}}
+	f := &fleet{t: t, store: standin.NewStore(), scope: tally.NewTestScope("", nil), servers: map[string]*standin.Server{}, peerPorts: map[string]int{}, started: map[string]bool{}, apiKeys: []string{"key-1"}, reportedReady: map[string]map[string]bool{}}
 	t.Cleanup(f.store.Close)
 	return f
 }
@@ -123,12 +125,13 @@
 // confirmation by the store.
 func (f *fleet) startEntry(name string, keyValidity time.Duration) *runningEntry {
 	settings := &platform.Settings{
-		Node: name, Zone: "z", IP: "127.0.0.1", ClientAddress: freeAddress(f.t), ReadinessAddress: freeAddress(f.t),
+		Node: name, FirstStart: !f.started[name], Zone: "z", IP: "127.0.0.1", ClientAddress: freeAddress(f.t), ReadinessAddress: freeAddress(f.t),
 		FirstPort: f.peerPort(name), StoreAddress: cmp.Or(f.storeAddress, f.store.Address()), ShutdownGrace: cmp.Or(f.shutdownGrace, 30*time.Second), KeyValidity: keyValidity,
 		MaxConfigDelay: 2500 * time.Millisecond, MaxDrainDelay: 2500 * time.Millisecond,
 		Cores: f.cores, Regions: f.regions, ColdBound: f.coldBound, MemoryLimitBytes: f.memoryLimit,
 		RetryBudget: platform.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Allowance: 80},
 	}
+	f.started[name] = true
 	n := New(Options{Settings: settings, Log: f.stateLogger(name), Scope: f.scope})
 	n.gateway.ExpectedFirstEvent = f.expectedFirstEvent
 	if f.readInterval > 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 	// writes those that this entry finds.
 	quarantine       *watch.Quarantine
 	quarantineWriter *quarantineWriter
+	versions         *versionRecorder
 	restoreGuard     *restoreGuard
 }
 
@@ -102,6 +103,11 @@
 		n.quarantineWriter.add(changes)
 		n.links.TellPatterns(changes)
 	}, func(attempts ...quarantine.Attempt) { n.links.ReportAttempts(attempts...) })
+	n.versions = newVersionRecorder(n.store, n.planner, o.Log.WithName("versions"))
+	n.versions.isFirstStart, n.versions.onStored = o.Settings.FirstStart, n.updatePools
+	n.versions.places = func() bool { return n.links.PlanningPeer() == nil }
+	n.planner.OnVersionsDue(n.versions.notify)
+	n.servers.OnMissed(n.versions.serversMissed)
 	startID := time.Now().UnixNano()
 	owner := ownerName(o.Settings.Node, startID)
 	n.localEntry = &peer.LocalEntry{
@@ -193,6 +199,7 @@
 	go n.servers.Run(ctx)
 	go n.quarantine.Run(ctx, func() bool { return n.links.PlanningPeer() == nil })
 	go n.quarantineWriter.run(ctx)
+	go n.versions.run(ctx)
 	go n.planner.Run(ctx)
 	go n.links.Run(ctx, n.planner.HandOverToPredecessor)
 	go n.registry.run(ctx)
--- a/internal/node/version_history_test.go
+++ b/internal/node/version_history_test.go
@@ -16,6 +16,8 @@
 type historyFleet struct {
 	*fleet
 	entries []*runningEntry
+	// copy is the content of the store before the new server appeared.
+	copy standin.StoreCopy
 }
 
 // newHistoryFleet starts the given number of entries and begins the stream "r" at the last
@@ -28,6 +30,8 @@
 		f.entries = append(f.entries, f.startEntry(fmt.Sprint("e", i), 0).waitReady().waitRegistered())
 	}
 	f.waitServers(1, f.entries...)
+	f.waitVersionsStored()
+	f.copy = f.store.Copy()
 	f.entries[entryCount-1].beginStream("r", func() {
 		f.startVersion("new", "v2")
 		f.waitServers(2, f.entries...)
@@ -93,6 +97,15 @@
 			f.store.ExpireRecords(platform.ServersTopic)
 		}, nil},
 		{"entries are lost twice", nil, func(f *historyFleet) { f.removeServer("old") }, func(f *historyFleet) { f.restart(func() {}) }},
+		{"the store comes back from a copy of before the release", nil, func(f *historyFleet) {
+			f.store.Restore(f.copy)
+			f.startVersion("new", "v2")
+			f.removeServer("old")
+		}, nil},
+		{"the store turns the entries away", nil, func(f *historyFleet) {
+			f.removeServer("old")
+			f.store.RefuseTopic(platform.VersionsTopic)
+		}, nil},
 		{"old server starts again as the new version", nil, func(f *historyFleet) {
 			f.store.Put(platform.ServersTopic, "old", standin.VersionedServerRecord("model", f.servers["new"].Address(), "v2", false))
 		}, nil},
--- /dev/null
+++ b/internal/node/versions.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/magnoliawheel/magnoliawheel/core/backoff"
+	"github.com/magnoliawheel/magnoliawheel/core/streamversion"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+	"github.com/magnoliawheel/magnoliawheel/internal/planner"
+	"github.com/magnoliawheel/magnoliawheel/platform"
+)
+
+const (
+	// versionPollInterval is the time between two checks whether the records of versions are
+	// to be changed because time has passed or this entry has begun to place requests.
+	versionPollInterval = 500 * time.Millisecond
+	// versionCallTimeout bounds a call that reads or writes the records.
+	versionCallTimeout = 2 * time.Second
+)
+
+// versionBackoff gives the times between consecutive failed calls.
+var versionBackoff = backoff.Policy{Initial: 100 * time.Millisecond, Max: 2 * time.Second}
+
+// versionRecorder keeps in the store which software versions may have begun the streams that
+// can still be resumed, so that entries which start later know them. Every entry reads the
+// records when it starts; an entry that places requests writes them.
+type versionRecorder struct {
+	store   *platform.Store
+	planner *planner.Planner
+	log     logr.Logger
+	// isFirstStart is set if the whole system starts for the first time: unless there is a
+	// record, no stream can have begun before.
+	isFirstStart bool
+	// places reports whether this entry places requests.
+	places func() bool
+	// onStored is called after records have changed.
+	onStored func()
+	wake     chan struct{}
+	// known is set while the planner has applied the records, which were read in era.
+	known atomic.Bool
+	era   int64
+}
+
+// versionRecord is the value of a record; its key is the name of the service. Era is the era of
+// the store in which it was written.
+type versionRecord struct {
+	Versions []string `json:"versions"`
+	Era      int64    `json:"era"`
+}
+
+func newVersionRecorder(store *platform.Store, p *planner.Planner, log logr.Logger) *versionRecorder {
+	return &versionRecorder{store: store, planner: p, log: log, wake: make(chan struct{}, 1)}
+}
+
+// notify makes the recorder check at once whether the records are to be changed.
+func (r *versionRecorder) notify() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// serversMissed makes the recorder read the records again, because servers may have come and
+// gone unnoticed.
+func (r *versionRecorder) serversMissed() {
+	r.planner.ServersMissed()
+	r.known.Store(false)
+	r.notify()
+}
+
+// run reads the records and changes them when needed, until ctx ends.
+func (r *versionRecorder) run(ctx context.Context) {
+	for failures := 0; ctx.Err() == nil; {
+		if err := r.sync(ctx); err != nil {
+			r.log.Info("Versions of streams not synchronized with the store.", "failures", failures, "cause", err.Error())
+			clock.Sleep(ctx, versionBackoff.Delay(failures))
+			failures++
+			continue
+		}
+		failures = 0
+		r.wait(ctx)
+	}
+}
+
+// wait waits until the records may have to be read or written.
+func (r *versionRecorder) wait(ctx context.Context) {
+	era, restored := r.store.Era()
+	if era != r.era {
+		// The store may have lost records, and those that it has may be old ones.
+		r.known.Store(false)
+		return
+	}
+	timer := time.NewTimer(versionPollInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-r.wake:
+	case <-restored:
+	case <-timer.C:
+	}
+}
+
+// sync reads the records if they are not known or must be changed, and writes those to change.
+func (r *versionRecorder) sync(ctx context.Context) error {
+	mayWrite := r.places() && len(r.planner.VersionsDue(0)) > 0
+	if r.known.Load() && !mayWrite {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, versionCallTimeout)
+	defer cancel()
+	end, err := r.read(ctx)
+	if err != nil || !r.places() {
+		return err
+	}
+	return r.write(ctx, end)
+}
+
+// read passes the records on to the planner and returns the end of the topic.
+func (r *versionRecorder) read(ctx context.Context) (platform.Position, error) {
+	keyed, end, err := r.store.Newest(ctx, platform.VersionsTopic)
+	if err != nil {
+		return platform.Position{}, errors.Wrap(err, "read")
+	}
+	var records []streamversion.StoredVersions
+	for _, rec := range keyed {
+		var v versionRecord
+		if err := json.Unmarshal(rec.Value, &v); err != nil {
+			r.log.Info("Record of versions ignored.", "pool", rec.Key, "offset", rec.Offset, "cause", err.Error())
+			continue
+		}
+		records = append(records, streamversion.StoredVersions{Pool: rec.Key, Versions: v.Versions, Era: v.Era})
+	}
+	if r.isFirstStart && end.Offset == 0 && end.Era == 0 {
+		r.planner.ObservedFromStart()
+	}
+	r.planner.LearnVersions(records, end.Era)
+	r.era = end.Era
+	if !r.known.Swap(true) {
+		r.log.Info("Versions of streams read.", "records", records, "end", end.Offset, "era", end.Era, "first_start", r.isFirstStart)
+	}
+	return end, nil
+}
+
+// write writes the records that are due, if the topic still has the given end.
+func (r *versionRecorder) write(ctx context.Context, end platform.Position) error {
+	for _, due := range r.planner.VersionsDue(end.Era) {
+		value, err := json.Marshal(versionRecord{Versions: due.Versions, Era: due.Era})
+		if err != nil {
+			return errors.Wrap(err, "encode")
+		}
+		position, err := r.store.AppendKeyed(ctx, platform.VersionsTopic, due.Pool, value, platform.AppendCondition{ExpectedEnd: &end})
+		if err != nil {
+			return errors.Wrapf(err, "write versions of %s", due.Pool)
+		}
+		end.Offset = position.Offset + 1
+		r.planner.VersionsStored(due)
+		r.log.Info("Versions of streams stored.", "pool", due.Pool, "versions", due.Versions, "offset", position.Offset, "era", due.Era)
+		r.onStored()
+	}
+	return nil
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -46,6 +46,9 @@
 	StageSpec    *staging.PoolSpec
 	StageServers []staging.Server
 	ModelServers []placement.Server
+	// HasResumableStreams is set if streams of the pool may be resumed, so that the store
+	// must hold its software versions.
+	HasResumableStreams bool
 	// ColdLimit bounds the requests to cold servers. ColdUntil is the time until which each
 	// server is presumed to be cold, if there is a limit.
 	ColdLimit notice.ColdLimit
@@ -79,9 +82,11 @@
 	mu           sync.Mutex
 	scheduler    *staging.Scheduler
 	modelServers *placement.Table
-	// streams are the versions that began streams, poolVersions those that servers run.
+	// streams are the versions that began streams, poolVersions those that may have begun
+	// the streams of a pool. onVersions, if set, is called when the store lacks some of them.
 	streams      *streamversion.Table
 	poolVersions *streamversion.Pools
+	onVersions   func()
 	// notices is what servers said about themselves.
 	notices *notice.Table
 	// quarantine holds back requests that crash servers. evaluation evaluates its evidence
@@ -168,19 +173,11 @@
 			if pool.StageSpec != nil {
 				p.scheduler.SetPool(pool.Name, *pool.StageSpec, pool.StageServers)
 			} else {
-				p.modelServers.SetServers(pool.Name, pool.ModelServers)
-				p.poolVersions.Observe(now, pool.Name, softwareVersions(pool.ModelServers))
+				p.modelServers.SetServers(pool.Name, p.observeVersions(now, &pool))
 			}
 		}
 	})
-}
-
-func softwareVersions(servers []placement.Server) []string {
-	versions := make([]string, len(servers))
-	for i, s := range servers {
-		versions[i] = s.SoftwareVersion
-	}
-	return versions
+	p.reportVersionsDue()
 }
 
 // Place starts the placement of a request. It replaces a pending request with the same
@@ -326,7 +323,8 @@
 
 // refuse returns the answer to a request that is refused for pr.refusal.
 func (p *Planner) refuse(now time.Duration, pr *pendingRequest) Placement {
-	p.log.Info("Request refused.", "request", pr.req.ID, "owner", pr.req.Owner, "reason", ReasonText(pr.refusal), "stream", pr.req.resumedStream(), "residency", pr.req.Residency.String(),
+	versions, allKnown := p.poolVersions.Resumable(now, pr.req.Pool)
+	p.log.Info("Request refused.", "request", pr.req.ID, "owner", pr.req.Owner, "reason", ReasonText(pr.refusal), "stream", pr.req.resumedStream(), "stream_version", pr.version, "pool_versions", versions, "all_known", allKnown, "residency", pr.req.Residency.String(),
 		"waited", now-pr.receivedAt, "retry_after", pr.retryAfter)
 	return Placement{ID: pr.req.ID, RefusalReason: pr.refusal, RetryAfter: pr.retryAfter}
 }
--- a/internal/planner/streams.go
+++ b/internal/planner/streams.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/magnoliawheel/magnoliawheel/core/placement"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/core/streamversion"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
@@ -57,6 +58,76 @@
 	return &version
 }
 
+// OnVersionsDue sets the function that is called when the store lacks versions of a pool; see
+// VersionsDue. It must be called before Run.
+func (p *Planner) OnVersionsDue(f func()) { p.onVersions = f }
+
+// observeVersions records the versions of a pool's servers and returns the servers that may
+// get requests: without those that must not begin streams yet, if there are others. The
+// caller holds the lock.
+func (p *Planner) observeVersions(now time.Duration, pool *Pool) []placement.Server {
+	if !pool.HasResumableStreams {
+		return pool.ModelServers
+	}
+	versions := make([]string, len(pool.ModelServers))
+	for i, s := range pool.ModelServers {
+		versions[i] = s.SoftwareVersion
+	}
+	p.poolVersions.Observe(now, pool.Name, versions)
+	var servers []placement.Server
+	for _, s := range pool.ModelServers {
+		if !p.poolVersions.Withheld(now, pool.Name, s.SoftwareVersion) {
+			servers = append(servers, s)
+		}
+	}
+	if len(servers) == 0 {
+		return pool.ModelServers
+	}
+	return servers
+}
+
+// reportVersionsDue calls onVersions if the store lacks versions.
+func (p *Planner) reportVersionsDue() {
+	if p.onVersions != nil && len(p.VersionsDue(0)) > 0 {
+		p.onVersions()
+	}
+}
+
+// VersionsDue returns the records of versions that the store should hold, in the given era.
+func (p *Planner) VersionsDue(era int64) []streamversion.StoredVersions {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.poolVersions.Due(clock.Now(), era)
+}
+
+// LearnVersions applies the records of versions that the store holds in the given era.
+func (p *Planner) LearnVersions(records []streamversion.StoredVersions, era int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.poolVersions.Learn(clock.Now(), records, era)
+}
+
+// VersionsStored records that the store holds a record of VersionsDue.
+func (p *Planner) VersionsStored(r streamversion.StoredVersions) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.poolVersions.Stored(r)
+}
+
+// ObservedFromStart records that no stream began before this process started.
+func (p *Planner) ObservedFromStart() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.poolVersions.ObservedFromStart()
+}
+
+// ServersMissed records that servers may have come and gone unnoticed.
+func (p *Planner) ServersMissed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.poolVersions.Interrupt(clock.Now())
+}
+
 // onlyVersion returns the version that began all streams of a pool that may be resumed, or
 // nil if there may be several. The caller holds the lock.
 func (p *Planner) onlyVersion(now time.Duration, pool string) *string {
--- a/internal/planner/streams_test.go
+++ b/internal/planner/streams_test.go
@@ -64,13 +64,83 @@
 	}
 }
 
+// TestPlannerThatStartsContinuesUnknownStreamsOnlyByTheStore guards against a stream that goes
+// on at the only version that a planner has seen since its start, while the stored versions
+// say that an earlier one may have begun it.
+func TestPlannerThatStartsContinuesUnknownStreamsOnlyByTheStore(t *testing.T) {
+	tests := []struct {
+		name   string
+		stored []streamversion.StoredVersions
+		want   string
+	}{
+		{"store not read", nil, ""},
+		{"store without a record", []streamversion.StoredVersions{}, ""},
+		{"earlier version stored", []streamversion.StoredVersions{{Pool: "m", Versions: []string{"v1", "v2"}}}, ""},
+		{"only this version stored", []streamversion.StoredVersions{{Pool: "m", Versions: []string{"v2"}}}, "m1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := New(nil, nil, logr.Discard())
+			p.SetPools([]Pool{{Name: "m", HasResumableStreams: true, ModelServers: []placement.Server{{ID: "m1", SoftwareVersion: "v2"}}}})
+			if tt.stored != nil {
+				p.LearnVersions(tt.stored, 0)
+			}
+			placed := make(chan Placement, 1)
+			p.Place(Request{
+				ID: "r", Pool: "m", TimeToObjective: time.Minute, TimeToDeadline: time.Minute, ResumableFor: time.Minute, Resume: &Resume{Stream: "s"}, Residency: residency.Unrestricted(),
+			}, Callbacks{OnPlacement: func(a Placement) { placed <- a }, OnResultChanges: func([]staging.ResultLocation) {}})
+			got := <-placed
+			assert.Equal(t, got.Server, tt.want)
+			if tt.want == "" {
+				assert.Equal(t, got.RefusalReason, VersionUnknown)
+				assert.Assert(t, got.RetryAfter > 0)
+			}
+		})
+	}
+}
+
+// TestServersOfANewVersionBeginNoStreamsUntilItIsStored guards against a stream of a version
+// that no later process can know.
+func TestServersOfANewVersionBeginNoStreamsUntilItIsStored(t *testing.T) {
+	p := New(nil, nil, logr.Discard())
+	p.ObservedFromStart()
+	due := 0
+	p.OnVersionsDue(func() { due++ })
+	setVersions := func(versions ...string) {
+		pool := Pool{Name: "m", HasResumableStreams: true}
+		for _, v := range versions {
+			pool.ModelServers = append(pool.ModelServers, placement.Server{ID: v, SoftwareVersion: v})
+		}
+		p.SetPools([]Pool{pool})
+	}
+	place := func() string {
+		placed := make(chan Placement, 1)
+		p.Place(Request{ID: "r", Pool: "m", Avoid: []string{"v1"}, TimeToObjective: time.Minute, TimeToDeadline: time.Minute, Residency: residency.Unrestricted()},
+			Callbacks{OnPlacement: func(a Placement) { placed <- a }, OnResultChanges: func([]staging.ResultLocation) {}})
+		return (<-placed).Server
+	}
+	setVersions("v1")
+	assert.Equal(t, due, 1)
+	p.VersionsStored(p.VersionsDue(0)[0])
+	setVersions("v1", "v2")
+	assert.Equal(t, due, 2)
+	assert.Equal(t, place(), "")
+	p.VersionsStored(p.VersionsDue(0)[0])
+	setVersions("v1", "v2")
+	assert.Equal(t, place(), "v2")
+	setVersions("v3")
+	p.removePending("r")
+	assert.Equal(t, place(), "v3", "servers of no other version are there")
+}
+
 // TestVersionIsRecordedWithThePlacement guards against a stream whose version is lost with the
 // entry that serves it: the first event may reach the client before any record of the
 // version has left the entry. The placing entry knows the version before that.
 func TestVersionIsRecordedWithThePlacement(t *testing.T) {
 	for _, local := range []bool{true, false} {
 		p := New(nil, nil, logr.Discard())
-		p.SetPools([]Pool{{Name: "m", ModelServers: []placement.Server{{ID: "m1", SoftwareVersion: "v1"}}}})
+		p.ObservedFromStart()
+		p.SetPools([]Pool{{Name: "m", HasResumableStreams: true, ModelServers: []placement.Server{{ID: "m1", SoftwareVersion: "v1"}}}})
 		place := func(r Request) {
 			r.Pool, r.TimeToObjective, r.TimeToDeadline, r.Residency = "m", time.Minute, time.Minute, residency.Unrestricted()
 			placed := make(chan Placement, 1)
--- a/internal/watch/servers.go
+++ b/internal/watch/servers.go
@@ -52,6 +52,10 @@
 // Topic returns the topic with the records of the servers.
 func (s *Servers) Topic() *Topic { return s.topic }
 
+// OnMissed sets the function that is called when servers may have come and gone unnoticed.
+// It must be called before Run.
+func (s *Servers) OnMissed(f func()) { s.topic.onExpired = f }
+
 // Run follows the records until ctx ends.
 func (s *Servers) Run(ctx context.Context) { s.topic.run(ctx) }
 
--- a/internal/watch/topic.go
+++ b/internal/watch/topic.go
@@ -71,6 +71,8 @@
 	onConfirmed func(asOf time.Duration, position platform.Position)
 	// onReadFailed, if set, receives the time of a failed read.
 	onReadFailed func(now time.Duration)
+	// onExpired, if set, is called when records expired before this entry read them.
+	onExpired func()
 
 	mu sync.Mutex
 	// position is where the next read begins; it is valid if known is set. restored is
@@ -304,6 +306,9 @@
 	records, next, err := t.store.ReadKeyed(ctx, t.name, from, wait)
 	if errors.Is(err, platform.ErrRestored) || errors.Is(err, platform.ErrExpired) {
 		t.forgetPosition(err)
+		if t.onExpired != nil && errors.Is(err, platform.ErrExpired) {
+			t.onExpired()
+		}
 		return t.readNewest(ctx, start)
 	}
 	if err != nil {
