Soak of releases under a loss of all entries; what a process knows after its start

TestReleaseUnderLossOfAllEntries replaces the model servers three times and kills all entries around the end of the old ones; callers try for 3 s to take up their streams and check that an answer is of one version.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -88,6 +88,8 @@
 	entry  *entry
 	// timeout is the time after which the caller abandons a request.
 	timeout time.Duration
+	// resumeFor is how long the caller tries to take up a stream that broke off; 0 is once.
+	resumeFor time.Duration
 }
 
 func newCaller(f *fleet, l *requestLog, seed uint64, timeout time.Duration) *caller {
@@ -108,8 +110,7 @@
 	for ctx.Err() == nil {
 		r := c.send(c.rng.IntN(len(requestKinds)), c.randomKey())
 		if r.mayResume() {
-			c.switchEntry()
-			r = c.resume(r)
+			r = c.resumeRepeatedly(ctx, r)
 		}
 		if r.err != nil || r.status >= http.StatusInternalServerError {
 			c.switchEntry()
@@ -156,6 +157,18 @@
 	return c.sendRequest(&request{key: r.key, kind: r.kind, entry: c.entry, incarnation: incarnation, resumed: r, lastEvent: r.wholeEvents()})
 }
 
+// resumeRepeatedly takes up a stream at one entry after the other, until one answers with more
+// than a refusal or resumeFor is over, and returns the last attempt.
+func (c *caller) resumeRepeatedly(ctx context.Context, r *request) *request {
+	for start := time.Now(); ; time.Sleep(callerPause) {
+		c.switchEntry()
+		attempt := c.resume(r)
+		if attempt.status == http.StatusOK || ctx.Err() != nil || time.Since(start) >= c.resumeFor {
+			return attempt
+		}
+	}
+}
+
 // sendRequest sends a request under a new ID, waits for its result and records both.
 func (c *caller) sendRequest(r *request) *request {
 	r.id, r.sent = c.log.newID(), time.Now()
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -159,13 +159,18 @@
 func (f *fleet) addServer(service string) *server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.startServer(service, softwareVersions[(f.lastServerNumber+1)%len(softwareVersions)])
+}
+
+// startServer is addServer for a server of the given version. The caller holds mu.
+func (f *fleet) startServer(service, version string) *server {
 	f.lastServerNumber++
 	id := fmt.Sprintf("%s-%d", service, f.lastServerNumber)
 	events := 0
 	if service == "model" {
 		events = streamEvents
 	}
-	s := &server{Server: standin.NewServer(id, events), service: service, version: softwareVersions[f.lastServerNumber%len(softwareVersions)]}
+	s := &server{Server: standin.NewServer(id, events), service: service, version: version}
 	s.zone = f.zoneWithFewest(service)
 	f.zoneByServer[id] = s.zone
 	s.SetVersion(s.version)
@@ -232,7 +237,6 @@
 	assert.NilError(f.t, err)
 	e.clientRelay = newRelay(f.t, e.settings.ClientAddress)
 	e.peerRelay = newRelay(f.t, net.JoinHostPort("127.0.0.1", port))
-	assert.NilError(f.t, os.WriteFile(e.settingsPath(), standin.EncodeSettings(e.settings), 0o600))
 	return e
 }
 
@@ -240,6 +244,9 @@
 
 // start starts the entry's process, also after an earlier one has exited.
 func (e *entry) start() {
+	_, starts := e.currentProcess()
+	e.settings.FirstStart = starts == 0
+	assert.Check(e.fleet.t, os.WriteFile(e.settingsPath(), standin.EncodeSettings(e.settings), 0o600))
 	p, err := harness.StartProcessWithEnv([]string{platform.SettingsFileEnv + "=" + e.settingsPath()},
 		e.fleet.dir, e.name, nil, binaries.Magnoliawheel, "gateway")
 	assert.Check(e.fleet.t, err)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -132,10 +132,16 @@
 // startCallers starts the callers and returns a function that stops them and waits for
 // them.
 func startCallers(f *fleet, l *requestLog, seed uint64, timeout time.Duration) func() {
+	return startResumingCallers(f, l, seed, timeout, 0)
+}
+
+// startResumingCallers is startCallers with callers that try for a time to take up a stream.
+func startResumingCallers(f *fleet, l *requestLog, seed uint64, timeout, resumeFor time.Duration) func() {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for i := range callerCount {
 		c := newCaller(f, l, seed*callerCount+uint64(i), timeout)
+		c.resumeFor = resumeFor
 		wg.Go(func() { c.run(ctx) })
 	}
 	return func() {
