Test of many slow readers: streams that end by their clients' own timeout

Ruled out: stalled writes, second attempts, refusals. The check now counts these by the entry's own log line; each broken stream must still have one of the two causes.

--- a/internal/node/slow_reader_test.go
+++ b/internal/node/slow_reader_test.go
@@ -131,6 +131,13 @@
 	body := eventsOf(160 << 10)
 	f := newFleet(t)
 	f.memoryLimit = 56 * mebibyte
+	// On a busy machine the clients' own timeout may pass before they are told to read on.
+	var timedOut atomic.Int64
+	f.onLog = func(line string) {
+		if strings.Contains(line, `"msg":"Stream aborted."`) && strings.Contains(line, `"cause":"deadline exceeded"`) {
+			timedOut.Add(1)
+		}
+	}
 	total := readbuffer.SharesOf(f.memoryLimit).Streams.Total
 	s := f.startServer("model", "fast", 1)
 	s.SetHandler(func(w http.ResponseWriter, r *http.Request) bool {
@@ -179,7 +186,7 @@
 	close(halt)
 	slow.Wait()
 	ended := metricOf(f.scope, "slow_readers_ended", "stream")
-	assert.Equal(t, broken.Load(), ended)
+	assert.Equal(t, broken.Load(), ended+timedOut.Load())
 	slices.Sort(got)
 	t.Logf("held at most %d of %d bytes; %d streams ended; longest write of a server %s; delay of events: median %s, largest %s",
 		largestHeld, total, ended, longest, got[len(got)/2], got[len(got)-1])
