--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -112,7 +112,7 @@
 		r.countResults()
 	}
 	for _, r := range j.runs {
-		r.resultsFreed = len(r.dependents) > 0 && len(r.pieces) > 0 && !slices.ContainsFunc(r.dependents, func(n *stageRun) bool { return !n.isComplete() })
+		r.resultsFreed = len(r.pieces) > 0 && r.wasRead()
 		r.updateClaims()
 		for i := range r.pieces {
 			if p := &r.pieces[i]; p.server != nil && !r.resultsFreed {
--- a/core/staging/run.go
+++ b/core/staging/run.go
@@ -68,6 +68,13 @@
 
 func (r *stageRun) isComplete() bool { return r.completedPieces == len(r.pieces) }
 
+// wasRead reports whether stages read the run's results and all of them are complete. Stages
+// without pieces read nothing.
+func (r *stageRun) wasRead() bool {
+	isRead := slices.ContainsFunc(r.dependents, func(n *stageRun) bool { return len(n.pieces) > 0 })
+	return isRead && !slices.ContainsFunc(r.dependents, func(n *stageRun) bool { return !n.isComplete() })
+}
+
 // inputsReady reports whether all results that the run reads are available.
 func (r *stageRun) inputsReady() bool {
 	for _, a := range r.dependencies {
--- a/core/staging/shortage_test.go
+++ b/core/staging/shortage_test.go
@@ -66,6 +66,7 @@
 
 // loadPlay plays the kinds on two pools whose servers take 0.9 to 1.1 of the normal time.
 type loadPlay struct {
+	kinds     []loadKind
 	scheduler *Scheduler
 	random    *rand.Rand
 	specs     map[string]PoolSpec
@@ -82,16 +83,18 @@
 	pick []*rand.Rand
 }
 
-func newLoadPlay(seed uint64) *loadPlay {
+func newLoadPlay(seed uint64) *loadPlay { return newPlayOfKinds(seed, loadKinds) }
+
+func newPlayOfKinds(seed uint64, kinds []loadKind) *loadPlay {
 	w := &loadPlay{
-		scheduler: New(), random: rand.New(rand.NewPCG(seed, 1)), specs: map[string]PoolSpec{
+		kinds: kinds, scheduler: New(), random: rand.New(rand.NewPCG(seed, 1)), specs: map[string]PoolSpec{
 			"a": {Slots: 1, BatchSize: 8, CallOverhead: 100 * time.Millisecond, TimePerPiece: 16 * time.Millisecond, MemoryBytes: 1 << 40, ResultRetention: 10 * time.Second},
 			"b": {Slots: 1, BatchSize: 10, CallOverhead: 100 * time.Millisecond, TimePerPiece: 10 * time.Millisecond, MemoryBytes: 1 << 40, ResultRetention: 10 * time.Second},
 		},
 		busyUntil: map[string]time.Duration{}, requests: map[string]*loadRequest{}, returns: map[time.Duration][]*loadRequest{}, changes: map[time.Duration]func(){},
-		results: make([]loadResult, len(loadKinds)),
+		results: make([]loadResult, len(kinds)),
 	}
-	for i := range loadKinds {
+	for i := range kinds {
 		w.pick = append(w.pick, rand.New(rand.NewPCG(seed, uint64(10+i))))
 	}
 	for name, spec := range w.specs {
@@ -110,7 +113,7 @@
 }
 
 func (w *loadPlay) submit(now time.Duration, kind int, measured bool, identity string) {
-	k := loadKinds[kind]
+	k := w.kinds[kind]
 	w.lastID++
 	id := fmt.Sprint("j", w.lastID)
 	q := &loadRequest{kind: kind, at: now, measured: measured, returned: identity != "", identity: cmp.Or(identity, id)}
@@ -192,7 +195,7 @@
 
 func (w *loadPlay) served(now time.Duration, q *loadRequest) {
 	res := &w.results[q.kind]
-	onTime := now-q.at <= loadKinds[q.kind].objective
+	onTime := now-q.at <= w.kinds[q.kind].objective
 	switch {
 	case !q.measured || q.returned && !onTime:
 		return
@@ -221,7 +224,7 @@
 		for _, q := range w.returns[now] {
 			w.submit(now, q.kind, q.measured, q.identity)
 		}
-		for kind, k := range loadKinds {
+		for kind, k := range w.kinds {
 			rate, draw := factor*k.rate, w.pick[kind].Float64()
 			if kind == burst && now >= loadBurstBegin && now < loadBurstEnd {
 				rate *= loadBurstFactor
