Memory of pools that a job does not need no longer delays its admission

The wait for memory was the largest of all pools, also of those in which the job keeps nothing; consulta-invitado and nota-gracias claim those.

Change: only pools in which the job keeps results count.

Callers that gain: the urgent kind, in the seconds of a burst and after a loss of all entries.

--- a/core/staging/admit.go
+++ b/core/staging/admit.go
@@ -50,17 +50,21 @@
 }
 
 // memoryWait returns the expected time until there is memory for the results of the job,
-// given what all accepted jobs will use.
+// given what the accepted jobs will use in the pools that it needs.
 func (s *Scheduler) memoryWait(j *job, now time.Duration) time.Duration {
 	var wait time.Duration
 	for _, p := range s.sortedPools {
+		own := j.resultBytesIn(p)
+		if own == 0 {
+			continue
+		}
 		total := memoryOvercommit * float64(p.totalMemory(now))
 		claimed := p.claimedBytes
 		if !j.flooding {
 			// Jobs of flooding customers start later.
 			claimed -= p.floodBytes
 		}
-		if excess := float64(claimed+j.resultBytesIn(p)) - total; excess > 0 {
+		if excess := float64(claimed+own) - total; excess > 0 {
 			wait = max(wait, time.Duration(excess/max(total, 1)*float64(memoryHoldTime)))
 		}
 	}
--- a/core/staging/claims_test.go
+++ b/core/staging/claims_test.go
@@ -7,6 +7,31 @@
 	"gotest.tools/v3/assert"
 )
 
+// oneStageKinds are urgent requests that need only the first pool, and requests that can wait
+// and need memory of the second one as well.
+var oneStageKinds = []loadKind{
+	{"urgent", 15, 1500 * time.Millisecond, 6 * time.Second, 0, [2]int{3, 0}},
+	{"waiting", 60, 3500 * time.Millisecond, 10 * time.Second, 2, [2]int{1, 6}},
+}
+
+// TestUrgentRequestsBesideAShortageOfAnotherPool guards against urgent requests that are refused
+// because others wait for the memory of a pool that they do not need, or because those others
+// are late: the servers that the urgent ones need run nearly empty calls meanwhile.
+func TestUrgentRequestsBesideAShortageOfAnotherPool(t *testing.T) {
+	for seed := range uint64(3) {
+		w := newPlayOfKinds(seed+1, oneStageKinds)
+		spec := w.specs["b"]
+		spec.MemoryBytes = 20_000
+		w.setPool("b", spec, 9)
+		results := w.play(1, 1)
+		for kind, r := range results {
+			t.Logf("%s: %+v", oneStageKinds[kind].name, r)
+		}
+		assert.Assert(t, results[1].refused > results[1].sent/10, "the second pool is not short")
+		assert.Assert(t, results[0].onTimeShare() >= 0.95, "urgent: %+v", results[0])
+	}
+}
+
 // TestStageWhoseReaderIsOmittedCompletes guards against a job that waits until its deadline,
 // because the results of a stage were taken for read: the only stage that reads them has no
 // pieces in this request.
