Memory that less urgent jobs will need no longer delays a job's admission

Hypothesis: admission counts the claims of all accepted jobs as taken before the job starts, also of those that start after it in the order of urgency; an urgent job is refused because of memory that others only wait for.

Change: claims of jobs that are not started and less urgent do not count, as in the estimate of the servers' time. Jobs of flooding customers are less urgent already, so their separate sum, floodBytes, is gone, with the property check of that cache; the same property test now checks claimsBehind against a sum made anew.

--- a/core/staging/admit.go
+++ b/core/staging/admit.go
@@ -50,7 +50,7 @@
 }
 
 // memoryWait returns the expected time until there is memory for the results of the job,
-// given what the accepted jobs will use in the pools that it needs.
+// given what started jobs and jobs at least as urgent will use in the pools that it needs.
 func (s *Scheduler) memoryWait(j *job, now time.Duration) time.Duration {
 	var wait time.Duration
 	for _, p := range s.sortedPools {
@@ -59,11 +59,7 @@
 			continue
 		}
 		total := memoryOvercommit * float64(p.totalMemory(now))
-		claimed := p.claimedBytes
-		if !j.flooding {
-			// Jobs of flooding customers start later.
-			claimed -= p.floodBytes
-		}
+		claimed := p.claimedBytes - p.claimsBehind(j, now)
 		if excess := float64(claimed+own) - total; excess > 0 {
 			wait = max(wait, time.Duration(excess/max(total, 1)*float64(memoryHoldTime)))
 		}
@@ -71,6 +67,18 @@
 	return min(wait, maxExpectedWait)
 }
 
+// claimsBehind returns the claims of the jobs that are not started and less urgent than j.
+func (p *pool) claimsBehind(j *job, now time.Duration) int64 {
+	var sum int64
+	ownDeadline := j.schedulingDeadline(now)
+	for _, r := range p.queuedRuns {
+		if !r.job.started && r.job.schedulingDeadline(now) > ownDeadline {
+			sum += r.claimedBytes
+		}
+	}
+	return sum
+}
+
 // recordLateness updates the lateness averages when the request of a job has started.
 func (s *Scheduler) recordLateness(j *job, now time.Duration) {
 	if !j.done || len(j.def.PriorResults) > 0 {
--- a/core/staging/job.go
+++ b/core/staging/job.go
@@ -54,7 +54,7 @@
 	completedPieces int
 	resultsFreed    bool
 	// claimedBytes and startedBytes are the run's part of the sums of its pool.
-	claimedBytes, startedBytes, floodBytes int64
+	claimedBytes, startedBytes int64
 	// pathTime caches criticalPathTime; see job.updatePaths.
 	pathTime  time.Duration
 	pathKnown bool
--- a/core/staging/property_test.go
+++ b/core/staging/property_test.go
@@ -233,9 +233,21 @@
 	return &loadreport.Report{Slots: 1, WorkTime: float64(percent) / 500}
 }
 
+// claimsBehind adds up what the jobs that are not started and less urgent than j claim in p.
+func (w *simulation) claimsBehind(p *pool, j *job) int64 {
+	var sum int64
+	for _, other := range w.scheduler.jobsByArrival {
+		if other.started || other.suspended || other.schedulingDeadline(w.now) <= j.schedulingDeadline(w.now) {
+			continue
+		}
+		sum += other.resultBytesIn(p)
+	}
+	return sum
+}
+
 // checkCaches compares what the scheduler caches with values computed anew.
 func (w *simulation) checkCaches() {
-	claimed, started, flood := map[*pool]int64{}, map[*pool]int64{}, map[*pool]int64{}
+	claimed, started := map[*pool]int64{}, map[*pool]int64{}
 	for _, j := range w.scheduler.jobsByArrival {
 		var remaining time.Duration
 		for _, r := range j.runs {
@@ -249,16 +261,15 @@
 			if !r.resultsFreed && j.started {
 				started[r.pool] += r.resultBytes * int64(len(r.pieces))
 			}
-			if !r.resultsFreed && !j.started && j.flooding {
-				flood[r.pool] += r.resultBytes * int64(len(r.pieces))
-			}
 		}
 		assert.Equal(w.t, j.minRemainingTime(), remaining)
 	}
 	for _, p := range w.scheduler.sortedPools {
 		assert.Equal(w.t, p.claimedBytes, claimed[p])
 		assert.Equal(w.t, p.startedBytes, started[p])
-		assert.Equal(w.t, p.floodBytes, flood[p])
+		for _, j := range w.scheduler.jobsByArrival {
+			assert.Equal(w.t, p.claimsBehind(j, w.now), w.claimsBehind(p, j))
+		}
 		var total int64
 		for _, m := range p.servers {
 			total += max(0, m.usedBytes+m.availableMemory(w.now))
--- a/core/staging/run.go
+++ b/core/staging/run.go
@@ -50,20 +50,16 @@
 	if r.pool == nil {
 		return
 	}
-	var claimed, started, flood int64
+	var claimed, started int64
 	if r.job.accepted && !r.resultsFreed {
 		claimed = r.resultBytes * int64(len(r.pieces))
 	}
-	switch {
-	case r.job.started:
+	if r.job.started {
 		started = claimed
-	case r.job.flooding:
-		flood = claimed
 	}
 	r.pool.claimedBytes += claimed - r.claimedBytes
 	r.pool.startedBytes += started - r.startedBytes
-	r.pool.floodBytes += flood - r.floodBytes
-	r.claimedBytes, r.startedBytes, r.floodBytes = claimed, started, flood
+	r.claimedBytes, r.startedBytes = claimed, started
 }
 
 func (r *stageRun) isComplete() bool { return r.completedPieces == len(r.pieces) }
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -65,9 +65,8 @@
 	// queuedRuns are the stage runs with pieces to be requested.
 	queuedRuns []*stageRun
 	// claimedBytes is the size of the results that the accepted jobs keep or will
-	// produce, startedBytes the part of the started jobs, floodBytes that of the jobs of
-	// flooding customers that are not started.
-	claimedBytes, startedBytes, floodBytes int64
+	// produce, startedBytes the part of the started jobs.
+	claimedBytes, startedBytes int64
 	// unaccountedUntil is when the last results of other schedulers are assumed to have
 	// expired.
 	unaccountedUntil time.Duration
