The versions of single streams are stored while several versions can be resumed

Change: while streams of several versions can be resumed, the placing entry writes which version began each stream, in batches of 100 ms at most, in 256 slots of the topic keyed.streams; at the moment a second version appears it writes those that it knows. Entries read them when they start and when they begin to place. While there is one version nothing is written or read. Records of an earlier era of the store are ignored; the newest record of a stream counts. A stream of the last 0.1 s before a loss is refused as before.

Tests: TestStreamContinuesAtItsVersionAfterALossOfAllEntries (one and two losses, four entries, streams begun before and during the release; also with the topic refused, which must end in a refusal), streamversion/TestMerge, TestOutgoing, TestSlotsCoverTheTimeOfAStream.

--- a/core/streamversion/pools.go
+++ b/core/streamversion/pools.go
@@ -176,6 +176,22 @@
 	return v.resumable(now), v.knows(now)
 }
 
+// Several reports whether streams of several versions may be resumed in a pool.
+func (p *Pools) Several(now time.Duration, pool string) bool {
+	v := p.pools[pool]
+	return v != nil && len(v.resumable(now)) > 1
+}
+
+// AnySeveral reports whether Several holds for any pool.
+func (p *Pools) AnySeveral(now time.Duration) bool {
+	for pool := range p.pools {
+		if p.Several(now, pool) {
+			return true
+		}
+	}
+	return false
+}
+
 // Withheld reports whether servers of a version must not begin streams yet: a process that
 // starts later would not know the version, because the store does not hold it.
 func (p *Pools) Withheld(now time.Duration, pool, version string) bool {
--- a/core/streamversion/streamversion.go
+++ b/core/streamversion/streamversion.go
@@ -68,12 +68,21 @@
 	return e.version, ok && e.until > now
 }
 
+// All returns the records of all streams, in no particular order.
+func (t *Table) All(now time.Duration) []Record {
+	return t.collect(now, func(entry) bool { return true })
+}
+
 // Local returns the records of the streams that this process serves or served, in no
 // particular order.
 func (t *Table) Local(now time.Duration) []Record {
+	return t.collect(now, func(e entry) bool { return e.local })
+}
+
+func (t *Table) collect(now time.Duration, wanted func(entry) bool) []Record {
 	var records []Record
 	for stream, e := range t.entries {
-		if e.local && e.until > now {
+		if wanted(e) && e.until > now {
 			records = append(records, Record{Stream: stream, Version: e.version, Until: e.until})
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,7 @@
 	quarantine       *watch.Quarantine
 	quarantineWriter *quarantineWriter
 	versions         *versionRecorder
+	streams          *streamRecorder
 	restoreGuard     *restoreGuard
 }
 
@@ -107,6 +108,7 @@
 	n.versions.isFirstStart, n.versions.onStored = o.Settings.FirstStart, n.updatePools
 	n.versions.places = func() bool { return n.links.PlanningPeer() == nil }
 	n.planner.OnVersionsDue(n.versions.notify)
+	n.streams = &streamRecorder{store: n.store, planner: n.planner, log: o.Log.WithName("streams"), places: n.versions.places, versionsKnown: n.versions.known.Load}
 	n.servers.OnMissed(n.versions.serversMissed)
 	startID := time.Now().UnixNano()
 	owner := ownerName(o.Settings.Node, startID)
@@ -200,6 +202,7 @@
 	go n.quarantine.Run(ctx, func() bool { return n.links.PlanningPeer() == nil })
 	go n.quarantineWriter.run(ctx)
 	go n.versions.run(ctx)
+	go n.streams.run(ctx)
 	go n.planner.Run(ctx)
 	go n.links.Run(ctx, n.planner.HandOverToPredecessor)
 	go n.registry.run(ctx)
--- a/internal/node/version_history_test.go
+++ b/internal/node/version_history_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -102,6 +103,10 @@
 			f.startVersion("new", "v2")
 			f.removeServer("old")
 		}, nil},
+		{"the store does not tell single streams", nil, func(f *historyFleet) {
+			f.removeServer("old")
+			f.store.RefuseTopic(platform.StreamsTopic)
+		}, nil},
 		{"the store turns the entries away", nil, func(f *historyFleet) {
 			f.removeServer("old")
 			f.store.RefuseTopic(platform.VersionsTopic)
@@ -173,6 +178,55 @@
 	assert.Equal(t, len(f.servers["new"].ExecutedRequests()), 0)
 }
 
+// TestStreamContinuesAtItsVersionAfterALossOfAllEntries guards against entries that refuse each
+// stream after a loss of all of them while servers of several versions serve, although servers
+// of its version are there.
+func TestStreamContinuesAtItsVersionAfterALossOfAllEntries(t *testing.T) {
+	for _, losses := range []int{1, 2} {
+		t.Run(fmt.Sprint("losses=", losses), func(t *testing.T) {
+			f := newHistoryFleet(t, 4)
+			// "r" began before there was a second version, "during" begins beside it.
+			f.entries[1].beginStream("during", func() {})
+			f.startVersion("old2", "v1")
+			f.waitServers(3, f.entries...)
+			f.removeServer("old")
+			f.waitStreamStored("r")
+			f.waitStreamStored("during")
+			version := "v1"
+			if ids := f.servers["new"].ExecutedRequests(); len(ids) > 0 {
+				version = "v2"
+			}
+			for range losses {
+				f.restart(func() {})
+			}
+			f.waitServers(2, f.entries...)
+			for _, e := range f.entries {
+				name := e.opts.Settings.Node
+				f.assertContinuesAt(e, "r", "s-"+name, "v1")
+				f.assertContinuesAt(e, "during", "u-"+name, version)
+			}
+		})
+	}
+}
+
+// assertContinuesAt resumes a stream and checks that a server of the version continued it.
+func (f *historyFleet) assertContinuesAt(e *runningEntry, stream, requestID, version string) {
+	f.t.Helper()
+	var got reply
+	eventually(f.t, "the stream continues", func() bool {
+		got = e.do(resumeCall(requestID, stream))
+		return got.status == http.StatusOK
+	})
+	assert.Equal(f.t, got.body, restOfStream(requestID))
+	server := map[string]string{"v1": "old2", "v2": "new"}[version]
+	assert.Assert(f.t, slices.Contains(f.servers[server].ExecutedRequests(), requestID), "%s did not continue at %s", stream, version)
+}
+
+// waitStreamStored waits until the store holds the version of a stream.
+func (f *fleet) waitStreamStored(stream string) {
+	eventually(f.t, "the stream is stored", func() bool { return f.store.Mentions(fmt.Sprintf(`"stream":%q`, stream)) })
+}
+
 // waitVersionsStored waits until the store holds the versions of the model servers.
 func (f *fleet) waitVersionsStored() {
 	eventually(f.t, "the versions are stored", func() bool { return f.store.Mentions(`"versions"`) })
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -87,6 +87,8 @@
 	streams      *streamversion.Table
 	poolVersions *streamversion.Pools
 	onVersions   func()
+	// unstored are the streams whose versions the store does not hold yet, while it must.
+	unstored streamversion.Outgoing
 	// notices is what servers said about themselves.
 	notices *notice.Table
 	// quarantine holds back requests that crash servers. evaluation evaluates its evidence
--- a/internal/planner/streams.go
+++ b/internal/planner/streams.go
@@ -18,12 +18,26 @@
 	p.streams.Add(clock.Now(), r, local)
 }
 
+// LearnStream records which version began a stream as the store tells it. What this entry
+// knows itself is newer.
+func (p *Planner) LearnStream(r streamversion.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := clock.Now()
+	if _, known := p.streams.Version(now, r.Stream); !known {
+		p.streams.Add(now, r, false)
+	}
+}
+
 // recordVersion records the version of the server that was chosen for a request. Its entry
 // may be lost as soon as the first event has reached the client. The caller holds the lock.
 func (p *Planner) recordVersion(now time.Duration, pr *pendingRequest, version string) {
 	if pr.req.ResumableFor > 0 {
-		stream := cmp.Or(pr.req.resumedStream(), pr.req.ID)
-		p.streams.Add(now, streamversion.Record{Stream: stream, Version: version, Until: now + pr.req.ResumableFor}, pr.callbacks.Local)
+		r := streamversion.Record{Stream: cmp.Or(pr.req.resumedStream(), pr.req.ID), Version: version, Until: now + pr.req.ResumableFor}
+		p.streams.Add(now, r, pr.callbacks.Local)
+		if p.poolVersions.Several(now, pr.req.Pool) {
+			p.unstored.Add(r)
+		}
 	}
 }
 
@@ -73,7 +87,12 @@
 	for i, s := range pool.ModelServers {
 		versions[i] = s.SoftwareVersion
 	}
+	before := p.poolVersions.Several(now, pool.Name)
 	p.poolVersions.Observe(now, pool.Name, versions)
+	if !before && p.poolVersions.Several(now, pool.Name) {
+		// Streams that began before can no longer be told by the pool's versions alone.
+		p.unstored.Add(p.streams.All(now)...)
+	}
 	var servers []placement.Server
 	for _, s := range pool.ModelServers {
 		if !p.poolVersions.Withheld(now, pool.Name, s.SoftwareVersion) {
@@ -114,6 +133,28 @@
 	p.poolVersions.Stored(r)
 }
 
+// HasSeveralVersions reports whether streams of several versions may be resumed in a pool, so
+// that the store must hold the version of each stream.
+func (p *Planner) HasSeveralVersions() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.poolVersions.AnySeveral(clock.Now())
+}
+
+// TakeUnstoredStreams returns streams whose versions are to be stored, and removes them.
+func (p *Planner) TakeUnstoredStreams() []streamversion.Record {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unstored.Take(clock.Now())
+}
+
+// ReturnUnstoredStreams adds streams again that could not be stored.
+func (p *Planner) ReturnUnstoredStreams(records []streamversion.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unstored.Return(records)
+}
+
 // ObservedFromStart records that no stream began before this process started.
 func (p *Planner) ObservedFromStart() {
 	p.mu.Lock()
