Running entries that place nothing do not read the versions of single streams

Found on reading the change: when a second version appeared, each entry read all batches, also those that had been running and place no requests: hundreds of reads at each release of a large fleet, for nothing. Now an entry reads them when it starts, if there are several versions then, and when it begins to place.

Two tests of the memory claims share their play.

--- a/core/staging/claims_test.go
+++ b/core/staging/claims_test.go
@@ -14,24 +14,44 @@
 	{"waiting", 60, 3500 * time.Millisecond, 10 * time.Second, 2, [2]int{1, 6}},
 }
 
-// TestUrgentRequestsBesideAShortageOfAnotherPool guards against urgent requests that are refused
-// because others wait for the memory of a pool that they do not need, or because those others
-// are late: the servers that the urgent ones need run nearly empty calls meanwhile.
-func TestUrgentRequestsBesideAShortageOfAnotherPool(t *testing.T) {
+// sharedStageKinds are urgent requests and requests that can wait, which need memory of the same
+// pool.
+var sharedStageKinds = []loadKind{
+	{"urgent", 15, 1500 * time.Millisecond, 6 * time.Second, 0, [2]int{2, 2}},
+	{"waiting", 60, 3500 * time.Millisecond, 10 * time.Second, 2, [2]int{1, 6}},
+}
+
+// assertUrgentServed plays a burst of the kind that can wait while the second pool lacks memory,
+// and checks that the urgent kind is served all the same.
+func assertUrgentServed(t *testing.T, kinds []loadKind) {
+	t.Helper()
 	for seed := range uint64(3) {
-		w := newPlayOfKinds(seed+1, oneStageKinds)
+		w := newPlayOfKinds(seed+1, kinds)
 		spec := w.specs["b"]
 		spec.MemoryBytes = 20_000
 		w.setPool("b", spec, 9)
 		results := w.play(1, 1)
 		for kind, r := range results {
-			t.Logf("%s: %+v", oneStageKinds[kind].name, r)
+			t.Logf("%s: %+v", kinds[kind].name, r)
 		}
-		assert.Assert(t, results[1].refused > results[1].sent/10, "the second pool is not short")
+		assert.Assert(t, results[1].refused > results[1].sent/10, "memory is not short")
 		assert.Assert(t, results[0].onTimeShare() >= 0.95, "urgent: %+v", results[0])
 	}
 }
 
+// TestUrgentRequestsBesideAShortageOfAnotherPool guards against urgent requests that are refused
+// because others wait for the memory of a pool that they do not need, or because those others
+// are late: the servers that the urgent ones need run nearly empty calls meanwhile.
+func TestUrgentRequestsBesideAShortageOfAnotherPool(t *testing.T) {
+	assertUrgentServed(t, oneStageKinds)
+}
+
+// TestUrgentRequestsBesideAQueueForTheSameMemory guards against urgent requests that are refused
+// because of memory that requests behind them will need later.
+func TestUrgentRequestsBesideAQueueForTheSameMemory(t *testing.T) {
+	assertUrgentServed(t, sharedStageKinds)
+}
+
 // TestStageWhoseReaderIsOmittedCompletes guards against a job that waits until its deadline,
 // because the results of a stage were taken for read: the only stage that reads them has no
 // pieces in this request.
@@ -40,27 +60,3 @@
 	r := w.play(loadNoBurst, 1)[0]
 	assert.Assert(t, r.sent > 0 && r.onTime == r.sent, "%+v", r)
 }
-
-// sharedStageKinds are urgent requests and requests that can wait, which need memory of the same
-// pool.
-var sharedStageKinds = []loadKind{
-	{"urgent", 15, 1500 * time.Millisecond, 6 * time.Second, 0, [2]int{2, 2}},
-	{"waiting", 60, 3500 * time.Millisecond, 10 * time.Second, 2, [2]int{1, 6}},
-}
-
-// TestUrgentRequestsBesideAQueueForTheSameMemory guards against urgent requests that are refused
-// because of memory that requests behind them will need later.
-func TestUrgentRequestsBesideAQueueForTheSameMemory(t *testing.T) {
-	for seed := range uint64(3) {
-		w := newPlayOfKinds(seed+1, sharedStageKinds)
-		spec := w.specs["b"]
-		spec.MemoryBytes = 20_000
-		w.setPool("b", spec, 9)
-		results := w.play(1, 1)
-		for kind, r := range results {
-			t.Logf("%s: %+v", sharedStageKinds[kind].name, r)
-		}
-		assert.Assert(t, results[1].refused > results[1].sent/10, "memory is not short")
-		assert.Assert(t, results[0].onTimeShare() >= 0.95, "urgent: %+v", results[0])
-	}
-}
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -25,11 +25,13 @@
 	// places reports whether this entry places requests, versionsKnown whether the versions of
 	// the pools have been read.
 	places, versionsKnown func() bool
-	// hasRead is set once the records have been read since the start, or since the entry began
-	// to place requests. next is the sequence number of the next batch.
-	hasRead bool
-	next    int64
-	placed  bool
+	// started is set once the records have been read after the start, or there was but one version
+	// then. hasRead is set while no other entry can have written records since they were read.
+	started, hasRead bool
+	// placed is whether this entry placed requests at the last check. next is the sequence number
+	// of the next batch.
+	placed bool
+	next   int64
 }
 
 // streamBatch is the value of a record; its key is the slot of the batch.
@@ -70,16 +72,22 @@
 		r.hasRead = false
 	}
 	r.placed = places
-	if !r.versionsKnown() || !r.planner.HasSeveralVersions() {
+	if !r.versionsKnown() {
+		return nil
+	}
+	if !r.planner.HasSeveralVersions() {
+		r.started = true
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, versionCallTimeout)
 	defer cancel()
-	if !r.hasRead {
+	// An entry that has been running and does not place requests needs no records.
+	if !r.hasRead && (places || !r.started) {
 		if err := r.read(ctx); err != nil {
 			return err
 		}
 	}
+	r.started = true
 	if !places {
 		return nil
 	}
