Servers of a new version are used after a second although the store takes no writes

Found on reading the change: the second for which such servers wait was only noticed at the next change of servers or configuration, so they could stay idle for the length of an outage of the store while the old ones were full. Now each failed write makes the entry look again, at most 2 s apart.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,7 +105,7 @@
 		n.links.TellPatterns(changes)
 	}, func(attempts ...quarantine.Attempt) { n.links.ReportAttempts(attempts...) })
 	n.versions = newVersionRecorder(n.store, n.planner, o.Log.WithName("versions"))
-	n.versions.isFirstStart, n.versions.onStored = o.Settings.FirstStart, n.updatePools
+	n.versions.isFirstStart, n.versions.onUsable = o.Settings.FirstStart, n.updatePools
 	n.versions.places = func() bool { return n.links.PlanningPeer() == nil }
 	n.planner.OnVersionsDue(n.versions.notify)
 	n.streams = &streamRecorder{store: n.store, planner: n.planner, log: o.Log.WithName("streams"), places: n.versions.places, versionsKnown: n.versions.known.Load}
--- a/internal/node/version_history_test.go
+++ b/internal/node/version_history_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -231,3 +232,30 @@
 func (f *fleet) waitVersionsStored() {
 	eventually(f.t, "the versions are stored", func() bool { return f.store.Mentions(`"versions"`) })
 }
+
+// TestNewVersionIsUsedWhileTheStoreTakesNoWrites guards against servers of a new version that stay
+// idle during an outage of the store, because it cannot hold their version.
+func TestNewVersionIsUsedWhileTheStoreTakesNoWrites(t *testing.T) {
+	f := newFleet(t)
+	f.putConfig()
+	full := f.startVersion("m1", "v1")
+	e := f.startEntry("e0", 0).waitReady().waitRegistered()
+	f.waitServers(1, e)
+	f.waitVersionsStored()
+	full.SetHandler(func(w http.ResponseWriter, _ *http.Request) bool {
+		standin.SetNotExecuted(w.Header())
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	f.store.RefuseTopic(platform.VersionsTopic)
+	f.startVersion("m2", "v2")
+	f.waitServers(2, e)
+	start := time.Now()
+	for i := 0; ; i++ {
+		if got := e.do(keyedCall(standin.PathResumable, fmt.Sprint("r", i), "key-1")); got.status == http.StatusOK {
+			break
+		}
+		assert.Assert(t, time.Since(start) < 10*time.Second, "the new server is not used")
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- a/internal/node/versions.go
+++ b/internal/node/versions.go
@@ -39,8 +39,9 @@
 	isFirstStart bool
 	// places reports whether this entry places requests.
 	places func() bool
-	// onStored is called after records have changed.
-	onStored func()
+	// onUsable is called when servers that had to wait for a record may be used: it was written,
+	// or could not be.
+	onUsable func()
 	wake     chan struct{}
 	// known is set while the planner has applied the records, which were read in era.
 	known atomic.Bool
@@ -80,6 +81,7 @@
 		if err := r.sync(ctx); err != nil {
 			r.log.Info("Versions of streams not synchronized with the store.", "failures", failures, "cause", err.Error())
 			clock.Sleep(ctx, versionBackoff.Delay(failures))
+			r.onUsable()
 			failures++
 			continue
 		}
@@ -161,7 +163,7 @@
 		end.Offset = position.Offset + 1
 		r.planner.VersionsStored(due)
 		r.log.Info("Versions of streams stored.", "pool", due.Pool, "versions", due.Versions, "offset", position.Offset, "era", due.Era)
-		r.onStored()
+		r.onUsable()
 	}
 	return nil
 }
