--- a/core/streamversion/pools.go
+++ b/core/streamversion/pools.go
@@ -114,12 +114,10 @@
 	for _, r := range records {
 		v := p.pool(r.Pool)
 		if r.Era == era {
-			v.known, v.stored = true, make(map[string]bool, len(r.Versions))
+			v.known = true
+			v.setStored(r.Versions)
 		}
 		for _, version := range r.Versions {
-			if v.stored != nil {
-				v.stored[version] = true
-			}
 			v.addEnded(now, version)
 		}
 	}
@@ -229,10 +227,12 @@
 }
 
 // Stored records that the store holds a record that Due returned.
-func (p *Pools) Stored(r StoredVersions) {
-	v := p.pool(r.Pool)
-	v.stored = make(map[string]bool, len(r.Versions))
-	for _, version := range r.Versions {
+func (p *Pools) Stored(r StoredVersions) { p.pool(r.Pool).setStored(r.Versions) }
+
+// setStored records the versions that the store holds.
+func (v *poolVersions) setStored(versions []string) {
+	v.stored = make(map[string]bool, len(versions))
+	for _, version := range versions {
 		v.stored[version] = true
 	}
 }
