Four tests wait for what they test instead of for a fast machine

- TestStreamNameWithoutEventIsIgnored: servers of a version that the store does not hold yet begin no streams.
It begins new streams until one is at the other version; the checks are the same.
- TestDeadlineCancelsAtAgent: the silent agent counted as lost before a longer timeout.
The agent sends heartbeats now, so that the call may take 2.5 s.
- TestCallerConnectionsFallSilent: six streams of 1 s were begun one after the other, and the first ended before its connection was silent.
The engines are slow until then.
- TestCachesAreReadAtTakeover: a request sent before the list was read went to another server, which counts as having the part from then on, so that no later try could pass.
The test waits for the entry's log line and sends once.

--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -61,6 +61,20 @@
 // staySilent keeps a Run stream open without sending anything.
 func staySilent(out wire.DRPCAgent_RunStream) error { return waitClosed(out.Context()) }
 
+// sendHeartbeats keeps a Run stream open and sends nothing but heartbeats.
+func (a *fakeAgent) sendHeartbeats(out wire.DRPCAgent_RunStream) error {
+	for {
+		select {
+		case <-out.Context().Done():
+			return nil
+		case <-time.After(100 * time.Millisecond):
+		}
+		if err := out.Send(&wire.RunEvent{Event: &wire.RunEvent_Heartbeat{Heartbeat: &wire.Heartbeat{Load: a.load()}}}); err != nil {
+			return nil
+		}
+	}
+}
+
 // addServer starts a fake agent and adds it to a pool.
 func (b *testBench) addServer(pool, id string) *fakeAgent {
 	b.t.Helper()
@@ -247,9 +261,9 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			b := startTestBench(t)
-			b.filer.acceptThen(0, staySilent)
+			b.filer.acceptThen(0, b.filer.sendHeartbeats)
 			b.filer.replyToCancel(c.state)
-			r := b.call("draft", "Request-Timeout", "400")
+			r := b.call("draft", "Request-Timeout", "2500")
 			e := r.errorData(t)
 			assert.Equal(t, result.Code(e.Code), result.DeadlineExceeded)
 			assert.Equal(t, e.Effects, c.effects)
@@ -275,18 +289,7 @@
 // cancelled at the agent after the reattach window.
 func TestCallerDisconnectCancelsAttempt(t *testing.T) {
 	b := startTestBench(t)
-	b.engine.acceptThen(1, func(out wire.DRPCAgent_RunStream) error {
-		for {
-			select {
-			case <-out.Context().Done():
-				return nil
-			case <-time.After(100 * time.Millisecond):
-			}
-			if err := out.Send(&wire.RunEvent{Event: &wire.RunEvent_Heartbeat{Heartbeat: &wire.Heartbeat{Load: b.engine.load()}}}); err != nil {
-				return nil
-			}
-		}
-	})
+	b.engine.acceptThen(1, b.engine.sendHeartbeats)
 	s := b.openCall("ask")
 	s.readUntil("chunk")
 	s.close()
--- a/internal/node/caches_test.go
+++ b/internal/node/caches_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -22,7 +23,18 @@
 	holder.SetCachedParts("doc")
 	f.servers["model3"].SetCachedParts()
 	f.putConfig()
-	entries := []*runningEntry{f.startEntry("e1", 0).waitReady().waitRegistered(), f.startEntry("e2", 0).waitReady().waitRegistered()}
+	partsRead := make(chan int, 100)
+	f.onLog = func(line string) {
+		var read struct {
+			Message string `json:"msg"`
+			Parts   int    `json:"parts"`
+		}
+		if json.Unmarshal([]byte(line), &read) == nil && read.Message == "Prompt caches read." {
+			partsRead <- read.Parts
+		}
+	}
+	start := func(name string) *runningEntry { return f.startEntry(name, 0).waitReady().waitRegistered() }
+	placing, next := start("e1"), start("e2")
 	n := 0
 	send := func(e *runningEntry, part string) {
 		n++
@@ -31,20 +43,27 @@
 		got := e.do(c)
 		assert.Equal(t, got.status, http.StatusOK, got.body)
 	}
-	takeover := func(e *runningEntry, listsBefore int) {
-		send(e, "other")
-		eventually(t, "the caches are read", func() bool { return holder.CacheLists() > listsBefore })
-		eventually(t, "requests go where their part is cached", func() bool {
-			before := len(holder.ExecutedRequests())
-			for range 5 {
-				send(e, "doc")
-			}
-			return len(holder.ExecutedRequests()) == before+5
-		})
+	// stopPlacing stops the entry that places requests, so that the next one takes over.
+	stopPlacing := func(i int) {
+		placing.stop()
+		<-placing.done
+		placing, next = next, start(fmt.Sprint("e", 3+i))
+	}
+	assertCachesUsed := func() {
+		// A request before the list is read may go to another server, which has the part cached
+		// from then on. On a busy machine the list may come too late.
+		send(placing, "other")
+		for i := 0; <-partsRead == 0; i++ {
+			stopPlacing(10 + i)
+			send(placing, "other")
+		}
+		before := len(holder.ExecutedRequests())
+		for range 5 {
+			send(placing, "doc")
+		}
+		assert.Equal(t, len(holder.ExecutedRequests()), before+5, "requests go where their part is cached")
 	}
-	takeover(entries[0], 0)
-	lists := holder.CacheLists()
-	entries[0].stop()
-	<-entries[0].done
-	takeover(entries[1], lists)
+	assertCachesUsed()
+	stopPlacing(0)
+	assertCachesUsed()
 }
--- a/internal/node/versions_test.go
+++ b/internal/node/versions_test.go
@@ -183,12 +183,16 @@
 		f.putServerRecord("model", "m5", began.Address(), true)
 		f.waitServers(2, e)
 	})
-	anew := keyedCall(standin.PathResumable, "s", "key-1")
-	anew.extraHeader = http.Header{}
-	standin.SetResumes(anew.extraHeader, "r", "")
-	got := e.do(anew)
-	assert.NilError(t, got.err)
-	assert.Equal(t, len(f.servers["m1"].ExecutedRequests()), 1, "a new stream may begin at any version")
+	// Servers of a version that the store does not hold yet begin no streams.
+	anew := 0
+	eventually(t, "a new stream begins at another version", func() bool {
+		anew++
+		call := keyedCall(standin.PathResumable, fmt.Sprint("s", anew), "key-1")
+		call.extraHeader = http.Header{}
+		standin.SetResumes(call.extraHeader, "r", "")
+		assert.NilError(t, e.do(call).err)
+		return len(f.servers["m1"].ExecutedRequests()) == 1
+	})
 	assert.Equal(t, e.do(resumeCall("u", "r")).body, restOfStream("u"))
 	assert.Equal(t, len(f.servers["m1"].ExecutedRequests()), 1)
 }
--- a/test/failure/silent_test.go
+++ b/test/failure/silent_test.go
@@ -26,15 +26,22 @@
 	caller := load.NewCaller(urls)
 	defer caller.Close()
 	f.caller = caller
+	// The engines are slow until the connections are silent, so that no stream ends before.
+	engines := []string{"engines-1", "engines-2"}
+	f.control(map[string]any{"slow": 10}, engines...)
 	var streams []<-chan load.Outcome
+	var requests []load.Request
 	for i := range 6 {
-		r := f.request("draft", withStream, withBodyFields(`"tokens":200`))
-		streams = append(streams, f.send(r, i))
+		requests = append(requests, f.request("draft", withStream, withBodyFields(`"tokens":200`)))
+		streams = append(streams, f.send(requests[i], i))
+	}
+	for _, r := range requests {
 		f.awaitExecution(r, "generate")
 	}
 	for _, r := range relays {
 		assert.Assert(t, r.Silence() > 0)
 	}
+	f.control(map[string]any{"slow": 1}, engines...)
 	for _, s := range streams {
 		out := <-s
 		assert.Equal(t, out.Class, load.Complete, "%+v", out)
