--- a/core/staging/admit.go
+++ b/core/staging/admit.go
@@ -67,12 +67,13 @@
 	return min(wait, maxExpectedWait)
 }
 
-// claimsBehind returns the claims of the jobs that are not started and less urgent than j.
+// claimsBehind returns the claims of the jobs that are not started and less urgent than j,
+// without those that are suspended.
 func (p *pool) claimsBehind(j *job, now time.Duration) int64 {
 	var sum int64
 	ownDeadline := j.schedulingDeadline(now)
 	for _, r := range p.queuedRuns {
-		if !r.job.started && r.job.schedulingDeadline(now) > ownDeadline {
+		if !r.job.started && !r.job.suspended && r.job.schedulingDeadline(now) > ownDeadline {
 			sum += r.claimedBytes
 		}
 	}
--- a/core/staging/claims_test.go
+++ b/core/staging/claims_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 )
 
 // oneStageKinds are urgent requests that need only the first pool, and requests that can wait
@@ -60,3 +62,25 @@
 	r := w.play(loadNoBurst, 1)[0]
 	assert.Assert(t, r.sent > 0 && r.onTime == r.sent, "%+v", r)
 }
+
+// TestClaimsOfSuspendedJobsDoNotDependOnDispatch guards against an admission that depends on
+// whether a call was tried since a waiting job was suspended: the job counted as one behind
+// others until then.
+func TestClaimsOfSuspendedJobsDoNotDependOnDispatch(t *testing.T) {
+	s := New()
+	s.SetPool("p", PoolSpec{Slots: 1, BatchSize: 1, CallOverhead: time.Second, MemoryBytes: 1000}, []Server{{ID: "p1"}})
+	submit := func(id string, objective time.Duration) {
+		s.Submit(0, Job{
+			ID: id, ObjectiveDeadline: objective, Deadline: 20 * time.Second, Residency: residency.Unrestricted(),
+			Stages: []Stage{{Pool: "p", Pieces: 1, ResultBytes: 100}},
+		})
+	}
+	submit("running", 10*time.Second)
+	submit("waiting", 15*time.Second)
+	p, running := s.pools["p"], s.jobs["running"]
+	assert.Equal(t, p.claimsBehind(running, 0), int64(100))
+	s.SuspendJob("waiting")
+	atOnce := p.claimsBehind(running, 0)
+	p.readyRuns(s, 0)
+	assert.Equal(t, atOnce, p.claimsBehind(running, 0))
+}
