Two entries that place requests no longer replace each other's stored streams

Cause, found on reading: an entry places its own requests whenever it reaches no other one that does, so several may write the versions of single streams at once. Each numbered its batches by what it had read at its begin, and wrote without a condition: batches of one replaced those of another. Most such streams would be refused after a loss of all entries; one that began anew at another version would continue at the version before (ORDER). And after a restore of the store the first batch was written with the era before, so its streams were ignored.

Change: batches are written on the condition that the topic ends where it was read; on 412 what the other entry wrote is read first. The records are read again when the era changes.

Cost: nothing with one placing entry.

TestCachesAreReadAtTakeover: the cause given in was wrong. Shown by a trial with one slow response of the holder: a second attempt put the part into the cache of a server with a lower ID, and each later request went there. The test permits no second attempts now.

--- a/core/streamversion/pools.go
+++ b/core/streamversion/pools.go
@@ -150,6 +150,17 @@
 	return versions
 }
 
+// countResumable returns the number of versions that resumable returns.
+func (v *poolVersions) countResumable(now time.Duration) int {
+	n := len(v.current)
+	for _, since := range v.ended {
+		if now-since <= MaxAge {
+			n++
+		}
+	}
+	return n
+}
+
 // Only returns the version that began all streams of a pool that may still be resumed, and
 // false if there may be several, or if the process does not know all of them.
 func (p *Pools) Only(now time.Duration, pool string) (string, bool) {
@@ -177,7 +188,7 @@
 // Several reports whether streams of several versions may be resumed in a pool.
 func (p *Pools) Several(now time.Duration, pool string) bool {
 	v := p.pools[pool]
-	return v != nil && len(v.resumable(now)) > 1
+	return v != nil && v.countResumable(now) > 1
 }
 
 // AnySeveral reports whether Several holds for any pool.
--- a/internal/node/caches_test.go
+++ b/internal/node/caches_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawheel/magnoliawheel/internal/planner"
 	"github.com/magnoliawheel/magnoliawheel/platform/standin"
 )
 
@@ -23,6 +25,8 @@
 	holder.SetCachedParts("doc")
 	f.servers["model3"].SetCachedParts()
 	f.putConfig()
+	// On a busy machine a second attempt would put the part into the cache of another server.
+	f.expectedFirstEvent = func(planner.Placement) time.Duration { return 0 }
 	partsRead := make(chan int, 100)
 	f.onLog = func(line string) {
 		var read struct {
@@ -50,8 +54,7 @@
 		placing, next = next, start(fmt.Sprint("e", 3+i))
 	}
 	assertCachesUsed := func() {
-		// A request before the list is read may go to another server, which has the part cached
-		// from then on. On a busy machine the list may come too late.
+		// On a busy machine the list may come too late to be used.
 		send(placing, "other")
 		for i := 0; <-partsRead == 0; i++ {
 			stopPlacing(10 + i)
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -26,8 +26,9 @@
 	// the pools have been read.
 	places, versionsKnown func() bool
 	// started is set once the records have been read after the start, or there was but one version
-	// then. hasRead is set while no other entry can have written records since they were read.
+	// then. hasRead is set while the records up to end have been read.
 	started, hasRead bool
+	end              platform.Position
 	// placed is whether this entry placed requests at the last check. next is the sequence number
 	// of the next batch.
 	placed bool
@@ -51,17 +52,7 @@
 
 // run reads and writes the records until ctx ends.
 func (r *streamRecorder) run(ctx context.Context) {
-	for failures := 0; ctx.Err() == nil; {
-		err := r.sync(ctx)
-		if err == nil {
-			failures = 0
-			clock.Sleep(ctx, streamversion.BatchInterval)
-			continue
-		}
-		r.log.Info("Versions of single streams not synchronized with the store.", "failures", failures, "cause", err.Error())
-		clock.Sleep(ctx, versionBackoff.Delay(failures))
-		failures++
-	}
+	syncRepeatedly(ctx, r.log, r.sync, func() {}, func() { clock.Sleep(ctx, streamversion.BatchInterval) })
 }
 
 // sync does what is due.
@@ -71,6 +62,10 @@
 		// The entry that placed requests before may have written batches since.
 		r.hasRead = false
 	}
+	if era, _ := r.store.Era(); era != r.end.Era {
+		// A restored store has other records at the same offsets.
+		r.hasRead = false
+	}
 	r.placed = places
 	if !r.versionsKnown() {
 		return nil
@@ -94,52 +89,88 @@
 	return r.write(ctx)
 }
 
-// read passes the records on to the planner.
+// read passes all records on to the planner.
 func (r *streamRecorder) read(ctx context.Context) error {
 	keyed, end, err := r.store.Newest(ctx, platform.StreamsTopic)
 	if err != nil {
 		return errors.Wrap(err, "read")
 	}
-	var batches []streamversion.Batch
+	r.hasRead = true
+	batches, streams := r.learn(keyed, end)
+	r.log.Info("Versions of single streams read.", "batches", batches, "streams", streams, "next", r.next, "era", end.Era)
+	return nil
+}
+
+// catchUp passes the records on to the planner that were written since the last ones were read.
+func (r *streamRecorder) catchUp(ctx context.Context) error {
+	keyed, end, err := r.store.ReadKeyed(ctx, platform.StreamsTopic, r.end, 0)
+	if err != nil {
+		r.hasRead = false
+		return errors.Wrap(err, "read what another entry wrote")
+	}
+	batches, streams := r.learn(keyed, end)
+	r.log.V(1).Info("Versions of single streams of another entry read.", "batches", batches, "streams", streams, "next", r.next)
+	return nil
+}
+
+// learn passes records on to the planner that end at the given position. It returns the numbers
+// of batches and of streams.
+func (r *streamRecorder) learn(keyed []platform.KeyedRecord, end platform.Position) (batches, streams int) {
+	var decoded []streamversion.Batch
 	for _, rec := range keyed {
 		batch, err := decodeStreamBatch(rec.Value)
 		if err != nil {
 			r.log.Info("Record of streams ignored.", "slot", rec.Key, "offset", rec.Offset, "cause", err.Error())
 			continue
 		}
-		batches = append(batches, batch)
+		decoded = append(decoded, batch)
 	}
-	records, next := streamversion.Merge(batches, end.Era)
+	records, next := streamversion.Merge(decoded, end.Era)
 	for _, s := range records {
 		r.planner.LearnStream(s)
 	}
-	r.next, r.hasRead = max(r.next, next), true
-	r.log.Info("Versions of single streams read.", "batches", len(batches), "streams", len(records), "next", r.next, "era", end.Era)
-	return nil
+	r.end, r.next = end, max(r.next, next)
+	return len(decoded), len(records)
 }
 
-// write writes the streams that are not stored yet.
+// write writes the streams that are not stored yet. If another entry has written meanwhile, its
+// records are read first, so that none of them is replaced.
 func (r *streamRecorder) write(ctx context.Context) error {
 	for {
 		records := r.planner.TakeUnstoredStreams()
 		if len(records) == 0 {
 			return nil
 		}
-		era, _ := r.store.Era()
-		batch := streamversion.Batch{Sequence: r.next, Era: era, Records: records}
-		value, err := encodeStreamBatch(&batch)
-		if err != nil {
-			return errors.Wrap(err, "encode")
+		err := r.append(ctx, streamversion.Batch{Sequence: r.next, Era: r.end.Era, Records: records})
+		if err == nil {
+			continue
 		}
-		if _, err := r.store.AppendKeyed(ctx, platform.StreamsTopic, batch.Slot(), value, platform.AppendCondition{}); err != nil {
-			r.planner.ReturnUnstoredStreams(records)
-			return errors.Wrapf(err, "write %d streams", len(records))
+		r.planner.ReturnUnstoredStreams(records)
+		if !errors.Is(err, platform.ErrEndMoved) {
+			return err
+		}
+		if err := r.catchUp(ctx); err != nil {
+			return err
 		}
-		r.next++
-		r.log.V(1).Info("Versions of single streams stored.", "streams", len(records), "sequence", batch.Sequence)
 	}
 }
 
+// append writes a batch at the end of the records that have been read.
+func (r *streamRecorder) append(ctx context.Context, batch streamversion.Batch) error {
+	value, err := encodeStreamBatch(&batch)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	position, err := r.store.AppendKeyed(ctx, platform.StreamsTopic, batch.Slot(), value, platform.AppendCondition{ExpectedEnd: &r.end})
+	if err != nil {
+		return errors.Wrapf(err, "write %d streams", len(batch.Records))
+	}
+	r.end.Offset = position.Offset + 1
+	r.next = batch.Sequence + 1
+	r.log.V(1).Info("Versions of single streams stored.", "streams", len(batch.Records), "sequence", batch.Sequence)
+	return nil
+}
+
 func encodeStreamBatch(b *streamversion.Batch) ([]byte, error) {
 	now := clock.Now()
 	stored := streamBatch{Sequence: b.Sequence, Era: b.Era}
--- a/internal/node/versions.go
+++ b/internal/node/versions.go
@@ -77,16 +77,23 @@
 
 // run reads the records and changes them when needed, until ctx ends.
 func (r *versionRecorder) run(ctx context.Context) {
+	syncRepeatedly(ctx, r.log, r.sync, r.onUsable, func() { r.wait(ctx) })
+}
+
+// syncRepeatedly calls sync until ctx ends: after wait if it succeeded, and else after a backoff
+// and onFailure.
+func syncRepeatedly(ctx context.Context, log logr.Logger, sync func(context.Context) error, onFailure, wait func()) {
 	for failures := 0; ctx.Err() == nil; {
-		if err := r.sync(ctx); err != nil {
-			r.log.Info("Versions of streams not synchronized with the store.", "failures", failures, "cause", err.Error())
-			clock.Sleep(ctx, versionBackoff.Delay(failures))
-			r.onUsable()
-			failures++
+		err := sync(ctx)
+		if err == nil {
+			failures = 0
+			wait()
 			continue
 		}
-		failures = 0
-		r.wait(ctx)
+		log.Info("Records not synchronized with the store.", "failures", failures, "cause", err.Error())
+		clock.Sleep(ctx, versionBackoff.Delay(failures))
+		onFailure()
+		failures++
 	}
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -325,9 +325,14 @@
 
 // refuse returns the answer to a request that is refused for pr.refusal.
 func (p *Planner) refuse(now time.Duration, pr *pendingRequest) Placement {
-	versions, allKnown := p.poolVersions.Resumable(now, pr.req.Pool)
-	p.log.Info("Request refused.", "request", pr.req.ID, "owner", pr.req.Owner, "reason", ReasonText(pr.refusal), "stream", pr.req.resumedStream(), "stream_version", pr.version, "pool_versions", versions, "all_known", allKnown, "residency", pr.req.Residency.String(),
-		"waited", now-pr.receivedAt, "retry_after", pr.retryAfter)
+	fields := []any{
+		"request", pr.req.ID, "owner", pr.req.Owner, "reason", ReasonText(pr.refusal), "residency", pr.req.Residency.String(), "waited", now - pr.receivedAt, "retry_after", pr.retryAfter,
+	}
+	if stream := pr.req.resumedStream(); stream != "" {
+		versions, allKnown := p.poolVersions.Resumable(now, pr.req.Pool)
+		fields = append(fields, "stream", stream, "stream_version", pr.version, "pool_versions", versions, "all_known", allKnown)
+	}
+	p.log.Info("Request refused.", fields...)
 	return Placement{ID: pr.req.ID, RefusalReason: pr.refusal, RetryAfter: pr.retryAfter}
 }
 
