A choice of a model server looks up each prompt part once, not once for each server

The benchmark of the placing entry had refused every request since requests name the regions that may hold them (and panicked after that was mended): it measured refusals. It does as it says again, and has a second fleet of the size of large.

Change, in core/placement: - an index per pool maps cached prefixes to the servers that have them; it was looked up in each server's cache up to three times a choice. The cache itself is a list in a slice: fewer objects; - SetServers compared each server with each; - all known demands were searched for old ones with each new shared part once there are 1,024; - the zone where results are read is only worked out if the stages' results are large enough for it to matter; waits by limits end at the first server without one.

--- a/core/placement/copies.go
+++ b/core/placement/copies.go
@@ -26,6 +26,8 @@
 	maxDemands = 1024
 	// demandRetention is how long the demand for a part is known without requests.
 	demandRetention = time.Minute
+	// demandSweepInterval is the least time between two searches of all demands for old ones.
+	demandSweepInterval = time.Second
 )
 
 // demandKey is a shared part in a pool.
@@ -94,9 +96,12 @@
 	if len(t.demands) < maxDemands {
 		return
 	}
-	for key, d := range t.demands {
-		if now-d.usedAt >= demandRetention {
-			delete(t.demands, key)
+	if now >= t.nextDemandSweep {
+		t.nextDemandSweep = now + demandSweepInterval
+		for key, d := range t.demands {
+			if now-d.usedAt >= demandRetention {
+				delete(t.demands, key)
+			}
 		}
 	}
 	for key := range t.demands {
--- a/core/placement/interference_test.go
+++ b/core/placement/interference_test.go
@@ -105,7 +105,8 @@
 	slow := place("wait", "slow")
 	assert.Assert(t, slow.ExpectedFirstEvent > 1400*ms && slow.ExpectedFirstEvent < 1800*ms, "%v", slow.ExpectedFirstEvent)
 	s := tab.requests["wait"].server
-	fresh := newChoice(&Request{ID: "x"})
+	fresh := newChoice(&Request{ID: "x", Pool: "p"})
+	tab.countUncached(now, fresh)
 	before := s.cost(now, fresh, false)
 	assert.Assert(t, s.cost(now+1500*ms, fresh, false) < before+1)
 	assert.Assert(t, s.cost(now+3*time.Second, fresh, false) >= before+overdueCostMS)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -86,7 +86,11 @@
 	// its region with no other zone.
 	regionByZone  map[string]string
 	serversByPool map[string][]*server
-	requests      map[string]*placedRequest
+	// indexes hold the cached prefixes of each pool's servers. uncachedBuffer is reused by each
+	// choice.
+	indexes        map[string]prefixIndex
+	uncachedBuffer []int
+	requests       map[string]*placedRequest
 	// notices are the limits that servers name.
 	notices *notice.Table
 	speeds  *serverspeed.Model
@@ -94,7 +98,10 @@
 	reserves map[string]*reserve
 	// evidence tells, by pool, whether responses are late by pauses.
 	evidence map[string]*pauseEvidence
-	demands  map[demandKey]*demand
+	// demands are the demands for shared parts. At nextDemandSweep they are searched for old ones
+	// again if there are too many.
+	demands         map[demandKey]*demand
+	nextDemandSweep time.Duration
 	// loads, if set, are the queues that servers report.
 	loads *loadreport.Table
 }
@@ -102,7 +109,7 @@
 // New returns an empty table. regions maps availability zones to regions.
 func New(regions map[string]string) *Table {
 	return &Table{
-		regionByZone: regions, serversByPool: map[string][]*server{}, requests: map[string]*placedRequest{},
+		regionByZone: regions, serversByPool: map[string][]*server{}, indexes: map[string]prefixIndex{}, requests: map[string]*placedRequest{},
 		notices: notice.NewTable(nil), speeds: serverspeed.New(), reserves: map[string]*reserve{}, evidence: map[string]*pauseEvidence{}, demands: map[demandKey]*demand{},
 	}
 }
@@ -116,16 +123,28 @@
 // SetServers sets the servers of a pool that accept new requests. Servers that were
 // there before keep their state.
 func (t *Table) SetServers(pool string, defs []Server) {
-	old := t.serversByPool[pool]
-	servers := make([]*server, 0, len(defs))
-	for _, def := range defs {
-		i := slices.IndexFunc(old, func(s *server) bool { return s.def.ID == def.ID && s.def.StartTime == def.StartTime })
-		if i < 0 {
-			servers = append(servers, &server{def: def, region: t.regionByZone[def.Zone], cache: newPrefixCache(), speed: t.speeds.Server(pool, def.Start())})
-			continue
+	index := t.indexes[pool]
+	if index == nil {
+		index = prefixIndex{}
+		t.indexes[pool] = index
+	}
+	old := make(map[notice.Server]*server, len(t.serversByPool[pool]))
+	for _, s := range t.serversByPool[pool] {
+		old[s.def.Start()] = s
+	}
+	servers := make([]*server, len(defs))
+	for i, def := range defs {
+		s := old[def.Start()]
+		if s == nil {
+			s = &server{speed: t.speeds.Server(pool, def.Start())}
+			s.cache = newPrefixCache(s, index)
 		}
-		old[i].def, old[i].region = def, t.regionByZone[def.Zone]
-		servers = append(servers, old[i])
+		delete(old, def.Start())
+		s.def, s.region, s.position = def, t.regionByZone[def.Zone], i
+		servers[i] = s
+	}
+	for _, s := range old {
+		s.cache.clear()
 	}
 	t.serversByPool[pool] = servers
 }
@@ -213,7 +232,11 @@
 		if !r.accepts(s) {
 			continue
 		}
-		if wait := t.notices.Wait(now, s.def.Start()); shortest < 0 || wait < shortest {
+		wait := t.notices.Wait(now, s.def.Start())
+		if wait == 0 {
+			return 0
+		}
+		if shortest < 0 || wait < shortest {
 			shortest = wait
 		}
 	}
@@ -235,6 +258,8 @@
 	prefixes     []prefix
 	promptTokens int
 	inputBytes   int64
+	// uncached are the numbers of prompt tokens that the servers have not cached, by position.
+	uncached []int
 	// pauseWeight is the weight of the costs of pauses in the pool.
 	pauseWeight float64
 	// isLong is set if the prompt makes other responses late on any server.
@@ -260,6 +285,7 @@
 func (t *Table) cheapest(now time.Duration, c *choice) *server {
 	var cheapest *server
 	var leastCost float64
+	t.countUncached(now, c)
 	c.pauseWeight = t.evidenceFor(c.Pool).weight()
 	c.isLong = t.isLong(c)
 	affinity := t.affinityServer(c)
@@ -267,7 +293,6 @@
 	region := t.regionByZone[c.Zone]
 	queueCosts := t.queueCosts(now, c)
 	for i, s := range t.serversByPool[c.Pool] {
-		s.reported.expire(now)
 		if !c.accepts(s) || t.notices.Wait(now, s.def.Start()) > 0 {
 			continue
 		}
@@ -306,7 +331,7 @@
 // server has the parts cached or nothing is shared.
 func (t *Table) affinityServer(c *choice) *server {
 	shared, ok := c.sharedPrefix()
-	if !ok {
+	if !ok || slices.ContainsFunc(t.indexes[c.Pool][shared.key], func(s *server) bool { return c.Residency.Allows(s.region) }) {
 		return nil
 	}
 	var preferred *server
@@ -315,7 +340,7 @@
 		if !c.Residency.Allows(s.region) {
 			continue
 		}
-		if s.hasCached(&shared) {
+		if s.reported.has(shared.part) {
 			return nil
 		}
 		if h := rendezvousWeight(shared.path, s.def.ID); preferred == nil || h > highestWeight {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -132,7 +132,7 @@
 	}
 	tab.SetServers("p", defs)
 	for _, s := range tab.serversByPool["p"] {
-		assert.Equal(t, s.cache.byUse.Len(), 0, first)
+		assert.Equal(t, s.cache.len(), 0, first)
 	}
 }
 
@@ -152,7 +152,7 @@
 // TestLongerPrefixIsEvictedFirst checks that the parts that other prompts share are kept
 // longer than those that follow them in the same prompt.
 func TestLongerPrefixIsEvictedFirst(t *testing.T) {
-	c := newPrefixCache()
+	c := newPrefixCache(&server{}, prefixIndex{})
 	shared := prefixesOf([]PromptPart{{ID: "shared", Tokens: 10}, {ID: "own", Tokens: 10}})
 	c.add(shared, 30)
 	c.add(prefixesOf([]PromptPart{{ID: "other", Tokens: 15}}), 30)
--- a/core/placement/reserve.go
+++ b/core/placement/reserve.go
@@ -109,7 +109,7 @@
 	least := c.promptTokens
 	for _, s := range t.serversByPool[c.Pool] {
 		if c.accepts(s) {
-			least = min(least, s.uncachedTokens(c))
+			least = min(least, c.uncached[s.position])
 		}
 	}
 	estimate := t.speeds.PoolEstimate(c.Pool, 1)
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -53,6 +53,8 @@
 type server struct {
 	def    Server
 	region string
+	// position is that in the list of its pool's servers.
+	position int
 	// running is the number of requests on the server. pendingPrefillTokens and
 	// reservedTokens are the sums over these requests.
 	running, pendingPrefillTokens, reservedTokens int
@@ -183,7 +185,7 @@
 // this choice causes for other requests. It excludes the network distance.
 func (s *server) cost(now time.Duration, c *choice, hasAffinity bool) float64 {
 	speed := s.speed.Estimate(now, s.running)
-	uncached := s.uncachedTokens(c)
+	uncached := c.uncached[s.position]
 	cost := s.copyCost(c, uncached, speed.TokensPerMS)
 	if hasAffinity {
 		uncached = int(affinityUncachedShare * float64(uncached))
@@ -215,7 +217,7 @@
 // describe returns what the choice of the server depends on.
 func (s *server) describe(now time.Duration, c *choice) Choice {
 	speed := s.speed.Estimate(now, s.running)
-	uncached := s.uncachedTokens(c)
+	uncached := c.uncached[s.position]
 	return Choice{
 		Server: s.def, PromptTokens: c.promptTokens, UncachedTokens: uncached, QueuedTokens: s.pendingPrefillTokens, Running: s.running,
 		ExpectedFirstEvent: speed.FirstEvent(s.pendingPrefillTokens + uncached), TokensPerMS: speed.TokensPerMS, Slowdown: speed.Slowdown,
@@ -232,6 +234,31 @@
 	return s.def.CacheTokens > 0 && s.reservedTokens+c.promptTokens+c.MaxTokens > s.def.CacheTokens
 }
 
+// countUncached sets the numbers of prompt tokens that the servers have not cached.
+func (t *Table) countUncached(now time.Duration, c *choice) {
+	servers, index := t.serversByPool[c.Pool], t.indexes[c.Pool]
+	c.uncached = t.uncachedBuffer[:0]
+	for range servers {
+		c.uncached = append(c.uncached, c.promptTokens)
+	}
+	t.uncachedBuffer = c.uncached
+	left := c.promptTokens
+	for _, p := range c.prefixes {
+		// A prefix only helps a server that has all shorter ones cached.
+		for _, s := range index[p.key] {
+			if c.uncached[s.position] == left {
+				c.uncached[s.position] = left - p.tokens
+			}
+		}
+		left -= p.tokens
+	}
+	for _, s := range servers {
+		if s.reported.expire(now); s.reported.parts != nil {
+			c.uncached[s.position] = s.uncachedTokens(c)
+		}
+	}
+}
+
 // uncachedTokens returns the number of prompt tokens that the server has not cached.
 func (s *server) uncachedTokens(c *choice) int {
 	uncached := c.promptTokens
--- a/core/staging/zone.go
+++ b/core/staging/zone.go
@@ -1,6 +1,9 @@
 package staging
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minInputBytesForZone is the total size of a run's inputs from which its pieces
@@ -52,6 +55,17 @@
 	return ""
 }
 
+// UsesReaderZone reports whether the ReaderZone of a job with these stages can matter.
+func UsesReaderZone(stages []Stage) bool {
+	for i, st := range stages {
+		isRead := slices.ContainsFunc(stages, func(other Stage) bool { return slices.Contains(other.DependsOn, i) })
+		if !isRead && st.ResultBytes*int64(st.Pieces) >= minResultBytesForZone {
+			return true
+		}
+	}
+	return false
+}
+
 // mayRunOn reports whether m may compute the run's pieces: m is in the preferred zone,
 // or the wait for a server there would be too long. piecesAhead counts the pieces of
 // more urgent runs by preferred zone; mayRunOn adds those of the run if m is in another
--- a/internal/node/placing_bench_test.go
+++ b/internal/node/placing_bench_test.go
@@ -21,6 +21,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
+	"github.com/magnoliawheel/magnoliawheel/core/residency"
 	"github.com/magnoliawheel/magnoliawheel/core/roster"
 	"github.com/magnoliawheel/magnoliawheel/core/staging"
 	"github.com/magnoliawheel/magnoliawheel/internal/gateway"
@@ -32,12 +33,13 @@
 	"github.com/magnoliawheel/magnoliawheel/platform/standin"
 )
 
-// loadProcessVariable makes the test binary run as the load process of a benchmark.
+// loadProcessVariable makes the test binary run as the load process of a benchmark. Its value
+// names the fleet.
 const loadProcessVariable = "MAGNOLIAWHEEL_BENCHMARK_LOAD"
 
 func TestMain(m *testing.M) {
-	if os.Getenv(loadProcessVariable) != "" {
-		runLoadProcess(os.Stdin, os.Stdout)
+	if fleet := os.Getenv(loadProcessVariable); fleet != "" {
+		runLoadProcess(benchFleets[fleet], os.Stdin, os.Stdout)
 		return
 	}
 	os.Exit(m.Run())
@@ -50,18 +52,29 @@
 	spec    staging.PoolSpec
 }
 
-// benchPools are those of a deployment with 48 stage servers, to which benchModelServers
-// model servers belong.
-var benchPools = []benchPool{
-	{"pay", 15, staging.PoolSpec{Slots: 1, BatchSize: 8, CallOverhead: 200 * time.Millisecond, TimePerPiece: 21 * time.Millisecond, MemoryBytes: 18_000_000, ResultRetention: 4 * time.Second}},
-	{"ship", 15, staging.PoolSpec{Slots: 1, BatchSize: 28, CallOverhead: 200 * time.Millisecond, TimePerPiece: 6100 * time.Microsecond, MemoryBytes: 3_700_000, ResultRetention: 4 * time.Second}},
-	{"notify", 18, staging.PoolSpec{Slots: 1, BatchSize: 38, CallOverhead: 200 * time.Millisecond, TimePerPiece: 4500 * time.Microsecond, MemoryBytes: 510_000, ResultRetention: 4 * time.Second}},
+// benchFleet is a deployment in the benchmark: pools of stage servers and a pool of model servers.
+type benchFleet struct {
+	pools        []benchPool
+	modelServers int
+}
+
+// benchFleets are deployments with 48 and 109 stage servers.
+var benchFleets = map[string]benchFleet{
+	"middle": {modelServers: 41, pools: []benchPool{
+		{"pay", 15, staging.PoolSpec{Slots: 1, BatchSize: 8, CallOverhead: 200 * time.Millisecond, TimePerPiece: 21 * time.Millisecond, MemoryBytes: 18_000_000, ResultRetention: 4 * time.Second}},
+		{"ship", 15, staging.PoolSpec{Slots: 1, BatchSize: 28, CallOverhead: 200 * time.Millisecond, TimePerPiece: 6100 * time.Microsecond, MemoryBytes: 3_700_000, ResultRetention: 4 * time.Second}},
+		{"notify", 18, staging.PoolSpec{Slots: 1, BatchSize: 38, CallOverhead: 200 * time.Millisecond, TimePerPiece: 4500 * time.Microsecond, MemoryBytes: 510_000, ResultRetention: 4 * time.Second}},
+	}},
+	"large": {modelServers: 180, pools: []benchPool{
+		{"pay", 30, staging.PoolSpec{Slots: 1, BatchSize: 8, CallOverhead: 150 * time.Millisecond, TimePerPiece: 16 * time.Millisecond, MemoryBytes: 43_000_000, ResultRetention: 4 * time.Second}},
+		{"ship", 36, staging.PoolSpec{Slots: 1, BatchSize: 26, CallOverhead: 150 * time.Millisecond, TimePerPiece: 4900 * time.Microsecond, MemoryBytes: 4_600_000, ResultRetention: 4 * time.Second}},
+		{"notify", 43, staging.PoolSpec{Slots: 1, BatchSize: 44, CallOverhead: 150 * time.Millisecond, TimePerPiece: 2900 * time.Microsecond, MemoryBytes: 770_000, ResultRetention: 4 * time.Second}},
+	}},
 }
 
 const (
-	benchModelServers = 41
-	benchEntries      = 21
-	benchDuration     = 10 * time.Second
+	benchEntries  = 21
+	benchDuration = 10 * time.Second
 	// benchStreamTime is the time from the first event of a request to its end.
 	benchStreamTime = 600 * time.Millisecond
 	benchPrefill    = 100 * time.Millisecond
@@ -80,18 +93,21 @@
 // of 21 others. The requests, the stage servers and the other entries are in a process of
 // their own.
 func BenchmarkPlacingEntry(b *testing.B) {
-	for _, perSecond := range []int{130, 390} {
-		b.Run(fmt.Sprintf("%d_per_second", perSecond), func(b *testing.B) {
+	for _, run := range []struct {
+		fleet     string
+		perSecond int
+	}{{"middle", 130}, {"middle", 390}, {"large", 330}, {"large", 660}} {
+		b.Run(fmt.Sprintf("%s/%d_per_second", run.fleet, run.perSecond), func(b *testing.B) {
 			for b.Loop() {
-				benchmarkPlacingEntry(b, perSecond)
+				benchmarkPlacingEntry(b, run.fleet, run.perSecond)
 			}
 		})
 	}
 }
 
-func benchmarkPlacingEntry(b *testing.B, perSecond int) {
+func benchmarkPlacingEntry(b *testing.B, fleet string, perSecond int) {
 	load := exec.Command(os.Args[0])
-	load.Env = append(os.Environ(), loadProcessVariable+"=1")
+	load.Env = append(os.Environ(), loadProcessVariable+"="+fleet)
 	load.Stderr = os.Stderr
 	stdin, err := load.StdinPipe()
 	assert.NilError(b, err)
@@ -107,7 +123,7 @@
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	address := startPlacingEntry(ctx, b, pools)
+	address := startPlacingEntry(ctx, b, benchFleets[fleet], pools)
 	before := processorTime(b)
 	assert.NilError(b, json.NewEncoder(stdin).Encode(loadOrder{address, perSecond}))
 	var report loadReport
@@ -129,13 +145,13 @@
 
 // startPlacingEntry starts the parts of an entry that place requests. It returns the
 // address for sessions.
-func startPlacingEntry(ctx context.Context, b *testing.B, addresses map[string][]string) string {
+func startPlacingEntry(ctx context.Context, b *testing.B, fleet benchFleet, addresses map[string][]string) string {
 	out := telemetry.NewAsyncWriter(io.Discard)
 	log, err := telemetry.Logger(out, "info")
 	assert.NilError(b, err)
-	stages := &gateway.StageClient{Client: upstream.New(), AcceptsRequests: func(string) bool { return true }}
+	stages := &gateway.StageClient{Client: upstream.New(), Bodies: gateway.NewBodyBudget(0), AcceptsRequests: func(string) bool { return true }}
 	p := planner.New(stages, map[string]string{"z0": "r", "z1": "r", "z2": "r"}, log)
-	p.SetPools(plannerPools(addresses))
+	p.SetPools(plannerPools(fleet, addresses))
 	local := &peer.LocalEntry{Ready: func() bool { return true }, Stopping: func() bool { return false }, Owner: "planner"}
 	local.Register(0)
 	links := peer.NewLinks(local, p, log)
@@ -146,10 +162,10 @@
 	return lis.Addr().String()
 }
 
-func plannerPools(addresses map[string][]string) []planner.Pool {
+func plannerPools(fleet benchFleet, addresses map[string][]string) []planner.Pool {
 	var pools []planner.Pool
 	zone := func(i int) string { return fmt.Sprint("z", i%3) }
-	for _, p := range benchPools {
+	for _, p := range fleet.pools {
 		pool := planner.Pool{Name: p.name, StageSpec: &p.spec}
 		for i, address := range addresses[p.name] {
 			pool.StageServers = append(pool.StageServers, staging.Server{ID: fmt.Sprint(p.name, i), Address: address, Zone: zone(i)})
@@ -157,7 +173,7 @@
 		pools = append(pools, pool)
 	}
 	model := planner.Pool{Name: "model"}
-	for i := range benchModelServers {
+	for i := range fleet.modelServers {
 		model.ModelServers = append(model.ModelServers, placement.Server{ID: fmt.Sprint("m", i), Address: "none", Zone: zone(i), Slots: 96, CacheTokens: 284_393})
 	}
 	return append(pools, model)
@@ -165,9 +181,9 @@
 
 // runLoadProcess starts the stage servers, writes their addresses, reads a loadOrder,
 // carries it out and writes a loadReport.
-func runLoadProcess(in io.Reader, out io.Writer) {
+func runLoadProcess(fleet benchFleet, in io.Reader, out io.Writer) {
 	addresses := map[string][]string{}
-	for _, p := range benchPools {
+	for _, p := range fleet.pools {
 		for i := range p.servers {
 			addresses[p.name] = append(addresses[p.name], startBenchServer(p, i).Address())
 		}
@@ -244,7 +260,7 @@
 func benchRequest(i int, random *rand.Rand) *planner.Request {
 	req := &planner.Request{
 		ID: fmt.Sprintf("request-%08d", i), PieceKey: fmt.Sprint("key-", i), TimeToObjective: 2500 * time.Millisecond, TimeToDeadline: 8 * time.Second, Pool: "model",
-		Zone: fmt.Sprint("z", i%3), MaxTokens: 200, Owner: "entry",
+		Zone: fmt.Sprint("z", i%3), MaxTokens: 200, Owner: "entry", Residency: residency.Unrestricted(),
 		PromptParts: []placement.PromptPart{
 			{ID: fmt.Sprint("system-", i%4), Tokens: 600}, {ID: fmt.Sprint("subject-", random.IntN(700)), Tokens: 3000}, {ID: fmt.Sprint("own-", i), Tokens: 1800},
 		},
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -201,10 +201,14 @@
 			return
 		}
 		parts := pr.placementRequest()
+		readerZone := ""
+		if staging.UsesReaderZone(req.Stages) {
+			readerZone = p.modelServers.LikelyZone(now, parts)
+		}
 		p.scheduler.Submit(now, staging.Job{
 			ID: req.ID, Key: req.PieceKey, Stages: req.Stages, Priority: req.Priority,
 			ObjectiveDeadline: now + req.TimeToObjective, Deadline: now + req.TimeToDeadline, RequestDuration: p.modelServers.ExpectedFirstEvent(parts),
-			ReaderZone: p.modelServers.LikelyZone(now, parts), Customer: req.Customer, Owner: req.Owner, PriorResults: req.PriorResults,
+			ReaderZone: readerZone, Customer: req.Customer, Owner: req.Owner, PriorResults: req.PriorResults,
 			Residency: req.Residency,
 		})
 	})
