--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -184,13 +185,14 @@
 	lowest := p.lowestSlowness(now)
 	hasRestricted := slices.ContainsFunc(ready, func(r readyRun) bool { return r.job.def.Residency.Restricted() })
 	batchSize := min(pieces, p.spec.BatchSize)
+	poolRate := sync.OnceValue(func() float64 { return p.piecesPerSecond(now) })
 	options := p.candidateBuffer[:0]
 	for _, m := range p.servers {
 		if !m.canStart(now) {
 			continue
 		}
 		end := m.availableAt(now) + time.Duration(float64(p.normalCallTime(batchSize))*m.slowness(now))
-		slow := m.slowness(now) > slowThreshold*lowest && end > now+p.drainTime(pieces, m, now)
+		slow := m.slowness(now) > slowThreshold*lowest && end > now+p.drainTime(pieces, poolRate()-m.piecesPerSecond(now))
 		if slow && !hasRestricted {
 			continue
 		}
@@ -203,9 +205,9 @@
 	return options
 }
 
-// drainTime returns how long the servers other than m take for the queued pieces.
-func (p *pool) drainTime(pieces int, m *server, now time.Duration) time.Duration {
-	rate := p.piecesPerSecond(now) - m.piecesPerSecond(now)
+// drainTime returns how long servers that compute so many pieces a second together take for the
+// queued pieces.
+func (p *pool) drainTime(pieces int, rate float64) time.Duration {
 	if rate <= 0 {
 		return callTimeout
 	}
