Servers that stay the same take no map; one that is listed twice leaves nothing in the index

Found on reading the change: each plain request sets the servers of its pool, which built a map each time; and of two servers with the same start one would have stayed in the index of cached prefixes after it was gone, with a position past the end of the list.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -123,30 +123,44 @@
 // SetServers sets the servers of a pool that accept new requests. Servers that were
 // there before keep their state.
 func (t *Table) SetServers(pool string, defs []Server) {
+	servers := t.serversByPool[pool]
+	if !slices.EqualFunc(servers, defs, func(s *server, def Server) bool { return s.def.Start() == def.Start() }) {
+		servers = t.replaceServers(pool, defs)
+	}
+	for i, s := range servers {
+		s.def, s.region = defs[i], t.regionByZone[defs[i].Zone]
+	}
+	t.serversByPool[pool] = servers
+}
+
+// replaceServers returns a server for each definition, the one that was there before if its start
+// is the same, and forgets what the others have cached.
+func (t *Table) replaceServers(pool string, defs []Server) []*server {
 	index := t.indexes[pool]
 	if index == nil {
 		index = prefixIndex{}
 		t.indexes[pool] = index
 	}
-	old := make(map[notice.Server]*server, len(t.serversByPool[pool]))
+	unused := make(map[notice.Server]*server, len(t.serversByPool[pool]))
 	for _, s := range t.serversByPool[pool] {
-		old[s.def.Start()] = s
+		unused[s.def.Start()], s.position = s, notListed
 	}
 	servers := make([]*server, len(defs))
 	for i, def := range defs {
-		s := old[def.Start()]
+		s := unused[def.Start()]
 		if s == nil {
 			s = &server{speed: t.speeds.Server(pool, def.Start())}
 			s.cache = newPrefixCache(s, index)
 		}
-		delete(old, def.Start())
-		s.def, s.region, s.position = def, t.regionByZone[def.Zone], i
-		servers[i] = s
+		delete(unused, def.Start())
+		servers[i], s.position = s, i
 	}
-	for _, s := range old {
-		s.cache.clear()
+	for _, s := range t.serversByPool[pool] {
+		if s.position == notListed {
+			s.cache.clear()
+		}
 	}
-	t.serversByPool[pool] = servers
+	return servers
 }
 
 // Choice is a chosen server and what the choice depended on.
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -53,7 +53,7 @@
 type server struct {
 	def    Server
 	region string
-	// position is that in the list of its pool's servers.
+	// position is that in the list of its pool's servers, or notListed.
 	position int
 	// running is the number of requests on the server. pendingPrefillTokens and
 	// reservedTokens are the sums over these requests.
@@ -80,6 +80,9 @@
 	pausedUntil          time.Duration
 }
 
+// notListed is the position of a server that its pool does not list any more.
+const notListed = -1
+
 // placedRequest is a request on a server.
 type placedRequest struct {
 	server *server
