Each policy of core/staging in a file of its own; no line of code changed

server.go, dispatch.go and admit.go (944 lines) held a dozen policies. Declarations are moved as they are, and the package comment says what stands where and in which order they are asked. Checked: the sorted lines of the files before and after differ in imports and const parentheses only; tests of the package (but the known red three) and vet pass.

--- a/core/staging/dispatch.go
+++ b/core/staging/dispatch.go
@@ -1,29 +1,8 @@
 package staging
 
-import (
-	"cmp"
-	"slices"
-	"sync"
-	"time"
-)
+import "time"
 
 const (
-	// sendAhead is how long before the expected end of a call the next one is sent, so
-	// that it is already queued at the server when a slot becomes free.
-	sendAhead = 25 * time.Millisecond
-	// priorityStep is how much later the objective of a job is assumed to end for each
-	// step of lower priority.
-	priorityStep = 250 * time.Millisecond
-	// floodPenalty orders the jobs of customers that flood after those of the others, but
-	// before those that can't reach their objective.
-	floodPenalty = 5 * time.Second
-	// missedObjectivePenalty orders jobs that can't reach their objective after the
-	// others.
-	missedObjectivePenalty = 20 * time.Second
-	// memoryOvercommit bounds the total size of the results of all stages of the started
-	// jobs, as a multiple of the servers' memory. It exceeds 1 because jobs occupy the
-	// memory at different times.
-	memoryOvercommit = 1.3
 	// If a server has less than wholeRunMemoryShare of its memory left, a run is started
 	// there only with all its pieces or a full batch of them.
 	wholeRunMemoryShare = 0.5
@@ -40,30 +19,6 @@
 	}
 }
 
-// sendDueFreeRequests sends the collected FreeRequests that are due.
-func (s *Scheduler) sendDueFreeRequests(now time.Duration) {
-	for _, p := range s.sortedPools {
-		if !p.hasHandlesToFree {
-			continue
-		}
-		p.hasHandlesToFree = false
-		for _, m := range p.servers {
-			if m.isFreeDue(now) {
-				s.sendFreeRequest(m, now)
-			}
-			p.hasHandlesToFree = p.hasHandlesToFree || len(m.handlesToFree) > 0
-		}
-	}
-}
-
-func (s *Scheduler) sendFreeRequest(m *server, now time.Duration) {
-	m.pool.notices.RecordCall(now, m.start())
-	s.lastFreeID++
-	s.pendingFrees[s.lastFreeID] = pendingFree{m, m.handlesToFree, m.bytesToFree}
-	s.actions.FreeRequests = append(s.actions.FreeRequests, FreeRequest{ID: s.lastFreeID, Server: m.def, Handles: m.handlesToFree})
-	m.handlesToFree, m.bytesToFree = nil, 0
-}
-
 // startCall starts the most urgent call of a pool. It returns false if none can be
 // started.
 func (s *Scheduler) startCall(p *pool, now time.Duration) bool {
@@ -84,136 +39,6 @@
 	return false
 }
 
-// trueFirst is a comparison that orders true before false.
-func trueFirst(a, b bool) int {
-	if a == b {
-		return 0
-	}
-	if a {
-		return -1
-	}
-	return 1
-}
-
-// hasFreeServer reports whether one of the pool's servers can start a call.
-func (p *pool) hasFreeServer(now time.Duration) bool {
-	return slices.ContainsFunc(p.servers, func(m *server) bool { return m.canStart(now) })
-}
-
-// canStart reports whether the server can start a call now, or soon enough for the call
-// to be sent ahead.
-func (m *server) canStart(now time.Duration) bool {
-	return m.usable(now) && m.activeCalls() <= m.pool.spec.Slots && m.availableAt(now) <= now+sendAhead && m.pool.notices.Wait(now, m.start()) == 0
-}
-
-// readyRun is a run with pieces that can be requested, and its place in the order.
-type readyRun struct {
-	*stageRun
-	requested bool
-	deadline  time.Duration
-}
-
-// readyRuns returns the runs with pieces that can be requested, except those for whose
-// jobs there is no memory, and the number of all pieces that can be requested. Runs that
-// are partly requested come first, because their results occupy memory until the run is
-// complete; then the order is by urgency. The result is valid until the next call.
-func (p *pool) readyRuns(s *Scheduler, now time.Duration) ([]readyRun, int) {
-	p.queuedRuns = slices.DeleteFunc(p.queuedRuns, func(r *stageRun) bool { return len(r.queuedPieces) == 0 })
-	ready := p.readyBuffer[:0]
-	pieces := 0
-	for _, r := range p.queuedRuns {
-		if !r.inputsReady() || r.shouldDelay() {
-			continue
-		}
-		pieces += len(r.queuedPieces)
-		if r.job.started || s.hasMemoryFor(r.job, now) {
-			ready = append(ready, readyRun{r, r.anyRequested(), r.job.schedulingDeadline(now)})
-		}
-	}
-	slices.SortFunc(ready, func(a, b readyRun) int {
-		return cmp.Or(trueFirst(a.requested, b.requested), cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.job.def.ID, b.job.def.ID), cmp.Compare(a.stage, b.stage))
-	})
-	p.readyBuffer = ready
-	return ready, pieces
-}
-
-// shouldDelay reports whether the results of a run would only occupy memory while the
-// job's other stages continue: no stage reads them, and another stage takes much
-// longer.
-func (r *stageRun) shouldDelay() bool {
-	if len(r.dependents) > 0 || len(r.dependencies) > 0 {
-		return false
-	}
-	ownTime := r.criticalPathTime()
-	for _, o := range r.job.runs {
-		if o != r && o.criticalPathTime() > 2*ownTime+overdueSlack {
-			return true
-		}
-	}
-	return false
-}
-
-// schedulingDeadline returns the sort key of jobs, the most urgent first: the time at which
-// the request must start to reach its objective, adjusted for priority. Jobs of customers
-// that flood follow the others, and jobs that can't reach their objective follow all.
-func (j *job) schedulingDeadline(now time.Duration) time.Duration {
-	deadline := j.def.ObjectiveDeadline + time.Duration(j.def.Priority)*priorityStep
-	if now+j.minRemainingTime()+j.def.RequestDuration > j.def.ObjectiveDeadline {
-		deadline += missedObjectivePenalty
-	}
-	if j.flooding {
-		deadline += floodPenalty
-	}
-	return deadline - j.def.RequestDuration
-}
-
-// candidate is a server that can start a call, with the expected end of that call.
-type candidate struct {
-	*server
-	overdue bool
-	end     time.Duration
-	// restrictedOnly is set for a slow server that is used only for jobs that may not run
-	// in all regions, since the other servers would finish the other pieces sooner.
-	restrictedOnly bool
-}
-
-// candidates returns the servers that can start a call now, ordered by the expected end
-// of the call; servers with an overdue call come last. Slow servers are omitted if the
-// others would finish the queued pieces sooner, unless the job of a ready run may not use
-// the others. The result is valid until the next call.
-func (p *pool) candidates(now time.Duration, pieces int, ready []readyRun) []candidate {
-	lowest := p.lowestSlowness(now)
-	hasRestricted := slices.ContainsFunc(ready, func(r readyRun) bool { return r.job.def.Residency.Restricted() })
-	batchSize := min(pieces, p.spec.BatchSize)
-	poolRate := sync.OnceValue(func() float64 { return p.piecesPerSecond(now) })
-	options := p.candidateBuffer[:0]
-	for _, m := range p.servers {
-		if !m.canStart(now) {
-			continue
-		}
-		end := m.availableAt(now) + time.Duration(float64(p.normalCallTime(batchSize))*m.slowness(now))
-		slow := m.slowness(now) > slowThreshold*lowest && end > now+p.drainTime(pieces, poolRate()-m.piecesPerSecond(now))
-		if slow && !hasRestricted {
-			continue
-		}
-		options = append(options, candidate{m, m.hasOverdueCall(), end, slow})
-	}
-	slices.SortFunc(options, func(a, b candidate) int {
-		return cmp.Or(trueFirst(!a.overdue, !b.overdue), cmp.Compare(a.end, b.end), cmp.Compare(a.def.ID, b.def.ID))
-	})
-	p.candidateBuffer = options
-	return options
-}
-
-// drainTime returns how long servers that compute so many pieces a second together take for the
-// queued pieces.
-func (p *pool) drainTime(pieces int, rate float64) time.Duration {
-	if rate <= 0 {
-		return callTimeout
-	}
-	return p.normalCallTime(p.spec.BatchSize) + time.Duration(float64(pieces)/rate*float64(time.Second))
-}
-
 // selectPieces selects the pieces of the next call to a server.
 func (s *Scheduler) selectPieces(m candidate, ready []readyRun, now time.Duration) []pieceRef {
 	var pieces []pieceRef
@@ -257,21 +82,6 @@
 	return max(n, 0)
 }
 
-// hasMemoryFor reports whether there is memory for the results of all stages of a job
-// besides those of the started jobs.
-func (s *Scheduler) hasMemoryFor(j *job, now time.Duration) bool {
-	for _, r := range j.runs {
-		p := r.pool
-		if p == nil || r.resultsFreed || p.startedBytes == 0 {
-			continue
-		}
-		if float64(p.startedBytes+j.resultBytesIn(p)) > memoryOvercommit*float64(p.totalMemory(now)) {
-			return false
-		}
-	}
-	return true
-}
-
 // sendCall reserves the memory of a call's results and adds the call to the actions.
 func (s *Scheduler) sendCall(m *server, pieces []pieceRef, now time.Duration) {
 	if len(m.handlesToFree) > 0 && !m.hasAmpleMemory(now) && !m.isLimited(now) {
--- a/core/staging/server.go
+++ b/core/staging/server.go
@@ -10,134 +10,16 @@
 )
 
 const (
-	// slownessWeight is the weight of the newest call in a server's slowness ratio. Each
-	// call counts with at least minSlowness and at most maxSlowness.
-	slownessWeight = 0.4
-	minSlowness    = 0.3
-	maxSlowness    = 20.0
-	// slowThreshold is the slowness, relative to the fastest server of the pool, from
-	// which a server is used only when the others have a backlog.
-	slowThreshold = 1.8
-	// slownessHalfTime is the idle time after which a server's slowness ratio is
-	// halved.
-	slownessHalfTime = 2 * time.Second
-	// overdueFactor and overdueSlack determine when a call is overdue and its pieces
-	// are requested from other servers.
-	overdueFactor = 2.0
-	overdueSlack  = 250 * time.Millisecond
-	// maxOverdueExtension bounds how much later a call is overdue because its machine is
-	// reported to be slow, so that a false report does not hide a server that has stopped.
-	// Machines are slow for moments of about 0.6 s.
-	maxOverdueExtension = 600 * time.Millisecond
-	// unaccountedExpiryShare is the fraction of the retention time within which the results
-	// of other schedulers are assumed to expire.
-	unaccountedExpiryShare = 0.6
 	// fullPause is how long no calls are sent to a server that reported itself full.
 	fullPause = 80 * time.Millisecond
 	// maxSlotsOnStack is the number of calls of a server up to which they are sorted
 	// without a heap allocation.
 	maxSlotsOnStack = 16
-	// freeDelay is how long results to be freed are collected for one FreeRequest, and
-	// maxFreeBatch the number of collected results from which it is sent at once.
-	freeDelay    = 25 * time.Millisecond
-	maxFreeBatch = 32
-	// ampleFreeDelay and maxAmpleFreeBatch apply to a server that has at least
-	// ampleMemoryShare of its memory left, where freeing can wait.
-	ampleFreeDelay    = 400 * time.Millisecond
-	maxAmpleFreeBatch = 256
-	ampleMemoryShare  = 0.6
-	// limitedFreeDelay applies to a server that names a limit, which calls use up as well.
-	limitedFreeDelay = 2 * time.Second
 )
 
 // failurePauses are the pauses after consecutive failed calls to a server.
 var failurePauses = backoff.Policy{Initial: 300 * time.Millisecond, Max: 3 * time.Second}
 
-// trialPauses are the pauses before a server with an overdue call gets another call as a
-// trial. If the server never answers, each trial delays its pieces until they are overdue.
-var trialPauses = backoff.Policy{Initial: 400 * time.Millisecond, Max: 3 * time.Second}
-
-// pool is the set of servers of one service.
-type pool struct {
-	name    string
-	spec    PoolSpec
-	servers []*server
-	// queuedRuns are the stage runs with pieces to be requested.
-	queuedRuns []*stageRun
-	// claimedBytes is the size of the results that the accepted jobs keep or will
-	// produce, startedBytes the part of the started jobs.
-	claimedBytes, startedBytes int64
-	// unaccountedUntil is when the last results of other schedulers are assumed to have
-	// expired.
-	unaccountedUntil time.Duration
-	// hasHandlesToFree is false if no server has handles to free.
-	hasHandlesToFree bool
-	// The buffers are reused by each call of readyRuns, candidates and selectPieces.
-	readyBuffer     []readyRun
-	candidateBuffer []candidate
-	piecesAhead     map[string]int
-	// notices and pauses are what servers said about themselves.
-	notices *notice.Table
-	pauses  *notice.Pauses
-}
-
-// findOrCreateServer returns the pool's server with that definition, or a new one.
-func (p *pool) findOrCreateServer(def Server) *server {
-	for _, m := range p.servers {
-		if m.def == def {
-			return m
-		}
-	}
-	return &server{def: def, pool: p, slownessRatio: 1}
-}
-
-// findServer returns the listed server with that ID, or nil.
-func (p *pool) findServer(id string) *server {
-	if p == nil {
-		return nil
-	}
-	for _, m := range p.servers {
-		if m.def.ID == id {
-			return m
-		}
-	}
-	return nil
-}
-
-func (p *pool) removeRun(r *stageRun) {
-	if i := slices.Index(p.queuedRuns, r); i >= 0 {
-		p.queuedRuns = slices.Delete(p.queuedRuns, i, i+1)
-	}
-}
-
-// normalCallTime returns the time that a call of n pieces takes on a server of normal
-// speed.
-func (p *pool) normalCallTime(n int) time.Duration {
-	return p.spec.CallOverhead + time.Duration(n)*p.spec.TimePerPiece
-}
-
-// lowestSlowness returns the slowness of the fastest usable server.
-func (p *pool) lowestSlowness(now time.Duration) float64 {
-	lowest := maxSlowness
-	for _, m := range p.servers {
-		if m.usable(now) {
-			lowest = min(lowest, m.slowness(now))
-		}
-	}
-	return lowest
-}
-
-// piecesPerSecond returns the throughput of the usable servers with full batches.
-func (p *pool) piecesPerSecond(now time.Duration) float64 {
-	var sum float64
-	for _, m := range p.servers {
-		if m.usable(now) {
-			sum += m.piecesPerSecond(now)
-		}
-	}
-	return sum
-}
-
 // server is a member of a pool with the state derived from its calls.
 type server struct {
 	def  Server
@@ -222,11 +104,6 @@
 	return limited
 }
 
-// hasOverdueCall reports whether the server may still work on an overdue call.
-func (m *server) hasOverdueCall() bool {
-	return slices.ContainsFunc(m.calls, func(c *call) bool { return c.overdue && !c.answerLost })
-}
-
 // activeCalls returns the number of calls that are not overdue.
 func (m *server) activeCalls() int {
 	n := 0
@@ -238,34 +115,6 @@
 	return n
 }
 
-// slowness returns the expected time of a call relative to the time in the pool's
-// description, by the server's calls and by what it reports.
-func (m *server) slowness(now time.Duration) float64 {
-	return m.pace.Estimate(now, m.decayed(m.slownessRatio, now), m.decayed(m.pace.Usual(), now))
-}
-
-// decayed returns a slowness ratio that was measured with the last call. Above 1 it decays
-// while the server is idle, so that a server which was slow is tried again.
-func (m *server) decayed(ratio float64, now time.Duration) float64 {
-	if ratio <= 1 || len(m.calls) > 0 {
-		return ratio
-	}
-	halfTimes := float64(now-m.lastCallEnd) / float64(slownessHalfTime)
-	return max(1, ratio/(1+halfTimes))
-}
-
-// forecast returns the expected slowness of a call that is sent now.
-func (m *server) forecast(now time.Duration) loadreport.Forecast {
-	return m.pace.Forecast(now, m.decayed(m.slownessRatio, now), m.decayed(m.pace.Usual(), now))
-}
-
-// overdueExtension returns how much later than usual a call of n pieces is overdue, because
-// the machine is known to be slow at the moment.
-func (m *server) overdueExtension(now time.Duration, n int) time.Duration {
-	extra := m.pace.Excess(now) * float64(m.pool.normalCallTime(n))
-	return min(time.Duration(extra), maxOverdueExtension)
-}
-
 // availableAt returns the expected time at which the server can start another call.
 func (m *server) availableAt(now time.Duration) time.Duration {
 	excess := m.activeCalls() - m.pool.spec.Slots
@@ -316,156 +165,9 @@
 	return !m.pool.pauses.Empty() && m.pool.pauses.Active(now, m.start())
 }
 
-// timeToFirstCall returns the time until one of the pool's servers wants calls; 0 if one does
-// or there are none.
-func (p *pool) timeToFirstCall(now time.Duration) time.Duration {
-	if p.pauses.Empty() {
-		return 0
-	}
-	starts := make([]notice.Server, len(p.servers))
-	for i, m := range p.servers {
-		starts[i] = m.start()
-	}
-	return p.pauses.Remaining(now, starts)
-}
-
 // pauseCalls prevents calls to the server for a time that grows with each consecutive
 // failure.
 func (m *server) pauseCalls(now time.Duration, p backoff.Policy) {
 	m.pausedUntil = now + p.Delay(m.consecutiveFailures)
 	m.consecutiveFailures++
 }
-
-// markLostAnswers marks the overdue calls that were expected to start no later than an
-// answered one.
-func (m *server) markLostAnswers(answered *call) {
-	m.lastAnsweredStart = max(m.lastAnsweredStart, answered.expectedStart)
-	for _, c := range m.calls {
-		c.answerLost = c.answerLost || c.overdue && c.expectedStart <= m.lastAnsweredStart
-	}
-}
-
-// updateSlowness includes the duration of an answered call in the slowness ratio, and
-// compares it with what the server reported.
-func (m *server) updateSlowness(c *call, now time.Duration, load *loadreport.Report) {
-	normalTime := m.pool.normalCallTime(len(c.pieces))
-	elapsed := now - max(c.expectedStart, m.lastCallEnd)
-	if c.expectedStart > now {
-		elapsed = normalTime
-	}
-	sample := min(max(float64(elapsed)/float64(normalTime), minSlowness), maxSlowness)
-	m.slownessRatio += slownessWeight * (sample - m.slownessRatio)
-	m.pace.CallAnswered(c.forecast, sample, load)
-}
-
-// recordOutOfMemory handles a server's report that it has no memory for a result. It
-// assumes that results of other schedulers occupy the rest of the memory.
-func (m *server) recordOutOfMemory(now time.Duration) {
-	m.unaccountedBytes = max(0, m.pool.spec.MemoryBytes-m.usedBytes)
-	m.unaccountedSeenAt = now
-	m.pool.unaccountedUntil = max(m.pool.unaccountedUntil, now+m.pool.unaccountedExpiry())
-}
-
-// unaccountedExpiry is the time after which the results of other schedulers are assumed
-// to have expired.
-func (p *pool) unaccountedExpiry() time.Duration {
-	return time.Duration(unaccountedExpiryShare * float64(p.spec.ResultRetention))
-}
-
-// totalMemory returns the memory, in bytes, that the pool's servers have for the results of
-// this scheduler, whether in use or not.
-func (p *pool) totalMemory(now time.Duration) int64 {
-	if now > p.unaccountedUntil {
-		return int64(len(p.servers)) * p.spec.MemoryBytes
-	}
-	var sum int64
-	for _, m := range p.servers {
-		sum += max(0, m.usedBytes+m.availableMemory(now))
-	}
-	return sum
-}
-
-// availableMemory returns the unused memory in bytes.
-func (m *server) availableMemory(now time.Duration) int64 {
-	available := m.pool.spec.MemoryBytes - m.usedBytes
-	expiryTime := float64(m.pool.unaccountedExpiry())
-	if age := float64(now - m.unaccountedSeenAt); m.unaccountedBytes > 0 && age < expiryTime {
-		available -= int64(float64(m.unaccountedBytes) * (1 - age/expiryTime))
-	}
-	return available
-}
-
-// queueFree adds a result to the next FreeRequest. Its memory counts as used until that
-// request has ended.
-func (m *server) queueFree(handle string, bytes int64, now time.Duration) {
-	if len(m.handlesToFree) == 0 {
-		m.freesQueuedSince = now
-	}
-	m.pool.hasHandlesToFree = true
-	m.handlesToFree = append(m.handlesToFree, handle)
-	m.bytesToFree += bytes
-}
-
-// hasAmpleMemory reports whether the server has much more memory left than it needs for
-// the next calls.
-func (m *server) hasAmpleMemory(now time.Duration) bool {
-	return float64(m.availableMemory(now)) >= ampleMemoryShare*float64(m.pool.spec.MemoryBytes)
-}
-
-// isFreeDue reports whether the collected results are to be freed now.
-func (m *server) isFreeDue(now time.Duration) bool {
-	if len(m.handlesToFree) == 0 || m.wantsNoCalls(now) || m.pool.notices.Wait(now, m.start()) > 0 {
-		return false
-	}
-	delay, batch := freeDelay, maxFreeBatch
-	switch {
-	case m.isLimited(now):
-		delay, batch = limitedFreeDelay, maxAmpleFreeBatch
-	case m.hasAmpleMemory(now):
-		delay, batch = ampleFreeDelay, maxAmpleFreeBatch
-	}
-	return len(m.handlesToFree) >= batch || now-m.freesQueuedSince >= delay
-}
-
-// requeueFree collects the results of a refused FreeRequest again.
-func (m *server) requeueFree(f pendingFree, now time.Duration) {
-	if len(m.handlesToFree) == 0 {
-		m.freesQueuedSince = now
-	}
-	m.pool.hasHandlesToFree = true
-	m.handlesToFree = append(f.handles, m.handlesToFree...)
-	m.bytesToFree += f.bytes
-}
-
-// ObserveLoad handles what a server told about its load in a response to anything but a call.
-func (s *Scheduler) ObserveLoad(now time.Duration, def Server, load loadreport.Report) {
-	for _, p := range s.sortedPools {
-		if m := p.findServer(def.ID); m != nil && m.def == def {
-			m.pace.Observe(now, load, m.slownessRatio)
-		}
-	}
-}
-
-// checkOverdue requests the pieces of an overdue call from other servers.
-func (s *Scheduler) checkOverdue(c *call, now time.Duration) {
-	if c.overdue {
-		return
-	}
-	normalTime := c.server.pool.normalCallTime(len(c.pieces))
-	limit := c.expectedStart + max(time.Duration(overdueFactor*float64(normalTime)), normalTime+overdueSlack)
-	if now < limit || now < limit+max(c.overdueExtension, c.server.overdueExtension(now, len(c.pieces))) {
-		return
-	}
-	c.overdue = true
-	c.answerLost = c.expectedStart < c.server.lastAnsweredStart
-	if !c.answerLost {
-		c.server.pauseCalls(now, trialPauses)
-	}
-	for _, it := range c.pieces {
-		p := &it.run.pieces[it.piece]
-		p.overdueCalls++
-		if s.jobs[it.run.job.def.ID] == it.run.job && p.handle == "" && !it.run.resultsFreed && p.overdueCalls == p.openCalls {
-			it.run.requeue(it.piece)
-		}
-	}
-}
--- a/core/staging/staging.go
+++ b/core/staging/staging.go
@@ -5,6 +5,12 @@
 // state machine: it turns events and the current time into actions, and the caller does
 // all I/O.
 //
+// Each policy has a file. A job is accepted or refused in admit.go, by the servers' backlog, by
+// memory (memory.go) and by how late jobs have been (lateness.go); retry_after.go says when a
+// refused caller should return. dispatch.go starts calls: order.go says which pieces are the most
+// urgent, candidates.go which servers may get them, zone.go and separate.go which of the pieces a
+// server may not get. slowness.go, overdue.go and free.go follow what the servers do.
+//
 // Invariants: a piece is requested only when all results that it reads exist; a result
 // is freed once, after its last reader; the results of this scheduler on a server never
 // exceed the server's memory.
