Index of cached prompts: parts that one server has need no list

Most prefixes end with a part that no other prompt has; a list for each took more than the entry itself.

--- a/core/placement/prefix_test.go
+++ b/core/placement/prefix_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -67,11 +68,12 @@
 		assert.Equal(t, s.cache.tokens, tokens)
 	}
 	indexed := 0
-	for key, holders := range tab.indexes["p"] {
-		indexed += len(holders)
-		for _, s := range holders {
+	index := tab.index("p")
+	for _, key := range slices.Concat(slices.Collect(maps.Keys(index.single)), slices.Collect(maps.Keys(index.several))) {
+		index.forEach(key, func(s *server) {
+			indexed++
 			assert.Assert(t, s.cache.has(key))
-		}
+		})
 	}
 	assert.Equal(t, indexed, listed)
 }
