--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -88,7 +88,7 @@
 	serversByPool map[string][]*server
 	// indexes hold the cached prefixes of each pool's servers. uncachedBuffer is reused by each
 	// choice.
-	indexes        map[string]*prefixIndex
+	indexes        map[string]prefixIndex
 	uncachedBuffer []int
 	requests       map[string]*placedRequest
 	// notices are the limits that servers name.
@@ -109,7 +109,7 @@
 // New returns an empty table. regions maps availability zones to regions.
 func New(regions map[string]string) *Table {
 	return &Table{
-		regionByZone: regions, serversByPool: map[string][]*server{}, indexes: map[string]*prefixIndex{}, requests: map[string]*placedRequest{},
+		regionByZone: regions, serversByPool: map[string][]*server{}, indexes: map[string]prefixIndex{}, requests: map[string]*placedRequest{},
 		notices: notice.NewTable(nil), speeds: serverspeed.New(), reserves: map[string]*reserve{}, evidence: map[string]*pauseEvidence{}, demands: map[demandKey]*demand{},
 	}
 }
@@ -133,20 +133,14 @@
 	t.serversByPool[pool] = servers
 }
 
-// index returns the index of a pool.
-func (t *Table) index(pool string) *prefixIndex {
+// replaceServers returns a server for each definition, the one that was there before if its start
+// is the same, and forgets what the others have cached.
+func (t *Table) replaceServers(pool string, defs []Server) []*server {
 	index := t.indexes[pool]
 	if index == nil {
-		index = newPrefixIndex()
+		index = prefixIndex{}
 		t.indexes[pool] = index
 	}
-	return index
-}
-
-// replaceServers returns a server for each definition, the one that was there before if its start
-// is the same, and forgets what the others have cached.
-func (t *Table) replaceServers(pool string, defs []Server) []*server {
-	index := t.index(pool)
 	unused := make(map[notice.Server]*server, len(t.serversByPool[pool]))
 	for _, s := range t.serversByPool[pool] {
 		unused[s.def.Start()], s.position = s, notListed
@@ -351,12 +345,7 @@
 // server has the parts cached or nothing is shared.
 func (t *Table) affinityServer(c *choice) *server {
 	shared, ok := c.sharedPrefix()
-	if !ok {
-		return nil
-	}
-	isCached := false
-	t.index(c.Pool).forEach(shared.key, func(s *server) { isCached = isCached || c.Residency.Allows(s.region) })
-	if isCached {
+	if !ok || slices.ContainsFunc(t.indexes[c.Pool][shared.key], func(s *server) bool { return c.Residency.Allows(s.region) }) {
 		return nil
 	}
 	var preferred *server
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -152,7 +152,7 @@
 // TestLongerPrefixIsEvictedFirst checks that the parts that other prompts share are kept
 // longer than those that follow them in the same prompt.
 func TestLongerPrefixIsEvictedFirst(t *testing.T) {
-	c := newPrefixCache(&server{}, newPrefixIndex())
+	c := newPrefixCache(&server{}, prefixIndex{})
 	shared := prefixesOf([]PromptPart{{ID: "shared", Tokens: 10}, {ID: "own", Tokens: 10}})
 	c.add(shared, 30)
 	c.add(prefixesOf([]PromptPart{{ID: "other", Tokens: 15}}), 30)
--- a/core/placement/prefix.go
+++ b/core/placement/prefix.go
@@ -29,47 +29,13 @@
 }
 
 // prefixIndex maps prefixes to the servers of a pool that have them cached, so that a choice
-// looks up each prefix once and not once for each server. Most prefixes end with a part that no
-// other prompt has, so those of one server are kept without a list.
-type prefixIndex struct {
-	single  map[uint64]*server
-	several map[uint64][]*server
-}
-
-func newPrefixIndex() *prefixIndex {
-	return &prefixIndex{single: map[uint64]*server{}, several: map[uint64][]*server{}}
-}
+// looks up each prefix once and not once for each server.
+type prefixIndex map[uint64][]*server
 
-// forEach calls f with each server that has a prefix cached.
-func (x *prefixIndex) forEach(key uint64, f func(*server)) {
-	if s := x.single[key]; s != nil {
-		f(s)
-		return
-	}
-	for _, s := range x.several[key] {
-		f(s)
-	}
-}
+func (x prefixIndex) add(key uint64, s *server) { x[key] = append(x[key], s) }
 
-func (x *prefixIndex) add(key uint64, s *server) {
-	if holders := x.several[key]; holders != nil {
-		x.several[key] = append(holders, s)
-		return
-	}
-	if other := x.single[key]; other != nil {
-		delete(x.single, key)
-		x.several[key] = []*server{other, s}
-		return
-	}
-	x.single[key] = s
-}
-
-func (x *prefixIndex) remove(key uint64, s *server) {
-	if x.single[key] == s {
-		delete(x.single, key)
-		return
-	}
-	holders := x.several[key]
+func (x prefixIndex) remove(key uint64, s *server) {
+	holders := x[key]
 	i := slices.Index(holders, s)
 	if i < 0 {
 		return
@@ -77,17 +43,17 @@
 	last := len(holders) - 1
 	holders[i], holders[last] = holders[last], nil
 	if last == 0 {
-		delete(x.several, key)
+		delete(x, key)
 		return
 	}
-	x.several[key] = holders[:last]
+	x[key] = holders[:last]
 }
 
 // prefixCache models the prompt cache of a server. The least recently used prefixes are
 // evicted first; a prefix is evicted after the longer ones that begin with it.
 type prefixCache struct {
 	owner *server
-	index *prefixIndex
+	index prefixIndex
 	// positions maps the keys of the prefixes to their positions in entries. free are the
 	// positions that hold none.
 	positions map[uint64]int32
@@ -108,7 +74,7 @@
 const noEntry = int32(-1)
 
 // newPrefixCache returns an empty cache of a server, whose prefixes are also listed in the index.
-func newPrefixCache(owner *server, index *prefixIndex) *prefixCache {
+func newPrefixCache(owner *server, index prefixIndex) *prefixCache {
 	return &prefixCache{owner: owner, index: index, positions: map[uint64]int32{}, oldest: noEntry, newest: noEntry}
 }
 
--- a/core/placement/prefix_test.go
+++ b/core/placement/prefix_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -68,12 +67,11 @@
 		assert.Equal(t, s.cache.tokens, tokens)
 	}
 	indexed := 0
-	index := tab.index("p")
-	for _, key := range slices.Concat(slices.Collect(maps.Keys(index.single)), slices.Collect(maps.Keys(index.several))) {
-		index.forEach(key, func(s *server) {
-			indexed++
+	for key, holders := range tab.indexes["p"] {
+		indexed += len(holders)
+		for _, s := range holders {
 			assert.Assert(t, s.cache.has(key))
-		})
+		}
 	}
 	assert.Equal(t, indexed, listed)
 }
--- a/core/placement/server.go
+++ b/core/placement/server.go
@@ -239,7 +239,7 @@
 
 // countUncached sets the numbers of prompt tokens that the servers have not cached.
 func (t *Table) countUncached(now time.Duration, c *choice) {
-	servers, index := t.serversByPool[c.Pool], t.index(c.Pool)
+	servers, index := t.serversByPool[c.Pool], t.indexes[c.Pool]
 	c.uncached = t.uncachedBuffer[:0]
 	for range servers {
 		c.uncached = append(c.uncached, c.promptTokens)
@@ -248,11 +248,11 @@
 	left := c.promptTokens
 	for _, p := range c.prefixes {
 		// A prefix only helps a server that has all shorter ones cached.
-		index.forEach(p.key, func(s *server) {
+		for _, s := range index[p.key] {
 			if c.uncached[s.position] == left {
 				c.uncached[s.position] = left - p.tokens
 			}
-		})
+		}
 		left -= p.tokens
 	}
 	for _, s := range servers {
