Log lines about the requests that an ending process leaves unanswered

Callers saw, under planned work only, requests without an answer or a refusal (LOST). The log of an entry that ends said only how many requests are left, so that a stream without a server, one whose server has not responded, and an answer that is still being written could not be distinguished.

Each request left is now named with what it waits for, and the last line says on how many connections an answer is not written completely. No decision changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,6 +130,8 @@
 	Options
 	// inFlight is the number of unanswered requests; closedInFlight is added by TryClose.
 	inFlight atomic.Int64
+	// unanswered are the accepted requests without an answer.
+	unanswered unansweredRequests
 	// stoppingSince is the clock.Now time at which Stop was called, and endsAt that at which
 	// the process ends at the latest; 0 before.
 	stoppingSince, endsAt atomic.Int64
@@ -226,6 +228,8 @@
 		g.refuse(w, req, refusal)
 		return
 	}
+	g.unanswered.add(req)
+	defer g.unanswered.remove(req)
 	ctx, cancel := context.WithTimeout(hr.Context(), req.remaining())
 	defer cancel()
 	g.countRequest(req.service)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -122,6 +122,7 @@
 			break
 		}
 		req.attempts++
+		req.setPhase(phaseServer)
 		last = g.attemptPlain(ctx, req, srv)
 		mayHaveRun = mayHaveRun || !last.notRun
 		if last.response != nil && (last.response.status < http.StatusInternalServerError || !req.route.Idempotent()) {
@@ -320,6 +321,7 @@
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	req.releaseBody()
+	req.setPhase(phaseDelivery)
 	writeHead(w, a.status, a.header)
 	err := g.deliverBody(w, req, a)
 	if errors.IsAny(err, errSlowReader, errProcessEnds) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -55,6 +55,8 @@
 	identity    string
 	elements    []string
 	attempts    int
+	// phase is the requestPhase that the request is in.
+	phase atomic.Uint32
 	// onEnd are called when the request has ended.
 	onEnd []func()
 	log   logr.Logger
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -148,6 +148,7 @@
 // after the deadline.
 func (s *streamRequest) deliver() {
 	waitStart := clock.Now()
+	s.req.setPhase(phaseDelivery)
 	// A client that reads slowly may take long; what only attempts need is freed.
 	s.req.releaseBody()
 	s.relay.splitter = &eventstream.Splitter{}
@@ -178,6 +179,7 @@
 		return false, s.refuseOrFail(result.QueueFull, causeServerCoolingDown, cooldownRetryAfter(s.req.ID, remaining))
 	}
 	placementBegan := clock.Now()
+	s.req.setPhase(phasePlacement)
 	p, progress := s.gateway.place(ctx, s.req, slices.Concat(s.avoid, cooling))
 	s.placementTime = clock.Now() - placementBegan
 	if f := s.gateway.ExpectedFirstEvent; f != nil {
@@ -227,6 +229,7 @@
 		return false, s.retryNotSent(r)
 	}
 	req.attempts++
+	req.setPhase(phaseServer)
 	s.recordVersion(p.SoftwareVersion)
 	start := clock.Now()
 	s.sentAt = start
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
@@ -26,6 +27,9 @@
 type clientListener struct {
 	net.Listener
 	limits func() routes.Limits
+	// active is the number of connections on which a request has begun to arrive and whose
+	// response is not written completely.
+	active atomic.Int64
 }
 
 // Accept implements net.Listener.
@@ -34,16 +38,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: c, limits: l.limits}, nil
+	return &clientConn{Conn: c, listener: l}, nil
 }
 
 // clientConn is a client connection with configurable time limits.
 type clientConn struct {
 	net.Conn
-	limits func() routes.Limits
+	listener *clientListener
 
 	mu    sync.Mutex
 	phase connPhase
+	// active is set while the listener counts the connection as active.
+	active bool
 }
 
 // trackConnState records the state that the HTTP server reports for a connection.
@@ -54,16 +60,27 @@
 	}
 	switch state {
 	case http.StateActive:
-		conn.setPhase(phaseBody)
+		conn.setPhase(phaseBody, true)
 	case http.StateIdle:
-		conn.setPhase(phaseIdle)
+		conn.setPhase(phaseIdle, false)
+	case http.StateClosed, http.StateHijacked:
+		conn.setPhase(phaseHeader, false)
 	}
 }
 
-func (c *clientConn) setPhase(p connPhase) {
+func (c *clientConn) setPhase(p connPhase, active bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = p
+	if active == c.active {
+		return
+	}
+	c.active = active
+	if active {
+		c.listener.active.Add(1)
+	} else {
+		c.listener.active.Add(-1)
+	}
 }
 
 // SetReadDeadline implements net.Conn. The HTTP server sets a deadline when it begins to
@@ -74,10 +91,10 @@
 	switch {
 	case t.IsZero():
 	case c.phase == phaseIdle:
-		t = deadlineAfter(t, c.limits().IdleTimeout)
+		t = deadlineAfter(t, c.listener.limits().IdleTimeout)
 		c.phase = phaseHeader
 	case c.phase == phaseHeader:
-		t = deadlineAfter(t, c.limits().HeaderTimeout)
+		t = deadlineAfter(t, c.listener.limits().HeaderTimeout)
 	}
 	return c.Conn.SetReadDeadline(t)
 }
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -57,6 +57,8 @@
 	expectedFirstEvent func(planner.Placement) time.Duration
 	// onLog, if set, receives the log lines of new entries.
 	onLog func(line string)
+	// wrapClients, if set, wraps the listeners for clients of new entries.
+	wrapClients func(net.Listener) net.Listener
 	// storeAddress is the address at which new entries reach the store; "" is the
 	// address of the store itself.
 	storeAddress string
@@ -134,6 +136,9 @@
 	f.started[name] = true
 	n := New(Options{Settings: settings, Log: f.stateLogger(name), Scope: f.scope})
 	n.gateway.ExpectedFirstEvent = f.expectedFirstEvent
+	if f.wrapClients != nil {
+		n.wrapClients = f.wrapClients
+	}
 	if f.readInterval > 0 {
 		n.registry.readInterval = f.readInterval
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,11 +83,13 @@
 	versions         *versionRecorder
 	streams          *streamRecorder
 	restoreGuard     *restoreGuard
+	// wrapClients wraps the listener for clients. Tests replace it.
+	wrapClients func(net.Listener) net.Listener
 }
 
 // New returns an entry that is not yet running.
 func New(o Options) *Node {
-	n := &Node{opts: o, store: platform.NewStore(o.Settings.StoreAddress)}
+	n := &Node{opts: o, store: platform.NewStore(o.Settings.StoreAddress), wrapClients: func(l net.Listener) net.Listener { return l }}
 	upstreamClient := upstream.New()
 	n.servers = watch.NewServers(n.store, o.Settings.MaxDrainDelay, o.Log.WithName("servers"), n.updatePools)
 	n.config = watch.NewConfig(n.store, o.Settings.MaxConfigDelay, o.Log.WithName("config"), func(*routes.Table) { n.updatePools() })
@@ -215,10 +217,11 @@
 	go func() { _ = http.Serve(readinessLis, n.readinessHandler()) }()
 	n.serveMetrics()
 	srv := n.newClientServer()
-	go func() { _ = srv.Serve(&clientListener{Listener: clientLis, limits: n.clientLimits}) }()
+	clients := &clientListener{Listener: n.wrapClients(clientLis), limits: n.clientLimits}
+	go func() { _ = srv.Serve(clients) }()
 	n.opts.Log.Info("Entry started.", "node", n.opts.Settings.Node, "zone", n.opts.Settings.Zone, "clients", n.opts.Settings.ClientAddress)
 	<-stop
-	n.drain(srv)
+	n.drain(srv, clients)
 	return nil
 }
 
@@ -265,7 +268,7 @@
 
 // drain waits for the requests in flight, and for those that still arrive until the load
 // balancer has noticed that the entry is stopping.
-func (n *Node) drain(srv *http.Server) {
+func (n *Node) drain(srv *http.Server, clients *clientListener) {
 	drainTimeout := n.opts.Settings.ShutdownGrace - shutdownReserve
 	n.gateway.Stop(drainTimeout)
 	n.planner.Stop()
@@ -279,7 +282,8 @@
 		time.Sleep(drainPollInterval)
 	}
 	srv.SetKeepAlivesEnabled(false)
-	n.opts.Log.Info("Entry stopped.", "requests", n.gateway.InFlight(), "after", time.Since(startTime))
+	n.gateway.LogUnanswered()
+	n.opts.Log.Info("Entry stopped.", "requests", n.gateway.InFlight(), "active_connections", clients.active.Load(), "after", time.Since(startTime))
 }
 
 // listen listens on an address. It retries, because another process may still hold the
