Streams without a server are refused before a stopping process ends

Callers saw: a stream that was accepted in the first 3 s after SIGTERM, or before it, got neither an answer nor a refusal; its connection was closed when the process ended (LOST).

Cause: only plain requests had a deadline before the end of the process. A stream waited for its placement, or for that of its next attempt, as long as its own deadline allowed. Class: something accepted that nothing ends when the process does.

A stream keeps its place at the placing entry while it may still be served here: its stages and its place in the queue would be lost by an earlier refusal. From the moment at which new requests are refused, it is not sent any more: its placement is cancelled, which frees its results, and it is refused with a time to come back, which is true since it reached no server. If an attempt may have run, it ends as failed; if events were relayed, the connection is broken off and the client may resume it at another entry.

Evidence: TestStreamWithoutServerIsRefusedBeforeProcessEnds failed before (EOF in place of a response) and passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,9 +144,11 @@
 	streams, responses, requests *readBuffers
 	// requestBodies bounds the bodies of all requests.
 	requestBodies *bounded.Budget
-	// ending ends shortly before a stopping process does.
-	ending context.Context
-	end    context.CancelFunc
+	// accepting ends when a stopping process accepts no more requests and sends no more of
+	// those that wait. ending ends shortly before the process does; what is still without an
+	// answer is answered then.
+	accepting, ending  context.Context
+	stopAccepting, end context.CancelFunc
 	// configChanges wakes the requests that wait for a placement.
 	configChanges configChanges
 
@@ -181,6 +183,7 @@
 		secondAttempts: secondAttempts{trackers: map[string]*secondattempt.Tracker{}},
 		allowanceShare: budget.AllowanceShare{Window: o.Settings.RetryBudget.Window, Interval: max(o.RegistryReadInterval, o.Settings.RetryBudget.Window)},
 	}
+	g.accepting, g.stopAccepting = context.WithCancel(context.Background())
 	g.ending, g.end = context.WithCancel(context.Background())
 	g.requestBodies.SetReclaim(g.requests.endSlowest)
 	if g.Bodies != nil {
@@ -308,13 +311,11 @@
 	if !g.Stopping() {
 		return nil
 	}
-	endsAt := time.Duration(g.endsAt.Load())
-	stopTime := endsAt - time.Duration(g.stoppingSince.Load())
-	if clock.Now() > endsAt-min(lastRequestTime, stopTime/2) {
-		return &refusal{code: result.EntryDraining, retryAfter: stoppingRetryAfter, cause: "entry is stopping", closeConnection: true}
+	if g.accepting.Err() != nil {
+		return refuseStopping()
 	}
 	if req.route.Kind != routes.Stream {
-		req.deadline = min(req.deadline, endsAt-lastAnswerTime)
+		req.deadline = min(req.deadline, time.Duration(g.endsAt.Load())-lastAnswerTime)
 	}
 	return nil
 }
@@ -324,11 +325,13 @@
 
 // Stop marks the gateway as stopping; the process ends after the given time at the latest.
 // Requests are still served, with closing connections; new streams only for newStreamGrace,
-// and no new requests in the last part of the time, so that those before can end.
+// and no new requests in the last part of the time, so that those before can end. Streams that
+// have no server by then are refused as well.
 func (g *Gateway) Stop(within time.Duration) {
 	now := clock.Now()
 	g.endsAt.CompareAndSwap(0, int64(now+within))
 	if g.stoppingSince.CompareAndSwap(0, int64(now)) {
+		time.AfterFunc(within-min(lastRequestTime, within/2), g.stopAccepting)
 		time.AfterFunc(within-lastAnswerTime, g.end)
 	}
 	g.mu.Lock()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -81,6 +81,7 @@
 	causeLimitReached      = "limits of the servers reached"
 	causeKeysNotConfirmed  = "keys not confirmed by the store"
 	causeKeyRevoked        = "key revoked while the request waited"
+	causeStopping          = "entry is stopping"
 	causeOtherServer       = "address belongs to another server"
 	causeOtherVersion      = "server runs another software version"
 )
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -26,6 +26,11 @@
 	return &refusal{code: code, cause: cause, retryAfter: retryAfter}
 }
 
+// refuseStopping returns the refusal of an entry that is stopping.
+func refuseStopping() *refusal {
+	return &refusal{code: result.EntryDraining, retryAfter: stoppingRetryAfter, cause: causeStopping, closeConnection: true}
+}
+
 // refuse writes the error response of a refusal.
 func (g *Gateway) refuse(w http.ResponseWriter, req *request, r *refusal) {
 	if r.closeConnection {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -61,7 +61,7 @@
 // client disconnects, ctx also at the deadline.
 func (g *Gateway) serveStream(client, ctx context.Context, w http.ResponseWriter, req *request) {
 	if g.stoppingFor() > newStreamGrace {
-		g.refuse(w, req, &refusal{code: result.EntryDraining, retryAfter: stoppingRetryAfter, cause: "entry is stopping", closeConnection: true})
+		g.refuse(w, req, refuseStopping())
 		return
 	}
 	if req.LastEventID != "" {
@@ -180,7 +180,7 @@
 	}
 	placementBegan := clock.Now()
 	s.req.setPhase(phasePlacement)
-	p, progress := s.gateway.place(ctx, s.req, slices.Concat(s.avoid, cooling))
+	p, progress, stopped := s.placeBeforeStop(ctx, slices.Concat(s.avoid, cooling))
 	s.placementTime = clock.Now() - placementBegan
 	if f := s.gateway.ExpectedFirstEvent; f != nil {
 		p.ExpectedFirstEvent = f(p)
@@ -189,12 +189,35 @@
 		progress(planner.Progress{Phase: planner.Cancelled})
 		return false, nil
 	}
+	if stopped {
+		progress(planner.Progress{Phase: planner.Cancelled})
+		return false, s.refuseOrFailStopping()
+	}
 	if p.RefusalReason != 0 {
 		return false, s.refuseOrFail(reasonCode(p.RefusalReason), planner.ReasonText(p.RefusalReason), p.RetryAfter)
 	}
 	return s.send(ctx, p, progress)
 }
 
+// placeBeforeStop places the request as place does. stopped is true if the process stops so soon
+// that the request is not sent any more.
+func (s *streamRequest) placeBeforeStop(ctx context.Context, avoid []string) (p planner.Placement, progress progressFunc, stopped bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stopWatching := context.AfterFunc(s.gateway.accepting, cancel)
+	defer stopWatching()
+	p, progress = s.gateway.place(ctx, s.req, avoid)
+	return p, progress, s.gateway.accepting.Err() != nil
+}
+
+// refuseOrFailStopping is refuseOrFail for a process that stops.
+func (s *streamRequest) refuseOrFailStopping() *refusal {
+	if s.possibleRuns > 0 {
+		return serverFailure(causeStopping)
+	}
+	return refuseStopping()
+}
+
 // refuseOrFail refuses a request that has not run, and fails one that may have.
 func (s *streamRequest) refuseOrFail(code result.Code, cause string, retryAfter time.Duration) *refusal {
 	if s.possibleRuns > 0 {
--- /dev/null
+++ b/internal/node/stop_test.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// mortalListener stands for the listener of a process: exit closes it and its connections, as
+// the end of the process would.
+type mortalListener struct {
+	net.Listener
+	// writeDelay is the time before each write, as on a busy machine.
+	writeDelay time.Duration
+
+	mu    sync.Mutex
+	conns []net.Conn
+	// exited is set by exit.
+	exited bool
+}
+
+// Accept implements net.Listener.
+func (l *mortalListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.exited {
+		_ = c.Close()
+	}
+	l.conns = append(l.conns, c)
+	return &delayedConn{Conn: c, writeDelay: l.writeDelay}, nil
+}
+
+func (l *mortalListener) exit() {
+	_ = l.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.exited = true
+	for _, c := range l.conns {
+		_ = c.Close()
+	}
+}
+
+// delayedConn is a connection that waits before each write.
+type delayedConn struct {
+	net.Conn
+	writeDelay time.Duration
+}
+
+// Write implements net.Conn.
+func (c *delayedConn) Write(p []byte) (int, error) {
+	time.Sleep(c.writeDelay)
+	return c.Conn.Write(p)
+}
+
+// startMortalEntry starts an entry whose client connections end with its Run method.
+func (f *fleet) startMortalEntry(writeDelay time.Duration) *runningEntry {
+	l := &mortalListener{writeDelay: writeDelay}
+	f.wrapClients = func(inner net.Listener) net.Listener {
+		l.Listener = inner
+		return l
+	}
+	e := f.startEntry("e1", 0).waitReady()
+	go func() {
+		<-e.done
+		l.exit()
+	}()
+	return e
+}
+
+// doAll sends n requests at once and returns the replies.
+func (e *runningEntry) doAll(n int, call func(i int) clientCall) <-chan []reply {
+	replies := make([]reply, n)
+	var clients sync.WaitGroup
+	for i := range n {
+		clients.Go(func() { replies[i] = e.do(call(i)) })
+	}
+	all := make(chan []reply, 1)
+	go func() {
+		clients.Wait()
+		all <- replies
+	}()
+	return all
+}
+
+// TestStreamWithoutServerIsRefusedBeforeProcessEnds guards against a stream that is accepted and
+// still waits for a server when the process ends: its client would get neither an answer nor a
+// refusal.
+func TestStreamWithoutServerIsRefusedBeforeProcessEnds(t *testing.T) {
+	f := newFleet(t)
+	release := make(chan struct{})
+	stageCalled := make(chan struct{}, 8)
+	f.startServer("a", "a1", 0).SetHandler(blockUntil(release, stageCalled))
+	t.Cleanup(func() { close(release) })
+	f.startServer("b", "b1", 0)
+	model := f.startServer("model", "m1", 3)
+	f.putConfig()
+	f.shutdownGrace = shutdownReserve + 2*time.Second
+	e := f.startMortalEntry(0)
+	replies := e.doAll(4, func(i int) clientCall { return stagedCall(fmt.Sprint("r", i)) })
+	<-stageCalled
+	e.stop()
+	for _, got := range <-replies {
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+	}
+	assert.Equal(t, len(model.ExecutedRequests()), 0)
+}
+
+// blockUntil returns a handler that blocks each request until release is closed. It sends to
+// begun before.
+func blockUntil(release <-chan struct{}, begun chan<- struct{}) func(http.ResponseWriter, *http.Request) bool {
+	return func(http.ResponseWriter, *http.Request) bool {
+		begun <- struct{}{}
+		<-release
+		return false
+	}
+}
