Requests at a server are answered before a stopping process ends

Callers saw: a connection closed without an answer when the process ended while the request was at a server that had not responded. Plain requests that were accepted before SIGTERM, with a long deadline, and streams without a response were affected.

Cause: the signal that the process ends reached only the delivery of complete answers. The work on a request ended at its own deadline alone.

The context of each request now ends shortly before the process does, with that as its cause. A request that may have run is answered as failed, one that has not is refused, and a stream that has begun is broken off after the events that have arrived.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -233,14 +233,28 @@
 	}
 	g.unanswered.add(req)
 	defer g.unanswered.remove(req)
-	ctx, cancel := context.WithTimeout(hr.Context(), req.remaining())
+	ctx, cancel := g.requestContext(hr.Context(), req)
 	defer cancel()
 	g.countRequest(req.service)
 	if req.route.Kind == routes.Stream {
 		g.serveStream(hr.Context(), ctx, w, req)
 		return
 	}
-	g.servePlain(ctx, w, req)
+	g.servePlain(hr.Context(), ctx, w, req)
+}
+
+// requestContext returns the context of the work on a request. It ends when the client
+// disconnects, at the deadline of the request, and with errProcessEnds shortly before the process
+// ends.
+func (g *Gateway) requestContext(client context.Context, req *request) (context.Context, context.CancelFunc) {
+	timed, cancelTimed := context.WithTimeout(client, req.remaining())
+	ctx, cancel := context.WithCancelCause(timed)
+	stopWatching := context.AfterFunc(g.ending, func() { cancel(errProcessEnds) })
+	return ctx, func() {
+		stopWatching()
+		cancel(nil)
+		cancelTimed()
+	}
 }
 
 // keysValid reports whether the configuration is recent enough to accept its keys.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -95,8 +95,9 @@
 	release func()
 }
 
-// servePlain serves a request whose response is not a stream.
-func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, req *request) {
+// servePlain serves a request whose response is not a stream. client ends when the client
+// disconnects, ctx also when the request has to be answered.
+func (g *Gateway) servePlain(client, ctx context.Context, w http.ResponseWriter, req *request) {
 	var avoid []string
 	var last outcome
 	mayHaveRun := false
@@ -134,11 +135,14 @@
 			break
 		}
 	}
-	if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
+	if client.Err() != nil {
 		g.metrics.clientDisconnects.Inc(1)
 		req.log.Info("Client disconnected.", "held", clock.Now()-req.arrivedAt, "tries", req.attempts)
 		return
 	}
+	if errors.Is(context.Cause(ctx), errProcessEnds) {
+		last.cause = causeStopping
+	}
 	g.respondPlain(w, req, last, mayHaveRun)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -81,7 +81,7 @@
 			return
 		}
 		if ctx.Err() != nil {
-			s.handleContextEnd()
+			s.handleContextEnd(ctx)
 			return
 		}
 		if r == nil {
@@ -95,9 +95,9 @@
 	}
 }
 
-// handleContextEnd ends a request whose client cannot get the response, or whose deadline
-// passed.
-func (s *streamRequest) handleContextEnd() {
+// handleContextEnd ends a request whose client cannot get the response, whose deadline passed, or
+// whose process ends.
+func (s *streamRequest) handleContextEnd(ctx context.Context) {
 	err := s.relay.out.failure()
 	if s.hasClientLeft(err) {
 		s.logClientLeft()
@@ -105,6 +105,10 @@
 	if err != nil {
 		s.abort(err.Error())
 	}
+	if errors.Is(context.Cause(ctx), errProcessEnds) {
+		s.handleProcessEnd()
+		return
+	}
 	if s.relay.started {
 		s.abort("deadline exceeded")
 	}
@@ -115,6 +119,14 @@
 	s.gateway.refuse(s.w, s.req, deadlineFailure("deadline exceeded"))
 }
 
+// handleProcessEnd ends a request that is not complete when the process ends.
+func (s *streamRequest) handleProcessEnd() {
+	if s.relay.started {
+		s.abort(errProcessEnds.Error())
+	}
+	s.gateway.refuse(s.w, s.req, s.refuseOrFailStopping())
+}
+
 // hasClientLeft reports whether the client has disconnected. Its context also ends if the entry
 // itself has ended the connection, with which the outbox then has failed.
 func (s *streamRequest) hasClientLeft(failure error) bool {
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -9,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/platform/standin"
 )
 
 // mortalListener stands for the listener of a process: exit closes it and its connections, as
@@ -116,6 +119,59 @@
 	assert.Equal(t, len(model.ExecutedRequests()), 0)
 }
 
+// TestRequestAtServerIsAnsweredBeforeProcessEnds guards against a request whose server has not
+// begun to respond when the process ends: its client would get no answer.
+func TestRequestAtServerIsAnsweredBeforeProcessEnds(t *testing.T) {
+	for _, path := range []string{standin.PathStream, standin.PathResumable, standin.PathSafe, standin.PathUnsafe} {
+		t.Run(path, func(t *testing.T) {
+			f := newFleet(t)
+			release := make(chan struct{})
+			sent := make(chan struct{}, 8)
+			handler := blockUntil(release, sent)
+			f.startServer("model", "m1", 3).SetHandler(handler)
+			f.startServer("plain", "p1", 0).SetHandler(handler)
+			t.Cleanup(func() { close(release) })
+			f.putConfig()
+			f.shutdownGrace = shutdownReserve + time.Second
+			e := f.startMortalEntry(0)
+			replies := e.doAll(1, func(int) clientCall { return keyedCall(path, "r", "key-1") })
+			<-sent
+			e.stop()
+			got := (<-replies)[0]
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusBadGateway, got.body)
+		})
+	}
+}
+
+// TestBegunStreamIsBrokenOffWhenProcessEnds guards against a stream that looks complete although
+// the process ended before its last event, and against the loss of events that had arrived.
+func TestBegunStreamIsBrokenOffWhenProcessEnds(t *testing.T) {
+	f := newFleet(t)
+	release := make(chan struct{})
+	begun := make(chan struct{})
+	model := f.startServer("model", "m1", 3)
+	model.SetHandler(func(w http.ResponseWriter, r *http.Request) bool {
+		model.BeginResponse(w, r)
+		_, _ = io.WriteString(w, model.Event(1, "r"))
+		w.(http.Flusher).Flush()
+		close(begun)
+		<-release
+		return true
+	})
+	t.Cleanup(func() { close(release) })
+	f.putConfig()
+	f.shutdownGrace = shutdownReserve + time.Second
+	e := f.startMortalEntry(0)
+	replies := e.doAll(1, func(int) clientCall { return keyedCall(standin.PathStream, "r", "key-1") })
+	<-begun
+	e.stop()
+	got := (<-replies)[0]
+	assert.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, model.Event(1, "r"))
+}
+
 // blockUntil returns a handler that blocks each request until release is closed. It sends to
 // begun before.
 func blockUntil(release <-chan struct{}, begun chan<- struct{}) func(http.ResponseWriter, *http.Request) bool {
