A stopping process waits until the answers to its clients are written

Callers saw: under planned work only, a connection closed in the middle of an answer that the server had completed, 2 to 6 s after SIGTERM (LOST).

Cause: a request counted as answered when its handler returned. The HTTP server writes what is still buffered, the end of a chunked body included, only after that, and the process ended as soon as no request was counted. Refusals of requests that arrived after that moment were not waited for at all. Class: something is counted as finished although its bytes have not left.

The process now ends once no connection of a client has a request whose answer is not written, at the latest 0.4 s before the end of the grace period. What still arrives is refused, and that is waited for as well.

Evidence: TestAnswersAreWrittenBeforeProcessEnds (plain: EOF, stream: cut before its end) and TestRefusalIsWrittenBeforeProcessEnds failed before.

Tried first: http.Server.Shutdown. It closes the listener while answers are still being written, and TestNoRequestIsCutAtTheEndOfTheDrain saw a connection reset before the process had ended. The listener and idle connections now stay open to the end of the process, as before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,10 +41,13 @@
 	// new requests after the entry reports that it is not ready: two readiness checks
 	// and their responses.
 	LoadBalancerLag = 3200 * time.Millisecond
-	// shutdownReserve is the part of the shutdown grace period that remains when Run
-	// returns at the latest.
+	// shutdownReserve is the part of the shutdown grace period that remains when the last
+	// requests are answered at the latest. lastWriteTimeout is the part of it in which the
+	// answers are written to their connections.
 	shutdownReserve   = 700 * time.Millisecond
+	lastWriteTimeout  = 300 * time.Millisecond
 	drainPollInterval = 50 * time.Millisecond
+	writePollInterval = 5 * time.Millisecond
 )
 
 // Options configures a Node.
@@ -221,7 +224,7 @@
 	go func() { _ = srv.Serve(clients) }()
 	n.opts.Log.Info("Entry started.", "node", n.opts.Settings.Node, "zone", n.opts.Settings.Zone, "clients", n.opts.Settings.ClientAddress)
 	<-stop
-	n.drain(srv, clients)
+	n.drain(clients)
 	return nil
 }
 
@@ -267,8 +270,9 @@
 }
 
 // drain waits for the requests in flight, and for those that still arrive until the load
-// balancer has noticed that the entry is stopping.
-func (n *Node) drain(srv *http.Server, clients *clientListener) {
+// balancer has noticed that the entry is stopping. It returns once their answers have been
+// written, so that the process can end.
+func (n *Node) drain(clients *clientListener) {
 	drainTimeout := n.opts.Settings.ShutdownGrace - shutdownReserve
 	n.gateway.Stop(drainTimeout)
 	n.planner.Stop()
@@ -281,11 +285,21 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
-	srv.SetKeepAlivesEnabled(false)
+	awaitAnswers(clients, drainTimeout+lastWriteTimeout-time.Since(startTime))
 	n.gateway.LogUnanswered()
 	n.opts.Log.Info("Entry stopped.", "requests", n.gateway.InFlight(), "active_connections", clients.active.Load(), "after", time.Since(startTime))
 }
 
+// awaitAnswers waits until the answers on all connections of clients are written: a request's
+// handler returns before the HTTP server has written the end of its answer. Until the process
+// ends, the gateway refuses what still arrives, so that its clients know that it has not run.
+func awaitAnswers(clients *clientListener, timeout time.Duration) {
+	deadline := time.Now().Add(timeout)
+	for clients.active.Load() > 0 && time.Now().Before(deadline) {
+		time.Sleep(writePollInterval)
+	}
+}
+
 // listen listens on an address. It retries, because another process may still hold the
 // address for a moment.
 func listen(address string) (net.Listener, error) {
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -181,3 +181,56 @@
 		return false
 	}
 }
+
+// TestAnswersAreWrittenBeforeProcessEnds guards against a process that ends between the end of a
+// request's handler and the last write of its answer, which takes long on a busy machine.
+func TestAnswersAreWrittenBeforeProcessEnds(t *testing.T) {
+	for _, path := range []string{standin.PathUnsafe, standin.PathStream} {
+		t.Run(path, func(t *testing.T) {
+			f := newFleet(t)
+			release := make(chan struct{})
+			sent := make(chan struct{}, 8)
+			handler := blockUntil(release, sent)
+			f.startServer("plain", "p1", 0).SetHandler(handler)
+			f.startServer("model", "m1", 3).SetHandler(handler)
+			f.putConfig()
+			e := f.startMortalEntry(150 * time.Millisecond)
+			replies := e.doAll(4, func(i int) clientCall { return keyedCall(path, fmt.Sprint("r", i), "key-1") })
+			for range 4 {
+				<-sent
+			}
+			e.stop()
+			eventually(t, "the entry is stopping", e.gateway.Stopping)
+			close(release)
+			for _, got := range <-replies {
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK, got.body)
+			}
+		})
+	}
+}
+
+// TestRefusalIsWrittenBeforeProcessEnds guards against a request that arrives when all others have
+// been handled, and gets no refusal because the process does not wait for it.
+func TestRefusalIsWrittenBeforeProcessEnds(t *testing.T) {
+	f := newFleet(t)
+	release := make(chan struct{})
+	sent := make(chan struct{}, 8)
+	f.startServer("plain", "p1", 0).SetHandler(blockUntil(release, sent))
+	f.putConfig()
+	e := f.startMortalEntry(time.Second)
+	first := e.doAll(1, func(int) clientCall { return keyedCall(standin.PathUnsafe, "r1", "key-1") })
+	<-sent
+	e.stop()
+	eventually(t, "the entry is stopping", e.gateway.Stopping)
+	close(release)
+	eventually(t, "the first request is handled", func() bool { return e.gateway.InFlight() == 0 })
+	time.Sleep(2 * drainPollInterval)
+	second := e.do(keyedCall(standin.PathUnsafe, "r2", "key-1"))
+	assert.NilError(t, second.err)
+	assert.Equal(t, second.status, http.StatusServiceUnavailable, second.body)
+	assert.Assert(t, second.header.Get("Retry-After") != "")
+	got := (<-first)[0]
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+}
