--- a/internal/gateway/outbox.go
+++ b/internal/gateway/outbox.go
@@ -28,7 +28,7 @@
 var (
 	errOutboxClosed    = errors.New("stream ended before its client read it")
 	errDeliveryTimeout = errors.New("client read too slowly before the end of a stream that is broken off")
-	errProcessEnds     = errors.New("process ends before the client has read the response")
+	errProcessEnds     = errors.New("process ends before the client has the whole response")
 )
 
 // chunk is a part of a buffer; data[start:end] waits for the client. counted is set if it counts
