Gateway: no stage call after a refusal on a kept connection

A stage server that refused to free results kept its connection. A second copy of that refusal (503, 429, 421 or 400) was taken for the response to the next call on it: the piece counted as not run and went to another server, while the first one ran it, and the server counted as full or as another one.

A connection on which the server did not answer 200 to a request that frees results is not used again, as it already is after a call without handles.

TestCopyOfRefusalIsNotTakenForTheNextOne failed before for all four statuses, both for a copy that arrives before the next call and for one that arrives with its response: "server full", for 421 "address belongs to another server". TestSoundStageCallsShareOneConnection passed before and after: 50 calls and 50 requests that free results, answered 200, use one connection. TestLateCopyDoesNotMakeRunCallCountAsNotRun passed before as well: a second copy of a 200 to such a request makes the next call incomplete, not refused.

--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -156,7 +156,8 @@
 		s.OnLoad(f.Server, *info.Load)
 	}
 	data, err := bounded.ReadAll(resp.Body, maxFreeResponseBytes)
-	if platform.IsStageRunResponse(data) {
+	// A second copy of a refusal would be taken for the response to the next call.
+	if resp.StatusCode != http.StatusOK || platform.IsStageRunResponse(data) {
 		resp.Discard()
 	}
 	if err == nil && info.RetryAfter > 0 {
