Upstream: an idle connection with something unread is not used

A kept connection was used again although the server had sent a second copy of its last response on it, or had closed it. A stage call then got the copy in place of its own response, or none, and counted as incomplete: its pieces ran again, and the server counted as failing. The check before looked only at the reader's buffer, where nothing arrives while a connection is idle.

Failed before: TestCopyOnIdleConnectionIsNotTakenForTheNextResponse ("connection 1" for the second request), TestIdleConnectionThatServerClosedIsNotUsed ("unexpected EOF") and TestCopyBeforeTheNextCallIsNotTakenForItsResponse ("stage run returned 0 pieces, 1 requested"). TestSoundConnectionIsReused and TestSoundStageCallsShareOneConnection passed before and after: sound servers get one connection. TestResponsesBeforeItsOwnAreSkipped passed before as well: a refusal of another request and interim responses are skipped.

--- a/internal/gateway/second_copy_test.go
+++ b/internal/gateway/second_copy_test.go
@@ -164,6 +164,20 @@
 	}
 }
 
+// TestCopyBeforeTheNextCallIsNotTakenForItsResponse guards against a stage call that is lost, or
+// gets the results of another one, because the second copy of the response before lies unread in
+// the connection on which it is sent.
+func TestCopyBeforeTheNextCallIsNotTakenForItsResponse(t *testing.T) {
+	server := startCopyingServer(t, whileIdle, stageResponse(http.StatusOK, "{}", nil))
+	stages := newStageClient()
+	_, err := stages.Free(context.Background(), staging.FreeRequest{Server: server.Server, Handles: []string{"h0"}})
+	assert.NilError(t, err)
+	server.waitForCopy()
+	result, err := runPiece(stages, server.Server)
+	assert.NilError(t, err)
+	assert.Equal(t, result.Results[0].Handle, "h1")
+}
+
 // TestLateCopyDoesNotMakeRunCallCountAsNotRun guards against a call that counts as not run and
 // is run by its server, because the second copy of the response before arrives with its own.
 func TestLateCopyDoesNotMakeRunCallCountAsNotRun(t *testing.T) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -208,35 +208,6 @@
 	return raw, errors.Wrap(err, "connect")
 }
 
-// takeIdle returns an idle connection without unread data, or nil.
-func (c *Client) takeIdle(address string) *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.idleConns[address]
-	for len(list) > 0 {
-		cn := list[len(list)-1]
-		list = list[:len(list)-1]
-		c.idleConns[address] = list
-		if time.Since(cn.idleSince) < maxIdleTime && cn.reader.Buffered() == 0 {
-			return cn
-		}
-		_ = cn.Close()
-	}
-	delete(c.idleConns, address)
-	return nil
-}
-
-func (c *Client) putIdle(address string, cn *conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.idleConns[address]) >= maxIdlePerAddress {
-		_ = cn.Close()
-		return
-	}
-	cn.idleSince = time.Now()
-	c.idleConns[address] = append(c.idleConns[address], cn)
-}
-
 // exchange writes the request and reads the head of its response.
 func exchange(cn *conn, req *Request) (*http.Response, error) {
 	if err := writeRequest(cn, req); err != nil {
