Check what continues a broken stream before it is forwarded

Callers of resumable streams found the text or JSON of an error, or the head of a response, in the middle of their stream, which then ended as if it were complete; or events that began anew with ID 1.

The first server had broken off, and any signed 200 of the next one counted as the rest: its type and the IDs of its events were not looked at, neither where the entry resumed the stream nor where the client did.

An attempt that continues events which the client has must be of the type text/event-stream without an encoding. Its first event must have an ID, numeric IDs must rise past the last one, opaque ones must not be repeated, and each line must be a field. Comments before the first event wait for it, and of a large event no part is forwarded before its ID is known. Otherwise the attempt fails like one that broke off: another server may continue, and else the client's connection is closed without the end of the body. The head of a response is no event in first attempts either: a response that ends with its connection may have a second one after it. An empty rest counts only if it is of the right type; it is what a server answers that was resumed after the last event.

The responses in the tests of the relay now carry the type that streams have. What the tests check stays.

--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -31,6 +31,11 @@
 	lastID    []byte
 	lastHasID bool
 	events    int
+	// order, if set, records the IDs of whole events; they are checked if continues is set.
+	order     *Order
+	continues bool
+	// err is why the bytes after the last whole event do not belong to the stream.
+	err error
 }
 
 // Add adds bytes of the response and returns the whole events that were not returned
@@ -51,7 +56,7 @@
 // Added adds the first n bytes of the space that Space returned, as Add does.
 func (s *Splitter) Added(n int) []byte {
 	s.buf = s.buf[:len(s.buf)+n]
-	for ; s.scanned < len(s.buf); s.scanned++ {
+	for ; s.scanned < len(s.buf) && s.err == nil; s.scanned++ {
 		s.scan(s.buf[s.scanned])
 	}
 	return s.buf[:s.eventsEnd]
@@ -126,6 +131,9 @@
 // endLine ends a line with bytes at the position scanned.
 func (s *Splitter) endLine() {
 	line := s.buf[s.lineStart:s.scanned]
+	if s.err = s.checkLine(line); s.err != nil {
+		return
+	}
 	if value, ok := bytes.CutPrefix(line, idField); ok && !s.lineTaken {
 		s.eventID, s.hasID = append(s.eventID[:0], bytes.TrimSpace(value)...), true
 	}
@@ -135,14 +143,26 @@
 
 // endEvent ends the current event with the empty line at the position scanned.
 func (s *Splitter) endEvent() {
-	s.eventsEnd = s.scanned + 1
 	s.lineStart = s.scanned + 1
 	if s.hasField {
+		if s.err = s.checkEvent(); s.err != nil {
+			return
+		}
 		s.events++
 		s.lastHasID = s.hasID
 	}
+	if !s.continues || s.events > 0 {
+		s.eventsEnd = s.scanned + 1
+	}
 	if s.hasID {
 		s.lastID = append(s.lastID[:0], s.eventID...)
+		s.recordID()
 	}
 	s.inEvent, s.hasField, s.hasID, s.eventTaken = false, false, false, false
 }
+
+func (s *Splitter) recordID() {
+	if s.order != nil {
+		s.order.Record(s.eventID)
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,6 +12,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/readbuffer"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
+	"github.com/magnoliawheel/magnoliawheel/platform"
 )
 
 const (
@@ -32,6 +33,7 @@
 	errEndsWithinEvent = errors.New("response ended within an event")
 	errNoEvent         = errors.New("response ended before the first event")
 	errEventTooLarge   = errors.New("event without end")
+	errNotEventStream  = errors.New("response does not continue the stream: it is no stream of events")
 )
 
 // relay copies a stream of events to the client. It forwards only complete events, so
@@ -45,6 +47,8 @@
 	// events is the number of forwarded events, lastID the ID of the last one that has one.
 	events int
 	lastID string
+	// order checks the IDs of the events of attempts that continue the stream.
+	order *eventstream.Order
 	// eventDue is set if an earlier attempt broke off within an event, so that the stream
 	// has at least one more.
 	eventDue bool
@@ -63,22 +67,34 @@
 }
 
 func newRelay(w http.ResponseWriter, out *outbox) *relay {
-	return &relay{w: w, out: out, splitter: &eventstream.Splitter{}}
+	return &relay{w: w, out: out, splitter: &eventstream.Splitter{}, order: &eventstream.Order{}}
 }
 
-// copy relays the response of one attempt. onFirstByte is called at its first byte. A
-// nil error means that the response was complete.
+// resumeAfter makes the relay check that the stream continues after an event that the client has
+// from another response.
+func (r *relay) resumeAfter(lastEventID string) { r.order.Record([]byte(lastEventID)) }
+
+// continues reports whether the next attempt continues events that the client has.
+func (r *relay) continues() bool { return r.started || r.order.HasID() }
+
+// copy relays the response of one attempt. onFirstByte is called at its first byte, unless that
+// is known not to continue the stream. A nil error means that the response was complete.
 func (r *relay) copy(ctx context.Context, resp *upstream.Response, onFirstByte func()) error {
-	r.eventDue = r.splitter.InEvent() || r.eventDue && r.splitter.Events() == 0
-	r.splitter, r.partBytes, r.attemptEvents = &eventstream.Splitter{}, 0, 0
+	brokeInEvent := r.splitter.InEvent() && r.splitter.Err() == nil
+	r.eventDue = brokeInEvent || r.eventDue && r.splitter.Events() == 0
+	r.splitter, r.partBytes, r.attemptEvents = eventstream.ResponseTo(r.order, r.continues()), 0, 0
+	if r.continues() && !platform.IsEventStream(resp.Header) {
+		return errNotEventStream
+	}
 	for {
 		n, err := resp.Body.Read(r.splitter.Space(readSpaceBytes))
 		if n > 0 {
-			if onFirstByte != nil {
+			events := r.splitter.Added(n)
+			if onFirstByte != nil && (len(events) > 0 || r.splitter.Err() == nil) {
 				onFirstByte()
 				onFirstByte = nil
 			}
-			if ferr := r.forward(ctx, resp, r.splitter.Added(n)); ferr != nil {
+			if ferr := r.forward(ctx, resp, events); ferr != nil {
 				return ferr
 			}
 		}
@@ -105,9 +121,15 @@
 			return err
 		}
 	}
+	if err := r.splitter.Err(); err != nil {
+		return err
+	}
 	if len(r.splitter.Unfinished()) < maxEventPartBytes {
 		return r.holdUnfinished()
 	}
+	if err := r.splitter.CheckPart(); err != nil {
+		return err
+	}
 	part := r.splitter.TakeUnfinished()
 	if r.partBytes += len(part); r.partBytes > maxEventBytes {
 		return errEventTooLarge
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -20,7 +20,7 @@
 // chunkedResponse returns a response whose body marks its end.
 func chunkedResponse(body io.Reader) *upstream.Response {
 	return &upstream.Response{Response: &http.Response{
-		StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(body), ContentLength: -1, TransferEncoding: []string{"chunked"},
+		StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: io.NopCloser(body), ContentLength: -1, TransferEncoding: []string{"chunked"},
 	}}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -74,6 +74,9 @@
 	out := newOutbox(w, g.streams, req.log, cancel)
 	defer out.close()
 	s := &streamRequest{gateway: g, req: req, w: w, client: client, relay: newRelay(w, out)}
+	if req.route.Resumable {
+		s.relay.resumeAfter(req.LastEventID)
+	}
 	for {
 		done, r := s.attempt(ctx)
 		if done {
