Do not resume a stream after an event with an empty ID

A stream whose last forwarded event had the empty ID ("id:") and which then broke off was begun anew at the next server: the client got its events from ID 1 once more, in a response that looked complete.

The event counted as one with an ID, and the request was sent again without the ID of the last event. Such an event now counts as one without an ID, after which no server can continue.

--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -88,7 +88,8 @@
 // LastID returns the ID of the last whole event that has one, or "".
 func (s *Splitter) LastID() string { return string(s.lastID) }
 
-// LastHasID reports whether the last whole event has an ID. It is false if there is none.
+// LastHasID reports whether the last whole event has an ID that is not empty. It is false if there
+// is no event.
 func (s *Splitter) LastHasID() bool { return s.lastHasID }
 
 // discardEvents removes the events that Add returned.
@@ -149,7 +150,7 @@
 			return
 		}
 		s.events++
-		s.lastHasID = s.hasID
+		s.lastHasID = s.hasID && len(s.eventID) > 0
 	}
 	if !s.continues || s.events > 0 {
 		s.eventsEnd = s.scanned + 1
--- a/core/eventstream/eventstream_test.go
+++ b/core/eventstream/eventstream_test.go
@@ -19,6 +19,7 @@
 		{"events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "", 2, "2"},
 		{"data that looks like an ID", "id:1\ndata: id: 7\n\n", "id:1\ndata: id: 7\n\n", "", 1, "1"},
 		{"event without an ID", "id: 1\ndata: a\n\ndata: b\n\n", "id: 1\ndata: a\n\ndata: b\n\n", "", 2, "1"},
+		{"event with an empty ID", "id: 1\n\nid:\n\n", "id: 1\n\nid:\n\n", "", 2, ""},
 		{"ends within a line", "id: 1\n\nid: 2\nda", "id: 1\n\n", "id: 2\nda", 1, "1"},
 		{"ends before the empty line", "id: 1\n\nid: 2\n", "id: 1\n\n", "id: 2\n", 1, "1"},
 		{"CRLF", "id: 1\r\ndata: a\r\n\r\nid: 2\r\n", "id: 1\r\ndata: a\r\n\r\n", "id: 2\r\n", 1, "1"},
