--- a/internal/node/continuation_test.go
+++ b/internal/node/continuation_test.go
@@ -152,6 +152,20 @@
 	}
 }
 
+// TestEncodedStreamIsNotForwarded guards against a body that a server has encoded, which is not the
+// one that it signed, being forwarded as the events of a stream.
+func TestEncodedStreamIsNotForwarded(t *testing.T) {
+	encoded := func(w http.ResponseWriter) {
+		w.Header().Set("Content-Encoding", "br")
+		answer{"text/event-stream", "encoded\n\n", false}.write(w)
+	}
+	e, received := startAnswering(newFleet(t), encoded)
+	got := e.do(keyedCall(standin.PathResumable, "r", "key-1"))
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, firstEvent+secondEvent+"id: 3\ndata: token 3 of r\n\n")
+	assert.Equal(t, received.Load(), int32(2))
+}
+
 // TestStreamThatCannotContinueIsNotResumed guards against parts of two runs being joined, and
 // events that come twice: no other server can continue the stream from what the client has.
 func TestStreamThatCannotContinueIsNotResumed(t *testing.T) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -123,6 +123,11 @@
 		}, 200, 200, 1, 1},
 		{"reports a misdirected request", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(421) }, 200, 200, 1, 1},
 		{"responds without a signature", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("x")) }, 200, 502, 1, 0},
+		{"responds with an encoded body", func(w http.ResponseWriter, _ *http.Request) {
+			standin.SetSignature(w.Header(), "s")
+			w.Header().Set("Content-Encoding", "br")
+			_, _ = w.Write([]byte("encoded"))
+		}, 200, 502, 1, 0},
 		{"interrupts its response", func(w http.ResponseWriter, _ *http.Request) {
 			standin.SetSignature(w.Header(), "s")
 			w.Header().Set("Content-Length", "100")
