--- a/core/eventstream/check.go
+++ b/core/eventstream/check.go
@@ -37,7 +37,10 @@
 	if s.lineTaken {
 		return nil
 	}
-	name, _, _ := bytes.Cut(line, []byte(":"))
+	name := line
+	if colon := bytes.IndexByte(line, ':'); colon >= 0 {
+		name = line[:colon]
+	}
 	if bytes.Contains(name, protocolName) || s.continues && !isFieldName(name) {
 		return ErrNotAField
 	}
