Soak: a stream that a server breaks off has the type of streams

Without it a server's answer that is to continue a stream is rejected by its type, before its events are looked at, so that a second break within a stream is not tried.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -337,6 +337,7 @@
 	switch r.URL.Path {
 	case standin.PathStream, standin.PathResumable:
 		standin.SetUntilClose(w.Header())
+		w.Header().Set("Content-Type", "text/event-stream")
 		next := standin.LastEventID(r.Header) + 1
 		_, _ = fmt.Fprintf(w, "%sid: %d\nda", s.Event(next, standin.RequestID(r.Header)), next+1)
 	case platform.StageRunPath:
