A stopping process does not give up an overdue stream without another attempt

Callers would see: a failure in place of the answer that the server gives in time, in the last part of a stop.

Cause: sends no more attempts in that part, and the watch of the first event, which gives an attempt up for the sake of another one, did not know.

Evidence: TestOverdueStreamIsNotGivenUpWithoutAnotherAttempt failed on (502 after 3.3 s, the server answers after 3.5 s), found in review.

--- a/internal/gateway/second_attempt.go
+++ b/internal/gateway/second_attempt.go
@@ -112,6 +112,10 @@
 	}
 	facts := w.facts
 	facts.HasOtherServer, facts.TakeRetry = w.hasOtherServer, func() bool { return w.gateway.tryRetry(w.req.service) }
+	if w.gateway.accepting.Err() != nil {
+		// The stopping process would send no other attempt.
+		facts.MaxAttempts = 0
+	}
 	earlier := w.decision.Denial
 	w.gateway.secondAttempts.update(w.req.service, func(now time.Duration, t *secondattempt.Tracker) {
 		facts.ToObjective, facts.ToDeadline = w.req.objectiveDeadline-now, w.req.deadline-now
