The unsent rest of a refused request's body holds neither its refusal nor a stop

Callers saw: no answer at all to a refused request whose body did not arrive, and connections that stayed open for ever after a refusal. An entry with such a connection stopped only at the end of its grace period.

Cause: the HTTP server reads the rest of a body before it writes a short answer and before it closes the connection, and no deadline was set for that. The wait for the answers to be written made it hold the stop.

The rest may take 0.5 s, after which the answer is written and the connection closed, its sending direction first so that the client gets the answer.

Found in review.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,9 @@
 	defaultMaxBodyBytes = 4 << 20
 	// bodyReadTimeout bounds the time to read a request body.
 	bodyReadTimeout = 5 * time.Second
+	// unreadBodyTimeout bounds the time for the rest of the body of a refused request, which the
+	// HTTP server reads before it writes the refusal.
+	unreadBodyTimeout = 500 * time.Millisecond
 	// If the configuration is older than staleConfigFraction of Settings.MaxConfigDelay,
 	// an unknown route or key is answered with a retryable error, since a newer
 	// configuration may have it.
@@ -228,6 +231,7 @@
 		refusal = g.refuseAtEnd(req)
 	}
 	if refusal != nil {
+		limitUnreadBody(w)
 		g.refuse(w, req, refusal)
 		return
 	}
@@ -366,6 +370,7 @@
 
 // refuseClosed refuses a request that arrived after the gateway was closed.
 func (g *Gateway) refuseClosed(w http.ResponseWriter, hr *http.Request) {
+	limitUnreadBody(w)
 	cr, _ := platform.DecodeClientRequest(hr.Header)
 	req := &request{ClientRequest: cr, arrivedAt: clock.Now(), log: g.Log.WithValues("request", cr.ID)}
 	g.refuse(w, req, &refusal{code: result.EntryDraining, retryAfter: stoppingRetryAfter, cause: "entry has stopped", closeConnection: true})
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -31,6 +31,11 @@
 	return &refusal{code: result.EntryDraining, retryAfter: stoppingRetryAfter, cause: causeStopping, closeConnection: true}
 }
 
+// limitUnreadBody bounds the time for the part of a request's body that has not been read.
+func limitUnreadBody(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+}
+
 // refuse writes the error response of a refusal.
 func (g *Gateway) refuse(w http.ResponseWriter, req *request, r *refusal) {
 	if r.closeConnection {
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -99,6 +99,15 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// CloseWrite closes the sending direction of the connection, if it has one of its own, so that
+// its client gets a response whose request it is still sending.
+func (c *clientConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // deadlineAfter returns the time at which a timeout that begins now ends, or fallback if
 // there is no timeout.
 func deadlineAfter(fallback time.Time, timeout time.Duration) time.Time {
