A client that closed its sending direction gets no empty success

Callers would see: 200 without a body and without the server's signature, for a plain request whose client shuts down its sending direction while it waits (MIXED).

Cause: the handler returned without an answer, as for a client that has disconnected, and the HTTP server then writes an empty success. Streams ended the connection already; plain requests do the same now.

Evidence: TestHalfClosedClientGetsNoSuccess failed before for the two kinds of plain requests.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -138,7 +138,9 @@
 	if client.Err() != nil {
 		g.metrics.clientDisconnects.Inc(1)
 		req.log.Info("Client disconnected.", "held", clock.Now()-req.arrivedAt, "tries", req.attempts)
-		return
+		// Otherwise the HTTP server would answer with an empty success, which a client that has
+		// closed only its sending direction gets.
+		panic(http.ErrAbortHandler)
 	}
 	if errors.Is(context.Cause(ctx), errProcessEnds) {
 		last.cause = causeStopping
