Complete answers are delivered until the process has to end; short grace periods are used

Callers would see: a complete answer cut in its middle 0.4 s before the end of a stopping process, because the client had not read all of it yet; and, with a grace period under 0.7 s, connections closed without an answer at once.

Cause: the delivery of complete answers ended with the work on the others, although the process then waits until what is written has left. The reserved part of the grace period did not shrink with it.

Delivery now ends just before the process does. Besides, the wait for answers needs two checks in a row without any, since between two requests a connection does not count for a moment, and a stream is not placed any more once it would be refused anyway.

Streams share the change; they have no test of their own for it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,6 +152,9 @@
 	// answer is answered then.
 	accepting, ending  context.Context
 	stopAccepting, end context.CancelFunc
+	// delivering ends after ending; until then complete answers are delivered to their clients.
+	delivering     context.Context
+	stopDelivering context.CancelFunc
 	// configChanges wakes the requests that wait for a placement.
 	configChanges configChanges
 
@@ -188,6 +191,7 @@
 	}
 	g.accepting, g.stopAccepting = context.WithCancel(context.Background())
 	g.ending, g.end = context.WithCancel(context.Background())
+	g.delivering, g.stopDelivering = context.WithCancel(context.Background())
 	g.requestBodies.SetReclaim(g.requests.endSlowest)
 	if g.Bodies != nil {
 		g.Bodies.SetReclaim(g.responses.endSlowest)
@@ -333,24 +337,41 @@
 		return refuseStopping()
 	}
 	if req.route.Kind != routes.Stream {
-		req.deadline = min(req.deadline, time.Duration(g.endsAt.Load())-lastAnswerTime)
+		req.deadline = min(req.deadline, g.lastAnswerAt())
 	}
 	return nil
 }
 
+// lastAnswerAt returns the clock.Now time at which a stopping process gives the last answers.
+func (g *Gateway) lastAnswerAt() time.Duration {
+	endsAt, stoppingSince := time.Duration(g.endsAt.Load()), time.Duration(g.stoppingSince.Load())
+	return endsAt - lastAnswerTimeOf(endsAt-stoppingSince)
+}
+
+// lastAnswerTimeOf returns lastAnswerTime, or a shorter time for a stop that lasts less than
+// usual.
+func lastAnswerTimeOf(stopTime time.Duration) time.Duration {
+	return min(lastAnswerTime, stopTime/4)
+}
+
 // Stopping reports whether Stop was called.
 func (g *Gateway) Stopping() bool { return g.stoppingSince.Load() != 0 }
 
+// Ending reports whether the process is about to end, so that the last answers are given.
+func (g *Gateway) Ending() bool { return g.ending.Err() != nil }
+
 // Stop marks the gateway as stopping; the process ends after the given time at the latest.
 // Requests are still served, with closing connections; new streams only for newStreamGrace,
 // and no new requests in the last part of the time, so that those before can end. Streams that
-// have no server by then are refused as well.
-func (g *Gateway) Stop(within time.Duration) {
+// have no server by then are refused as well. Complete answers are delivered until deliverWithin
+// has passed.
+func (g *Gateway) Stop(within, deliverWithin time.Duration) {
 	now := clock.Now()
 	g.endsAt.CompareAndSwap(0, int64(now+within))
 	if g.stoppingSince.CompareAndSwap(0, int64(now)) {
 		time.AfterFunc(within-min(lastRequestTime, within/2), g.stopAccepting)
-		time.AfterFunc(within-lastAnswerTime, g.end)
+		time.AfterFunc(within-lastAnswerTimeOf(within), g.end)
+		time.AfterFunc(deliverWithin, g.stopDelivering)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -344,7 +344,7 @@
 func (g *Gateway) deliverBody(w http.ResponseWriter, req *request, a *response) error {
 	d := newDelivery(w)
 	defer d.close()
-	stopWaiting := context.AfterFunc(g.ending, func() { d.fail(errProcessEnds) })
+	stopWaiting := context.AfterFunc(g.delivering, func() { d.fail(errProcessEnds) })
 	defer stopWaiting()
 	reader := g.responses.join(req.log, a.release, d.fail)
 	defer reader.leave()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -169,7 +169,7 @@
 	s.relay.splitter = &eventstream.Splitter{}
 	stopWaiting := context.AfterFunc(s.client, func() { s.relay.out.fail(context.Cause(s.client)) })
 	defer stopWaiting()
-	err := s.relay.out.finish(s.gateway.ending.Done(), errProcessEnds)
+	err := s.relay.out.finish(s.gateway.delivering.Done(), errProcessEnds)
 	switch {
 	case s.hasClientLeft(err):
 		s.logClientLeft()
@@ -193,6 +193,9 @@
 	if remaining > 0 {
 		return false, s.refuseOrFail(result.QueueFull, causeServerCoolingDown, cooldownRetryAfter(s.req.ID, remaining))
 	}
+	if s.gateway.accepting.Err() != nil {
+		return false, s.refuseOrFailStopping()
+	}
 	placementBegan := clock.Now()
 	s.req.setPhase(phasePlacement)
 	p, progress, stopped := s.placeBeforeStop(ctx, slices.Concat(s.avoid, cooling))
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -41,6 +41,28 @@
 	return &clientConn{Conn: c, listener: l}, nil
 }
 
+const (
+	// writePollInterval is the time between two checks for answers that are being written.
+	writePollInterval = 5 * time.Millisecond
+	// quietPolls is the number of checks in a row that find none: between two requests on a
+	// connection there is a moment in which it does not count as active.
+	quietPolls = 2
+)
+
+// awaitAnswers waits until the answers on all connections are written: a request's handler returns
+// before the HTTP server has written the end of its answer.
+func (l *clientListener) awaitAnswers(timeout time.Duration) {
+	deadline := time.Now().Add(timeout)
+	for quiet := 0; quiet < quietPolls && time.Now().Before(deadline); {
+		if l.active.Load() > 0 {
+			quiet = 0
+		} else {
+			quiet++
+		}
+		time.Sleep(writePollInterval)
+	}
+}
+
 // clientConn is a client connection with configurable time limits.
 type clientConn struct {
 	net.Conn
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,14 +40,8 @@
 	// LoadBalancerLag is the longest time for which the platform's load balancer sends
 	// new requests after the entry reports that it is not ready: two readiness checks
 	// and their responses.
-	LoadBalancerLag = 3200 * time.Millisecond
-	// shutdownReserve is the part of the shutdown grace period that remains when the last
-	// requests are answered at the latest. lastWriteTimeout is the part of it in which the
-	// answers are written to their connections.
-	shutdownReserve   = 700 * time.Millisecond
-	lastWriteTimeout  = 300 * time.Millisecond
+	LoadBalancerLag   = 3200 * time.Millisecond
 	drainPollInterval = 50 * time.Millisecond
-	writePollInterval = 5 * time.Millisecond
 )
 
 // Options configures a Node.
@@ -273,33 +267,23 @@
 // balancer has noticed that the entry is stopping. It returns once their answers have been
 // written, so that the process can end.
 func (n *Node) drain(clients *clientListener) {
-	drainTimeout := n.opts.Settings.ShutdownGrace - shutdownReserve
-	n.gateway.Stop(drainTimeout)
+	limits := stopLimitsOf(n.opts.Settings.ShutdownGrace)
+	n.gateway.Stop(limits.answer, limits.deliver)
 	n.planner.Stop()
 	go n.registry.markStopped()
 	startTime := time.Now()
 	n.opts.Log.Info("Entry is stopping.", "requests", n.gateway.InFlight())
-	for time.Since(startTime) < drainTimeout {
+	for time.Since(startTime) < limits.answer {
 		if time.Since(startTime) >= n.opts.LoadBalancerLag && n.planner.JobCount() == 0 && n.gateway.TryClose() {
 			break
 		}
 		time.Sleep(drainPollInterval)
 	}
-	awaitAnswers(clients, drainTimeout+lastWriteTimeout-time.Since(startTime))
+	clients.awaitAnswers(limits.write - time.Since(startTime))
 	n.gateway.LogUnanswered()
 	n.opts.Log.Info("Entry stopped.", "requests", n.gateway.InFlight(), "active_connections", clients.active.Load(), "after", time.Since(startTime))
 }
 
-// awaitAnswers waits until the answers on all connections of clients are written: a request's
-// handler returns before the HTTP server has written the end of its answer. Until the process
-// ends, the gateway refuses what still arrives, so that its clients know that it has not run.
-func awaitAnswers(clients *clientListener, timeout time.Duration) {
-	deadline := time.Now().Add(timeout)
-	for clients.active.Load() > 0 && time.Now().Before(deadline) {
-		time.Sleep(writePollInterval)
-	}
-}
-
 // listen listens on an address. It retries, because another process may still hold the
 // address for a moment.
 func listen(address string) (net.Listener, error) {
