Servers: a record of another writer with odd values names no server to use

Callers saw 503 "no_server" ("lookup evil name: no such host") beside sound servers: such a record was taken for a server, which got its share of the requests, and one that can't be reached looks as if it were idle.

Cause: DecodeServer checked that the address has a colon, and no other value.

--- /dev/null
+++ b/internal/node/odd_records_test.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/platform"
+	"github.com/magnoliawheel/magnoliawheel/platform/standin"
+)
+
+// nestingDepth is the number of levels of a value that is nested more deeply than a JSON
+// decoder allows.
+const nestingDepth = 100_000
+
+// oddServerRecords returns records that another writer may leave among those of the servers.
+// Each of them names a server that exists at the address, but none may be used.
+func oddServerRecords(service, address string) map[string]string {
+	sound := string(standin.ServerRecord(service, address, false))
+	with := func(field string) string { return "{" + field + "," + sound[1:] }
+	replace := func(old, replacement string) string { return strings.Replace(sound, old, replacement, 1) }
+	port := address[strings.LastIndex(address, ":"):]
+	return map[string]string{
+		"deep":            with(`"extra":` + strings.Repeat("[", nestingDepth) + strings.Repeat("]", nestingDepth)),
+		"large number":    replace(`"seq":1`, `"seq":1e400`),
+		"large slots":     replace(`"slots":8`, `"slots":9223372036854775807`),
+		"negative slots":  replace(`"slots":8`, `"slots":-5`),
+		"no slots":        replace(`"slots":8`, `"slots":0`),
+		"largest seq":     replace(`"seq":1`, `"seq":9223372036854775807`),
+		"negative seq":    replace(`"seq":1`, `"seq":-1`),
+		"least start":     replace(`"born":1`, `"born":-9223372036854775808`),
+		"latest start":    replace(`"born":1`, `"born":9223372036854775807`),
+		"cold forever":    with(`"cold_remaining_ms":1e300`),
+		"port too large":  replace(port, ":70000"),
+		"negative port":   replace(port, ":-1"),
+		"port 0":          replace(port, ":0"),
+		"named port":      replace(port, ":http"),
+		"host with space": replace("127.0.0.1", "evil name"),
+		"no host":         replace("127.0.0.1", ""),
+		"long zone":       replace(`"zone":"z"`, `"zone":"`+strings.Repeat("z", 1000)+`"`),
+		"key \xff\xfe":    sound,
+		"key\r\nX-Odd: 1": sound,
+		"":                sound,
+		"text":            "\x00\xff",
+		"list":            "[]",
+	}
+}
+
+// callPlain sends requests for plain servers to the entries in turn, and checks that all of
+// them are answered.
+func callPlain(t *testing.T, prefix string, n int, entries ...*runningEntry) {
+	t.Helper()
+	for i := range n {
+		got := entries[i%len(entries)].do(keyedCall(standin.PathUnsafe, fmt.Sprint(prefix, i), "key-1"))
+		assert.Equal(t, got.status, http.StatusOK, got.body)
+	}
+}
+
+// replaceServer starts a plain server, has the one before leave, and waits until both entries
+// send their requests to the new one, which shows that they follow the records.
+func (f *fleet) replaceServer(before, id string, entries ...*runningEntry) {
+	added := f.startServer("plain", id, 0)
+	f.putServerRecord("plain", before, f.servers[before].Address(), true)
+	for _, e := range entries {
+		sent := 0
+		eventually(f.t, "the entry uses the new server", func() bool {
+			sent++
+			served := len(added.ExecutedRequests())
+			callPlain(f.t, fmt.Sprint(id, "-", e.opts.Settings.Node, "-", sent, "-"), 1, e)
+			return len(added.ExecutedRequests()) > served
+		})
+	}
+}
+
+// TestOddServerRecordsAreIgnored guards against a record of another writer that ends the entries
+// that read it, keeps them from following the records that come after it, cuts their sessions, or
+// adds a server that does not exist to those that get requests.
+func TestOddServerRecordsAreIgnored(t *testing.T) {
+	f := newFleet(t)
+	f.startServer("plain", "plain1", 0)
+	odd := standin.NewServer("odd", 0)
+	t.Cleanup(odd.Close)
+	oddCalls := &atomic.Int64{}
+	odd.SetHandler(func(http.ResponseWriter, *http.Request) bool {
+		oddCalls.Add(1)
+		return false
+	})
+	f.putConfig()
+	e1 := f.startEntry("e1", 0).waitReady().waitRegistered()
+	e2 := f.startEntry("e2", 0).waitReady().waitRegistered()
+	records := oddServerRecords("plain", odd.Address())
+	for key, value := range records {
+		f.store.Put(platform.ServersTopic, key, []byte(value))
+		callPlain(t, fmt.Sprint("beside ", len(value), " "), 2, e1, e2)
+	}
+	f.replaceServer("plain1", "plain2", e1, e2)
+	e3 := f.startEntry("e3", 0).waitReady().waitRegistered()
+	f.replaceServer("plain2", "plain3", e1, e2, e3)
+	for _, e := range []*runningEntry{e1, e2, e3} {
+		usable := e.servers.Usable("plain")
+		assert.Assert(t, len(usable) == 1 && usable[0].ID == "plain3", "%v", usable)
+	}
+	assert.Equal(t, oddCalls.Load(), int64(0), "requests to servers of odd records")
+}
