Entries: a record with a key that is no text no longer ends the sessions of entries

Entries that have their requests placed by another one lost their session with it, and the requests under way with that, each time that a record with an odd key appeared: the entry that reads the store passes the change on, and a message with a key that is not valid UTF-8 cannot be encoded, which ends the sender. One such key in the topic of the servers or of the evacuations was enough to cut all sessions.

--- a/internal/node/odd_records_test.go
+++ b/internal/node/odd_records_test.go
@@ -106,3 +106,33 @@
 	}
 	assert.Equal(t, oddCalls.Load(), int64(0), "requests to servers of odd records")
 }
+
+// TestRecordWithOddKeyKeepsSessions guards against a record whose key is no valid text: the entry
+// that reads it passes it on to the others, and their sessions end because it cannot be encoded.
+func TestRecordWithOddKeyKeepsSessions(t *testing.T) {
+	for topic, odd := range map[string]struct {
+		key   string
+		value []byte
+	}{
+		platform.ServersTopic: {"odd \xff\xfe", standin.ServerRecord("plain", "127.0.0.1:1", false)},
+		platform.ConfigTopic:  {platform.EvacuationKey("odd \xff\xfe"), []byte(`{}`)},
+	} {
+		t.Run(topic, func(t *testing.T) {
+			f := newFleet(t)
+			var ended atomic.Int64
+			f.onLog = func(line string) {
+				if strings.Contains(line, "Session with an entry ended.") {
+					ended.Add(1)
+				}
+			}
+			f.startServer("plain", "plain1", 0)
+			f.putConfig()
+			e1 := f.startEntry("e1", 0).waitReady().waitRegistered()
+			e2 := f.startEntry("e2", 0).waitReady().waitRegistered()
+			eventually(t, "the entries have a session", func() bool { return e2.links.PlanningPeer() != nil })
+			f.store.Put(topic, odd.key, odd.value)
+			f.replaceServer("plain1", "plain2", e1, e2)
+			assert.Equal(t, ended.Load(), int64(0), "sessions that ended")
+		})
+	}
+}
--- a/internal/watch/evacuation.go
+++ b/internal/watch/evacuation.go
@@ -11,7 +11,11 @@
 	var zones []string
 	var applied []platform.KeyedRecord
 	for _, rec := range records {
-		zone, ok := platform.EvacuatedZone(rec.Key)
+		zone, ok, err := platform.EvacuatedZone(rec.Key)
+		if err != nil {
+			c.rejectedEvacuations.add(rec, err)
+			continue
+		}
 		if !ok {
 			continue
 		}
