Servers: a record of another writer does not keep a server that has left

Requests went on to a server that had left, for as long as the record of another writer lay under its key: when all records were read again (those to follow had expired, or the store was restored), the key alone counted as the server's word. Now only a valid record does. A server that is still there writes its record again within one check-in interval. While the changes are read one by one, an odd record changes nothing, as before: the removal itself is seen.

Evidence: TestOddRecordDoesNotKeepServer failed on the code before (server "a" was still used after the second read of all records), and passes now; internal/watch with -race.

--- a/internal/watch/rejections_test.go
+++ b/internal/watch/rejections_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
 
@@ -49,3 +50,19 @@
 	}
 	assert.Assert(t, len(s.rejected.causes) <= maxRejections)
 }
+
+// TestOddRecordDoesNotKeepServer guards against a server that left unnoticed and is still used,
+// because another writer has left a record under its key: when all records are read again, only
+// a valid one shows that a server is still there. While the changes are read one by one, the
+// removal of the server is seen, so that the odd record changes nothing.
+func TestOddRecordDoesNotKeepServer(t *testing.T) {
+	s := NewServers(newScriptedStore(), time.Second, logr.Discard(), func() {})
+	odd := platform.KeyedRecord{Key: "a", Value: []byte(`{"state":"lost"}`)}
+	s.applyRecords([]platform.KeyedRecord{serverRecord("a", false), serverRecord("b", false)}, newestRecords)
+	s.applyRecords([]platform.KeyedRecord{odd}, newRecords)
+	assert.Assert(t, s.Takes("a") && s.Takes("b"))
+	s.applyRecords([]platform.KeyedRecord{odd, serverRecord("b", false)}, newestRecords)
+	assert.Assert(t, !s.Takes("a") && s.Takes("b"))
+	s.applyRecords([]platform.KeyedRecord{serverRecord("a", false)}, newRecords)
+	assert.Assert(t, s.Takes("a"), "the server wrote its record again")
+}
--- a/internal/watch/servers.go
+++ b/internal/watch/servers.go
@@ -226,11 +226,17 @@
 	return max(0, time.Since(time.UnixMilli(startTimeMS)))
 }
 
-// removeMissing treats the records of servers that are missing from the given ones as
+// removeMissing treats the records of servers without a valid one among the given records as
 // removed.
 func (s *Servers) removeMissing(records []platform.KeyedRecord, now time.Duration) {
+	listed := make(map[string]bool, len(records))
+	for _, rec := range records {
+		if _, err := platform.DecodeServer(rec.Key, rec.Value); err == nil {
+			listed[rec.Key] = true
+		}
+	}
 	for id := range s.servers {
-		if !slices.ContainsFunc(records, func(r platform.KeyedRecord) bool { return r.Key == id }) {
+		if !listed[id] {
 			s.backendSet.RecordRemoved(id, now)
 		}
 	}
