--- a/internal/node/odd_records_test.go
+++ b/internal/node/odd_records_test.go
@@ -136,3 +136,25 @@
 		})
 	}
 }
+
+// TestOddConfigurationsAreIgnored guards against a configuration with odd values that comes into
+// force, or whose version keeps out those that follow it.
+func TestOddConfigurationsAreIgnored(t *testing.T) {
+	f := newFleet(t)
+	f.startServer("plain", "plain1", 0)
+	f.putConfig()
+	e1 := f.startEntry("e1", 0).waitReady().waitRegistered()
+	sound := func(version int) string { return string(standin.ConfigRecord(version, f.apiKeys)) }
+	for i, odd := range []string{
+		strings.Replace(sound(2), `"version":2`, `"version":18446744073709551615`, 1),
+		strings.Replace(sound(100), `"timeout_ms":20000`, `"timeout_ms":1e300`, 1),
+		strings.Replace(sound(100), `"version":100`, `"version":100,"new":`+strings.Repeat("[", nestingDepth)+strings.Repeat("]", nestingDepth), 1),
+		`{"version":1e300}`, `[]`, "\x00\xff",
+	} {
+		f.store.Put(platform.ConfigTopic, platform.ConfigKey, []byte(odd))
+		callPlain(t, fmt.Sprint("odd", i, "-"), 2, e1)
+		f.putConfig()
+		eventually(t, "the next version is in force", func() bool { return e1.config.Table().Version == uint64(f.configVersion) })
+		callPlain(t, fmt.Sprint("sound", i, "-"), 2, e1)
+	}
+}
