Entries: records of another writer in their topics count neither as entries nor as results

Each kind of record now has one decoder that checks all values against named bounds: entries (a name, an address that can be connected to, era and number not below 0), versions of a service, versions of single streams (the sequence number must belong under its key, none is so large that the next one overflows), patterns of requests that crash servers, and results that servers hold (none is freed at an address that is none). Times are cut before they are added to the clock. A rejected record is logged with its key and the cause; those that are read again and again, once for each cause.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,6 +137,7 @@
 	n.registry = &registry{
 		store: n.store, links: n.links, localEntry: n.localEntry, log: o.Log.WithName("registry"),
 		name: o.Settings.Node, address: n.peerAddress(), startID: startID, isSmall: o.Settings.Cores > 0 && o.Settings.Cores < smallEntryCores,
+		rejected:     watch.NewRejections(o.Log.WithName("registry"), "Entry record rejected."),
 		readInterval: registryReadInterval, onRestart: n.gateway.RecordRestart, onEntries: n.updateEntries,
 	}
 	return n
--- a/internal/node/odd_records_test.go
+++ b/internal/node/odd_records_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -158,3 +159,61 @@
 		callPlain(t, fmt.Sprint("sound", i, "-"), 2, e1)
 	}
 }
+
+// oddOwnRecords are records that another writer may leave in the topics of the entries.
+func oddOwnRecords(topic string) map[string]string {
+	deep := strings.Repeat("[", nestingDepth) + strings.Repeat("]", nestingDepth)
+	records := map[string]string{
+		"bytes": "\x00\xff", "list": "[]", "null": "null", "deep": deep, "number": "1e400", "key \xff": "{}",
+	}
+	switch topic {
+	case platform.EntriesTopic:
+		for i := range 20 {
+			records[fmt.Sprint("era", i)] = fmt.Sprintf(`{"address":"127.0.0.1:%d","start":1,"era":-%d}`, 70000+i, 1+i)
+		}
+	case platform.VersionsTopic:
+		records["model"] = `{"versions":["` + strings.Repeat("v", 1000) + `"],"era":9223372036854775807}`
+	case platform.StreamsTopic:
+		records["007"] = `{"sequence":9223372036854775807,"streams":[{"stream":"s","version":"v","remaining_ms":9223372036854775807}]}`
+	case platform.QuarantineTopic:
+		records["until"] = `{"parts":["p"],"crashes":3,"until_ms":9223372036854775807}`
+	case platform.ResultsTopic:
+		records["e1"] = `{"e1#1":[{"server":"a\nb","address":"127.0.0.1:70000","handles":["h"]}]}`
+	}
+	return records
+}
+
+// TestOddRecordsOfEntriesAreIgnored guards against records in the topics of the entries that end
+// them, or that count as entries: those before the others are connected to first, which delays
+// the session with the one that places requests, and each one gets a part of what all share.
+func TestOddRecordsOfEntriesAreIgnored(t *testing.T) {
+	f := newFleet(t)
+	var before, records atomic.Int64
+	f.onLog = func(line string) {
+		var view struct {
+			Message string `json:"msg"`
+			Before  int64  `json:"before"`
+			Records int64  `json:"records"`
+		}
+		if json.Unmarshal([]byte(line), &view) == nil && view.Message == "Entry records read." {
+			before.Store(view.Before)
+			records.Store(view.Records)
+		}
+	}
+	f.startServer("plain", "plain1", 0)
+	f.putConfig()
+	for _, topic := range []string{
+		platform.EntriesTopic, platform.VersionsTopic, platform.StreamsTopic, platform.QuarantineTopic, platform.ResultsTopic, platform.ErasTopic,
+	} {
+		for key, value := range oddOwnRecords(topic) {
+			f.store.Put(topic, key, []byte(value))
+		}
+	}
+	e1 := f.startEntry("e1", 0).waitReady().waitRegistered()
+	e2 := f.startEntry("e2", 0).waitReady().waitRegistered()
+	assert.Equal(t, before.Load(), int64(1), "entries before the second one")
+	assert.Equal(t, records.Load(), int64(2), "registered entries")
+	eventually(t, "the first entry places the requests of the second", func() bool { return e2.links.PlanningPeer() != nil })
+	assert.Assert(t, e1.links.PlanningPeer() == nil)
+	callPlain(t, "sound", 4, e1, e2)
+}
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -13,6 +13,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/roster"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/peer"
+	"github.com/magnoliawheel/magnoliawheel/internal/watch"
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
 
@@ -63,6 +64,8 @@
 	onEntries func(count, before int)
 	// stopped is set when the entry shuts down.
 	stopped atomic.Bool
+	// rejected are the records that are no entries.
+	rejected *watch.Rejections
 	// era is the era of the store before the last read of the records; eraChanged is
 	// closed once the store has a newer one.
 	era        int64
@@ -148,13 +151,11 @@
 	}
 	records := make([]roster.Record, 0, len(keyedRecords))
 	for _, keyedRecord := range keyedRecords {
-		rec := roster.Record{}
-		if err := json.Unmarshal(keyedRecord.Value, &rec); err != nil {
-			r.log.Info("Entry record invalid.", "entry", keyedRecord.Key, "cause", err.Error())
+		rec, err := decodeEntryRecord(keyedRecord)
+		if err != nil {
+			r.rejected.Add(keyedRecord, err)
 			continue
 		}
-		rec.Name = keyedRecord.Key
-		rec.Offset = keyedRecord.Offset
 		records = append(records, rec)
 	}
 	return records, true
--- a/internal/node/result_cleanup.go
+++ b/internal/node/result_cleanup.go
@@ -118,9 +118,9 @@
 // freeRecordedResults frees those results of one record that belong to earlier process
 // starts of this entry.
 func (c *resultCleanup) freeRecordedResults(ctx context.Context, rec platform.KeyedRecord) {
-	var held map[string][]heldResults
-	if err := json.Unmarshal(rec.Value, &held); err != nil {
-		c.log.Info("Record of held results invalid.", "entry", rec.Key, "cause", err.Error())
+	held, err := decodeHeldResults(rec)
+	if err != nil {
+		c.log.Info("Record of held results rejected.", "key", rec.Key, "offset", rec.Offset, "cause", err.Error())
 		return
 	}
 	for owner, results := range held {
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
@@ -118,9 +117,9 @@
 func (r *streamRecorder) learn(keyed []platform.KeyedRecord, end platform.Position) (batches, streams int) {
 	var decoded []streamversion.Batch
 	for _, rec := range keyed {
-		batch, err := decodeStreamBatch(rec.Value)
+		batch, err := decodeStreamBatch(rec)
 		if err != nil {
-			r.log.Info("Record of streams ignored.", "slot", rec.Key, "offset", rec.Offset, "cause", err.Error())
+			r.log.Info("Record of streams rejected.", "key", rec.Key, "offset", rec.Offset, "cause", err.Error())
 			continue
 		}
 		decoded = append(decoded, batch)
@@ -179,19 +178,3 @@
 	}
 	return json.Marshal(stored)
 }
-
-// decodeStreamBatch decodes a batch. How long ago it was written is not known, so its streams
-// count as resumable for as long from now as they were then.
-func decodeStreamBatch(value []byte) (streamversion.Batch, error) {
-	var stored streamBatch
-	if err := json.Unmarshal(value, &stored); err != nil {
-		return streamversion.Batch{}, errors.Wrap(err, "decode batch of streams")
-	}
-	now := clock.Now()
-	batch := streamversion.Batch{Sequence: stored.Sequence, Era: stored.Era}
-	for _, s := range stored.Streams {
-		until := now + time.Duration(s.RemainingMS)*time.Millisecond
-		batch.Records = append(batch.Records, streamversion.Record{Stream: s.Stream, Version: s.Version, Until: until})
-	}
-	return batch, nil
-}
--- a/internal/node/versions.go
+++ b/internal/node/versions.go
@@ -13,6 +13,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/streamversion"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/planner"
+	"github.com/magnoliawheel/magnoliawheel/internal/watch"
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
 
@@ -46,6 +47,8 @@
 	// known is set while the planner has applied the records, which were read in era.
 	known atomic.Bool
 	era   int64
+	// rejected are the records that cannot be used.
+	rejected *watch.Rejections
 }
 
 // versionRecord is the value of a record; its key is the name of the service. Era is the era of
@@ -56,7 +59,10 @@
 }
 
 func newVersionRecorder(store *platform.Store, p *planner.Planner, log logr.Logger) *versionRecorder {
-	return &versionRecorder{store: store, planner: p, log: log, wake: make(chan struct{}, 1)}
+	return &versionRecorder{
+		store: store, planner: p, log: log, wake: make(chan struct{}, 1),
+		rejected: watch.NewRejections(log, "Record of versions rejected."),
+	}
 }
 
 // notify makes the recorder check at once whether the records are to be changed.
@@ -138,12 +144,12 @@
 	}
 	var records []streamversion.StoredVersions
 	for _, rec := range keyed {
-		var v versionRecord
-		if err := json.Unmarshal(rec.Value, &v); err != nil {
-			r.log.Info("Record of versions ignored.", "pool", rec.Key, "offset", rec.Offset, "cause", err.Error())
+		versions, err := decodeVersions(rec)
+		if err != nil {
+			r.rejected.Add(rec, err)
 			continue
 		}
-		records = append(records, streamversion.StoredVersions{Pool: rec.Key, Versions: v.Versions, Era: v.Era})
+		records = append(records, versions)
 	}
 	if r.isFirstStart && end.Offset == 0 && end.Era == 0 {
 		r.planner.ObservedFromStart()
--- a/internal/watch/config.go
+++ b/internal/watch/config.go
@@ -47,7 +47,7 @@
 	// evacuations is used by the callbacks of topic, which are never concurrent.
 	evacuations         *evacuation.Set
 	onEvacuation        func(zone string, evacuated bool)
-	rejectedEvacuations *rejections
+	rejectedEvacuations *Rejections
 }
 
 // NewConfig returns a watcher of the configuration. A new version comes into force
@@ -55,7 +55,7 @@
 func NewConfig(store Store, maxDelay time.Duration, log logr.Logger, onChange func(*routes.Table)) *Config {
 	c := &Config{log: log, onChange: onChange, evacuations: evacuation.New(evacuationRewriteTime), onEvacuation: func(string, bool) {}}
 	c.unchecked.Store(true)
-	c.rejectedEvacuations = newRejections(log, "Evacuation record rejected.")
+	c.rejectedEvacuations = NewRejections(log, "Evacuation record rejected.")
 	c.topic = &Topic{
 		store: store, name: platform.ConfigTopic, readWait: time.Duration(readWaitShare * float64(maxDelay)), log: log,
 		applyRecords: c.applyRecords, onConfirmed: c.confirm,
--- a/internal/watch/evacuation.go
+++ b/internal/watch/evacuation.go
@@ -13,7 +13,7 @@
 	for _, rec := range records {
 		zone, ok, err := platform.EvacuatedZone(rec.Key)
 		if err != nil {
-			c.rejectedEvacuations.add(rec, err)
+			c.rejectedEvacuations.Add(rec, err)
 			continue
 		}
 		if !ok {
--- a/internal/watch/quarantine.go
+++ b/internal/watch/quarantine.go
@@ -22,6 +22,11 @@
 	// placingPollInterval is the time between two checks whether the entry places requests,
 	// and the least time between two reads.
 	placingPollInterval = 100 * time.Millisecond
+	// maxPatternElements, maxPatternCrashes and maxPatternTime bound what a record says of a
+	// pattern. They are beyond what entries write.
+	maxPatternElements = 1000
+	maxPatternCrashes  = 1_000_000
+	maxPatternTime     = 366 * 24 * time.Hour
 )
 
 // quarantineBackoff gives the times between consecutive failed reads.
@@ -48,13 +53,18 @@
 	onTried func()
 	// elements maps the keys of records to the elements of their patterns.
 	elements map[string][]string
+	// rejected are the records that name no pattern.
+	rejected *Rejections
 }
 
 // NewQuarantine returns a reader of the patterns, which it passes on to table.
 //
 // onTried is called when the first read has ended.
 func NewQuarantine(store Store, log logr.Logger, table PatternTable, onTried func()) *Quarantine {
-	return &Quarantine{store: store, log: log, table: table, onTried: onTried, elements: map[string][]string{}}
+	return &Quarantine{
+		store: store, log: log, table: table, onTried: onTried, elements: map[string][]string{},
+		rejected: NewRejections(log, "Pattern record rejected."),
+	}
 }
 
 // Tried reports whether the first read has ended. If it failed, requests are placed all the
@@ -113,7 +123,7 @@
 	}
 	pattern, err := decodePattern(rec.Value)
 	if err != nil {
-		q.log.Info("Pattern record ignored.", "key", rec.Key, "offset", rec.Offset, "cause", err.Error())
+		q.rejected.Add(rec, err)
 		return
 	}
 	q.elements[rec.Key] = pattern.Elements
@@ -137,12 +147,18 @@
 
 func decodePattern(value []byte) (quarantine.Pattern, error) {
 	var r patternRecord
-	if err := json.Unmarshal(value, &r); err != nil {
-		return quarantine.Pattern{}, errors.Wrap(err, "decode pattern")
+	if err := platform.DecodeRecord(value, &r); err != nil {
+		return quarantine.Pattern{}, err
+	}
+	if err := platform.CheckCount("parts", int64(len(r.Elements)), 1, maxPatternElements); err != nil {
+		return quarantine.Pattern{}, err
+	}
+	if err := platform.CheckCount("crashes", int64(r.Crashes), 0, maxPatternCrashes); err != nil {
+		return quarantine.Pattern{}, err
 	}
-	if len(r.Elements) == 0 {
-		return quarantine.Pattern{}, errors.New("pattern without elements")
+	if err := platform.CheckCount("until_ms", r.UntilMS, 0, platform.MaxUnixMilliseconds); err != nil {
+		return quarantine.Pattern{}, err
 	}
-	until := clock.Now() + time.Until(time.UnixMilli(r.UntilMS))
+	until := clock.Now() + min(time.Until(time.UnixMilli(r.UntilMS)), maxPatternTime)
 	return quarantine.Pattern{Elements: r.Elements, Crashes: r.Crashes, Proven: r.Proven, Until: until}, nil
 }
--- a/internal/watch/rejections.go
+++ b/internal/watch/rejections.go
@@ -14,21 +14,22 @@
 	maxCauseBytes = 200
 )
 
-// rejections logs the records that cannot be used: once for each cause, and not at each read or
+// Rejections logs the records that cannot be used: once for each cause, and not at each read or
 // each time that another writer writes the same again. It is not safe for concurrent use.
-type rejections struct {
+type Rejections struct {
 	log     logr.Logger
 	message string
 	// causes are the causes that were logged, by the keys of the records.
 	causes map[string]string
 }
 
-func newRejections(log logr.Logger, message string) *rejections {
-	return &rejections{log: log, message: message, causes: map[string]string{}}
+// NewRejections returns Rejections that are logged with the given message.
+func NewRejections(log logr.Logger, message string) *Rejections {
+	return &Rejections{log: log, message: message, causes: map[string]string{}}
 }
 
-// add logs the cause for which a record was rejected, unless it is that of the record before.
-func (r *rejections) add(rec platform.KeyedRecord, err error) {
+// Add logs the cause for which a record was rejected, unless it is that of the record before.
+func (r *Rejections) Add(rec platform.KeyedRecord, err error) {
 	cause := err.Error()
 	if len(cause) > maxCauseBytes {
 		cause = cause[:maxCauseBytes] + "..."
@@ -43,5 +44,5 @@
 	r.log.Info(r.message, "key", rec.Key, "offset", rec.Offset, "cause", cause)
 }
 
-// remove forgets the rejection of a key, which has a valid record or none now.
-func (r *rejections) remove(key string) { delete(r.causes, key) }
+// Remove forgets the rejection of a key, which has a valid record or none now.
+func (r *Rejections) Remove(key string) { delete(r.causes, key) }
--- a/internal/watch/servers.go
+++ b/internal/watch/servers.go
@@ -31,7 +31,7 @@
 	servers map[string]platform.Server
 	loaded  bool
 	// rejected are the records that name no server to use.
-	rejected *rejections
+	rejected *Rejections
 }
 
 // NewServers returns a watcher of the backend servers. A draining server receives no new
@@ -39,7 +39,7 @@
 func NewServers(store Store, maxDelay time.Duration, log logr.Logger, onChange func()) *Servers {
 	s := &Servers{
 		log: log, onChange: onChange, backendSet: backends.New(), servers: map[string]platform.Server{},
-		rejected: newRejections(log, "Server record rejected."),
+		rejected: NewRejections(log, "Server record rejected."),
 	}
 	s.topic = &Topic{
 		store: store, name: platform.ServersTopic, readInterval: time.Duration(readIntervalShare * float64(maxDelay)), log: log,
@@ -188,16 +188,16 @@
 // applyRecord applies one record and reports whether it changed anything.
 func (s *Servers) applyRecord(rec platform.KeyedRecord, set recordSet, now time.Duration) bool {
 	if rec.Deleted {
-		s.rejected.remove(rec.Key)
+		s.rejected.Remove(rec.Key)
 		s.log.Info("Server record deleted.", "server", rec.Key, "offset", rec.Offset)
 		return s.backendSet.RecordRemoved(rec.Key, now)
 	}
 	server, err := platform.DecodeServer(rec.Key, rec.Value)
 	if err != nil {
-		s.rejected.add(rec, err)
+		s.rejected.Add(rec, err)
 		return false
 	}
-	s.rejected.remove(rec.Key)
+	s.rejected.Remove(rec.Key)
 	state := backends.Record{
 		ID: server.ID, StartTime: server.StartTime, Sequence: server.Sequence, Leaving: server.Draining,
 		Zone: server.Zone, ReadAt: now, ColdFor: server.ColdFor,
