Cold servers: the wait at a tiny rate does not overflow

A service whose cold_per_s is so small that the time to the next request exceeds what a duration holds got no wait at all on x86-64, by reading: the conversion of such a number gives the least one there, and the largest on arm64, where the end of the cold period then counts. The lesser of the two is taken before the conversion now.

TestColdWaitAtTinyRate passes on arm64 before and after, and was not run on x86-64, where it guards against the fault.

--- a/core/notice/cold.go
+++ b/core/notice/cold.go
@@ -119,5 +119,6 @@
 	if r.perSecond <= 0 {
 		return left
 	}
-	return min(left, time.Duration((1-r.tokens)/r.perSecond*float64(time.Second)))
+	// The rate may be so low that only the lesser of the two is a valid duration.
+	return time.Duration(min(float64(left), (1-r.tokens)/r.perSecond*float64(time.Second)))
 }
--- a/core/notice/cold_test.go
+++ b/core/notice/cold_test.go
@@ -136,6 +136,17 @@
 	assert.Assert(t, float64(len(w.grants)-settled) >= 0.9*limit.PerSecond*10, "%d grants in 10 s", len(w.grants)-settled)
 }
 
+// TestColdWaitAtTinyRate guards against a time that overflows because a service tolerates next to
+// no requests while it is cold: the conversion depends on the processor, and one without a wait
+// would send all requests.
+func TestColdWaitAtTinyRate(t *testing.T) {
+	tab, s := NewTable(nil), Server{ID: "s"}
+	tab.SetColdShare(func(time.Duration, Server, int) float64 { return 1 })
+	tab.MarkCold(0, s, time.Minute, ColdLimit{PerSecond: 1e-300, Slack: 2})
+	wait := tab.Wait(time.Second, s)
+	assert.Equal(t, wait, 59*time.Second)
+}
+
 // TestColdPeriodEnds guards against a server that stays limited, and against a limit for a
 // service that has none.
 func TestColdPeriodEnds(t *testing.T) {
