--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/platform/standin"
@@ -47,6 +49,9 @@
 	// incarnation is the number of the entry's process when the request was sent.
 	incarnation int
 	sent, ended time.Time
+	// written is the Unix time in nanoseconds at which the request had been written whole, 0 if
+	// it was not.
+	written atomic.Int64
 	// status is the HTTP status, 0 if there was no response.
 	status     int
 	answer     string
@@ -184,6 +189,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
 	target := "http://" + c.entry.clientRelay.Addr() + requestKinds[r.kind].path
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if info.Err == nil {
+			r.written.Store(time.Now().UnixNano())
+		}
+	}})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(r.body))
 	if err != nil {
 		r.err = err
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -61,6 +61,8 @@
 	configVersion    int
 	// restricted is set if the requests of restrictedPath may be held only in homeRegion.
 	restricted bool
+	// grace is the time that an entry has to stop; 0 means the default.
+	grace time.Duration
 	// zoneByServer maps all servers that were ever started to their zones.
 	zoneByServer map[string]string
 	// keys are those in the newest configuration version, revokedKeys those that earlier
@@ -104,14 +106,16 @@
 	return r
 }
 
-func newFleet(t *testing.T, entries int) *fleet { return startFleet(t, entries, false) }
+func newFleet(t *testing.T, entries int) *fleet { return startFleet(t, entries, false, 0) }
 
 // newRestrictedFleet returns a fleet in which the requests of restrictedPath may be held only in
 // one region.
-func newRestrictedFleet(t *testing.T, entries int) *fleet { return startFleet(t, entries, true) }
+func newRestrictedFleet(t *testing.T, entries int) *fleet { return startFleet(t, entries, true, 0) }
 
-func startFleet(t *testing.T, entries int, restricted bool) *fleet {
-	f := &fleet{t: t, restricted: restricted, dir: t.TempDir(), store: standin.NewStore(), activeServers: map[string]*server{}, serverRecords: map[string][]byte{}, zoneByServer: map[string]string{}}
+// startFleet returns a fleet whose entries have the given grace period to stop; 0 means the
+// default.
+func startFleet(t *testing.T, entries int, restricted bool, grace time.Duration) *fleet {
+	f := &fleet{t: t, restricted: restricted, grace: grace, dir: t.TempDir(), store: standin.NewStore(), activeServers: map[string]*server{}, serverRecords: map[string][]byte{}, zoneByServer: map[string]string{}}
 	t.Cleanup(f.store.Close)
 	f.store.TransformValues(f.rewritePeerAddress)
 	for service, n := range serversPerService {
@@ -229,7 +233,7 @@
 	e.storeRelay = newRelay(f.t, f.store.Address())
 	e.settings = standin.Settings{
 		Node: name, ClientAddress: harness.FreeAddr(), ReadinessAddress: harness.FreeAddr(),
-		StoreAddress: e.storeRelay.Addr(), KeyValidity: keyValidity,
+		StoreAddress: e.storeRelay.Addr(), KeyValidity: keyValidity, Grace: f.grace,
 	}
 	_, port, err := net.SplitHostPort(harness.FreeAddr())
 	assert.NilError(f.t, err)
--- a/test/soak/invariants_test.go
+++ b/test/soak/invariants_test.go
@@ -72,15 +72,17 @@
 	}
 }
 
+// processRun is one process of an entry.
+type processRun struct {
+	e           *entry
+	incarnation int
+}
+
 // checkKeysStayAccepted checks that a process does not return to an older version of the
 // configuration: once it has accepted a key, it does not refuse that key unless the key was
 // revoked.
 func checkKeysStayAccepted(t *testing.T, in *injector, l *requestLog) {
 	t.Helper()
-	type processRun struct {
-		e           *entry
-		incarnation int
-	}
 	firstAccepted := map[processRun]map[string]time.Time{}
 	byEnd := append([]*request(nil), l.requests...)
 	sort.Slice(byEnd, func(i, j int) bool { return byEnd[i].ended.Before(byEnd[j].ended) })
