Entry: finish answers that other entries read before the exit

A caller that reads an answer again through another entry got the error unknown_request, or the answer broke off, when the entry that owns the request was told to stop. While it drained, the entry waited for its own callers and for its requests, but not for the calls of other entries: the end of the request closed the connection on which the rest of the answer was being sent.

The entry now counts the calls of other processes and waits for them, as the agent does already.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -122,6 +122,7 @@
 	if err == nil {
 		p.drain()
 		lis.drainCallers(p.ctx)
+		lis.drainPeers(p.ctx)
 	}
 	p.stop()
 	lis.close()
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -13,6 +13,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/schema"
 	"github.com/magnoliawheel/magnoliawheel/internal/callerapi"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
 )
@@ -23,6 +24,16 @@
 // closeTimeout bounds the wait for open connections when the process exits.
 const closeTimeout = time.Second
 
+// Bounds of the wait for the calls of other processes when the process exits.
+const (
+	// peerTimeout bounds the wait for calls in progress. Each write to a peer that does not
+	// read is bounded by the same time.
+	peerTimeout = rpc.WriteTimeout
+	// peerCloseDelay gives peers time to read the last responses. Closing a connection
+	// discards the data that its peer has not read yet.
+	peerCloseDelay = 100 * time.Millisecond
+)
+
 // idleTimeout is how long an idle connection is kept open.
 const idleTimeout = 60 * time.Second
 
@@ -31,6 +42,8 @@
 	callers, peers, admin net.Listener
 	// httpServers holds the callers' server at index 0.
 	httpServers []*http.Server
+	// peerCalls counts the calls of other processes in progress.
+	peerCalls *rpc.CallTracker
 }
 
 func (p *Process) listen() (*listenerSet, error) {
@@ -59,6 +72,15 @@
 	_ = l.httpServers[0].Shutdown(ctx)
 }
 
+// drainPeers waits for the calls of other processes in progress. They include those that
+// relay the answers of this entry to the callers of other entries.
+func (l *listenerSet) drainPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	l.peerCalls.Wait(ctx)
+	clock.Sleep(ctx, peerCloseDelay)
+}
+
 func (l *listenerSet) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
@@ -86,8 +108,9 @@
 			serveErrors <- err
 		}
 	}
+	l.peerCalls = rpc.NewCallTracker(mux)
 	wg.Go(func() {
-		if err := rpc.Serve(p.ctx, l.peers, p.tlsConfig, mux); err != nil {
+		if err := rpc.Serve(p.ctx, l.peers, p.tlsConfig, l.peerCalls); err != nil {
 			serveErrors <- errors.Wrap(err, "serve peers")
 		}
 	})
