Entry and agent: SIGHUP does not end the process

Callers lost their calls when an entry or an agent got a SIGHUP: these two commands installed no handler, so that the signal ended the process at once, without draining. Only the gateway command handled it.

The new case of TestSignals failed before:

--- FAIL: TestSignals/hangup harness_test.go:119: assertion failed: error is not nil: context canceled

All commands now read the settings file again on SIGHUP and log whether it differs, as the gateway does. The handler is installed before the settings are read, so before a process accepts anything.

--- a/cmd/magnoliawheel/main.go
+++ b/cmd/magnoliawheel/main.go
@@ -74,22 +74,28 @@
 
 // Execute runs the entry.
 func (c *entryCommand) Execute([]string) error {
-	s, err := settings.LoadEntry(c.Settings)
+	hangups := notifyHangups()
+	load := func() (*settings.Entry, error) { return settings.LoadEntry(c.Settings) }
+	s, err := load()
 	if err != nil {
 		return settingsError{err}
 	}
 	return run("entry", s.Log.Level, func(log logr.Logger, scope tally.Scope, metrics http.Handler) (process, error) {
+		go watchSettings(s, load, hangups, log.WithName("settings"))
 		return entry.New(entry.Options{Settings: s, Log: log, Scope: scope, Metrics: metrics})
 	})
 }
 
 // Execute runs the agent.
 func (c *agentCommand) Execute([]string) error {
-	s, err := settings.LoadAgent(c.Settings)
+	hangups := notifyHangups()
+	load := func() (*settings.Agent, error) { return settings.LoadAgent(c.Settings) }
+	s, err := load()
 	if err != nil {
 		return settingsError{err}
 	}
 	return run("agent", s.Log.Level, func(log logr.Logger, scope tally.Scope, metrics http.Handler) (process, error) {
+		go watchSettings(s, load, hangups, log.WithName("settings"))
 		return agent.New(agent.Options{Settings: s, Log: log, Scope: scope, Metrics: metrics})
 	})
 }
@@ -98,8 +104,7 @@
 func (c *gatewayCommand) Execute([]string) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+	hangups := notifyHangups()
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return settingsError{err}
@@ -114,7 +119,7 @@
 	scope, metrics, closer := telemetry.Metrics("gateway")
 	defer func() { _ = closer.Close() }()
 	stop := make(chan struct{})
-	go watchSettings(s, hangups, log.WithName("settings"))
+	go watchSettings(s, platform.LoadSettings, hangups, log.WithName("settings"))
 	go func() {
 		<-signals
 		close(stop)
@@ -124,12 +129,19 @@
 	}).Run(stop)
 }
 
+// notifyHangups returns a channel that receives SIGHUP, which then does not end the process.
+func notifyHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // watchSettings reads the settings file again on SIGHUP and logs whether it differs
 // from the settings in use. It applies nothing: addresses and limits are read only at
-// startup, and the platform restarts the process to change them.
-func watchSettings(current *platform.Settings, hangups <-chan os.Signal, log logr.Logger) {
+// startup, and the process is restarted to change them.
+func watchSettings[S any](current *S, load func() (*S, error), hangups <-chan os.Signal, log logr.Logger) {
 	for range hangups {
-		s, err := platform.LoadSettings()
+		s, err := load()
 		if err != nil {
 			log.Error(err, "Could not load the settings file; the current settings stay in use.")
 			continue
--- a/internal/agent/process_test.go
+++ b/internal/agent/process_test.go
@@ -210,7 +210,8 @@
 }
 
 // TestSignals checks the exit of a process after one signal, which makes it
-// drain, and after a second one, which makes it exit at once.
+// drain, and after a second one, which makes it exit at once. SIGHUP interrupts
+// no call.
 func TestSignals(t *testing.T) {
 	srv := startService(t, service.Config{CallDuration: 500 * time.Millisecond})
 	t.Run("one", func(t *testing.T) {
@@ -222,6 +223,17 @@
 		p.ack(t, req)
 		assert.Equal(t, p.process.ExitCode(), 0)
 	})
+	t.Run("hangup", func(t *testing.T) {
+		// A SIGHUP once ended the process, and with it the call in progress.
+		p := startAgentProcess(t, "a", srv.Addr(), "127.0.0.1:1")
+		req := p.runRequest("e~hangup")
+		r := p.startRun(t, req)
+		assert.NilError(t, p.process.Reload())
+		assert.DeepEqual(t, r.finish(t), []string{"accepted attached=false", "done 1"})
+		p.ack(t, req)
+		assert.NilError(t, p.process.Terminate())
+		assert.Equal(t, p.process.ExitCode(), 0)
+	})
 	t.Run("two", func(t *testing.T) {
 		p := startAgentProcess(t, "a", srv.Addr(), "127.0.0.1:1")
 		p.startRun(t, p.runRequest("e~two"))
