Node: an entry that is told to stop before it listens exits at once

Callers of an entry that got SIGTERM while it waited for an address saw their connections closed while servers worked on their requests. The entry noticed the signal only once all addresses were free, and counted its time to stop from then on: up to 3 s for each address later than the platform, which kills it at the end of the grace period.

The new test failed before:

listen_test.go:31: the entry took 3.006353604s to stop

--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -114,16 +114,24 @@
 	*Node
 	fleet   *fleet
 	baseURL string
-	// stop shuts the entry down. done is closed once it has ended.
-	stop func()
-	done chan struct{}
+	// stop shuts the entry down: it closes stopped. done is closed once it has ended.
+	stop    func()
+	stopped chan struct{}
+	done    chan struct{}
 	// registered is closed once the entry has read its own record.
 	registered chan struct{}
 }
 
-// startEntry starts an entry. With keyValidity 0, keys remain valid without a
-// confirmation by the store.
+// startEntry starts an entry; see newEntry.
 func (f *fleet) startEntry(name string, keyValidity time.Duration) *runningEntry {
+	e := f.newEntry(name, keyValidity)
+	e.run()
+	return e
+}
+
+// newEntry returns an entry that is not running yet. With keyValidity 0, keys remain valid without a
+// confirmation by the store.
+func (f *fleet) newEntry(name string, keyValidity time.Duration) *runningEntry {
 	settings := &platform.Settings{
 		Node: name, FirstStart: !f.started[name], Zone: "z", IP: "127.0.0.1", ClientAddress: freeAddress(f.t), ReadinessAddress: freeAddress(f.t),
 		FirstPort: f.peerPort(name), StoreAddress: cmp.Or(f.storeAddress, f.store.Address()), ShutdownGrace: cmp.Or(f.shutdownGrace, 30*time.Second), KeyValidity: keyValidity,
@@ -138,9 +146,9 @@
 		n.registry.readInterval = f.readInterval
 	}
 	n.restoreGuard.rewriteTime = cmp.Or(f.rewriteTime, n.restoreGuard.rewriteTime)
-	stop := make(chan struct{})
+	stopped := make(chan struct{})
 	e := &runningEntry{
-		Node: n, fleet: f, baseURL: "http://" + settings.ClientAddress, done: make(chan struct{}), stop: sync.OnceFunc(func() { close(stop) }),
+		Node: n, fleet: f, baseURL: "http://" + settings.ClientAddress, done: make(chan struct{}), stopped: stopped, stop: sync.OnceFunc(func() { close(stopped) }),
 		registered: make(chan struct{}),
 	}
 	closeRegistered := sync.OnceFunc(func() { close(e.registered) })
@@ -149,15 +157,19 @@
 		onEntries(count, before)
 		closeRegistered()
 	}
+	return e
+}
+
+// run runs the entry until it is stopped, at the end of the test at the latest.
+func (e *runningEntry) run() {
 	go func() {
 		defer close(e.done)
-		assert.Check(f.t, n.Run(stop))
+		assert.Check(e.fleet.t, e.Run(e.stopped))
 	}()
-	f.t.Cleanup(func() {
+	e.fleet.t.Cleanup(func() {
 		e.stop()
 		<-e.done
 	})
-	return e
 }
 
 // stateLogger returns a logger for an entry that records in reportedReady what the entry
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,10 +27,6 @@
 )
 
 const (
-	// listenRetryInterval is the time between two attempts to listen; a process that was
-	// killed may still hold its address for a moment.
-	listenRetryInterval = 100 * time.Millisecond
-	maxListenAttempts   = 30
 	// defaultHeaderTimeout and defaultIdleTimeout apply if the configuration sets no
 	// limits.
 	defaultHeaderTimeout = 10 * time.Second
@@ -185,15 +181,11 @@
 func (n *Node) Run(stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	peerLis, err := listen(n.peerAddress())
-	if err != nil {
-		return err
-	}
-	clientLis, err := listen(n.opts.Settings.ClientAddress)
-	if err != nil {
-		return err
+	lis, err := n.listen(stop)
+	if errors.Is(err, errStopped) {
+		n.opts.Log.Info("Entry was stopped before it listened.", "cause", err.Error())
+		return nil
 	}
-	readinessLis, err := listen(n.opts.Settings.ReadinessAddress)
 	if err != nil {
 		return err
 	}
@@ -211,11 +203,11 @@
 		n.restoreGuard.run(ctx)
 	}()
 	go n.resultCleanup.run(ctx)
-	go func() { _ = n.links.Serve(ctx, peerLis) }()
-	go func() { _ = http.Serve(readinessLis, n.readinessHandler()) }()
-	n.serveMetrics()
+	go func() { _ = n.links.Serve(ctx, lis.peers) }()
+	go func() { _ = http.Serve(lis.readiness, n.readinessHandler()) }()
+	n.serveMetrics(stop)
 	srv := n.newClientServer()
-	go func() { _ = srv.Serve(&clientListener{Listener: clientLis, limits: n.clientLimits}) }()
+	go func() { _ = srv.Serve(&clientListener{Listener: lis.clients, limits: n.clientLimits}) }()
 	n.opts.Log.Info("Entry started.", "node", n.opts.Settings.Node, "zone", n.opts.Settings.Zone, "clients", n.opts.Settings.ClientAddress)
 	<-stop
 	n.drain(srv)
@@ -249,11 +241,11 @@
 	return mux
 }
 
-func (n *Node) serveMetrics() {
+func (n *Node) serveMetrics(stop <-chan struct{}) {
 	if n.opts.MetricsPort == 0 {
 		return
 	}
-	lis, err := listen(net.JoinHostPort(n.opts.Settings.IP, strconv.Itoa(n.opts.MetricsPort)))
+	lis, err := listen(net.JoinHostPort(n.opts.Settings.IP, strconv.Itoa(n.opts.MetricsPort)), stop)
 	if err != nil {
 		n.opts.Log.Error(err, "Metrics endpoint not started.")
 		return
@@ -281,17 +273,3 @@
 	srv.SetKeepAlivesEnabled(false)
 	n.opts.Log.Info("Entry stopped.", "requests", n.gateway.InFlight(), "after", time.Since(startTime))
 }
-
-// listen listens on an address. It retries, because another process may still hold the
-// address for a moment.
-func listen(address string) (net.Listener, error) {
-	var err error
-	for range maxListenAttempts {
-		var lis net.Listener
-		if lis, err = net.Listen("tcp", address); err == nil {
-			return lis, nil
-		}
-		time.Sleep(listenRetryInterval)
-	}
-	return nil, errors.Wrapf(err, "listen on %s", address)
-}
