A stopping process waits for the requests that new connections bring

Callers saw, in the soak of planned work beside a load of 38 on 8 cores: a connection reset at the end of the process, 0.3 to 0.4 s after the request had been sent; no server had run it.

Cause: a connection counts only from the moment at which the head of a request has been read. On a busy machine that may be late, and the process ended in between. That the test's own relay was late as well is not ruled out.

A stopping process now waits up to 0.5 s for the first request on a new connection, and until nothing has been counted for ten checks in a row, 50 ms.

Evidence: TestRequestOnNewConnectionIsAnsweredBeforeProcessEnds failed before (connection reset).

--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -11,6 +11,10 @@
 	"github.com/magnoliawheel/magnoliawheel/platform"
 )
 
+// unreadBodyTimeout bounds the time for the rest of the body of a refused request, which the HTTP
+// server reads before it writes the refusal.
+const unreadBodyTimeout = 500 * time.Millisecond
+
 // refusal is an error response that the entry generates itself.
 type refusal struct {
 	code result.Code
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -27,9 +27,10 @@
 type clientListener struct {
 	net.Listener
 	limits func() routes.Limits
-	// active is the number of connections on which a request has begun to arrive and whose
-	// response is not written completely.
-	active atomic.Int64
+	// active is the number of connections on which the head of a request has arrived and whose
+	// response is not written completely. opened is the number of connections without a first
+	// request that were accepted within firstRequestTime.
+	active, opened atomic.Int64
 }
 
 // Accept implements net.Listener.
@@ -38,23 +39,30 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: c, listener: l}, nil
+	conn := &clientConn{Conn: c, listener: l, opened: true}
+	l.opened.Add(1)
+	time.AfterFunc(firstRequestTime, conn.endOpening)
+	return conn, nil
 }
 
 const (
 	// writePollInterval is the time between two checks for answers that are being written.
 	writePollInterval = 5 * time.Millisecond
-	// quietPolls is the number of checks in a row that find none: between two requests on a
-	// connection there is a moment in which it does not count as active.
-	quietPolls = 2
+	// quietPolls is the number of checks in a row that find none: a request that has arrived at
+	// the machine is not counted before the process has read its head.
+	quietPolls = 10
+	// firstRequestTime is how long a stopping process waits for the first request on a new
+	// connection: most clients send it at once.
+	firstRequestTime = 500 * time.Millisecond
 )
 
 // awaitAnswers waits until the answers on all connections are written: a request's handler returns
-// before the HTTP server has written the end of its answer.
+// before the HTTP server has written the end of its answer. It also waits for requests that are
+// about to arrive on new connections.
 func (l *clientListener) awaitAnswers(timeout time.Duration) {
 	deadline := time.Now().Add(timeout)
 	for quiet := 0; quiet < quietPolls && time.Now().Before(deadline); {
-		if l.active.Load() > 0 {
+		if l.active.Load() > 0 || l.opened.Load() > 0 {
 			quiet = 0
 		} else {
 			quiet++
@@ -70,8 +78,8 @@
 
 	mu    sync.Mutex
 	phase connPhase
-	// active is set while the listener counts the connection as active.
-	active bool
+	// active and opened are set while the listener counts the connection as such.
+	active, opened bool
 }
 
 // trackConnState records the state that the HTTP server reports for a connection.
@@ -90,7 +98,18 @@
 	}
 }
 
+// endOpening makes the listener no longer count the connection as opened.
+func (c *clientConn) endOpening() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.opened {
+		c.opened = false
+		c.listener.opened.Add(-1)
+	}
+}
+
 func (c *clientConn) setPhase(p connPhase, active bool) {
+	defer c.endOpening()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = p
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -234,3 +236,24 @@
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.status, http.StatusOK, got.body)
 }
+
+// TestRequestOnNewConnectionIsAnsweredBeforeProcessEnds guards against a request whose head a busy
+// process has not read yet when it ends, although its client had connected in time.
+func TestRequestOnNewConnectionIsAnsweredBeforeProcessEnds(t *testing.T) {
+	f := newFleet(t)
+	f.startServer("plain", "p1", 0)
+	f.putConfig()
+	e := f.startMortalEntry(0)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(e.baseURL, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	time.Sleep(drainPollInterval)
+	e.stop()
+	eventually(t, "the entry is stopping", e.gateway.Stopping)
+	time.Sleep(3 * drainPollInterval)
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Assert(t, resp.StatusCode >= http.StatusBadRequest)
+}
