--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -54,21 +54,29 @@
 	// firstRequestTime is how long a stopping process waits for the first request on a new
 	// connection: most clients send it at once.
 	firstRequestTime = 500 * time.Millisecond
+	quietTimeout     = 600 * time.Millisecond
 )
 
 // awaitAnswers waits until the answers on all connections are written: a request's handler returns
-// before the HTTP server has written the end of its answer. It also waits for requests that are
-// about to arrive on new connections.
+// before the HTTP server has written the end of its answer. Then it waits, for quietTimeout at
+// most, until no request is about to arrive, so that those of clients that do not know of the stop
+// yet do not hold it for long.
 func (l *clientListener) awaitAnswers(timeout time.Duration) {
 	deadline := time.Now().Add(timeout)
-	for quiet := 0; quiet < quietPolls && time.Now().Before(deadline); {
-		if l.active.Load() > 0 || l.opened.Load() > 0 {
-			quiet = 0
-		} else {
+	poll := func(until time.Time, wanted int, isQuiet func() bool) {
+		for quiet := 0; quiet < wanted && time.Now().Before(until); {
 			quiet++
+			if !isQuiet() {
+				quiet = 0
+			}
+			time.Sleep(writePollInterval)
 		}
-		time.Sleep(writePollInterval)
 	}
+	poll(deadline, 1, func() bool { return l.active.Load() == 0 })
+	if latest := time.Now().Add(quietTimeout); latest.Before(deadline) {
+		deadline = latest
+	}
+	poll(deadline, quietPolls, func() bool { return l.active.Load() == 0 && l.opened.Load() == 0 })
 }
 
 // clientConn is a client connection with configurable time limits.
