--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -54,29 +54,35 @@
 	// firstRequestTime is how long a stopping process waits for the first request on a new
 	// connection: most clients send it at once.
 	firstRequestTime = 500 * time.Millisecond
-	quietTimeout     = 600 * time.Millisecond
+	// quietTimeout bounds the wait for requests that are about to arrive.
+	quietTimeout = 600 * time.Millisecond
 )
 
 // awaitAnswers waits until the answers on all connections are written: a request's handler returns
-// before the HTTP server has written the end of its answer. Then it waits, for quietTimeout at
-// most, until no request is about to arrive, so that those of clients that do not know of the stop
-// yet do not hold it for long.
+// before the HTTP server has written the end of its answer. Then it waits until no request is
+// about to arrive, for quietTimeout at most, since some clients do not know of the stop yet.
 func (l *clientListener) awaitAnswers(timeout time.Duration) {
 	deadline := time.Now().Add(timeout)
-	poll := func(until time.Time, wanted int, isQuiet func() bool) {
-		for quiet := 0; quiet < wanted && time.Now().Before(until); {
-			quiet++
-			if !isQuiet() {
-				quiet = 0
-			}
-			time.Sleep(writePollInterval)
-		}
-	}
-	poll(deadline, 1, func() bool { return l.active.Load() == 0 })
+	pollUntilQuiet(deadline, 1, l.allWritten)
 	if latest := time.Now().Add(quietTimeout); latest.Before(deadline) {
 		deadline = latest
 	}
-	poll(deadline, quietPolls, func() bool { return l.active.Load() == 0 && l.opened.Load() == 0 })
+	pollUntilQuiet(deadline, quietPolls, func() bool { return l.allWritten() && l.opened.Load() == 0 })
+}
+
+// allWritten reports whether no answer is being written or awaited.
+func (l *clientListener) allWritten() bool { return l.active.Load() == 0 }
+
+// pollUntilQuiet polls isQuiet until it returned true for the given number of times in a row, or
+// until the deadline.
+func pollUntilQuiet(deadline time.Time, polls int, isQuiet func() bool) {
+	for quiet := 0; quiet < polls && time.Now().Before(deadline); {
+		quiet++
+		if !isQuiet() {
+			quiet = 0
+		}
+		time.Sleep(writePollInterval)
+	}
 }
 
 // clientConn is a client connection with configurable time limits.
