A stop waits for each request that arrived, but for the youngest

Cause: the wait for requests that are about to arrive ended after 0.6 s, whatever was in progress. On a busy machine requests stay long between their arrival and their refusal, and were cut there.

The process now waits for each connection with a request by its age: all that arrived before the last one was handled, and later ones from 0.1 s on. Clients that keep coming do not hold it on a machine that refuses them at once, and none is cut late on one that does not.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -4,7 +4,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
@@ -27,10 +26,18 @@
 type clientListener struct {
 	net.Listener
 	limits func() routes.Limits
-	// active is the number of connections on which the head of a request has arrived and whose
-	// response is not written completely. opened is the number of connections without a first
-	// request that were accepted within firstRequestTime.
-	active, opened atomic.Int64
+
+	mu sync.Mutex
+	// waiting are the connections on which a request has arrived whose response is not written
+	// completely, and the new ones without a request, with the time since which they are so.
+	waiting map[*clientConn]waitingConn
+}
+
+// waitingConn is what a connection waits for.
+type waitingConn struct {
+	since time.Time
+	// hasRequest is set once the head of a request has been read.
+	hasRequest bool
 }
 
 // Accept implements net.Listener.
@@ -39,50 +46,76 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &clientConn{Conn: c, listener: l, opened: true}
-	l.opened.Add(1)
-	time.AfterFunc(firstRequestTime, conn.endOpening)
+	conn := &clientConn{Conn: c, listener: l}
+	l.setWaiting(conn, waitingConn{since: time.Now()})
 	return conn, nil
 }
 
+func (l *clientListener) setWaiting(c *clientConn, w waitingConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.waiting == nil {
+		l.waiting = map[*clientConn]waitingConn{}
+	}
+	l.waiting[c] = w
+}
+
+func (l *clientListener) endWaiting(c *clientConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, c)
+}
+
+// unwritten returns the number of connections with a request whose response is not written
+// completely.
+func (l *clientListener) unwritten() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, w := range l.waiting {
+		if w.hasRequest {
+			n++
+		}
+	}
+	return n
+}
+
 const (
 	// writePollInterval is the time between two checks for answers that are being written.
 	writePollInterval = 5 * time.Millisecond
-	// quietPolls is the number of checks in a row that find none: a request that has arrived at
-	// the machine is not counted before the process has read its head.
-	quietPolls = 10
 	// firstRequestTime is how long a stopping process waits for the first request on a new
 	// connection: most clients send it at once.
 	firstRequestTime = 500 * time.Millisecond
-	// quietTimeout bounds the wait for requests that are about to arrive.
-	quietTimeout = 600 * time.Millisecond
+	// crossingTime is the age up to which the end of the process may cross a request that came
+	// after the last one was handled, so that clients which do not know of the stop yet do not
+	// hold it.
+	crossingTime = 100 * time.Millisecond
 )
 
 // awaitAnswers waits until the answers on all connections are written: a request's handler returns
-// before the HTTP server has written the end of its answer. Then it waits until no request is
-// about to arrive, for quietTimeout at most, since some clients do not know of the stop yet.
+// before the HTTP server has written the end of its answer. It also waits for those that have
+// arrived since and for what new connections are about to bring, except what is younger than
+// crossingTime.
 func (l *clientListener) awaitAnswers(timeout time.Duration) {
-	deadline := time.Now().Add(timeout)
-	pollUntilQuiet(deadline, 1, l.allWritten)
-	if latest := time.Now().Add(quietTimeout); latest.Before(deadline) {
-		deadline = latest
+	start := time.Now()
+	for l.holdsProcess(start) && time.Since(start) < timeout {
+		time.Sleep(writePollInterval)
 	}
-	pollUntilQuiet(deadline, quietPolls, func() bool { return l.allWritten() && l.opened.Load() == 0 })
 }
 
-// allWritten reports whether no answer is being written or awaited.
-func (l *clientListener) allWritten() bool { return l.active.Load() == 0 }
-
-// pollUntilQuiet polls isQuiet until it returned true for the given number of times in a row, or
-// until the deadline.
-func pollUntilQuiet(deadline time.Time, polls int, isQuiet func() bool) {
-	for quiet := 0; quiet < polls && time.Now().Before(deadline); {
-		quiet++
-		if !isQuiet() {
-			quiet = 0
+// holdsProcess reports whether the process must wait for a connection. All requests from before
+// the given time have been handled.
+func (l *clientListener) holdsProcess(handled time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, w := range l.waiting {
+		age := time.Since(w.since)
+		isCrossing := w.since.After(handled) && age < crossingTime
+		if w.hasRequest && !isCrossing || !w.hasRequest && age < firstRequestTime {
+			return true
 		}
-		time.Sleep(writePollInterval)
 	}
+	return false
 }
 
 // clientConn is a client connection with configurable time limits.
@@ -92,8 +125,6 @@
 
 	mu    sync.Mutex
 	phase connPhase
-	// active and opened are set while the listener counts the connection as such.
-	active, opened bool
 }
 
 // trackConnState records the state that the HTTP server reports for a connection.
@@ -104,38 +135,20 @@
 	}
 	switch state {
 	case http.StateActive:
-		conn.setPhase(phaseBody, true)
+		conn.setPhase(phaseBody)
+		conn.listener.setWaiting(conn, waitingConn{since: time.Now(), hasRequest: true})
 	case http.StateIdle:
-		conn.setPhase(phaseIdle, false)
+		conn.setPhase(phaseIdle)
+		conn.listener.endWaiting(conn)
 	case http.StateClosed, http.StateHijacked:
-		conn.setPhase(phaseHeader, false)
+		conn.listener.endWaiting(conn)
 	}
 }
 
-// endOpening makes the listener no longer count the connection as opened.
-func (c *clientConn) endOpening() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.opened {
-		c.opened = false
-		c.listener.opened.Add(-1)
-	}
-}
-
-func (c *clientConn) setPhase(p connPhase, active bool) {
-	defer c.endOpening()
+func (c *clientConn) setPhase(p connPhase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = p
-	if active == c.active {
-		return
-	}
-	c.active = active
-	if active {
-		c.listener.active.Add(1)
-	} else {
-		c.listener.active.Add(-1)
-	}
 }
 
 // SetReadDeadline implements net.Conn. The HTTP server sets a deadline when it begins to
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -274,5 +274,5 @@
 	}
 	clients.awaitAnswers(limits.write - time.Since(startTime))
 	n.gateway.LogUnanswered()
-	n.opts.Log.Info("Entry stopped.", "requests", n.gateway.InFlight(), "active_connections", clients.active.Load(), "after", time.Since(startTime))
+	n.opts.Log.Info("Entry stopped.", "requests", n.gateway.InFlight(), "active_connections", clients.unwritten(), "after", time.Since(startTime))
 }
