--- a/client/exchange.go
+++ b/client/exchange.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 )
 
 // maxErrorBytes is the maximum size of an error body that is read.
@@ -72,7 +74,7 @@
 		if !retry {
 			return nil, x.finalError(ctx, err)
 		}
-		if !sleep(ctx, wait) {
+		if !clock.Sleep(ctx, wait) {
 			return nil, x.finalError(ctx, err)
 		}
 	}
@@ -135,18 +137,6 @@
 // nextEntry moves on to the next entry, in turn.
 func (x *callState) nextEntry() { x.entry = (x.entry + 1) % len(x.client.opts.Entries) }
 
-// sleep waits for d; it returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // sendCall posts the call and reads its event stream.
 func (x *callState) sendCall(ctx context.Context) error {
 	url := x.client.opts.Entries[x.entry] + "/v1/calls/" + x.call.Name
@@ -186,7 +176,7 @@
 			lastErr = errConnectionLost
 			x.nextEntry()
 		}
-		sleep(ctx, reattachDelay)
+		clock.Sleep(ctx, reattachDelay)
 	}
 	return lastErr
 }
--- a/cmd/mwctl/config_wait.go
+++ b/cmd/mwctl/config_wait.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliawheel/magnoliawheel/internal/adminapi"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 )
 
 // waitInterval is the delay between two polls of the offsets of the instances.
@@ -42,7 +43,7 @@
 			}
 		}
 		notInForce := countNotInForce(last, c.Offset)
-		if notInForce == 0 || !sleep(ctx, waitInterval) {
+		if notInForce == 0 || !clock.Sleep(ctx, waitInterval) {
 			return c.printResult(last, notInForce)
 		}
 	}
@@ -91,13 +92,3 @@
 	}
 	return w.Flush()
 }
-
-// sleep waits for d; it returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,6 +22,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/configlog"
 	"github.com/magnoliawheel/magnoliawheel/core/routing"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/confsync"
 	"github.com/magnoliawheel/magnoliawheel/internal/members"
 	"github.com/magnoliawheel/magnoliawheel/internal/platform"
@@ -199,7 +200,7 @@
 	p.drain()
 	closeCtx, cancelClose := context.WithTimeout(serveCtx, inFlightTimeout)
 	inFlight.Wait(closeCtx)
-	sleep(closeCtx, closeDelay)
+	clock.Sleep(closeCtx, closeDelay)
 	cancelClose()
 	cancelServe()
 	_ = adminServer.Close()
--- a/internal/agent/claimer.go
+++ b/internal/agent/claimer.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/magnoliawheel/magnoliawheel/core/claims"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/platform"
 )
 
@@ -81,7 +82,7 @@
 			return claims.Pending, claims.Record{}, err
 		}
 		uncertain = true
-		if !sleep(ctx, claimRetryInterval) {
+		if !clock.Sleep(ctx, claimRetryInterval) {
 			return claims.Pending, claims.Record{}, errClaimTimeout
 		}
 	}
@@ -100,7 +101,7 @@
 		if err == nil {
 			return j, r, nil
 		}
-		if !sleep(ctx, claimRetryInterval) {
+		if !clock.Sleep(ctx, claimRetryInterval) {
 			return claims.Pending, claims.Record{}, errClaimTimeout
 		}
 	}
@@ -134,7 +135,7 @@
 		if _, err := p.append(c.ctx, data); err == nil {
 			return
 		}
-		if !sleep(c.ctx, releaseRetryInterval) {
+		if !clock.Sleep(c.ctx, releaseRetryInterval) {
 			return
 		}
 	}
@@ -152,7 +153,7 @@
 // ends of their streams until ctx ends. For all partitions it drops the claims
 // of expired keys.
 func (c *claimer) run(ctx context.Context, isHome func(partition int) bool, validity func() time.Duration) {
-	for ; ctx.Err() == nil; sleep(ctx, catchUpInterval) {
+	for ; ctx.Err() == nil; clock.Sleep(ctx, catchUpInterval) {
 		expireBefore := time.Now().Add(-validity() - claimRetentionMargin)
 		for i, p := range c.partitions {
 			if !isHome(i) {
@@ -166,15 +167,3 @@
 		}
 	}
 }
-
-// sleep waits for a duration. It returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/agent/fetch.go
+++ b/internal/agent/fetch.go
@@ -10,6 +10,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/ledger"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
 )
@@ -121,7 +122,7 @@
 			return nil, err
 		}
 		p.connPool.CloseIdle(ref.Address)
-		sleep(ctx, fetchRetryInterval)
+		clock.Sleep(ctx, fetchRetryInterval)
 	}
 }
 
--- a/internal/agent/pause.go
+++ b/internal/agent/pause.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 )
 
 // Timing of the detection of pauses, in which the whole process was suspended.
@@ -57,7 +59,7 @@
 
 // run records heartbeats until ctx ends.
 func (g *pauseGuard) run(ctx context.Context) error {
-	for ok := true; ok; ok = sleep(ctx, heartbeatInterval) {
+	for ok := true; ok; ok = clock.Sleep(ctx, heartbeatInterval) {
 		g.heartbeat(ctx, time.Now())
 	}
 	return nil
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/membership"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 )
 
 // listCheckInterval is the time between two checks of the instance list.
@@ -14,7 +15,7 @@
 // instance as leaving, until ctx ends. While the list is unavailable, the last
 // one applies.
 func (p *Process) watchInstanceList(ctx context.Context, instances func() []membership.Instance) {
-	for sleep(ctx, listCheckInterval) {
+	for clock.Sleep(ctx, listCheckInterval) {
 		p.applyInstanceList(instances())
 	}
 }
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -19,15 +19,17 @@
 	return time.Duration(ts.Nano())
 }
 
-// Sleep waits for d or until ctx ends.
-func Sleep(ctx context.Context, d time.Duration) {
+// Sleep waits for d and reports whether it has passed; false means that ctx ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
-		return
+		return ctx.Err() == nil
 	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
--- a/internal/confsync/checkpoint.go
+++ b/internal/confsync/checkpoint.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/platform"
 )
 
@@ -28,7 +29,7 @@
 // checkpointLoop appends a checkpoint when the newest one is old.
 func (s *Sync) checkpointLoop(ctx context.Context) {
 	interval := minCheckInterval
-	for sleep(ctx, jitter(interval)) {
+	for clock.Sleep(ctx, jitter(interval)) {
 		n := len(s.opts.Peers()) + 1
 		if rand.Float64()*float64(n) >= checksPerInterval {
 			continue
--- a/internal/confsync/exchange.go
+++ b/internal/confsync/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliawheel/magnoliawheel/core/configlog"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/platform"
 	"github.com/magnoliawheel/magnoliawheel/internal/rpc/wire"
 )
@@ -175,7 +176,7 @@
 				}
 			})
 		}
-		if !sleep(ctx, minPushInterval) {
+		if !clock.Sleep(ctx, minPushInterval) {
 			return
 		}
 	}
--- a/internal/confsync/log.go
+++ b/internal/confsync/log.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/platform"
 )
 
@@ -99,7 +100,7 @@
 // readLoop reads the log at random intervals, at a rate that is shared by all instances.
 func (s *Sync) readLoop(ctx context.Context) {
 	backoff := time.Duration(0)
-	for sleep(ctx, jitter(readInterval)+backoff) {
+	for clock.Sleep(ctx, jitter(readInterval)+backoff) {
 		if rand.Float64() >= readProbability(len(s.opts.Peers())+1) {
 			continue
 		}
@@ -116,15 +117,3 @@
 		backoff = 0
 	}
 }
-
-// sleep waits for d; it returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/confsync/submit.go
+++ b/internal/confsync/submit.go
@@ -8,6 +8,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/configlog"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/platform"
 )
 
@@ -59,7 +60,7 @@
 		if snap.Offset > c.BaseOffset+configlog.ChangeWindow {
 			return configlog.Outcome{}, result.New(result.ConfigUnavailable, "change %s was not written and can no longer take effect", c.ID)
 		}
-		if !sleep(ctx, outcomePollInterval) {
+		if !clock.Sleep(ctx, outcomePollInterval) {
 			return configlog.Outcome{}, unknownOutcomeError(c.ID)
 		}
 	}
--- a/internal/engine/model.go
+++ b/internal/engine/model.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 )
 
 const (
@@ -93,7 +94,7 @@
 		if time.Since(lastProgressAt) > reconnectTimeout {
 			return Outcome{Code: result.ServerFailed, Message: "the stream cannot be resumed: " + err.Error(), Ran: g.ran()}
 		}
-		sleep(ctx, reconnectDelay)
+		clock.Sleep(ctx, reconnectDelay)
 	}
 }
 
@@ -260,13 +261,3 @@
 	}
 	return n, err
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/test/standin/control.go
+++ b/test/standin/control.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 )
 
 // Faults configures the faults that a stand-in simulates.
@@ -131,7 +133,7 @@
 		f, changed := s.current, s.changed
 		s.mu.Unlock()
 		if !f.Hang {
-			return sleep(ctx, time.Duration(f.DelayMS)*time.Millisecond)
+			return clock.Sleep(ctx, time.Duration(f.DelayMS)*time.Millisecond)
 		}
 		select {
 		case <-changed:
@@ -141,19 +143,6 @@
 	}
 }
 
-// sleep waits for d and returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // EffectiveSlowFactor returns SlowFactor, or 1 if it is not set, but at least 0.01.
 func (f Faults) EffectiveSlowFactor() float64 {
 	if f.SlowFactor <= 0 {
