--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -45,8 +45,6 @@
 	maxDigests = 8
 	// bodyPartBytes is the size of the parts in which the body of a request is written.
 	bodyPartBytes = 64 << 10
-	// maxHeadBytes bounds the head of a response.
-	maxHeadBytes = 64 << 10
 )
 
 // Request is a request to one server.
@@ -151,14 +149,6 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}
 }
 
-// readHead reads the head of a response. A server in trouble may send bytes without end.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	c.limit.start(maxHeadBytes)
-	defer c.limit.stop()
-	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	return resp, errors.Wrap(err, "read response head")
-}
-
 // Do sends the request and returns the head of the response. The connection is closed
 // when ctx ends, even while the body is being read.
 func (c *Client) Do(ctx context.Context, req *Request) (*Response, error) {
