Count a server that ends within a head as ended

A request that crashed its servers was not held back, and came to the next server, if each of them ended within the head of its answer: such an end counted as a malformed answer of a server that goes on.

Cause: bufio.Reader.ReadLine returns the last, unfinished line of a connection without the error that ended it, so that http.ReadResponse complains about the line ("malformed HTTP response") and connectionEnded sees neither EOF nor a reset.

The connection now keeps the first error while a head is read. If there is one, the head is cut, and that is the error of the request. What the client gets is as before: 502, "ran: unknown", or the answer of another server.

--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -24,12 +24,27 @@
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.limit.start(maxHeadBytes)
 	defer c.limit.stop()
+	resp, err := c.parseHead(method)
+	if err == nil {
+		return resp, nil
+	}
+	if c.limit.err != nil {
+		// The head is cut. What the parser says of its last line is of no use.
+		err = c.limit.err
+	}
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return nil, errors.Wrap(err, "read response head")
+}
+
+func (c *conn) parseHead(method string) (*http.Response, error) {
 	if err := c.checkProtocol(); err != nil {
-		return nil, errors.Wrap(err, "read response head")
+		return nil, err
 	}
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
-		return nil, errors.Wrap(err, "read response head")
+		return nil, err
 	}
 	return resp, checkHead(resp)
 }
@@ -62,9 +77,6 @@
 // the body.
 func (c *conn) checkProtocol() error {
 	p, err := c.reader.Peek(len(oldProtocol))
-	if err == io.EOF {
-		return io.ErrUnexpectedEOF
-	}
 	if err != nil || !bytes.Equal(p, oldProtocol) {
 		return err
 	}
--- a/internal/upstream/limited.go
+++ b/internal/upstream/limited.go
@@ -14,10 +14,12 @@
 	net.Conn
 	limited bool
 	left    int
+	// err is the first error since the limit was set, which a bufio.Reader may drop.
+	err error
 }
 
 // start sets a limit for the next bytes, and stop ends it.
-func (r *limitedReader) start(limit int) { r.limited, r.left = true, limit }
+func (r *limitedReader) start(limit int) { r.limited, r.left, r.err = true, limit, nil }
 func (r *limitedReader) stop()           { r.limited = false }
 
 // Read implements io.Reader.
@@ -25,6 +27,14 @@
 	if !r.limited {
 		return r.Conn.Read(p)
 	}
+	n, err := r.readLimited(p)
+	if r.err == nil {
+		r.err = err
+	}
+	return n, err
+}
+
+func (r *limitedReader) readLimited(p []byte) (int, error) {
 	if r.left <= 0 {
 		return 0, errTooManyBytes
 	}
