Refuse a success that ends right after its head

A success of which not one byte has arrived shows nothing of its body, and the entry makes it look more certain than the server did. It now counts as broken off, as an empty stream of events did already: 502 "ran: unknown", or the answer of another server where the request may run again. It is no evidence that the request ended its server, since nothing shows that. Responses that say that they are empty (a length of 0, the last chunk, 204, HEAD), and those that are no success, are relayed as before.

TestEmptyResponsesOfSoundServersAreRelayed pins the rest.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -36,6 +36,10 @@
 	errNotEventStream  = errors.New("response does not continue the stream: it is no stream of events")
 )
 
+// errNoBody means that the connection of a success without a length ended right after the head, as it
+// does if the server ends there.
+var errNoBody = errors.New("response without a length ended before its body")
+
 // relay copies a stream of events to the client. It forwards only complete events, so
 // that an attempt which resumes the stream on another server begins at an event
 // boundary. What it forwards waits in the outbox for the client; the relay itself only reads
@@ -222,5 +226,12 @@
 		return nil, err
 	}
 	req.onEnd = append(req.onEnd, release)
+	if len(body) == 0 && isSuccess(resp.StatusCode) && resp.Framing() == upstream.UntilClose && req.method != http.MethodHead {
+		return nil, errNoBody
+	}
 	return &response{resp.StatusCode, resp.Header, body, release}, nil
 }
+
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
--- a/internal/node/cut_head_test.go
+++ b/internal/node/cut_head_test.go
@@ -187,3 +187,51 @@
 	assert.Equal(c.t, got.status, http.StatusBadGateway, "%s: %s", id, got.body)
 	return false
 }
+
+// TestEmptyResponsesOfSoundServersAreRelayed guards against a response without a body being taken
+// for one that was broken off although it says that it has none, or is no success.
+func TestEmptyResponsesOfSoundServersAreRelayed(t *testing.T) {
+	f := newFleet(t)
+	f.putConfig()
+	var head string
+	f.startServer("plain", "p", 0).SetHandler(func(w http.ResponseWriter, _ *http.Request) bool {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if assert.Check(t, err) {
+			_, _ = io.WriteString(conn, head)
+			_ = conn.Close()
+		}
+		return true
+	})
+	e := f.startEntry("e1", 0).waitReady().waitRegistered()
+	signed := http.Header{}
+	standin.SetSignature(signed, "s")
+	var signature strings.Builder
+	_ = signed.Write(&signature)
+	for i, tt := range []struct {
+		status int
+		rest   string
+		body   string
+	}{
+		{http.StatusOK, "Content-Length: 0\r\n\r\n", ""},
+		{http.StatusOK, "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", ""},
+		{http.StatusOK, "\r\nown", "own"},
+		{http.StatusNoContent, "\r\n", ""},
+		{http.StatusNotFound, "\r\n", ""},
+		{http.StatusInternalServerError, "\r\n", ""},
+	} {
+		head = fmt.Sprintf("HTTP/1.1 %d Text\r\n%s%s", tt.status, signature.String(), tt.rest)
+		got := e.do(keyedCall(standin.PathUnsafe, fmt.Sprint("r", i), "key-1"))
+		assert.NilError(t, got.err, head)
+		assert.Equal(t, got.status, tt.status, "%s: %s", head, got.body)
+		assert.Equal(t, got.body, tt.body, head)
+	}
+	head = "HTTP/1.1 200 OK\r\n" + signature.String() + "\r\n"
+	req, err := http.NewRequest(http.MethodHead, e.baseURL+standin.PathUnsafe, nil)
+	assert.NilError(t, err)
+	req.Host = standin.Host
+	standin.ClientHeader{RequestID: "head", APIKey: "key-1"}.SetOn(req.Header)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -135,6 +135,10 @@
 			panic(http.ErrAbortHandler)
 		}, 200, 502, 1, 0},
 		{"resets a response that ends with its connection", func(w http.ResponseWriter, _ *http.Request) { standin.ResetUntilClose(w, "s", "half") }, 200, 502, 1, 0},
+		{"ends after the head of a response without a length", func(w http.ResponseWriter, _ *http.Request) {
+			standin.SetSignature(w.Header(), "s")
+			standin.SetUntilClose(w.Header())
+		}, 200, 502, 1, 0},
 		{"responds to another request", func(w http.ResponseWriter, _ *http.Request) {
 			standin.SetRequestID(w.Header(), "other")
 			standin.SetSignature(w.Header(), "s")
