Streams of an unknown beginning go on only with a confirmed view

A client that resumed a stream at an entry out of step got 200 and the rest from a server of another software version (ORDER): the entry had not heard that a new version had joined, and continued the stream at the only version that it knew. "Not seen" was read as "not there" by a view of the servers whose age nobody looked at. The same for a stream of a known version: a server that had started again under its ID with another version, unheard of, continued it.

Before a stream that nobody knows is continued, the placing entry now confirms its view by a read of the servers' topic that began after the request arrived. The store's responses are linearizable, and a server's record is in the store before any stream begins there, so the read shows each version that may have begun the stream, whatever the clocks say. Concurrent requests share a read; one that began earlier does not count, nor one that was overtaken by relayed changes.

Reads of one topic no longer overlap, so records of an older one cannot follow those of a newer one.

--- a/internal/planner/metrics.go
+++ b/internal/planner/metrics.go
@@ -29,6 +29,9 @@
 	longPrompts, reservedUses tally.Counter
 	// speedsLearned counts the speeds of servers that were learned from other entries.
 	speedsLearned tally.Counter
+	// viewsConfirmed and viewsUnconfirmed count the confirmations of the servers for resumed
+	// streams, by whether the store gave them in time.
+	viewsConfirmed, viewsUnconfirmed tally.Counter
 	// expectedFirstEvent and measuredFirstEvent are the times to the first event,
 	// expectedPause the pauses that placed requests were expected to cause, and longestPause
 	// the longest pauses of responses.
@@ -43,6 +46,8 @@
 		longPrompts:        scope.Counter("long_prompts_placed"),
 		reservedUses:       scope.Counter("reserved_servers_used_by_others"),
 		speedsLearned:      scope.Counter("server_speeds_learned"),
+		viewsConfirmed:     scope.Tagged(map[string]string{"confirmed": "true"}).Counter("server_views_checked"),
+		viewsUnconfirmed:   scope.Tagged(map[string]string{"confirmed": "false"}).Counter("server_views_checked"),
 		expectedFirstEvent: scope.Histogram("expected_first_event_seconds", buckets),
 		measuredFirstEvent: scope.Histogram("measured_first_event_seconds", buckets),
 		expectedPause:      scope.Histogram("expected_pause_seconds", buckets),
@@ -63,6 +68,14 @@
 	}
 }
 
+func (m *metrics) countConfirmation(confirmed bool) {
+	if confirmed {
+		m.viewsConfirmed.Inc(1)
+		return
+	}
+	m.viewsUnconfirmed.Inc(1)
+}
+
 func (m *metrics) countFirstEvent(took, expected time.Duration) {
 	m.firstEvents.Inc(1)
 	m.measuredFirstEvent.RecordDuration(took)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -72,6 +72,8 @@
 	// requests are placed although they may.
 	elements []string
 	trial    bool
+	// viewConfirmed is set if the servers were confirmed after the request arrived.
+	viewConfirmed bool
 }
 
 // Planner places requests. It is safe for concurrent use.
@@ -89,6 +91,8 @@
 	onVersions   func()
 	// unstored are the streams whose versions the store does not hold yet, while it must.
 	unstored streamversion.Outgoing
+	// view, if set, is what this process knows of the servers.
+	view View
 	// notices is what servers said about themselves.
 	notices *notice.Table
 	// quarantine holds back requests that crash servers. evaluation evaluates its evidence
@@ -186,31 +190,45 @@
 // ID.
 func (p *Planner) Place(req Request, callbacks Callbacks) {
 	p.noticeTakeover()
+	isOverdue := p.view != nil && req.Resume != nil && p.view.IsOverdue()
+	pr := &pendingRequest{req: req, callbacks: callbacks, elements: req.Elements()}
+	need := noConfirmation
 	p.update(func(now time.Duration) {
+		pr.receivedAt = now
 		p.scheduler.Release(now, req.ID)
 		p.removePending(req.ID)
-		pr := &pendingRequest{req: req, callbacks: callbacks, receivedAt: now, elements: req.Elements()}
 		p.pending[req.ID] = pr
 		if p.stopping && !callbacks.Local {
 			p.markHandingOver(pr)
 			return
 		}
-		if pr.refusal = p.checkRequest(now, pr); pr.refusal != 0 || req.CheckOnly {
-			p.decided = append(p.decided, pr)
-			p.scheduler.FreeResults(now, req.PriorResults)
-			return
-		}
-		parts := pr.placementRequest()
-		readerZone := ""
-		if staging.UsesReaderZone(req.Stages) {
-			readerZone = p.modelServers.LikelyZone(now, parts)
+		if need = p.neededConfirmation(now, pr, isOverdue); need == noConfirmation {
+			p.submit(now, pr)
 		}
-		p.scheduler.Submit(now, staging.Job{
-			ID: req.ID, Key: req.PieceKey, Stages: req.Stages, Priority: req.Priority,
-			ObjectiveDeadline: now + req.TimeToObjective, Deadline: now + req.TimeToDeadline, RequestDuration: p.modelServers.ExpectedFirstEvent(parts),
-			ReaderZone: readerZone, Customer: req.Customer, Owner: req.Owner, PriorResults: req.PriorResults,
-			Residency: req.Residency,
-		})
+	})
+	if need != noConfirmation {
+		go p.confirmView(pr, need)
+	}
+}
+
+// submit checks a request and submits its stages. The caller holds the lock.
+func (p *Planner) submit(now time.Duration, pr *pendingRequest) {
+	req := &pr.req
+	if pr.refusal = p.checkRequest(now, pr); pr.refusal != 0 || req.CheckOnly {
+		p.decided = append(p.decided, pr)
+		p.scheduler.FreeResults(now, req.PriorResults)
+		return
+	}
+	parts := pr.placementRequest()
+	readerZone := ""
+	if staging.UsesReaderZone(req.Stages) {
+		readerZone = p.modelServers.LikelyZone(now, parts)
+	}
+	p.scheduler.Submit(now, staging.Job{
+		ID: req.ID, Key: req.PieceKey, Stages: req.Stages, Priority: req.Priority,
+		ObjectiveDeadline: pr.receivedAt + req.TimeToObjective, Deadline: pr.receivedAt + req.TimeToDeadline, RequestDuration: p.modelServers.ExpectedFirstEvent(parts),
+		ReaderZone: readerZone, Customer: req.Customer, Owner: req.Owner, PriorResults: req.PriorResults,
+		Residency: req.Residency,
 	})
 }
 
--- a/internal/planner/streams.go
+++ b/internal/planner/streams.go
@@ -191,7 +191,7 @@
 	if pr.version == nil {
 		pr.version = p.streamVersion(now, resume.Stream)
 	}
-	if pr.version == nil {
+	if pr.version == nil && (pr.viewConfirmed || p.view == nil) {
 		pr.version = p.onlyVersion(now, pr.req.Pool)
 	}
 	switch {
--- a/internal/watch/config.go
+++ b/internal/watch/config.go
@@ -58,6 +58,7 @@
 	c.rejectedEvacuations = NewRejections(log, "Evacuation record rejected.")
 	c.topic = &Topic{
 		store: store, name: platform.ConfigTopic, readWait: time.Duration(readWaitShare * float64(maxDelay)), log: log,
+		reading:      make(chan struct{}, 1),
 		applyRecords: c.applyRecords, onConfirmed: c.confirm,
 		onReadFailed: func(time.Duration) { c.storeLost.Store(true) },
 	}
--- /dev/null
+++ b/internal/watch/confirm.go
@@ -0,0 +1,76 @@
+package watch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+)
+
+// Age returns the time since which the store has not confirmed the records.
+func (t *Topic) Age() time.Duration { return t.State().Age }
+
+// IsOverdue reports whether the store has not confirmed the records for longer than it does
+// while this entry, or the one that reads for it, is in touch with it.
+func (t *Topic) IsOverdue() bool { return t.Age() > t.maxRelayedAge() }
+
+// Confirm returns once all records have been applied that the store held when Confirm was
+// called. Concurrent calls share a read, but none that began before them counts. Confirm returns
+// the error of a failed read, and that of ctx if it ends before.
+func (t *Topic) Confirm(ctx context.Context) error {
+	asOf := clock.Now()
+	unlock, err := t.lockReading(ctx)
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	for !t.isConfirmedSince(asOf) {
+		// A read that is overtaken by relayed changes confirms nothing.
+		if err := t.read(ctx, 0); err != nil {
+			return err
+		}
+		if ctx.Err() != nil {
+			return errors.Wrap(ctx.Err(), "confirm")
+		}
+	}
+	return nil
+}
+
+// isConfirmedSince reports whether all records have been applied that the store held at the
+// given time.
+func (t *Topic) isConfirmedSince(asOf time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.known && t.confirmedAt >= asOf
+}
+
+// readExclusively is read once no other read is in flight.
+func (t *Topic) readExclusively(ctx context.Context, wait time.Duration) error {
+	unlock, err := t.lockReading(ctx)
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	return t.read(ctx, wait)
+}
+
+// lockReading waits until no read is in flight.
+func (t *Topic) lockReading(ctx context.Context) (unlock func(), err error) {
+	select {
+	case t.reading <- struct{}{}:
+		return func() { <-t.reading }, nil
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "wait for a read in flight")
+	}
+}
+
+// Age returns the time since which the store has not confirmed the servers.
+func (s *Servers) Age() time.Duration { return s.topic.Age() }
+
+// IsOverdue is Topic.IsOverdue for the servers.
+func (s *Servers) IsOverdue() bool { return s.topic.IsOverdue() }
+
+// Confirm is Topic.Confirm for the servers.
+func (s *Servers) Confirm(ctx context.Context) error { return s.topic.Confirm(ctx) }
--- a/internal/watch/servers.go
+++ b/internal/watch/servers.go
@@ -43,6 +43,7 @@
 	}
 	s.topic = &Topic{
 		store: store, name: platform.ServersTopic, readInterval: time.Duration(readIntervalShare * float64(maxDelay)), log: log,
+		reading:      make(chan struct{}, 1),
 		applyRecords: s.applyRecords,
 		onConfirmed:  func(time.Duration, platform.Position) { s.removeExpired() },
 		onReadFailed: func(now time.Duration) {
--- a/internal/watch/topic.go
+++ b/internal/watch/topic.go
@@ -73,6 +73,9 @@
 	onReadFailed func(now time.Duration)
 	// onExpired, if set, is called when records expired before this entry read them.
 	onExpired func()
+	// reading holds a value while a read is in flight, so that the records of an older one are
+	// never applied after those of a newer one.
+	reading chan struct{}
 
 	mu sync.Mutex
 	// position is where the next read begins; it is valid if known is set. restored is
@@ -255,7 +258,7 @@
 			// A connection that was idle for long may be dead, which only a timeout shows.
 			t.store.CloseIdleConnections()
 		}
-		err := t.read(ctx, wait)
+		err := t.readExclusively(ctx, wait)
 		if ctx.Err() != nil {
 			return
 		}
