A version that came and left within one read counts

A client that resumed a stream of such a version at an entry out of step got 200 and the rest from a server of another one (ORDER). Versions were observed from the usable servers after a read; a server that joined and was deleted, drained, or started again under its ID as another version within one batch of records was never among them.

Every valid record that says something new of its server now tells its version, usable or not, before the servers are passed on. A version that was only seen counts as ended then, for as long as its streams may be resumed. Pools that were never observed, since their streams cannot be resumed, do not make the entry store single streams.

--- a/core/streamversion/pools.go
+++ b/core/streamversion/pools.go
@@ -80,6 +80,18 @@
 	v.prune(now)
 }
 
+// Seen records versions of servers of a pool that may have begun streams, although they need not
+// be usable now: a server may have come and left between two calls of Observe.
+func (p *Pools) Seen(now time.Duration, pool string, versions []string) {
+	v := p.pool(pool)
+	for _, version := range versions {
+		if _, isCurrent := v.current[version]; !isCurrent {
+			v.ended[version] = now
+		}
+	}
+	v.prune(now)
+}
+
 // prune discards the versions of streams that are no longer resumed.
 func (v *poolVersions) prune(now time.Duration) {
 	maps.DeleteFunc(v.ended, func(version string, since time.Duration) bool {
@@ -191,10 +203,10 @@
 	return v != nil && v.countResumable(now) > 1
 }
 
-// AnySeveral reports whether Several holds for any pool.
+// AnySeveral reports whether Several holds for any pool that was observed.
 func (p *Pools) AnySeveral(now time.Duration) bool {
-	for pool := range p.pools {
-		if p.Several(now, pool) {
+	for pool, v := range p.pools {
+		if v.observed && p.Several(now, pool) {
 			return true
 		}
 	}
--- a/core/streamversion/pools_test.go
+++ b/core/streamversion/pools_test.go
@@ -184,3 +184,20 @@
 		assert.Assert(t, len(p.pools[pool].ended) <= 6, "%v", p.pools[pool].ended)
 	}
 }
+
+// TestVersionThatWasOnlySeenCounts guards against a version that no call of Observe had, because
+// its servers came and left between two, and against one of a pool without resumable streams.
+func TestVersionThatWasOnlySeenCounts(t *testing.T) {
+	p := NewPools()
+	p.ObservedFromStart()
+	p.Seen(0, pool, []string{"v1"})
+	assert.Assert(t, !p.AnySeveral(0))
+	p.Observe(0, pool, []string{"v1"})
+	assert.Equal(t, only(p, 0), "v1")
+	p.Seen(time.Second, pool, []string{"v1", "v2"})
+	p.Observe(time.Second, pool, []string{"v1"})
+	assert.Equal(t, only(p, time.Second+MaxAge), "refused")
+	assert.Equal(t, only(p, time.Second+MaxAge+1), "v1")
+	p.Seen(time.Hour, "other", []string{"v1", "v2"})
+	assert.Assert(t, !p.AnySeveral(time.Hour), "streams of the other pool cannot be resumed")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,6 +105,7 @@
 	n.planner.OnVersionsDue(n.versions.notify)
 	n.streams = &streamRecorder{store: n.store, planner: n.planner, log: o.Log.WithName("streams"), places: n.versions.places, versionsKnown: n.versions.known.Load}
 	n.servers.OnMissed(n.versions.serversMissed)
+	n.servers.OnVersions(n.planner.VersionsSeen)
 	n.planner.SetView(n.servers)
 	startID := time.Now().UnixNano()
 	owner := ownerName(o.Settings.Node, startID)
--- a/internal/node/view_age_test.go
+++ b/internal/node/view_age_test.go
@@ -158,6 +158,32 @@
 	}
 }
 
+// TestVersionThatCameAndLeftIsNotOverlooked guards against an entry that reads at once that a
+// version joined and left, and continues its streams at the only version that is usable then.
+func TestVersionThatCameAndLeftIsNotOverlooked(t *testing.T) {
+	tests := []struct {
+		name  string
+		leave func(f *outOfStepFleet)
+	}{
+		{"deleted", func(f *outOfStepFleet) { f.store.Delete(platform.ServersTopic, "new") }},
+		{"draining", func(f *outOfStepFleet) { f.drainServer("new", "v2") }},
+		{"started again as the other version", func(f *outOfStepFleet) {
+			f.store.Put(platform.ServersTopic, "new", standin.VersionedServerRecord("model", f.servers["new"].Address(), "v1", false))
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newOutOfStepFleet(t)
+			f.beginAtNewVersion()
+			f.startVersion("old2", "v1")
+			tt.leave(f)
+			time.Sleep(1500 * time.Millisecond)
+			f.relay.release()
+			f.assertNotJoined()
+		})
+	}
+}
+
 // TestKnownStreamIsNotContinuedAtARestartedServer guards against an entry that has not heard that
 // a server started again with another version, and continues a stream of the version before there.
 func TestKnownStreamIsNotContinuedAtARestartedServer(t *testing.T) {
--- a/internal/planner/streams.go
+++ b/internal/planner/streams.go
@@ -87,12 +87,7 @@
 	for i, s := range pool.ModelServers {
 		versions[i] = s.SoftwareVersion
 	}
-	before := p.poolVersions.Several(now, pool.Name)
-	p.poolVersions.Observe(now, pool.Name, versions)
-	if !before && p.poolVersions.Several(now, pool.Name) {
-		// Streams that began before can no longer be told by the pool's versions alone.
-		p.unstored.Add(p.streams.All(now)...)
-	}
+	p.changeVersions(now, pool.Name, func() { p.poolVersions.Observe(now, pool.Name, versions) })
 	var servers []placement.Server
 	for _, s := range pool.ModelServers {
 		if !p.poolVersions.Withheld(now, pool.Name, s.SoftwareVersion) {
@@ -105,6 +100,28 @@
 	return servers
 }
 
+// changeVersions changes the versions of a pool. If streams of several may be resumed from then
+// on, those that began before must be stored: they can no longer be told by the pool's versions
+// alone. The caller holds the lock.
+func (p *Planner) changeVersions(now time.Duration, pool string, change func()) {
+	before := p.poolVersions.Several(now, pool)
+	change()
+	if !before && p.poolVersions.Several(now, pool) {
+		p.unstored.Add(p.streams.All(now)...)
+	}
+}
+
+// VersionsSeen records software versions of servers by service, also of servers that may not be
+// used or that have left again.
+func (p *Planner) VersionsSeen(versions map[string][]string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := clock.Now()
+	for pool, seen := range versions {
+		p.changeVersions(now, pool, func() { p.poolVersions.Seen(now, pool, seen) })
+	}
+}
+
 // reportVersionsDue calls onVersions if the store lacks versions.
 func (p *Planner) reportVersionsDue() {
 	if p.onVersions != nil && len(p.VersionsDue(0)) > 0 {
--- a/internal/watch/servers.go
+++ b/internal/watch/servers.go
@@ -32,6 +32,9 @@
 	loaded  bool
 	// rejected are the records that name no server to use.
 	rejected *Rejections
+	// onVersions, if set, receives the software versions of the servers in new records by
+	// service, also of servers that may not be used.
+	onVersions func(versions map[string][]string)
 }
 
 // NewServers returns a watcher of the backend servers. A draining server receives no new
@@ -62,6 +65,11 @@
 // It must be called before Run.
 func (s *Servers) OnMissed(f func()) { s.topic.onExpired = f }
 
+// OnVersions sets the function that receives the software versions of the servers in new
+// records by service, also of servers that may not be used. It is called before onChange, and
+// must be set before Run.
+func (s *Servers) OnVersions(f func(versions map[string][]string)) { s.onVersions = f }
+
 // Run follows the records until ctx ends.
 func (s *Servers) Run(ctx context.Context) { s.topic.run(ctx) }
 
@@ -169,9 +177,10 @@
 		s.removeMissing(records, now)
 	}
 	isFirst := !s.loaded
+	versions := versionSet{}
 	var applied []platform.KeyedRecord
 	for _, rec := range records {
-		if s.applyRecord(rec, set, now) {
+		if s.applyRecord(rec, set, now, versions) {
 			applied = append(applied, rec)
 		}
 	}
@@ -180,14 +189,27 @@
 	if set != newRecords {
 		s.log.Info("Servers read.", "records", len(records), "changed", len(applied))
 	}
+	if s.onVersions != nil && len(versions) > 0 {
+		s.onVersions(versions)
+	}
 	if isFirst || len(applied) > 0 || set != newRecords {
 		s.onChange()
 	}
 	return applied
 }
 
-// applyRecord applies one record and reports whether it changed anything.
-func (s *Servers) applyRecord(rec platform.KeyedRecord, set recordSet, now time.Duration) bool {
+// versionSet holds software versions of servers by service.
+type versionSet map[string][]string
+
+func (v versionSet) add(service, version string) {
+	if !slices.Contains(v[service], version) {
+		v[service] = append(v[service], version)
+	}
+}
+
+// applyRecord applies one record and reports whether it changed anything. It adds the version of
+// a server whose record is not the one known.
+func (s *Servers) applyRecord(rec platform.KeyedRecord, set recordSet, now time.Duration, versions versionSet) bool {
 	if rec.Deleted {
 		s.rejected.Remove(rec.Key)
 		s.log.Info("Server record deleted.", "server", rec.Key, "offset", rec.Offset)
@@ -207,12 +229,15 @@
 		// The server may have been running before; a new record is that of a new server.
 		state.RunningFor = runningFor(server.StartTime)
 	}
-	if set == restoredRecords && !s.backendSet.IsNews(state) {
-		return false
-	}
 	// The sequence number changes with each record, the rest rarely.
 	server.Sequence = 0
 	previous, existed := s.servers[server.ID]
+	if previous != server {
+		versions.add(server.Service, server.SoftwareVersion)
+	}
+	if set == restoredRecords && !s.backendSet.IsNews(state) {
+		return false
+	}
 	s.servers[server.ID] = server
 	changed := s.backendSet.RecordSeen(state)
 	if changed && set == newRecords {
