Knowledge of versions ends where servers may have been missed

A client that resumed a stream could get 200 and the rest from a server of another version (ORDER) at an entry that had missed the stream's version and counted its knowledge as complete:

- its read position had expired: the knowledge was interrupted before the newest records were read, or failed to be read, and what came and left until then counted as observed;
- the store was restored from a copy: nothing was interrupted at all;
- at its start it read the stored versions before the servers.

The interruption is repeated once the newest records have been applied, in the same step in which they count as confirmed. The stored versions are read only after the servers, and again if servers were missed meanwhile. After a restore the knowledge ends if the view was older than it is while the store is reached; else the view counts as confirmed only 2 s after the restore, when servers have written their records again. Streams of a known version are not affected.

--- a/core/backends/backends.go
+++ b/core/backends/backends.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// expiryGracePeriod is how long a server stays in use after its record expired
+	// ExpiryGracePeriod is how long a server stays in use after its record expired
 	// around an outage of the store. A running server writes its record again within that
 	// time.
-	expiryGracePeriod = 2 * time.Second
+	ExpiryGracePeriod = 2 * time.Second
 	// outageWindow is how long after the last failed read of the store the expiry of a
 	// record is attributed to the outage. The expiry is noticed only at the first
 	// successful read.
@@ -184,7 +184,7 @@
 			continue
 		}
 		missingFor := now - st.missingSince
-		if !st.removed && (!st.expiredInOutage || missingFor >= expiryGracePeriod) {
+		if !st.removed && (!st.expiredInOutage || missingFor >= ExpiryGracePeriod) {
 			st.removed = true
 			removed = append(removed, id)
 		}
--- a/core/backends/backends_test.go
+++ b/core/backends/backends_test.go
@@ -138,7 +138,7 @@
 	s.StoreRestored(time.Second)
 	s.RecordRemoved("a", time.Second)
 	assert.Assert(t, s.Usable("a"), "the record is missing in the copy")
-	s.RemoveExpired(time.Second + expiryGracePeriod)
+	s.RemoveExpired(time.Second + ExpiryGracePeriod)
 	assert.Assert(t, !s.Usable("a"), "the server did not write again")
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,7 +84,7 @@
 func New(o Options) *Node {
 	n := &Node{opts: o, store: platform.NewStore(o.Settings.StoreAddress), wrapClients: func(l net.Listener) net.Listener { return l }}
 	upstreamClient := upstream.New()
-	n.servers = watch.NewServers(n.store, o.Settings.MaxDrainDelay, o.Log.WithName("servers"), n.updatePools)
+	n.servers = watch.NewServers(n.store, o.Settings.MaxDrainDelay, o.Log.WithName("servers"), n.serversChanged)
 	n.config = watch.NewConfig(n.store, o.Settings.MaxConfigDelay, o.Log.WithName("config"), func(*routes.Table) { n.updatePools() })
 	n.config.OnEvacuation(n.servers.SetEvacuated)
 	bodies := gateway.NewBodyBudget(o.Settings.MemoryLimitBytes)
@@ -104,6 +104,7 @@
 	n.versions.places = func() bool { return n.links.PlanningPeer() == nil }
 	n.planner.OnVersionsDue(n.versions.notify)
 	n.streams = &streamRecorder{store: n.store, planner: n.planner, log: o.Log.WithName("streams"), places: n.versions.places, versionsKnown: n.versions.known.Load}
+	n.versions.serversLoaded = n.servers.Loaded
 	n.servers.OnMissed(n.versions.serversMissed)
 	n.servers.OnVersions(n.planner.VersionsSeen)
 	n.planner.SetView(n.servers)
@@ -166,6 +167,14 @@
 	}
 }
 
+// serversChanged handles new records of servers.
+func (n *Node) serversChanged() {
+	n.updatePools()
+	if !n.versions.known.Load() {
+		n.versions.notify()
+	}
+}
+
 func (n *Node) updatePools() { n.gateway.UpdatePools() }
 
 // updateEntries handles the number of registered entries and of those before this one.
--- a/internal/node/versions.go
+++ b/internal/node/versions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,9 @@
 	isFirstStart bool
 	// places reports whether this entry places requests.
 	places func() bool
+	// serversLoaded reports whether the records of servers were read. The versions are read only
+	// then, so that no server comes and goes between the two.
+	serversLoaded func() bool
 	// onUsable is called when servers that had to wait for a record may be used: it was written,
 	// or could not be.
 	onUsable func()
@@ -49,8 +53,15 @@
 	era   int64
 	// rejected are the records that cannot be used.
 	rejected *watch.Rejections
+
+	mu sync.Mutex
+	// missed counts the calls of serversMissed.
+	missed int
 }
 
+// errServersMissed means that the records of versions were read before servers were missed.
+var errServersMissed = errors.New("servers were missed meanwhile")
+
 // versionRecord is the value of a record; its key is the name of the service. Era is the era of
 // the store in which it was written.
 type versionRecord struct {
@@ -76,6 +87,9 @@
 // serversMissed makes the recorder read the records again, because servers may have come and
 // gone unnoticed.
 func (r *versionRecorder) serversMissed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.missed++
 	r.planner.ServersMissed()
 	r.known.Store(false)
 	r.notify()
@@ -123,6 +137,9 @@
 
 // sync reads the records if they are not known or must be changed, and writes those to change.
 func (r *versionRecorder) sync(ctx context.Context) error {
+	if !r.serversLoaded() {
+		return nil
+	}
 	mayWrite := r.places() && len(r.planner.VersionsDue(0)) > 0
 	if r.known.Load() && !mayWrite {
 		return nil
@@ -138,6 +155,9 @@
 
 // read passes the records on to the planner and returns the end of the topic.
 func (r *versionRecorder) read(ctx context.Context) (platform.Position, error) {
+	r.mu.Lock()
+	missedBefore := r.missed
+	r.mu.Unlock()
 	keyed, end, err := r.store.Newest(ctx, platform.VersionsTopic)
 	if err != nil {
 		return platform.Position{}, errors.Wrap(err, "read")
@@ -151,6 +171,17 @@
 		}
 		records = append(records, versions)
 	}
+	return end, r.learn(records, end, missedBefore)
+}
+
+// learn passes records on to the planner, unless servers were missed since missed had the given
+// value.
+func (r *versionRecorder) learn(records []streamversion.StoredVersions, end platform.Position, missedBefore int) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.missed != missedBefore {
+		return errServersMissed
+	}
 	if r.isFirstStart && end.Offset == 0 && end.Era == 0 {
 		r.planner.ObservedFromStart()
 	}
@@ -159,7 +190,7 @@
 	if !r.known.Swap(true) {
 		r.log.Info("Versions of streams read.", "records", records, "end", end.Offset, "era", end.Era, "first_start", r.isFirstStart)
 	}
-	return end, nil
+	return nil
 }
 
 // write writes the records that are due, if the topic still has the given end.
--- a/internal/node/view_age_test.go
+++ b/internal/node/view_age_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawheel/magnoliawheel/core/backends"
 	"github.com/magnoliawheel/magnoliawheel/platform"
 	"github.com/magnoliawheel/magnoliawheel/platform/standin"
 )
@@ -184,6 +185,25 @@
 	}
 }
 
+// TestVersionLostWithARestoredStoreIsNotOverlooked guards against an entry that keeps what it
+// knew before the store was restored, although a version came and left since that neither it nor
+// the copy has.
+func TestVersionLostWithARestoredStoreIsNotOverlooked(t *testing.T) {
+	f := newOutOfStepFleet(t)
+	older := f.store.Copy()
+	f.beginAtNewVersion()
+	time.Sleep(2500 * time.Millisecond)
+	stopEntries(f.inStep)
+	f.store.Restore(older)
+	f.relay.release()
+	eventually(t, "the late entry has read the restored store", func() bool {
+		state := f.late.servers.Topic().State()
+		return state.Known && state.Position.Era == 1 && f.late.versions.known.Load()
+	})
+	time.Sleep(backends.ExpiryGracePeriod)
+	f.assertNotJoined()
+}
+
 // TestKnownStreamIsNotContinuedAtARestartedServer guards against an entry that has not heard that
 // a server started again with another version, and continues a stream of the version before there.
 func TestKnownStreamIsNotContinuedAtARestartedServer(t *testing.T) {
--- a/internal/watch/confirm.go
+++ b/internal/watch/confirm.go
@@ -9,6 +9,9 @@
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 )
 
+// ErrNotSettled means that a restored store may lack records that their writers write again.
+var ErrNotSettled = errors.New("records of a restored store are being written again")
+
 // Age returns the time since which the store has not confirmed the records.
 func (t *Topic) Age() time.Duration { return t.State().Age }
 
@@ -72,5 +75,16 @@
 // IsOverdue is Topic.IsOverdue for the servers.
 func (s *Servers) IsOverdue() bool { return s.topic.IsOverdue() }
 
-// Confirm is Topic.Confirm for the servers.
-func (s *Servers) Confirm(ctx context.Context) error { return s.topic.Confirm(ctx) }
+// Confirm is Topic.Confirm for the servers. It returns ErrNotSettled while servers may still
+// have to write their records again to a restored store.
+func (s *Servers) Confirm(ctx context.Context) error {
+	if err := s.topic.Confirm(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if clock.Now() < s.settledAt {
+		return ErrNotSettled
+	}
+	return nil
+}
--- a/internal/watch/confirm_test.go
+++ b/internal/watch/confirm_test.go
@@ -86,3 +86,57 @@
 	}()
 	assert.ErrorIs(t, watcher.Confirm(t.Context()), platform.ErrUnavailable)
 }
+
+// TestMissedRecordsAreReportedAfterTheNewestAreRead guards against a process that counts its
+// knowledge as complete from before the newest records were read: servers may come and go
+// between the loss of its position and that read.
+func TestMissedRecordsAreReportedAfterTheNewestAreRead(t *testing.T) {
+	const pause = 800 * time.Millisecond
+	newest := answer{records: []platform.KeyedRecord{serverRecord("b", false)}, next: platform.Position{Era: 2, Offset: 5}}
+	tests := []struct {
+		name string
+		// pause is the time without a confirmation before the position is lost.
+		pause  time.Duration
+		cause  error
+		missed bool
+	}{
+		{"expired", 0, platform.ErrExpired, true},
+		{"restored while in step", 0, platform.ErrRestored, false},
+		{"restored while out of step", pause, platform.ErrRestored, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			watcher, s := newReadServers(t)
+			var missedWith []bool
+			watcher.OnMissed(func() { missedWith = append(missedWith, watcher.Takes("b")) })
+			time.Sleep(tt.pause)
+			go func() {
+				for _, a := range []answer{{err: tt.cause}, {err: platform.ErrUnavailable}, newest} {
+					<-s.calls
+					s.answers <- a
+				}
+			}()
+			assert.ErrorIs(t, watcher.topic.readExclusively(t.Context(), 0), platform.ErrUnavailable)
+			assert.NilError(t, watcher.topic.readExclusively(t.Context(), 0))
+			if !tt.missed {
+				assert.Equal(t, len(missedWith), 0)
+				return
+			}
+			assert.DeepEqual(t, missedWith, []bool{false, true})
+		})
+	}
+}
+
+// TestRestoredServersAreConfirmedOnlyOnceTheyAreSettled guards against the servers of a restored
+// store counting as all, while some have not written their records again.
+func TestRestoredServersAreConfirmedOnlyOnceTheyAreSettled(t *testing.T) {
+	watcher, s := newReadServers(t)
+	go func() {
+		answers := []answer{{err: platform.ErrRestored}, {records: []platform.KeyedRecord{serverRecord("a", false)}, next: platform.Position{Era: 2, Offset: 1}}}
+		for _, a := range answers {
+			<-s.calls
+			s.answers <- a
+		}
+	}()
+	assert.ErrorIs(t, watcher.Confirm(t.Context()), ErrNotSettled)
+}
--- a/internal/watch/servers.go
+++ b/internal/watch/servers.go
@@ -32,6 +32,8 @@
 	loaded  bool
 	// rejected are the records that name no server to use.
 	rejected *Rejections
+	// settledAt is when all servers have written their records to a restored store again.
+	settledAt time.Duration
 	// onVersions, if set, receives the software versions of the servers in new records by
 	// service, also of servers that may not be used.
 	onVersions func(versions map[string][]string)
@@ -63,7 +65,7 @@
 
 // OnMissed sets the function that is called when servers may have come and gone unnoticed.
 // It must be called before Run.
-func (s *Servers) OnMissed(f func()) { s.topic.onExpired = f }
+func (s *Servers) OnMissed(f func()) { s.topic.onMissed = f }
 
 // OnVersions sets the function that receives the software versions of the servers in new
 // records by service, also of servers that may not be used. It is called before onChange, and
@@ -172,6 +174,7 @@
 	s.mu.Lock()
 	if set == restoredRecords {
 		s.backendSet.StoreRestored(now)
+		s.settledAt = now + backends.ExpiryGracePeriod
 	}
 	if set != newRecords {
 		s.removeMissing(records, now)
--- a/internal/watch/topic.go
+++ b/internal/watch/topic.go
@@ -71,8 +71,10 @@
 	onConfirmed func(asOf time.Duration, position platform.Position)
 	// onReadFailed, if set, receives the time of a failed read.
 	onReadFailed func(now time.Duration)
-	// onExpired, if set, is called when records expired before this entry read them.
-	onExpired func()
+	// onMissed, if set, is called when records may have been missed: they expired before this
+	// entry read them, or a restored store lost them. It is called once that is known, and again
+	// once the newest records have been applied, since more may have been missed until then.
+	onMissed func()
 	// reading holds a value while a read is in flight, so that the records of an older one are
 	// never applied after those of a newer one.
 	reading chan struct{}
@@ -81,9 +83,11 @@
 	// position is where the next read begins; it is valid if known is set. restored is
 	// set from the moment at which the store turns out to be restored until the newest
 	// records have been read.
-	position platform.Position
-	known    bool
-	restored bool
+	// hasMissedRecords is set from the moment at which records may have been missed until then.
+	position         platform.Position
+	known            bool
+	restored         bool
+	hasMissedRecords bool
 	// confirmedAt is the time as of which the records are known to be the newest. direct
 	// is true if a read of this entry showed so.
 	confirmedAt time.Duration
@@ -309,9 +313,6 @@
 	records, next, err := t.store.ReadKeyed(ctx, t.name, from, wait)
 	if errors.Is(err, platform.ErrRestored) || errors.Is(err, platform.ErrExpired) {
 		t.forgetPosition(err)
-		if t.onExpired != nil && errors.Is(err, platform.ErrExpired) {
-			t.onExpired()
-		}
 		return t.readNewest(ctx, start)
 	}
 	if err != nil {
@@ -343,9 +344,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.known = false
+	unconfirmedFor := clock.Now() - t.confirmedAt
+	t.hasMissedRecords = t.hasMissedRecords || errors.Is(cause, platform.ErrExpired) || unconfirmedFor > t.maxRelayedAge()
 	if errors.Is(cause, platform.ErrRestored) {
 		t.restored = true
-		t.log.Info("Store was restored from a copy.", "topic", t.name, "cause", cause.Error())
+		t.log.Info("Store was restored from a copy.", "topic", t.name, "cause", cause.Error(), "unconfirmed_for", unconfirmedFor)
+	}
+	t.reportMissed()
+}
+
+// reportMissed calls onMissed if records may have been missed. The caller holds the lock.
+func (t *Topic) reportMissed() {
+	if t.hasMissedRecords && t.onMissed != nil {
+		t.onMissed()
 	}
 }
 
@@ -362,9 +373,10 @@
 		set = restoredRecords
 	}
 	t.applyRecords(records, set)
+	t.reportMissed()
 	t.changes.Reset(end)
 	clear(t.relayed)
-	t.position, t.known, t.restored, t.direct = end, true, false, true
+	t.position, t.known, t.restored, t.direct, t.hasMissedRecords = end, true, false, true, false
 	t.confirm(start)
 	return nil
 }
