Soak: releases while entries are out of step

The relay of the test harness can now cut the connections of single clients, known by what they send first: links between entries otherwise could only be cut for all entries that dial one address. The check for a time to come back covers 429 too, as docs/SOAK.md says.

--- a/test/harness/relay.go
+++ b/test/harness/relay.go
@@ -38,13 +38,17 @@
 	connections map[*connection]struct{}
 	// accepted is the number of connections relayed so far.
 	accepted int
+	// cuts are the faults of some connections; see AddCut.
+	cuts []*Cut
 }
 
-// connection is one relayed connection. Both fields are indexed by Direction: conns
+// connection is one relayed connection. The arrays are indexed by Direction: conns
 // holds the end at which data in that direction arrives.
 type connection struct {
 	conns  [directions]net.Conn
 	silent [directions]atomic.Bool
+	// begin is what the client sent first.
+	begin string
 }
 
 // StartRelay listens on a free port and relays connections to target.
@@ -166,6 +170,7 @@
 	for {
 		n, err := from.Read(buf)
 		time.Sleep(time.Duration(r.delay.Load()))
+		r.passCuts(conn, dir, buf[:n])
 		if r.silenceOnData[dir].Load() {
 			conn.silent[dir].Store(true)
 		}
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -41,11 +41,16 @@
 	{standin.PathUnsafe, false, false, false},
 }
 
+// resumableKind is the index of the streams that may be resumed in requestKinds.
+const resumableKind = 1
+
 // request is a request of a caller and its result.
 type request struct {
 	id, key, body string
 	kind          int
-	entry         *entry
+	// pathSuffix is added to the path of the kind.
+	pathSuffix string
+	entry      *entry
 	// incarnation is the number of the entry's process when the request was sent.
 	incarnation int
 	sent, ended time.Time
@@ -188,7 +193,7 @@
 func (c *caller) doRequest(r *request) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
-	target := "http://" + c.entry.clientRelay.Addr() + requestKinds[r.kind].path
+	target := "http://" + c.entry.clientRelay.Addr() + requestKinds[r.kind].path + r.pathSuffix
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
 		if info.Err == nil {
 			r.written.Store(time.Now().UnixNano())
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -63,6 +64,8 @@
 	restricted bool
 	// grace is the time that an entry has to stop; 0 means the default.
 	grace time.Duration
+	// pools is the number of further services of resumable streams.
+	pools int
 	// zoneByServer maps all servers that were ever started to their zones.
 	zoneByServer map[string]string
 	// keys are those in the newest configuration version, revokedKeys those that earlier
@@ -76,7 +79,9 @@
 	service string
 	// version is that of the server's software.
 	version string
-	relay   *harness.Relay
+	// startTime is that in its record.
+	startTime int
+	relay     *harness.Relay
 	// zone is homeZone or otherZone.
 	zone string
 }
@@ -115,14 +120,21 @@
 // startFleet returns a fleet whose entries have the given grace period to stop; 0 means the
 // default.
 func startFleet(t *testing.T, entries int, restricted bool, grace time.Duration) *fleet {
-	f := &fleet{t: t, restricted: restricted, grace: grace, dir: t.TempDir(), store: standin.NewStore(), activeServers: map[string]*server{}, serverRecords: map[string][]byte{}, zoneByServer: map[string]string{}}
-	t.Cleanup(f.store.Close)
+	return (&fleet{t: t, restricted: restricted, grace: grace}).start(entries)
+}
+
+// start starts the store, the servers and the entries, and returns the fleet.
+func (f *fleet) start(entries int) *fleet {
+	f.dir, f.store = f.logDir(), standin.NewStore()
+	f.activeServers, f.serverRecords, f.zoneByServer = map[string]*server{}, map[string][]byte{}, map[string]string{}
+	f.t.Cleanup(f.store.Close)
 	f.store.TransformValues(f.rewritePeerAddress)
 	for service, n := range serversPerService {
 		for range n {
 			f.addServer(service)
 		}
 	}
+	f.startPools()
 	f.updateKeys(func(keys []string) []string { return append(keys, "key-0") })
 	for i := range entries {
 		e := f.newEntry(fmt.Sprint("e", i))
@@ -138,6 +150,20 @@
 	return f
 }
 
+// logsEnv is the environment variable with the directory that keeps the logs of entries.
+const logsEnv = "SOAK_LOGS"
+
+// logDir returns the directory for the logs, which ends with the test unless logsEnv is set.
+func (f *fleet) logDir() string {
+	parent := os.Getenv(logsEnv)
+	if parent == "" {
+		return f.t.TempDir()
+	}
+	dir := filepath.Join(parent, f.t.Name())
+	assert.NilError(f.t, os.MkdirAll(dir, 0o700))
+	return dir
+}
+
 // rewritePeerAddress replaces the address in an entry's registration by that of its relay,
 // so that connections between entries pass through it.
 func (f *fleet) rewritePeerAddress(topic, name string, value []byte) []byte {
@@ -169,12 +195,16 @@
 // startServer is addServer for a server of the given version. The caller holds mu.
 func (f *fleet) startServer(service, version string) *server {
 	f.lastServerNumber++
-	id := fmt.Sprintf("%s-%d", service, f.lastServerNumber)
+	return f.startServerAs(fmt.Sprintf("%s-%d", service, f.lastServerNumber), service, version, 1)
+}
+
+// startServerAs is startServer for a server of the given ID, whose record names the given start.
+func (f *fleet) startServerAs(id, service, version string, startTime int) *server {
 	events := 0
-	if service == "model" {
+	if strings.HasPrefix(service, "model") {
 		events = streamEvents
 	}
-	s := &server{Server: standin.NewServer(id, events), service: service, version: version}
+	s := &server{Server: standin.NewServer(id, events), service: service, version: version, startTime: startTime}
 	s.zone = f.zoneWithFewest(service)
 	f.zoneByServer[id] = s.zone
 	s.SetVersion(s.version)
@@ -188,7 +218,8 @@
 }
 
 func (f *fleet) putServerRecord(s *server, draining bool) {
-	f.writeServerRecord(s.ID, standin.InZone(standin.VersionedServerRecord(s.service, s.relay.Addr(), s.version, draining), s.zone))
+	record := standin.VersionedServerRecord(s.service, s.relay.Addr(), s.version, draining)
+	f.writeServerRecord(s.ID, standin.OfStart(standin.InZone(record, s.zone), s.startTime))
 }
 
 // writeServerRecord writes the record of a server; nil deletes it.
@@ -233,7 +264,7 @@
 	e.storeRelay = newRelay(f.t, f.store.Address())
 	e.settings = standin.Settings{
 		Node: name, ClientAddress: harness.FreeAddr(), ReadinessAddress: harness.FreeAddr(),
-		StoreAddress: e.storeRelay.Addr(), KeyValidity: keyValidity, Grace: f.grace,
+		StoreAddress: e.storeRelay.Addr(), KeyValidity: f.keyValidity(), Grace: f.grace,
 	}
 	_, port, err := net.SplitHostPort(harness.FreeAddr())
 	assert.NilError(f.t, err)
--- a/test/soak/invariants_test.go
+++ b/test/soak/invariants_test.go
@@ -42,7 +42,7 @@
 }
 
 // checkAnswer checks that a complete answer is the expected one and an incomplete one its
-// beginning, and that a refusal with 503 has a Retry-After header.
+// beginning, and that a refusal with 503 or 429 has a Retry-After header.
 func checkAnswer(t *testing.T, r *request) {
 	t.Helper()
 	switch {
@@ -51,7 +51,7 @@
 	case r.err != nil || r.status == 0:
 	case r.status == http.StatusOK && r.answer != r.expectedAnswer():
 		t.Errorf("%s got the wrong answer %q", r.id, r.answer)
-	case r.status == http.StatusServiceUnavailable && r.retryAfter == "":
+	case (r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests) && r.retryAfter == "":
 		t.Errorf("%s was refused without Retry-After", r.id)
 	}
 }
--- a/test/soak/zones_test.go
+++ b/test/soak/zones_test.go
@@ -44,6 +44,9 @@
 
 // configRecord returns the newest configuration. The caller holds the lock.
 func (f *fleet) configRecord() []byte {
+	if f.pools > 0 {
+		return standin.PooledConfigRecord(f.configVersion, f.keys, f.pools)
+	}
 	if !f.restricted {
 		return standin.ConfigRecord(f.configVersion, f.keys)
 	}
