A stopping entry takes only what can be expected to end before it does

Callers saw: in a planned stop of one entry, requests that came late in the grace were sent to a server and at its end answered 504 or 502 "ran: unknown", or broken off, among them requests that may not be repeated. Another entry would have served them, had they been refused at once.

Cause: work was accepted, and sent, without comparing the time that it takes with the time that is left; only the last 2.5 s, or half of a shorter stop, took nothing. A stop also shortened the deadline of safe requests, and with it the time of an attempt: a sound attempt was given up at 0.4 of what was left. Class: work is taken on against a limit that nobody compares it with.

Fix: core/worktime learns, by route, service and greatest length, how long requests take from acceptance, and from sending, to the complete response, and compares a high quantile, with a margin, with the time that is left. A stopping entry asks at acceptance, immediately before each sending, and while a stream waits for a server; what cannot be expected to end is refused with 503 "ran: no" and a short time to come back. Times so far of open work count, so that a slowdown shows at once. While nothing is learnt, the objective is expected, or three for requests that may not be repeated, and for streams the longest pause for each token. A request whose own deadline ends first is taken as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -143,6 +143,12 @@
 	// answer is answered then.
 	accepting, ending  context.Context
 	stopAccepting, end context.CancelFunc
+	// stopping ends when a stop begins.
+	stopping  context.Context
+	beginStop context.CancelFunc
+	// requestTimes are the times from accepting requests to their complete responses, and
+	// serverTimes those from sending them to a server.
+	requestTimes, serverTimes *workTimes
 	// delivering ends after ending; until then complete answers are delivered to their clients.
 	delivering     context.Context
 	stopDelivering context.CancelFunc
@@ -182,6 +188,8 @@
 	}
 	g.accepting, g.stopAccepting = context.WithCancel(context.Background())
 	g.ending, g.end = context.WithCancel(context.Background())
+	g.stopping, g.beginStop = context.WithCancel(context.Background())
+	g.requestTimes, g.serverTimes = newWorkTimes(), newWorkTimes()
 	g.delivering, g.stopDelivering = context.WithCancel(context.Background())
 	g.requestBodies.SetReclaim(g.requests.endSlowest)
 	if g.Bodies != nil {
@@ -234,6 +242,8 @@
 	defer g.unanswered.remove(req)
 	ctx, cancel := g.requestContext(hr.Context(), req)
 	defer cancel()
+	req.endWork = g.requestTimes.begin(req.work(0))
+	defer func() { req.endWork(ctx.Err() != nil) }()
 	g.countRequest(req.service)
 	if req.route.Kind == routes.Stream {
 		g.serveStream(hr.Context(), ctx, w, req)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/quarantine"
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
+	"github.com/magnoliawheel/magnoliawheel/core/worktime"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
 	"github.com/magnoliawheel/magnoliawheel/internal/telemetry"
 	"github.com/magnoliawheel/magnoliawheel/internal/upstream"
@@ -82,6 +83,7 @@
 	causeKeysNotConfirmed  = "keys not confirmed by the store"
 	causeKeyRevoked        = "key revoked while the request waited"
 	causeStopping          = "entry is stopping"
+	causeTooLate           = "entry stops before the request would end"
 	causeOtherServer       = "address belongs to another server"
 	causeOtherVersion      = "server runs another software version"
 )
@@ -109,6 +111,13 @@
 			}
 			break
 		}
+		if g.tooLateToSend(req, 0) {
+			if !mayHaveRun {
+				g.refuse(w, req, refuseTooLate())
+				return
+			}
+			break
+		}
 		cooling, remaining := g.coolingDown(req.service)
 		if remaining > 0 {
 			if !mayHaveRun {
@@ -198,14 +207,19 @@
 
 // attemptPlain sends the request to one server and reads the complete response.
 func (g *Gateway) attemptPlain(ctx context.Context, req *request, srv placement.Server) outcome {
-	if timeout := attemptTimeout(req); timeout > 0 {
+	if timeout := g.attemptTimeout(req); timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
 	start := clock.Now()
 	rounds, trust := g.reportedQueue(srv)
+	endWork := g.serverTimes.begin(req.work(0))
 	o := g.sendPlain(ctx, req, srv)
+	endWork(o.isSuccess() || !o.notRun && ctx.Err() != nil)
+	if o.response != nil {
+		req.endWork(o.isSuccess())
+	}
 	if o.ending != quarantine.Other {
 		g.reportAttempt(req, srv.Start(), start, o.ending)
 	}
@@ -222,17 +236,27 @@
 
 // attemptTimeout bounds an attempt of an idempotent request that may be retried; 0
 // means no bound but the deadline.
-func attemptTimeout(req *request) time.Duration {
+func (g *Gateway) attemptTimeout(req *request) time.Duration {
 	if req.route.Kind != routes.Safe || req.attempts >= req.route.MaxAttempts {
 		return 0
 	}
-	return max(time.Duration(attemptTimeFraction*float64(req.remaining())), minAttemptTimeout)
+	timeout := max(time.Duration(attemptTimeFraction*float64(req.remaining())), minAttemptTimeout)
+	if g.Stopping() {
+		// The deadline is that of the process; the attempt may take as long as usual.
+		timeout = max(timeout, worktime.AttemptTime(g.serverTimes.expect(req.work(0))))
+	}
+	return timeout
+}
+
+// isSuccess reports whether the server gave a complete response and no error of its own.
+func (o outcome) isSuccess() bool {
+	return o.response != nil && o.response.status < http.StatusInternalServerError
 }
 
 // placementOutcome returns the outcome to record in the placement table.
 func (o outcome) placementOutcome(ctx context.Context) placement.Outcome {
 	switch {
-	case o.response != nil && o.response.status < http.StatusInternalServerError:
+	case o.isSuccess():
 		return placement.Complete
 	case errors.Is(ctx.Err(), context.Canceled):
 		return placement.Cancelled
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -33,6 +33,11 @@
 	// the arrival time plus the timeout of the client or of the route, whichever is
 	// shorter.
 	objectiveDeadline, deadline time.Duration
+	// ownDeadline is deadline, which a stopping process shortens.
+	ownDeadline time.Duration
+	// endWork records that the response is complete, or how the work on the request ended
+	// without one; see workTimes. Only its first call counts.
+	endWork func(counts bool)
 	// resumableUntil is the arrival time plus the timeout of the client.
 	resumableUntil time.Duration
 	keyRequired    bool
@@ -135,6 +140,7 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	req.deadline = req.arrivedAt + timeout
+	req.ownDeadline = req.deadline
 	req.objectiveDeadline = req.arrivedAt + route.Objective
 	req.service = route.PickService(jitter.Fraction(req.streamID()))
 	return nil
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -20,14 +20,15 @@
 )
 
 // Stop marks the gateway as stopping; the process ends after the given time at the latest.
-// Requests are still served, with closing connections; new streams only for newStreamGrace,
-// and no new requests in the last part of the time, so that those before can end. Streams that
-// have no server by then are refused as well. Complete answers are delivered until deliverWithin
-// has passed.
+// Requests that can be expected to end in that time are still served, with closing connections;
+// others are refused at once, also those that wait for a server. No requests are accepted in the
+// last part of the time, and new streams only for newStreamGrace. Complete answers are delivered
+// until deliverWithin has passed.
 func (g *Gateway) Stop(within, deliverWithin time.Duration) {
 	now := clock.Now()
 	g.endsAt.CompareAndSwap(0, int64(now+within))
 	if g.stoppingSince.CompareAndSwap(0, int64(now)) {
+		g.beginStop()
 		time.AfterFunc(within-min(lastRequestTime, within/2), g.stopAccepting)
 		time.AfterFunc(within-lastAnswerTimeOf(within), g.end)
 		time.AfterFunc(deliverWithin, g.stopDelivering)
@@ -64,8 +65,8 @@
 	return min(lastAnswerTime, stopTime/4)
 }
 
-// refuseAtEnd refuses a request if the process may end before it is served. Otherwise, if
-// the process is stopping, the request is answered before the process ends.
+// refuseAtEnd refuses a request if the process is expected to end before it is served.
+// Otherwise, if the process is stopping, the request is answered before the process ends.
 func (g *Gateway) refuseAtEnd(req *request) *refusal {
 	if !g.Stopping() {
 		return nil
@@ -73,6 +74,9 @@
 	if g.accepting.Err() != nil {
 		return refuseStopping()
 	}
+	if g.tooLateToAccept(req) {
+		return refuseTooLate()
+	}
 	if req.route.Kind != routes.Stream {
 		req.deadline = min(req.deadline, g.lastAnswerAt())
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -193,7 +193,7 @@
 	if remaining > 0 {
 		return false, s.refuseOrFail(result.QueueFull, causeServerCoolingDown, cooldownRetryAfter(s.req.ID, remaining))
 	}
-	if s.gateway.accepting.Err() != nil {
+	if s.gateway.accepting.Err() != nil || s.gateway.tooLateToSend(s.req, s.relay.events) {
 		return false, s.refuseOrFailStopping()
 	}
 	placementBegan := clock.Now()
@@ -220,12 +220,12 @@
 // placeBeforeStop places the request as place does. stopped is true if the process stops so soon
 // that the request is not sent any more.
 func (s *streamRequest) placeBeforeStop(ctx context.Context, avoid []string) (p planner.Placement, progress progressFunc, stopped bool) {
-	ctx, cancel := context.WithCancel(ctx)
+	placing, cancel := s.gateway.untilTooLateToSend(ctx, s.req, s.relay.events)
 	defer cancel()
 	stopWatching := context.AfterFunc(s.gateway.accepting, cancel)
 	defer stopWatching()
-	p, progress = s.gateway.place(ctx, s.req, avoid)
-	return p, progress, s.gateway.accepting.Err() != nil
+	p, progress = s.gateway.place(placing, s.req, avoid)
+	return p, progress, placing.Err() != nil || s.gateway.tooLateToSend(s.req, s.relay.events)
 }
 
 // refuseOrFailStopping is refuseOrFail for a process that stops.
@@ -233,7 +233,7 @@
 	if s.possibleRuns > 0 {
 		return serverFailure(causeStopping)
 	}
-	return refuseStopping()
+	return refuseTooLate()
 }
 
 // refuseOrFail refuses a request that has not run, and fails one that may have.
@@ -276,6 +276,8 @@
 	s.sentAt = start
 	watch, attemptCtx := s.watchAttempt(ctx, &p, srv.Start())
 	defer watch.close()
+	work := s.beginWork(attemptCtx)
+	defer work.end()
 	resp, err := s.gateway.sendTo(attemptCtx, req, srv, p.Inputs, modelPriority(req))
 	if err != nil {
 		if watch.end() {
@@ -309,6 +311,7 @@
 		progress(planner.Progress{Phase: planner.Started, FirstEvent: clock.Now() - start})
 	})
 	if err == nil {
+		work.complete()
 		progress(planner.Progress{Phase: planner.Complete, LongestPause: s.relay.longestPause})
 		s.report(p, quarantine.Completed)
 		framing, unfinished := resp.Framing().String(), s.relay.unfinished()
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -51,6 +51,8 @@
 	scope tally.TestScope
 	// shutdownGrace is how long new entries may take to stop; 0 is a long time.
 	shutdownGrace time.Duration
+	// loadBalancerLag is that of new entries.
+	loadBalancerLag time.Duration
 	// rewriteTime replaces operatorRewriteTime for new entries unless it is 0.
 	rewriteTime time.Duration
 	// expectedFirstEvent, if set, replaces the expected time to the first event in placements.
@@ -142,7 +144,7 @@
 		RetryBudget: platform.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Allowance: 80},
 	}
 	f.started[name] = true
-	n := New(Options{Settings: settings, Log: f.stateLogger(name), Scope: f.scope})
+	n := New(Options{Settings: settings, Log: f.stateLogger(name), Scope: f.scope, LoadBalancerLag: f.loadBalancerLag})
 	n.gateway.ExpectedFirstEvent = f.expectedFirstEvent
 	if f.wrapClients != nil {
 		n.wrapClients = f.wrapClients
