The version of an attempt that failed before its first event is dropped

An entry that had placed a stream at v1 kept that record for a minute although the attempt had failed before its first event, and another entry had placed the stream anew at v2: because the first one was paused, cut off, or no longer the one that places. A client that resumed there would get the rest from v1, since what the entry knows itself goes before what the placing one knows. Found by reading; no caller was seen to meet it.

What is recorded with a placement is tentative until its first event is reported. It is dropped if the attempt ends before that, and if the session with the entry that serves it ends with a silence, queued messages after one included: one of the two stood still, or did not reach the other. If that entry is killed without a silence the record stays, since its first event may have reached the client (TestVersionIsRecordedWithThePlacement).

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -242,9 +242,19 @@
 
 // UpdateProgress records the progress of a placed request.
 func (p *Planner) UpdateProgress(id string, progress Progress) {
+	if progress.Phase != Started && progress.Phase != Complete {
+		// Without a first event the stream has not begun at the server that was chosen.
+		p.DropUnbegun(id)
+	}
+	p.updateProgress(id, progress)
+}
+
+// updateProgress is UpdateProgress for a request whose end need not be known.
+func (p *Planner) updateProgress(id string, progress Progress) {
 	p.update(func(now time.Duration) {
 		p.observeSpeed(now, id, progress)
 		if progress.Phase == Started {
+			p.streams.Began(id)
 			p.modelServers.RequestStarted(now, id)
 			p.scheduler.RequestStarted(now, id)
 			return
@@ -268,10 +278,10 @@
 	_, pending := p.pending[id]
 	p.mu.Unlock()
 	if pending {
-		p.UpdateProgress(id, Progress{Phase: Cancelled})
+		p.updateProgress(id, Progress{Phase: Cancelled})
 		return
 	}
-	time.AfterFunc(abandonedResultRetention, func() { p.UpdateProgress(id, Progress{Phase: Cancelled}) })
+	time.AfterFunc(abandonedResultRetention, func() { p.updateProgress(id, Progress{Phase: Cancelled}) })
 }
 
 // placementRequest returns what the choice of a server depends on.
--- a/internal/planner/streams.go
+++ b/internal/planner/streams.go
@@ -34,13 +34,25 @@
 func (p *Planner) recordVersion(now time.Duration, pr *pendingRequest, version string) {
 	if pr.req.ResumableFor > 0 {
 		r := streamversion.Record{Stream: cmp.Or(pr.req.resumedStream(), pr.req.ID), Version: version, Until: now + pr.req.ResumableFor}
-		p.streams.Add(now, r, pr.callbacks.Local)
+		if pr.req.Resume == nil {
+			p.streams.AddPlaced(now, r, pr.callbacks.Local)
+		} else {
+			p.streams.Add(now, r, pr.callbacks.Local)
+		}
 		if p.poolVersions.Several(now, pr.req.Pool) {
 			p.unstored.Add(r)
 		}
 	}
 }
 
+// DropUnbegun forgets the version of a stream whose first event was not reported, because the
+// entry that serves it was out of touch: another entry may have placed it anew since.
+func (p *Planner) DropUnbegun(stream string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.streams.Drop(stream)
+}
+
 // resumedStream returns the stream that the request continues, or "".
 func (r *Request) resumedStream() string {
 	if r.Resume == nil {
--- a/internal/planner/streams_test.go
+++ b/internal/planner/streams_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -156,3 +157,53 @@
 		assert.Equal(t, len(p.LocalStreams()) == 2, local)
 	}
 }
+
+// TestVersionOfAStreamThatDidNotBeginIsForgotten guards against the record of a placement that
+// failed before its first event: another entry may place the stream anew at another version, and
+// its client would be sent back to the first one. A lost entry may have relayed the first event.
+func TestVersionOfAStreamThatDidNotBeginIsForgotten(t *testing.T) {
+	report := func(phases ...Phase) func(p *Planner) {
+		return func(p *Planner) {
+			for _, phase := range phases {
+				p.UpdateProgress("s", Progress{Phase: phase})
+			}
+		}
+	}
+	tests := []struct {
+		name  string
+		end   func(p *Planner)
+		known bool
+	}{
+		{"open", report(), true},
+		{"failed", report(Failed), false},
+		{"not reached", report(Unreached), false},
+		{"cancelled", report(Cancelled), false},
+		{"failed after its first event", report(Started, Failed), true},
+		{"complete", report(Started, Complete), true},
+		{"entry lost", func(p *Planner) { p.Abandon("s") }, true},
+		{"entry was out of touch", func(p *Planner) { p.DropUnbegun("s") }, false},
+		{"entry was out of touch after the first event", func(p *Planner) { report(Started)(p); p.DropUnbegun("s") }, true},
+	}
+	for _, tt := range tests {
+		for _, resumes := range []bool{false, true} {
+			t.Run(fmt.Sprint(tt.name, ", resumes=", resumes), func(t *testing.T) {
+				p := New(nil, nil, logr.Discard())
+				p.ObservedFromStart()
+				p.SetPools([]Pool{{Name: "m", HasResumableStreams: true, ModelServers: []placement.Server{{ID: "m1", SoftwareVersion: "v1"}}}})
+				r := Request{ID: "s", Pool: "m", TimeToObjective: time.Minute, TimeToDeadline: time.Minute, ResumableFor: time.Minute, Residency: residency.Unrestricted()}
+				if resumes {
+					r.Resume = &Resume{Stream: "first"}
+				}
+				placed := make(chan Placement, 1)
+				p.Place(r, Callbacks{OnPlacement: func(a Placement) { placed <- a }, OnResultChanges: func([]staging.ResultLocation) {}})
+				assert.Equal(t, (<-placed).Server, "m1")
+				tt.end(p)
+				stream, known := "s", tt.known
+				if resumes {
+					stream, known = "first", true
+				}
+				assert.Equal(t, p.StreamVersion(stream) != nil, known)
+			})
+		}
+	}
+}
