Attempts are not given up when a stop leaves too little time for another

Callers saw: a safe request that was sent shortly before SIGTERM got a 502 or 504 "ran: unknown" although its server answered in time; its attempt was given up after 0.4 of its time, and no other one could follow.

Cause: giving an attempt up was decided without asking whether another one would be sent. Both decisions ask that now, the one about a safe request at the moment at which its time is over.

Evidence: TestSafeAttemptIsNotGivenUpTooLateInAStop (502 in place of the answer) and TestOverdueStreamIsNotGivenUpTooLateInAStop (502 in place of the stream) failed before and pass.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -209,7 +209,7 @@
 func (g *Gateway) attemptPlain(ctx context.Context, req *request, srv placement.Server) outcome {
 	if timeout := g.attemptTimeout(req); timeout > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, timeout)
+		ctx, cancel = g.limitAttempt(ctx, req, timeout)
 		defer cancel()
 	}
 	start := clock.Now()
@@ -248,6 +248,21 @@
 	return timeout
 }
 
+// limitAttempt returns a context that ends with context.DeadlineExceeded as its cause after the
+// given time, unless the process stops so soon that no other attempt would follow.
+func (g *Gateway) limitAttempt(ctx context.Context, req *request, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(timeout, func() {
+		if !g.tooLateToSend(req, 0) {
+			cancel(context.DeadlineExceeded)
+		}
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel(nil)
+	}
+}
+
 // isSuccess reports whether the server gave a complete response and no error of its own.
 func (o outcome) isSuccess() bool {
 	return o.response != nil && o.response.status < http.StatusInternalServerError
@@ -258,7 +273,7 @@
 	switch {
 	case o.isSuccess():
 		return placement.Complete
-	case errors.Is(ctx.Err(), context.Canceled):
+	case ctx.Err() != nil && !isTimedOut(ctx):
 		return placement.Cancelled
 	case o.notRun && o.response == nil && o.cause != causeServerFull:
 		return placement.Unreached
@@ -276,7 +291,7 @@
 		o := outcome{notRun: errors.Is(err, upstream.ErrNotSent), cause: err.Error()}
 		if !o.notRun {
 			o.ending = interruption(ctx, err, quarantine.InterruptedWaiting)
-			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			if isTimedOut(ctx) {
 				g.checkLoad(req, srv, clock.Now()-sentAt, nil)
 			}
 		}
@@ -305,6 +320,11 @@
 	return outcome{framing: framing.String(), response: a, ending: quarantine.Completed, load: info.Load}
 }
 
+// isTimedOut reports whether the time of an attempt or of its request is over.
+func isTimedOut(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
 // interruption returns the given ending if the server ended the connection of an attempt.
 func interruption(ctx context.Context, err error, ending quarantine.Ending) quarantine.Ending {
 	if ctx.Err() == nil && connectionEnded(err) {
--- a/internal/gateway/second_attempt.go
+++ b/internal/gateway/second_attempt.go
@@ -112,7 +112,7 @@
 	}
 	facts := w.facts
 	facts.HasOtherServer, facts.TakeRetry = w.hasOtherServer, func() bool { return w.gateway.tryRetry(w.req.service) }
-	if w.gateway.accepting.Err() != nil {
+	if w.gateway.accepting.Err() != nil || w.gateway.tooLateToSend(w.req, 0) {
 		// The stopping process would send no other attempt.
 		facts.MaxAttempts = 0
 	}
