--- a/internal/gateway/worktime.go
+++ b/internal/gateway/worktime.go
@@ -75,13 +75,22 @@
 // tooLateToAccept reports whether the process stops before a request can be expected to end that
 // has just arrived.
 func (g *Gateway) tooLateToAccept(req *request) bool {
-	return clock.Now() > g.latestStart(req, max(g.requestTimes.expect(req.work(0)), g.serverTimes.expect(req.work(0))))
+	return g.isTooLate(req, max(g.requestTimes.expect(req.work(0)), g.serverTimes.expect(req.work(0))))
 }
 
 // tooLateToSend reports whether the process stops before a request can be expected to end that is
 // about to be sent to a server.
 func (g *Gateway) tooLateToSend(req *request, relayed int) bool {
-	return g.Stopping() && clock.Now() > g.latestStart(req, g.serverTimes.expect(req.work(relayed)))
+	return g.Stopping() && g.isTooLate(req, g.serverTimes.expect(req.work(relayed)))
+}
+
+func (g *Gateway) isTooLate(req *request, expected time.Duration) bool {
+	now := clock.Now()
+	if now <= g.latestStart(req, expected) {
+		return false
+	}
+	req.log.Info("Request would not end before the process.", "expected", expected, "left", g.lastAnswerAt()-now, "stopping_for", g.stoppingFor(), "length", req.MaxTokens)
+	return true
 }
 
 // untilTooLateToSend returns a context that ends when the process stops too soon for a request to
