The version of a stream is recorded when it begins, not when it is placed

Callers that resumed a stream got the rest at another software version (ORDER) although the entry had confirmed its view: it took a placement for a beginning. An entry had placed the stream at v1, but its answer did not arrive; the entry that serves the stream had it placed anew at v3, where it began. The first one kept v1 for a minute, and told it to others through the store.

The entry that serves the stream now records the version when the first event, or a part of it, is about to reach the client. While streams of several versions may be resumed, the event waits until the record has been written to the session with the entry that places, 50 ms at most, so that it is known when the serving entry is killed. Only streams that began are stored.

--- a/core/streamversion/streamversion.go
+++ b/core/streamversion/streamversion.go
@@ -19,12 +19,10 @@
 }
 
 // entry is a record of the table. Local entries are of streams that this process serves.
-// Tentative ones were added with a placement whose first event has not been reported.
 type entry struct {
-	version   string
-	until     time.Duration
-	local     bool
-	tentative bool
+	version string
+	until   time.Duration
+	local   bool
 }
 
 // minSweepSize is the least number of records at which expired ones are removed.
@@ -44,33 +42,6 @@
 // Add adds a record, and replaces an earlier one of the same stream. Local records are of
 // streams that this process serves; one stays local if another process reports the stream.
 func (t *Table) Add(now time.Duration, r Record, local bool) {
-	t.add(now, r, local, t.entries[r.Stream].tentative)
-}
-
-// AddPlaced is Add for a server that was chosen to begin the stream. The record is tentative
-// until Began; see Drop.
-func (t *Table) AddPlaced(now time.Duration, r Record, local bool) {
-	e, exists := t.entries[r.Stream]
-	t.add(now, r, local, !exists || e.tentative)
-}
-
-// Began records that the first event of a stream has been relayed.
-func (t *Table) Began(stream string) {
-	if e, ok := t.entries[stream]; ok {
-		e.tentative = false
-		t.entries[stream] = e
-	}
-}
-
-// Drop removes a tentative record: the stream has not begun at its server, or whether it has is
-// not known and it may have begun at another one meanwhile.
-func (t *Table) Drop(stream string) {
-	if t.entries[stream].tentative {
-		delete(t.entries, stream)
-	}
-}
-
-func (t *Table) add(now time.Duration, r Record, local, tentative bool) {
 	until := min(r.Until, now+MaxAge)
 	if until <= now {
 		return
@@ -78,7 +49,7 @@
 	if len(t.entries) >= t.sweepAt {
 		t.sweep(now)
 	}
-	t.entries[r.Stream] = entry{version: r.Version, until: until, local: local || t.entries[r.Stream].local, tentative: tentative}
+	t.entries[r.Stream] = entry{version: r.Version, until: until, local: local || t.entries[r.Stream].local}
 }
 
 // sweep removes expired records.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -66,6 +66,8 @@
 	// partBytes is the size of the forwarded parts of the current event, unfinishedHeld the
 	// number of bytes of it that count as held for the client.
 	partBytes, unfinishedHeld int
+	// onBegin, if set, is called before anything of the current attempt is passed to the client.
+	onBegin func()
 	// paused is the time for which reading paused because the outbox was full.
 	paused time.Duration
 }
@@ -211,6 +213,10 @@
 // write adds p to what waits for the client. Time for which the outbox is full is not a pause
 // of the server.
 func (r *relay) write(ctx context.Context, resp *upstream.Response, p []byte) error {
+	if r.onBegin != nil {
+		r.onBegin()
+		r.onBegin = nil
+	}
 	r.writeHeadOnce(resp)
 	paused, err := r.out.append(ctx, p)
 	r.paused += paused
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -161,3 +161,35 @@
 		}
 	}
 }
+
+// TestBeginIsReportedBeforeTheClientHasAnything guards against a first event, or a part of it, that
+// reaches its client before the version of its server is recorded, and against the record of an
+// attempt of which the client gets nothing: the next one may run at another version.
+func TestBeginIsReportedBeforeTheClientHasAnything(t *testing.T) {
+	long := "id: 1\ndata: " + strings.Repeat("x", maxEventPartBytes)
+	tests := []struct {
+		name, body string
+		begins     bool
+	}{
+		{"whole event", "id: 1\ndata: a\n\n", true},
+		{"part of a long event", long, true},
+		{"part of an event", "id: 1\nda", false},
+		{"comment alone", ": wait\n\n", true},
+		{"nothing", "", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			r := newTestRelay(w)
+			began := 0
+			r.onBegin = func() {
+				began++
+				assert.Check(t, !r.started && r.out.maxHeld() == 0)
+			}
+			_ = r.copy(t.Context(), chunkedResponse(strings.NewReader(tt.body)), nil)
+			awaitDelivery(t, r)
+			assert.Equal(t, began == 1, tt.begins)
+			assert.Equal(t, w.Body.Len() > 0, tt.begins)
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -271,7 +271,7 @@
 	}
 	req.attempts++
 	req.setPhase(phaseServer)
-	s.recordVersion(p.SoftwareVersion)
+	s.relay.onBegin = func() { s.recordVersion(p.SoftwareVersion) }
 	start := clock.Now()
 	s.sentAt = start
 	watch, attemptCtx := s.watchAttempt(ctx, &p, srv.Start())
@@ -353,8 +353,10 @@
 	return ""
 }
 
-// recordVersion records the version of the server that gets the request, so that the stream
-// is resumed only there. The record leaves before the first event can reach the client.
+// recordVersion records the version of the server that begins the stream, so that the stream
+// is resumed only there. The record leaves before the first event can reach the client, but not
+// before the server has sent it: an attempt without an event may be followed by one at another
+// version.
 func (s *streamRequest) recordVersion(version string) {
 	if !s.req.route.Resumable {
 		return
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -303,12 +303,7 @@
 	for _, out := range outgoing {
 		out.onReply(planner.Placement{}, false)
 	}
-	wasSilent := p.session.wasSilent()
 	for id := range incoming {
-		if wasSilent {
-			// The other entry may have had the request placed anew.
-			p.planner.DropUnbegun(id)
-		}
 		p.planner.Abandon(id)
 	}
 }
--- a/internal/peer/sender.go
+++ b/internal/peer/sender.go
@@ -22,13 +22,29 @@
 type outgoingMessage struct {
 	*peerpb.Message
 	urgent bool
+	// written, if set, is closed once the message has been written to the connection.
+	written chan<- struct{}
 }
 
 // send queues a message. If the queue is full, it closes the session.
-func (s *session) send(m *peerpb.Message) { s.enqueue(outgoingMessage{m, true}) }
+func (s *session) send(m *peerpb.Message) { s.enqueue(outgoingMessage{Message: m, urgent: true}) }
 
 // sendLater queues a message that may wait for others.
-func (s *session) sendLater(m *peerpb.Message) { s.enqueue(outgoingMessage{m, false}) }
+func (s *session) sendLater(m *peerpb.Message) { s.enqueue(outgoingMessage{Message: m}) }
+
+// sendAndWait queues a message and waits until it has been written, the session has ended, or the
+// timeout has passed.
+func (s *session) sendAndWait(m *peerpb.Message, timeout time.Duration) {
+	written := make(chan struct{})
+	s.enqueue(outgoingMessage{Message: m, urgent: true, written: written})
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-written:
+	case <-s.ctx.Done():
+	case <-timer.C:
+	}
+}
 
 func (s *session) enqueue(m outgoingMessage) {
 	select {
@@ -56,6 +72,8 @@
 	// them is.
 	pending []*peerpb.Message
 	urgent  bool
+	// written are closed after the next write.
+	written []chan<- struct{}
 	// delay fires when the messages that are not urgent have waited for sendDelay.
 	delay *time.Timer
 }
@@ -70,7 +88,7 @@
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
 	defer s.delay.Stop()
-	err := s.add(outgoingMessage{s.status(), true})
+	err := s.add(outgoingMessage{Message: s.status(), urgent: true})
 	for err == nil {
 		select {
 		case <-s.ctx.Done():
@@ -78,9 +96,9 @@
 		case m := <-s.sendQueue:
 			err = s.add(m)
 		case <-ticker.C:
-			err = s.add(outgoingMessage{s.status(), true})
+			err = s.add(outgoingMessage{Message: s.status(), urgent: true})
 		case <-s.statusDue:
-			err = s.add(outgoingMessage{s.status(), true})
+			err = s.add(outgoingMessage{Message: s.status(), urgent: true})
 		case <-s.delay.C:
 			err = s.flush()
 		}
@@ -95,6 +113,9 @@
 	}
 	s.pending = append(s.pending, m.Message)
 	s.urgent = s.urgent || m.urgent
+	if m.written != nil {
+		s.written = append(s.written, m.written)
+	}
 	if s.urgent && len(s.sendQueue) == 0 || len(s.pending) >= maxBatch {
 		return s.flush()
 	}
@@ -103,13 +124,24 @@
 
 // flush sends the pending messages.
 func (s *sender) flush() error {
-	pending := s.pending
-	s.pending, s.urgent = nil, false
-	switch len(pending) {
+	pending, written := s.pending, s.written
+	s.pending, s.written, s.urgent = nil, nil, false
+	if err := s.sendAll(pending); err != nil {
+		return err
+	}
+	for _, w := range written {
+		close(w)
+	}
+	return nil
+}
+
+// sendAll sends messages in one write.
+func (s *sender) sendAll(messages []*peerpb.Message) error {
+	switch len(messages) {
 	case 0:
 		return nil
 	case 1:
-		return s.stream.Send(pending[0])
+		return s.stream.Send(messages[0])
 	}
-	return s.stream.Send(&peerpb.Message{Batch: pending})
+	return s.stream.Send(&peerpb.Message{Batch: messages})
 }
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -52,8 +52,6 @@
 
 	mu           sync.Mutex
 	lastReceived time.Time
-	// resumedAt is when the last message arrived that followed a silence.
-	resumedAt time.Time
 	// lagTolerance is added to silenceTimeout.
 	lagTolerance time.Duration
 }
@@ -91,11 +89,7 @@
 			return
 		}
 		s.mu.Lock()
-		now := time.Now()
-		if now.Sub(s.lastReceived) > silenceTimeout {
-			s.resumedAt = now
-		}
-		s.lastReceived = now
+		s.lastReceived = time.Now()
 		s.mu.Unlock()
 		handle(m)
 	}
@@ -108,14 +102,6 @@
 	return time.Since(s.lastReceived) > silenceTimeout+s.lagTolerance
 }
 
-// wasSilent reports whether nothing was received for longer than silenceTimeout a moment ago: one
-// of the two entries stood still, or did not reach the other one.
-func (s *session) wasSilent() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Since(s.lastReceived) > silenceTimeout || !s.resumedAt.IsZero() && time.Since(s.resumedAt) < silenceTimeout
-}
-
 // setLag sets how late the other entry is with its work. Its messages may then be late
 // as well, which does not mean that it is lost.
 func (s *session) setLag(lag time.Duration) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -242,19 +242,9 @@
 
 // UpdateProgress records the progress of a placed request.
 func (p *Planner) UpdateProgress(id string, progress Progress) {
-	if progress.Phase != Started && progress.Phase != Complete {
-		// Without a first event the stream has not begun at the server that was chosen.
-		p.DropUnbegun(id)
-	}
-	p.updateProgress(id, progress)
-}
-
-// updateProgress is UpdateProgress for a request whose end need not be known.
-func (p *Planner) updateProgress(id string, progress Progress) {
 	p.update(func(now time.Duration) {
 		p.observeSpeed(now, id, progress)
 		if progress.Phase == Started {
-			p.streams.Began(id)
 			p.modelServers.RequestStarted(now, id)
 			p.scheduler.RequestStarted(now, id)
 			return
@@ -278,10 +268,10 @@
 	_, pending := p.pending[id]
 	p.mu.Unlock()
 	if pending {
-		p.updateProgress(id, Progress{Phase: Cancelled})
+		p.UpdateProgress(id, Progress{Phase: Cancelled})
 		return
 	}
-	time.AfterFunc(abandonedResultRetention, func() { p.updateProgress(id, Progress{Phase: Cancelled}) })
+	time.AfterFunc(abandonedResultRetention, func() { p.UpdateProgress(id, Progress{Phase: Cancelled}) })
 }
 
 // placementRequest returns what the choice of a server depends on.
@@ -387,7 +377,7 @@
 		}
 		return p.refuse(now, pr)
 	}
-	p.recordVersion(now, pr, srv.SoftwareVersion)
+	p.recordResumed(now, pr)
 	p.quarantine.Begin(now, job.JobID, srv.Start(), pr.elements)
 	p.metrics.countPlacement(&srv)
 	p.log.Info("Request placed.", "request", job.JobID, "owner", pr.req.Owner, "server", srv.ID, "server_version", srv.SoftwareVersion, "pinned", pr.version != nil, "elements", pr.elements, "residency", pr.req.Residency.String(), "cold", srv.Cold, "prompt", srv.PromptTokens, "uncached", srv.UncachedTokens, "queued", srv.QueuedTokens,
--- a/internal/planner/streams.go
+++ b/internal/planner/streams.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/core/placement"
@@ -11,11 +10,16 @@
 )
 
 // StreamBegan records which version of the server software began a stream. Local streams
-// are those that this entry serves.
-func (p *Planner) StreamBegan(r streamversion.Record, local bool) {
+// are those that this entry serves. An entry that places requests also stores the record while
+// streams of several versions may be resumed.
+func (p *Planner) StreamBegan(r streamversion.Record, local, places bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.streams.Add(clock.Now(), r, local)
+	now := clock.Now()
+	p.streams.Add(now, r, local)
+	if places && p.poolVersions.AnySeveral(now) {
+		p.unstored.Add(r)
+	}
 }
 
 // LearnStream records which version began a stream as the store tells it. What this entry
@@ -29,28 +33,17 @@
 	}
 }
 
-// recordVersion records the version of the server that was chosen for a request. Its entry
-// may be lost as soon as the first event has reached the client. The caller holds the lock.
-func (p *Planner) recordVersion(now time.Duration, pr *pendingRequest, version string) {
-	if pr.req.ResumableFor > 0 {
-		r := streamversion.Record{Stream: cmp.Or(pr.req.resumedStream(), pr.req.ID), Version: version, Until: now + pr.req.ResumableFor}
-		if pr.req.Resume == nil {
-			p.streams.AddPlaced(now, r, pr.callbacks.Local)
-		} else {
-			p.streams.Add(now, r, pr.callbacks.Local)
-		}
-		if p.poolVersions.Several(now, pr.req.Pool) {
-			p.unstored.Add(r)
-		}
+// recordResumed records the version of a stream that a placed request continues, which may be
+// resumed for longer now. The caller holds the lock.
+func (p *Planner) recordResumed(now time.Duration, pr *pendingRequest) {
+	if pr.req.Resume == nil || pr.req.ResumableFor <= 0 || pr.version == nil {
+		return
+	}
+	r := streamversion.Record{Stream: pr.req.Resume.Stream, Version: *pr.version, Until: now + pr.req.ResumableFor}
+	p.streams.Add(now, r, pr.callbacks.Local)
+	if p.poolVersions.Several(now, pr.req.Pool) {
+		p.unstored.Add(r)
 	}
-}
-
-// DropUnbegun forgets the version of a stream whose first event was not reported, because the
-// entry that serves it was out of touch: another entry may have placed it anew since.
-func (p *Planner) DropUnbegun(stream string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.streams.Drop(stream)
 }
 
 // resumedStream returns the stream that the request continues, or "".
