Soak: servers that start again in place as another version

No cut or pause is needed. The server's new record was in the store before it served again. Whether servers of the platform come back so with another version is to be asked.

--- a/test/soak/outofstep_test.go
+++ b/test/soak/outofstep_test.go
@@ -80,13 +80,64 @@
 	for _, seed := range list {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
-			f := (&fleet{t: t, pools: maxOutOfStepRounds * poolsPerRound}).start(entryCount)
-			o := &outOfStep{fleet: f, in: newInjector(f, seed), rng: rand.New(rand.NewPCG(seed, 6)), late: map[*entry]bool{}, began: time.Now()}
-			o.run(t, seed)
+			newOutOfStep(t, seed).run(t, seed)
 		})
 	}
 }
 
+func newOutOfStep(t *testing.T, seed uint64) *outOfStep {
+	f := (&fleet{t: t, pools: maxOutOfStepRounds * poolsPerRound}).start(entryCount)
+	return &outOfStep{fleet: f, in: newInjector(f, seed), rng: rand.New(rand.NewPCG(seed, 6)), late: map[*entry]bool{}, began: time.Now()}
+}
+
+// TestServersStartAgainInPlaceAsAnotherVersion guards against answers that are joined from two
+// software versions, because a server starts again under its ID and address as one of a newer
+// version, before an entry has read its new record.
+func TestServersStartAgainInPlaceAsAnotherVersion(t *testing.T) {
+	list, d := seeds(t)
+	if d == shortRunDuration {
+		list = outOfStepSeeds[:1]
+	}
+	for _, seed := range list {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			o := newOutOfStep(t, seed)
+			l := &requestLog{}
+			stop := o.startCallers(l, seed)
+			for round := range int32(outOfStepRounds) {
+				o.round.Store(round)
+				for i := range poolsPerRound {
+					o.restartInPlace(standin.PoolName(o.pool(i)), fmt.Sprint("v", round+2))
+				}
+			}
+			stop()
+			o.writeLogs(l)
+			checkInvariants(t, o.fleet, o.in, l)
+			resumed, continued := countResumed(l.requests)
+			if continued == 0 {
+				t.Error("no stream was resumed: the run tests nothing")
+			}
+			t.Logf("%d attempts to resume a stream, %d continued, %d at another version; by status %v", resumed, continued, countJoined(l.requests), countByStatus(l.requests))
+		})
+	}
+}
+
+// restartInPlace starts the servers of a service again, one after the other, as ones of a version.
+func (o *outOfStep) restartInPlace(service, version string) {
+	for _, s := range o.serversOf(service) {
+		time.Sleep(o.drawTime(maxReleaseStep))
+		s.SetHandler(func(http.ResponseWriter, *http.Request) bool { panic(http.ErrAbortHandler) })
+		s.CloseClientConnections()
+		time.Sleep(restartTime)
+		s.version, s.startTime = version, s.startTime+1
+		s.SetVersion(version)
+		o.putServerRecord(s, false)
+		s.breakOffOften()
+		o.note("%s has started again as one of %s", s.ID, version)
+	}
+	time.Sleep(maxReleaseStep)
+}
+
 func (o *outOfStep) run(t *testing.T, seed uint64) {
 	l := &requestLog{}
 	stop := o.startCallers(l, seed)
