--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -113,7 +113,7 @@
 		}
 		if g.tooLateToSend(req, 0) {
 			if !mayHaveRun {
-				g.refuse(w, req, refuseTooLate())
+				g.refuse(w, req, g.refuseTooLate(req))
 				return
 			}
 			break
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -35,13 +35,6 @@
 	return &refusal{code: result.EntryDraining, retryAfter: stoppingRetryAfter, cause: causeStopping, closeConnection: true}
 }
 
-// refuseTooLate returns the refusal of a request that would not end before its process.
-func refuseTooLate() *refusal {
-	r := refuseStopping()
-	r.cause = causeTooLate
-	return r
-}
-
 // limitUnreadBody bounds the time for the part of a request's body that has not been read.
 func limitUnreadBody(w http.ResponseWriter) {
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -75,7 +75,7 @@
 		return refuseStopping()
 	}
 	if g.tooLateToAccept(req) {
-		return refuseTooLate()
+		return g.refuseTooLate(req)
 	}
 	if req.route.Kind != routes.Stream {
 		req.deadline = min(req.deadline, g.lastAnswerAt())
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -233,7 +233,7 @@
 	if s.possibleRuns > 0 {
 		return serverFailure(causeStopping)
 	}
-	return refuseTooLate()
+	return s.gateway.refuseTooLate(s.req)
 }
 
 // refuseOrFail refuses a request that has not run, and fails one that may have.
--- a/internal/gateway/worktime.go
+++ b/internal/gateway/worktime.go
@@ -85,12 +85,17 @@
 }
 
 func (g *Gateway) isTooLate(req *request, expected time.Duration) bool {
-	now := clock.Now()
-	if now <= g.latestStart(req, expected) {
-		return false
-	}
-	req.log.Info("Request would not end before the process.", "expected", expected, "left", g.lastAnswerAt()-now, "stopping_for", g.stoppingFor(), "length", req.MaxTokens)
-	return true
+	return clock.Now() > g.latestStart(req, expected)
+}
+
+// refuseTooLate returns the refusal of a request that would not end before its process.
+func (g *Gateway) refuseTooLate(req *request) *refusal {
+	work := req.work(0)
+	req.log.Info("Request would not end before the process.", "expected", g.requestTimes.expect(work), "expected_at_server", g.serverTimes.expect(work),
+		"left", g.lastAnswerAt()-clock.Now(), "stopping_for", g.stoppingFor(), "length", work.Length)
+	r := refuseStopping()
+	r.cause = causeTooLate
+	return r
 }
 
 // untilTooLateToSend returns a context that ends when the process stops too soon for a request to
