Show when the relay of the soak has passed a request on

The relay in front of each entry now reports what it passes on, and the test records when it began to write the end of each request, which is not later than the entry received it. A lost request names that. One that no server ran is excused beyond 0.3 s after its client wrote it only if the relay had not passed it on, or less than 0.3 s before the end; each such case is printed and counted. What an entry has had for 0.3 s is lost as before.

--- a/test/harness/relay.go
+++ b/test/harness/relay.go
@@ -34,6 +34,9 @@
 	// data, or the end of the connection, arrives.
 	silenceOnData [directions]atomic.Bool
 
+	// onForwarded, if set, receives data that was written to the other end; see OnForwarded.
+	onForwarded atomic.Pointer[func(dir Direction, data []byte, began time.Time)]
+
 	mu          sync.Mutex
 	connections map[*connection]struct{}
 	// accepted is the number of connections relayed so far.
@@ -84,6 +87,12 @@
 	}
 }
 
+// OnForwarded makes f receive all data after it was written to the end that it is for; began is when
+// that write began. f must not keep the data.
+func (r *Relay) OnForwarded(f func(dir Direction, data []byte, began time.Time)) {
+	r.onForwarded.Store(&f)
+}
+
 // AddDelay adds d, which may be negative, to the delay of all data.
 func (r *Relay) AddDelay(d time.Duration) { r.delay.Add(int64(d)) }
 
@@ -181,10 +190,14 @@
 			}
 			return
 		}
+		began := time.Now()
 		if _, err := to.Write(buf[:n]); err != nil {
 			_ = from.Close()
 			return
 		}
+		if f := r.onForwarded.Load(); f != nil {
+			(*f)(dir, buf[:n], began)
+		}
 	}
 }
 
--- a/test/soak/planned_test.go
+++ b/test/soak/planned_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"regexp"
 	"slices"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawheel/magnoliawheel/platform"
+	"github.com/magnoliawheel/magnoliawheel/test/harness"
 )
 
 const (
@@ -23,7 +25,7 @@
 	// on may be broken off if they were sent within acceptedFor after SIGTERM.
 	lastPart    = plannedGrace / 6
 	acceptedFor = 3 * time.Second
-	// lossSlack is the time after which an entry has read a request that was written whole.
+	// lossSlack is the time after which an entry has read a request that it has received whole.
 	lossSlack = 300 * time.Millisecond
 	// plannedCallers is the number of concurrent callers. Each sends requests of one kind.
 	plannedCallers = 32
@@ -50,8 +52,11 @@
 			t.Parallel()
 			f := startFleet(t, entryCount, false, plannedGrace)
 			l := &requestLog{}
-			waitUntilServing(t, f, l)
 			p := &plannedWork{fleet: f, rng: rand.New(rand.NewPCG(seed, 4)), terminated: map[processRun]time.Time{}}
+			for _, e := range f.entries {
+				e.clientRelay.OnForwarded(p.recordPassedOn)
+			}
+			waitUntilServing(t, f, l)
 			stop := startPlannedCallers(f, l, seed)
 			for range plannedRounds {
 				p.runRound(t)
@@ -71,6 +76,32 @@
 	mu sync.Mutex
 	// terminated is the time of the SIGTERM of each process.
 	terminated map[processRun]time.Time
+	// passedOn maps the IDs of requests to the times (time.Time) at which the relays in front of
+	// the entries began to write their last bytes to them, which is no later than these arrived.
+	passedOn sync.Map
+}
+
+// requestEnd is the end of a request, which has its ID.
+var requestEnd = regexp.MustCompile(`body of (r\d+)`)
+
+// recordPassedOn records when a relay has passed on the end of a request.
+func (p *plannedWork) recordPassedOn(dir harness.Direction, data []byte, began time.Time) {
+	if dir != harness.Upstream {
+		return
+	}
+	for _, m := range requestEnd.FindAllSubmatch(data, -1) {
+		p.passedOn.Store(string(m[1]), began)
+	}
+}
+
+// heldFor returns for how long the entry had the whole request at most when its client saw the end
+// of the connection, and whether the entry had received it at all.
+func (p *plannedWork) heldFor(r *request) (time.Duration, bool) {
+	at, ok := p.passedOn.Load(r.id)
+	if !ok {
+		return 0, false
+	}
+	return r.ended.Sub(at.(time.Time)), true
 }
 
 // startPlannedCallers starts callers that keep to an entry until it is unreachable, and
@@ -176,20 +207,25 @@
 func (p *plannedWork) checkNothingLost(t *testing.T, l *requestLog) {
 	t.Helper()
 	counts := p.fleet.executionCounts()
-	cutLate := 0
+	cutLate, notReceived := 0, 0
 	for _, r := range l.requests {
 		written := r.written.Load()
+		held, received := p.heldFor(r)
 		terminated, wasTerminated := p.terminated[processRun{r.entry, r.incarnation}]
 		switch age := r.ended.Sub(terminated); {
 		case r.err == nil && r.status >= http.StatusInternalServerError && r.status != http.StatusServiceUnavailable:
 			t.Errorf("%s (%s) failed with status %d: %s", r.id, requestKinds[r.kind].path, r.status, r.answer)
 		case r.err == nil || counts[r.id] == 0 && (written == 0 || r.ended.UnixNano()-written < lossSlack.Nanoseconds()):
+		case counts[r.id] == 0 && (!received || held < lossSlack):
+			notReceived++
+			t.Logf("%s (%s) at %s ended %v after it was written, %v after SIGTERM; the relay had passed it on: %t, %v before: %v",
+				r.id, requestKinds[r.kind].path, r.entry.name, r.ended.Sub(time.Unix(0, written)), age, received, held, r.err)
 		case counts[r.id] > 0 && wasTerminated && age >= plannedGrace-lastPart && r.sent.Sub(terminated) <= acceptedFor:
 			cutLate++
 		default:
-			t.Errorf("%s (%s) at %s is lost %v after SIGTERM, sent %v after it, executed %d times, %d events: %v",
-				r.id, requestKinds[r.kind].path, r.entry.name, age, r.sent.Sub(terminated), counts[r.id], r.wholeEvents(), r.err)
+			t.Errorf("%s (%s) at %s is lost %v after SIGTERM, sent %v after it, received by the entry: %t, %v before the end, executed %d times, %d events: %v",
+				r.id, requestKinds[r.kind].path, r.entry.name, age, r.sent.Sub(terminated), received, held, counts[r.id], r.wholeEvents(), r.err)
 		}
 	}
-	t.Logf("%d requests by status: %v; %d cut at the end of the grace period", len(l.requests), countByStatus(l.requests), cutLate)
+	t.Logf("%d requests by status: %v; %d cut at the end of the grace period, %d ended before the relay had passed them on in time", len(l.requests), countByStatus(l.requests), cutLate, notReceived)
 }
