--- a/test/soak/planned_test.go
+++ b/test/soak/planned_test.go
@@ -214,7 +214,8 @@
 		terminated, wasTerminated := p.terminated[processRun{r.entry, r.incarnation}]
 		switch age := r.ended.Sub(terminated); {
 		case r.err == nil && r.status >= http.StatusInternalServerError && r.status != http.StatusServiceUnavailable:
-			t.Errorf("%s (%s) failed with status %d: %s", r.id, requestKinds[r.kind].path, r.status, r.answer)
+			t.Errorf("%s (%s) at %s failed with status %d %v after SIGTERM, sent %v after it, executed %d times: %s",
+				r.id, requestKinds[r.kind].path, r.entry.name, r.status, age, r.sent.Sub(terminated), counts[r.id], r.answer)
 		case r.err == nil || counts[r.id] == 0 && (written == 0 || r.ended.UnixNano()-written < lossSlack.Nanoseconds()):
 		case counts[r.id] == 0 && (!received || held < lossSlack):
 			notReceived++
