Every resumed stream waits for a confirmed view of the servers

Callers got a stream joined from two versions (ORDER) without any cut or pause: a server started again under its ID and address as one of a newer version, and until the entry had read the new record, up to 1.6 s later, streams of the old version continued there, mostly within one answer.

The record is in the store before the server serves, so the read that already precedes a stream of an unknown beginning tells it. It now precedes each stream that continues, 0.3 s at most, and is shared by those that wait; a stream of a known version goes on without it if the store does not answer.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -190,7 +190,6 @@
 // ID.
 func (p *Planner) Place(req Request, callbacks Callbacks) {
 	p.noticeTakeover()
-	isOverdue := p.view != nil && req.Resume != nil && p.view.IsOverdue()
 	pr := &pendingRequest{req: req, callbacks: callbacks, elements: req.Elements()}
 	need := noConfirmation
 	p.update(func(now time.Duration) {
@@ -202,7 +201,7 @@
 			p.markHandingOver(pr)
 			return
 		}
-		if need = p.neededConfirmation(now, pr, isOverdue); need == noConfirmation {
+		if need = p.neededConfirmation(now, pr); need == noConfirmation {
 			p.submit(now, pr)
 		}
 	})
--- a/internal/planner/view.go
+++ b/internal/planner/view.go
@@ -20,10 +20,8 @@
 
 // View is what this process knows of the servers from the store.
 type View interface {
-	// Age returns the time since which the store has not confirmed it, and IsOverdue whether
-	// that is longer than while this process is in touch with the store.
+	// Age returns the time since which the store has not confirmed it.
 	Age() time.Duration
-	IsOverdue() bool
 	// Confirm returns nil once the planner has been told all that the store held of the servers
 	// when Confirm was called.
 	Confirm(ctx context.Context) error
@@ -52,9 +50,8 @@
 
 // neededConfirmation returns whether a request waits for a confirmation of the servers. A
 // version that this process has not heard of may have begun a stream that it does not know; a
-// server may have started again with another version while the view is overdue. The caller
-// holds the lock.
-func (p *Planner) neededConfirmation(now time.Duration, pr *pendingRequest, isOverdue bool) confirmation {
+// server may have started again with another version. The caller holds the lock.
+func (p *Planner) neededConfirmation(now time.Duration, pr *pendingRequest) confirmation {
 	resume := pr.req.Resume
 	if p.view == nil || resume == nil || pr.req.CheckOnly {
 		return noConfirmation
@@ -66,10 +63,7 @@
 		}
 		return unknownStream
 	}
-	if isOverdue {
-		return knownStream
-	}
-	return noConfirmation
+	return knownStream
 }
 
 // confirmView waits for a confirmation of the servers, and submits the request then, unless it
--- a/internal/planner/view_test.go
+++ b/internal/planner/view_test.go
@@ -19,14 +19,12 @@
 
 // fakeView is a View whose confirmations the test gives.
 type fakeView struct {
-	isOverdue bool
 	// asked receives a value with each call of Confirm, which returns what answers has.
 	asked   chan struct{}
 	answers chan error
 }
 
 func (v *fakeView) Age() time.Duration { return time.Second }
-func (v *fakeView) IsOverdue() bool    { return v.isOverdue }
 
 // Confirm implements View.
 func (v *fakeView) Confirm(ctx context.Context) error {
@@ -81,9 +79,11 @@
 		{"unknown, told meanwhile", nil, func(p *Planner, _ *fakeView) { p.streamBegan("v1") }, failure, 1, 0},
 		{"unknown, told another version meanwhile", nil, func(p *Planner, _ *fakeView) { p.streamBegan("v2") }, nil, 1, VersionGone},
 		{"unknown among several versions", func(p *Planner, _ *fakeView) { p.VersionsSeen(map[string][]string{"m": {"v2"}}) }, nil, nil, 0, VersionUnknown},
-		{"known", func(p *Planner, _ *fakeView) { p.streamBegan("v1") }, nil, nil, 0, 0},
-		{"known, overdue", func(p *Planner, v *fakeView) { p.streamBegan("v1"); v.isOverdue = true }, nil, nil, 1, 0},
-		{"known, overdue, not confirmed", func(p *Planner, v *fakeView) { p.streamBegan("v1"); v.isOverdue = true }, nil, failure, 1, 0},
+		{"known", func(p *Planner, _ *fakeView) { p.streamBegan("v1") }, nil, nil, 1, 0},
+		{"known, not confirmed", func(p *Planner, _ *fakeView) { p.streamBegan("v1") }, nil, failure, 1, 0},
+		{"known, its server started again as another version", func(p *Planner, _ *fakeView) { p.streamBegan("v1") }, func(p *Planner, _ *fakeView) {
+			p.SetPools([]Pool{{Name: "m", HasResumableStreams: true, ModelServers: []placement.Server{{ID: "m1", SoftwareVersion: "v2"}}}})
+		}, nil, 1, VersionGone},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
