--- a/internal/gateway/worktime.go
+++ b/internal/gateway/worktime.go
@@ -14,8 +14,8 @@
 // take while nothing is learnt.
 const carefulPrior = 3
 
-// lateCheckInterval is the longest time between two looks at whether a request that waits can
-// still be sent: what is expected changes meanwhile.
+// lateCheckInterval is the longest time between two checks whether a request that waits can
+// still be sent, because the expected time changes meanwhile.
 const lateCheckInterval = 250 * time.Millisecond
 
 // workTimes holds how long requests take.
--- a/internal/planner/view.go
+++ b/internal/planner/view.go
@@ -76,7 +76,7 @@
 	start := clock.Now()
 	err := p.view.Confirm(ctx)
 	p.metrics.countConfirmation(err == nil)
-	p.log.Info("Servers confirmed for a resumed stream.", "request", pr.req.ID, "stream", pr.req.Resume.Stream, "stream_known", need == knownStream,
+	p.log.Info("Confirmation of the servers for a resumed stream ended.", "request", pr.req.ID, "stream", pr.req.Resume.Stream, "stream_known", need == knownStream,
 		"age", age, "took", clock.Now()-start, "confirmed", err == nil, "cause", causeText(err))
 	p.update(func(now time.Duration) {
 		if p.pending[pr.req.ID] != pr {
