Expectations do not sort the ages of all open requests

A stopping process asks for the expected time of each request that arrives, and of each stream that waits 4 times a second.

The open requests are kept in the order of their begin, which is that of their ages, so that only the longest ones are looked at, up to the quantile. The results are the same.

--- a/core/worktime/worktime.go
+++ b/core/worktime/worktime.go
@@ -3,6 +3,8 @@
 package worktime
 
 import (
+	"cmp"
+	"container/list"
 	"math/bits"
 	"slices"
 	"time"
@@ -59,6 +61,8 @@
 type Work struct {
 	class   class
 	beganAt time.Duration
+	// element is the place among the open work of the class; nil once the work has ended.
+	element *list.Element
 }
 
 // sample is a measured time.
@@ -69,8 +73,9 @@
 	// samples is a ring buffer; count is the number of samples ever added.
 	samples [sampleCount]sample
 	count   int
-	open    map[*Work]bool
-	usedAt  time.Duration
+	// open holds the open work (*Work) in the order of its begin.
+	open   list.List
+	usedAt time.Duration
 }
 
 // Table holds the times of requests by kind and length. Use New to create one. It is not safe for
@@ -86,10 +91,10 @@
 	c := t.classes[w.class]
 	if c == nil {
 		t.makeRoom()
-		c = &times{open: map[*Work]bool{}}
+		c = &times{}
 		t.classes[w.class] = c
 	}
-	c.open[w], c.usedAt = true, now
+	w.element, c.usedAt = c.open.PushBack(w), now
 	return w
 }
 
@@ -97,10 +102,11 @@
 // it would have taken longer.
 func (t *Table) End(now time.Duration, w *Work, counts bool) {
 	c := t.classes[w.class]
-	if c == nil || !c.open[w] {
+	if c == nil || w.element == nil {
 		return
 	}
-	delete(c.open, w)
+	c.open.Remove(w.element)
+	w.element = nil
 	if counts {
 		c.samples[c.count%sampleCount] = sample{now, now - w.beganAt}
 		c.count++
@@ -116,7 +122,7 @@
 	var oldest class
 	var found *times
 	for name, c := range t.classes {
-		if len(c.open) == 0 && (found == nil || c.usedAt < found.usedAt) {
+		if c.open.Len() == 0 && (found == nil || c.usedAt < found.usedAt) {
 			oldest, found = name, c
 		}
 	}
@@ -164,19 +170,36 @@
 	if c == nil {
 		return 0, false
 	}
-	all := make([]time.Duration, 0, sampleCount+len(c.open))
+	took := make([]time.Duration, 0, sampleCount)
 	for _, s := range c.samples[:min(c.count, sampleCount)] {
 		if now-s.at < retention {
-			all = append(all, s.took)
+			took = append(took, s.took)
 		}
 	}
-	learnt := len(all) >= minSamples
-	for w := range c.open {
-		all = append(all, now-w.beganAt)
-	}
-	if len(all) == 0 {
+	all := len(took) + c.open.Len()
+	if all == 0 {
 		return 0, false
 	}
-	slices.Sort(all)
-	return all[int(quantile*float64(len(all)-1))], learnt
+	slices.SortFunc(took, func(a, b time.Duration) int { return cmp.Compare(b, a) })
+	return c.longest(now, took, all-1-int(quantile*float64(all-1))), len(took) >= minSamples
+}
+
+// longest returns the longest of the given times, which are in descending order, and of the times so
+// far of open work, leaving out the given number of longer ones.
+func (c *times) longest(now time.Duration, took []time.Duration, without int) time.Duration {
+	open := c.open.Front()
+	for ; ; without-- {
+		var d time.Duration
+		if open != nil {
+			d = now - open.Value.(*Work).beganAt
+		}
+		if open == nil || len(took) > 0 && took[0] >= d {
+			d, took = took[0], took[1:]
+		} else {
+			open = open.Next()
+		}
+		if without <= 0 {
+			return d
+		}
+	}
 }
