An old view of the servers writes no versions

A process that stood still for a minute counts a version that ended before as over, also if its servers came back meanwhile. When it wakes, it took that version out of the stored ones before it had read the servers again: the topic still ends where it expects, since nobody had to write. A process that starts then and meets no server of that version would continue its streams at another one. This is by reading; the test shows that an overdue view writes.

Versions are written only while the store confirms the servers in time. Nothing waits for more: while it does not, new versions are not seen either.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,7 +104,7 @@
 	n.versions.places = func() bool { return n.links.PlanningPeer() == nil }
 	n.planner.OnVersionsDue(n.versions.notify)
 	n.streams = &streamRecorder{store: n.store, planner: n.planner, log: o.Log.WithName("streams"), places: n.versions.places, versionsKnown: n.versions.known.Load}
-	n.versions.serversLoaded = n.servers.Loaded
+	n.versions.serversLoaded, n.versions.serversOverdue = n.servers.Loaded, n.servers.IsOverdue
 	n.servers.OnMissed(n.versions.serversMissed)
 	n.servers.OnVersions(n.planner.VersionsSeen)
 	n.planner.SetView(n.servers)
--- a/internal/node/versions.go
+++ b/internal/node/versions.go
@@ -44,6 +44,9 @@
 	// serversLoaded reports whether the records of servers were read. The versions are read only
 	// then, so that no server comes and goes between the two.
 	serversLoaded func() bool
+	// serversOverdue reports whether the store has not confirmed the servers for too long. No
+	// versions are written then: one that seems to have ended may have come back.
+	serversOverdue func() bool
 	// onUsable is called when servers that had to wait for a record may be used: it was written,
 	// or could not be.
 	onUsable func()
@@ -140,19 +143,21 @@
 	if !r.serversLoaded() {
 		return nil
 	}
-	mayWrite := r.places() && len(r.planner.VersionsDue(0)) > 0
+	mayWrite := r.mayWrite() && len(r.planner.VersionsDue(0)) > 0
 	if r.known.Load() && !mayWrite {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, versionCallTimeout)
 	defer cancel()
 	end, err := r.read(ctx)
-	if err != nil || !r.places() {
+	if err != nil || !r.mayWrite() {
 		return err
 	}
 	return r.write(ctx, end)
 }
 
+func (r *versionRecorder) mayWrite() bool { return r.places() && !r.serversOverdue() }
+
 // read passes the records on to the planner and returns the end of the topic.
 func (r *versionRecorder) read(ctx context.Context) (platform.Position, error) {
 	r.mu.Lock()
