Confirmations of the servers share the failure of a read

Streams that are resumed at the same time, as after the loss of an entry, share a read that succeeds. If the store rejects calls, each of them made one of its own, one after the other: the store's limits of reads are spent on it, and the read that follows the servers waits behind all of them.

A failed read that began after a request asked is its failure too, as a read that succeeds would be its confirmation. A read that ended because its own caller waited no longer does not count.

TestFailedReadIsShared, 20 requests: 20 reads before, at most 2 now.

--- a/internal/watch/confirm.go
+++ b/internal/watch/confirm.go
@@ -20,8 +20,8 @@
 func (t *Topic) IsOverdue() bool { return t.Age() > t.maxRelayedAge() }
 
 // Confirm returns once all records have been applied that the store held when Confirm was
-// called. Concurrent calls share a read, but none that began before them counts. Confirm returns
-// the error of a failed read, and that of ctx if it ends before.
+// called. Concurrent calls share a read or its failure, but none that began before them counts.
+// Confirm returns the error of a failed read, and that of ctx if it ends before.
 func (t *Topic) Confirm(ctx context.Context) error {
 	asOf := clock.Now()
 	unlock, err := t.lockReading(ctx)
@@ -30,8 +30,11 @@
 	}
 	defer unlock()
 	for !t.isConfirmedSince(asOf) {
+		if t.failed.began >= asOf && t.failed.err != nil {
+			return t.failed.err
+		}
 		// A read that is overtaken by relayed changes confirms nothing.
-		if err := t.read(ctx, 0); err != nil {
+		if err := t.readOnce(ctx, 0); err != nil {
 			return err
 		}
 		if ctx.Err() != nil {
@@ -56,7 +59,24 @@
 		return err
 	}
 	defer unlock()
-	return t.read(ctx, wait)
+	return t.readOnce(ctx, wait)
+}
+
+// failedRead is a read that failed although its caller waited for it.
+type failedRead struct {
+	began time.Duration
+	err   error
+}
+
+// readOnce is read, and records a failure for the calls of Confirm that wait meanwhile. The caller
+// has called lockReading.
+func (t *Topic) readOnce(ctx context.Context, wait time.Duration) error {
+	began := clock.Now()
+	err := t.read(ctx, wait)
+	if err != nil && ctx.Err() == nil {
+		t.failed = failedRead{began, err}
+	}
+	return err
 }
 
 // lockReading waits until no read is in flight.
--- a/internal/watch/confirm_test.go
+++ b/internal/watch/confirm_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
@@ -87,6 +88,46 @@
 	assert.ErrorIs(t, watcher.Confirm(t.Context()), platform.ErrUnavailable)
 }
 
+// TestFailedReadIsShared guards against one call of a failing store for each of the streams that are
+// resumed at the same time, and against the failure of an older read that counts for later requests.
+func TestFailedReadIsShared(t *testing.T) {
+	watcher, s := newReadServers(t)
+	var ended sync.WaitGroup
+	waiting := make(chan struct{})
+	for range 20 {
+		ended.Go(func() {
+			waiting <- struct{}{}
+			assert.Check(t, errors.Is(watcher.Confirm(t.Context()), platform.ErrUnavailable))
+		})
+		<-waiting
+	}
+	reads := make(chan int)
+	stop := make(chan struct{})
+	go func() {
+		n := 0
+		for {
+			select {
+			case <-s.calls:
+				n++
+				time.Sleep(20 * time.Millisecond)
+				s.answers <- answer{err: platform.ErrUnavailable}
+			case <-stop:
+				reads <- n
+				return
+			}
+		}
+	}()
+	ended.Wait()
+	close(stop)
+	n := <-reads
+	assert.Assert(t, n <= 2, "%d reads", n)
+	go func() {
+		<-s.calls
+		s.answers <- answer{next: position(1)}
+	}()
+	assert.NilError(t, watcher.Confirm(t.Context()))
+}
+
 // TestMissedRecordsAreReportedAfterTheNewestAreRead guards against a process that counts its
 // knowledge as complete from before the newest records were read: servers may come and go
 // between the loss of its position and that read.
--- a/internal/watch/topic.go
+++ b/internal/watch/topic.go
@@ -78,6 +78,8 @@
 	// reading holds a value while a read is in flight, so that the records of an older one are
 	// never applied after those of a newer one.
 	reading chan struct{}
+	// failed is the last read that failed. Only who reads uses it.
+	failed failedRead
 
 	mu sync.Mutex
 	// position is where the next read begins; it is valid if known is set. restored is
