Soak: a request that ran is one that the relay has passed on

A lost request that no server ran is excused if the relay in front of the entry had not passed it on. If the relay recorded nothing any more (another body of the requests, a body read in two parts), each such loss would be excused unnoticed. A request that ran without such a record fails the test now.

--- a/test/soak/planned_test.go
+++ b/test/soak/planned_test.go
@@ -209,6 +209,9 @@
 	counts := p.fleet.executionCounts()
 	cutLate, notReceived := 0, 0
 	for _, r := range l.requests {
+		if _, received := p.heldFor(r); !received && counts[r.id] > 0 {
+			t.Errorf("%s ran, but the relay has not recorded that it passed it on", r.id)
+		}
 		written := r.written.Load()
 		held, received := p.heldFor(r)
 		terminated, wasTerminated := p.terminated[processRun{r.entry, r.incarnation}]
