Results of a request that ends before its confirmation are freed

A stream that is resumed while its placing entry confirms its view may come with stage results of an entry that was lost. The scheduler does not know of them before the request is submitted; if the client left, or the request was cancelled meanwhile, nobody freed them, and their servers kept them until they expired.

TestResultsOfARequestThatEndsBeforeItsConfirmationAreFreed: not freed within 2 s before, freed now.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -72,6 +72,8 @@
 	// requests are placed although they may.
 	elements []string
 	trial    bool
+	// submitted is set once the request has been checked and its stages were submitted.
+	submitted bool
 	// viewConfirmed is set if the servers were confirmed after the request arrived.
 	viewConfirmed bool
 }
@@ -213,6 +215,7 @@
 
 // submit checks a request and submits its stages. The caller holds the lock.
 func (p *Planner) submit(now time.Duration, pr *pendingRequest) {
+	pr.submitted = true
 	req := &pr.req
 	if pr.refusal = p.checkRequest(now, pr); pr.refusal != 0 || req.CheckOnly {
 		p.decided = append(p.decided, pr)
@@ -249,6 +252,10 @@
 			p.scheduler.RequestStarted(now, id)
 			return
 		}
+		if pr := p.pending[id]; pr != nil && !pr.submitted {
+			// The scheduler does not know of them yet.
+			p.scheduler.FreeResults(now, pr.req.PriorResults)
+		}
 		p.removePending(id)
 		p.modelServers.Finish(now, id, outcomeByPhase[progress.Phase])
 		p.quarantine.End(now, id, endingByPhase[progress.Phase])
--- a/internal/planner/view_test.go
+++ b/internal/planner/view_test.go
@@ -154,3 +154,37 @@
 		})
 	}
 }
+
+// freeRecorder is a StageCaller that passes on which results are freed.
+type freeRecorder struct {
+	StageCaller
+	freed chan staging.FreeRequest
+}
+
+// Free implements StageCaller.
+func (r *freeRecorder) Free(_ context.Context, f staging.FreeRequest) (time.Duration, error) {
+	r.freed <- f
+	return 0, nil
+}
+
+// TestResultsOfARequestThatEndsBeforeItsConfirmationAreFreed guards against stage results that their
+// servers keep for a stream whose client left while it waited for a confirmation.
+func TestResultsOfARequestThatEndsBeforeItsConfirmationAreFreed(t *testing.T) {
+	p, v := newViewedPlanner(tally.NoopScope)
+	stages := &freeRecorder{freed: make(chan staging.FreeRequest, 1)}
+	p.stages = stages
+	p.SetPools([]Pool{{Name: "st", StageSpec: &staging.PoolSpec{Slots: 1, BatchSize: 1, MemoryBytes: 1 << 20, ResultRetention: time.Minute}, StageServers: []staging.Server{{ID: "s1"}}}})
+	p.Place(Request{
+		ID: "r", Pool: "m", TimeToObjective: time.Minute, TimeToDeadline: time.Minute, ResumableFor: time.Minute, Resume: &Resume{Stream: "s"}, Residency: residency.Unrestricted(),
+		PriorResults: []staging.ResultLocation{{ServerID: "s1", Handle: "h"}},
+	}, Callbacks{OnPlacement: func(Placement) {}, OnResultChanges: func([]staging.ResultLocation) {}})
+	<-v.asked
+	p.UpdateProgress("r", Progress{Phase: Cancelled})
+	go p.Run(t.Context())
+	select {
+	case f := <-stages.freed:
+		assert.DeepEqual(t, f.Handles, []string{"h"})
+	case <-time.After(2 * time.Second):
+		t.Fatal("not freed")
+	}
+}
