The time until a client leaves is no measured time

An entry that stops expects how long requests take. Only completed work counts now, and what the entry has ended itself although it would have taken longer.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -243,7 +243,7 @@
 	ctx, cancel := g.requestContext(hr.Context(), req)
 	defer cancel()
 	req.endWork = g.requestTimes.begin(req.work(0))
-	defer func() { req.endWork(ctx.Err() != nil) }()
+	defer func() { req.endWork(ctx.Err() != nil && hr.Context().Err() == nil) }()
 	g.countRequest(req.service)
 	if req.route.Kind == routes.Stream {
 		g.serveStream(hr.Context(), ctx, w, req)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -216,7 +216,7 @@
 	rounds, trust := g.reportedQueue(srv)
 	endWork := g.serverTimes.begin(req.work(0))
 	o := g.sendPlain(ctx, req, srv)
-	endWork(o.isSuccess() || !o.notRun && ctx.Err() != nil)
+	endWork(o.isSuccess() || !o.notRun && wasGivenUp(ctx))
 	if o.response != nil {
 		req.endWork(o.isSuccess())
 	}
--- a/internal/gateway/worktime.go
+++ b/internal/gateway/worktime.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/magnoliawheel/magnoliawheel/core/routes"
 	"github.com/magnoliawheel/magnoliawheel/core/worktime"
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
@@ -129,17 +131,23 @@
 	}
 }
 
+// wasGivenUp reports whether the entry has ended a request or an attempt that would have taken
+// longer, unlike a client that left.
+func wasGivenUp(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(context.Cause(ctx), errProcessEnds)
+}
+
 // attemptWork measures the time of an attempt at a stream.
 type attemptWork struct {
-	// ctx is that of the attempt.
-	ctx     context.Context
-	req     *request
-	endWork func(counts bool)
+	// ctx is that of the attempt, client ends when the client disconnects.
+	ctx, client context.Context
+	req         *request
+	endWork     func(counts bool)
 }
 
 // beginWork records that an attempt is about to be sent.
 func (s *streamRequest) beginWork(ctx context.Context) *attemptWork {
-	return &attemptWork{ctx: ctx, req: s.req, endWork: s.gateway.serverTimes.begin(s.req.work(s.relay.events))}
+	return &attemptWork{ctx: ctx, client: s.client, req: s.req, endWork: s.gateway.serverTimes.begin(s.req.work(s.relay.events))}
 }
 
 // complete records that the response is complete.
@@ -149,4 +157,4 @@
 }
 
 // end records that the attempt has ended.
-func (w *attemptWork) end() { w.endWork(w.ctx.Err() != nil) }
+func (w *attemptWork) end() { w.endWork(w.ctx.Err() != nil && w.client.Err() == nil) }
--- a/internal/watch/confirm.go
+++ b/internal/watch/confirm.go
@@ -15,6 +15,10 @@
 // Age returns the time since which the store has not confirmed the records.
 func (t *Topic) Age() time.Duration { return t.State().Age }
 
+// IsOverdue reports whether the store has not confirmed the records for longer than it does
+// while this entry, or the one that reads for it, is in touch with it.
+func (t *Topic) IsOverdue() bool { return t.Age() > t.maxRelayedAge() }
+
 // Confirm returns once all records have been applied that the store held when Confirm was
 // called. Concurrent calls share a read or its failure, but none that began before them counts.
 // Confirm returns the error of a failed read, and that of ctx if it ends before.
@@ -88,6 +92,9 @@
 // Age returns the time since which the store has not confirmed the servers.
 func (s *Servers) Age() time.Duration { return s.topic.Age() }
 
+// IsOverdue is Topic.IsOverdue for the servers.
+func (s *Servers) IsOverdue() bool { return s.topic.IsOverdue() }
+
 // Confirm is Topic.Confirm for the servers. It returns ErrNotSettled while servers may still
 // have to write their records again to a restored store.
 func (s *Servers) Confirm(ctx context.Context) error {
