Planner: the text of an error for logs comes from telemetry

view.go had a copy of telemetry.ErrorText, which calls.go beside it already uses. No behaviour changed; vet, staticcheck and the planner's tests pass.

--- a/internal/planner/view.go
+++ b/internal/planner/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/internal/clock"
+	"github.com/magnoliawheel/magnoliawheel/internal/telemetry"
 )
 
 const (
@@ -77,7 +78,7 @@
 	err := p.view.Confirm(ctx)
 	p.metrics.countConfirmation(err == nil)
 	p.log.Info("Confirmation of the servers for a resumed stream ended.", "request", pr.req.ID, "stream", pr.req.Resume.Stream, "stream_known", need == knownStream,
-		"age", age, "took", clock.Now()-start, "confirmed", err == nil, "cause", causeText(err))
+		"age", age, "took", clock.Now()-start, "confirmed", err == nil, "cause", telemetry.ErrorText(err))
 	p.update(func(now time.Duration) {
 		if p.pending[pr.req.ID] != pr {
 			return
@@ -86,10 +87,3 @@
 		p.submit(now, pr)
 	})
 }
-
-func causeText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
