--- a/review/fleet/server.go
+++ b/review/fleet/server.go
@@ -58,8 +58,18 @@
 }
 
 // StartServer starts a server, which registers itself.
-func (f *Fleet) StartServer(o ServerOptions) *Server {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+func (f *Fleet) StartServer(o ServerOptions) *Server { return f.startServerAt(o, "127.0.0.1:0") }
+
+// StartAgain starts a server that has ended again under its ID and address, with another version of
+// its software.
+func (s *Server) StartAgain(version string) *Server {
+	o := s.ServerOptions
+	o.Version = version
+	return s.fleet.startServerAt(o, s.Address)
+}
+
+func (f *Fleet) startServerAt(o ServerOptions, address string) *Server {
+	lis, err := net.Listen("tcp", address)
 	if err != nil {
 		fail("%v", err)
 	}
