--- a/review/fleet/entry.go
+++ b/review/fleet/entry.go
@@ -18,7 +18,6 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/magnoliawheel/magnoliawheel/platform"
-	"github.com/magnoliawheel/magnoliawheel/test/harness"
 )
 
 // deployFile says how the platform starts an entry.
@@ -35,7 +34,7 @@
 	settings string
 	// storeRelay and peerRelay stand between the entry and the store, and between other entries
 	// and this one, if it can be cut off.
-	storeRelay, peerRelay *harness.Relay
+	storeRelay, peerRelay *relay
 	cmd                   *exec.Cmd
 	ended                 chan struct{}
 }
@@ -56,8 +55,8 @@
 	e := &Entry{Name: name, Front: ports.front, Ready: ports.ready, fleet: f, settings: filepath.Join(f.dir, name+".json")}
 	if o.Separable {
 		e.storeRelay, e.peerRelay = startRelay(storeAddress), startRelay(net.JoinHostPort(ip, strconv.Itoa(ports.peers)))
-		storeAddress = e.storeRelay.Addr()
-		f.announce(name, e.peerRelay.Addr())
+		storeAddress = e.storeRelay.address()
+		f.announce(name, e.peerRelay.address())
 	}
 	zone := zoneNames[len(f.entries)%len(zoneNames)]
 	settings := map[string]any{
@@ -193,14 +192,6 @@
 	return entryPorts{front: addresses[0], ready: addresses[1], peers: peers}
 }
 
-func startRelay(target string) *harness.Relay {
-	r, err := harness.StartRelay(target)
-	if err != nil {
-		fail("relay: %v", err)
-	}
-	return r
-}
-
 // announce makes other entries reach the one with the given name through a relay: the record in
 // which it names its address gets that of the relay.
 func (f *Fleet) announce(name, address string) {
@@ -221,18 +212,14 @@
 // CutOff cuts a separable entry off from the store and from the other entries. Its clients and the
 // servers still reach it.
 func (e *Entry) CutOff() {
-	for _, r := range []*harness.Relay{e.storeRelay, e.peerRelay} {
-		r.SetSilent(true, harness.Upstream, harness.Downstream)
-		r.Reset()
-	}
+	e.storeRelay.setCut(true)
+	e.peerRelay.setCut(true)
 	e.fleet.Note("entry %s is cut off from the store and from the other entries", e.Name)
 }
 
 // Heal ends what CutOff began.
 func (e *Entry) Heal() {
-	for _, r := range []*harness.Relay{e.storeRelay, e.peerRelay} {
-		r.SetSilent(false, harness.Upstream, harness.Downstream)
-		r.Reset()
-	}
+	e.storeRelay.setCut(false)
+	e.peerRelay.setCut(false)
 	e.fleet.Note("entry %s is no longer cut off", e.Name)
 }
