--- a/review/1/main.go
+++ b/review/1/main.go
@@ -19,7 +19,7 @@
 func main() { fleet.Run(play) }
 
 func play(f *fleet.Fleet) string {
-	f.PutConfig(fleet.Config{Version: 3, Keys: map[string][]string{"qasr": {"key-1"}}})
+	f.PutConfig(fleet.Config{Version: 3, Tenants: []fleet.Tenant{{Name: "qasr", Keys: []string{"key-1"}}}})
 	for i, zone := range []string{"amman-a", "aqaba-a", "irbid-a"} {
 		f.StartServer(fleet.ServerOptions{ID: fmt.Sprint("i-submittals-", i), Service: "submittals", Version: "v1", Zone: zone, Slots: 6, Work: 40 * time.Millisecond})
 	}
@@ -35,7 +35,7 @@
 			for i := range probes {
 				id := fmt.Sprintf("%s-%s-%s-%02d", phase, e.Name, key, i)
 				a := f.Send(e, fleet.Request{ID: id, Path: fleet.UnsafePath, Key: key, Timeout: 5 * time.Second})
-				if a.Status == http.StatusOK && strings.Contains(a.Body, id+" by ") {
+				if a.Status == http.StatusOK && strings.Contains(a.Body, "body of "+id) {
 					ran++
 				}
 			}
@@ -52,9 +52,9 @@
 
 	// The disruption is a configuration that takes the only customer away. Without it, the
 	// customer stays and only its key is taken away.
-	next := fleet.Config{Version: 4, Keys: map[string][]string{}}
+	next := fleet.Config{Version: 4}
 	if !f.Trouble {
-		next.Keys = map[string][]string{"qasr": {}}
+		next.Tenants = []fleet.Tenant{{Name: "qasr"}}
 	}
 	acknowledged := f.PutConfig(next)
 	time.Sleep(time.Until(acknowledged.Add(fleet.RevokeBound + 200*time.Millisecond)))
--- a/review/fleet/entry.go
+++ b/review/fleet/entry.go
@@ -100,7 +100,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	e.cmd = exec.Command(words[0], words[1:]...)
-	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "MAGNOLIAWHEEL_BOOT=" + e.settings}
+	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), platform.SettingsFileEnv + "=" + e.settings}
 	e.cmd.Stdout, e.cmd.Stderr = log, log
 	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := e.cmd.Start(); err != nil {
--- a/review/fleet/server.go
+++ b/review/fleet/server.go
@@ -4,42 +4,42 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/magnoliawheel/magnoliawheel/platform"
+	"github.com/magnoliawheel/magnoliawheel/platform/standin"
 )
 
 // ServerOptions says what a server does.
 type ServerOptions struct {
 	ID, Service, Version, Zone string
 	Slots                      int
-	// Events is the number of events of a stream; 0 for a plain server. Gap is the time before
-	// each event, Work the time of a plain request.
-	Events    int
-	Gap, Work time.Duration
+	// Events is the number of events of a stream; 0 for a plain server. Work is the time before
+	// each event, or of a plain request.
+	Events int
+	Work   time.Duration
 }
 
-// Server is a sound backend server. It writes its entry in the store itself.
+// Server is a sound backend server: the stand-in of the project, with a listener of its own. It
+// writes its entry in the store itself.
 type Server struct {
 	ServerOptions
 	Address string
 
-	fleet *Fleet
-	http  *http.Server
+	fleet   *Fleet
+	standin *standin.Server
+	http    *http.Server
+	born    int64
+	stopped chan struct{}
 
 	mu       sync.Mutex
 	draining bool
-	born     int64
 	seq      int64
 	arrivals []Arrival
-	stopped  chan struct{}
 	isDown   bool
 }
 
@@ -73,8 +73,14 @@
 	if err != nil {
 		fail("%v", err)
 	}
-	s := &Server{ServerOptions: o, Address: lis.Addr().String(), fleet: f, born: time.Now().UnixMilli(), stopped: make(chan struct{})}
-	s.http = &http.Server{Handler: http.HandlerFunc(s.serve)}
+	s := &Server{
+		ServerOptions: o, Address: lis.Addr().String(), fleet: f, standin: standin.NewServer(o.ID, o.Events),
+		born: time.Now().UnixMilli(), stopped: make(chan struct{}),
+	}
+	s.standin.SetDelay(o.Work)
+	s.standin.SetVersion("version " + o.Version)
+	s.standin.SetHandler(s.arrive)
+	s.http = &http.Server{Handler: s.standin.Config.Handler}
 	go func() { _ = s.http.Serve(lis) }()
 	f.mu.Lock()
 	f.servers = append(f.servers, s)
@@ -85,6 +91,21 @@
 	return s
 }
 
+// arrive records a request before the stand-in runs it.
+func (s *Server) arrive(w http.ResponseWriter, r *http.Request) bool {
+	id := standin.RequestID(r.Header)
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, Arrival{id, time.Now()})
+	draining := s.draining
+	s.mu.Unlock()
+	if draining {
+		standin.SetLeaving(w.Header())
+		w.Header().Set("Connection", "close")
+	}
+	s.fleet.Note("server %s of version %s runs %s after event %d", s.ID, s.Version, id, standin.LastEventID(r.Header))
+	return false
+}
+
 func (s *Server) beatUntilStopped() {
 	ticker := time.NewTicker(Heartbeat)
 	defer ticker.Stop()
@@ -154,6 +175,7 @@
 	close(s.stopped)
 	s.mu.Unlock()
 	_ = s.http.Close()
+	s.standin.Close()
 	s.fleet.Note("server %s has ended", s.ID)
 }
 
@@ -163,76 +185,6 @@
 	s.fleet.Store.Delete(platform.ServersTopic, s.ID)
 }
 
-func (s *Server) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
-}
-
-func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	h := w.Header()
-	if s.isDraining() {
-		h.Set("Server-Leaving", "1")
-		h.Set("Connection", "close")
-	}
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.ID {
-		h.Set("X-Instance-Id", s.ID)
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	id := r.Header.Get("X-Request-Id")
-	switch {
-	case r.URL.Path == platform.CacheListPath:
-		h.Set("Content-Type", "application/json")
-		_, _ = io.WriteString(w, `{"epoch":1,"next":0,"held":[]}`)
-		return
-	case id == "":
-		h.Set("X-Not-Executed", "1")
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	s.arrivals = append(s.arrivals, Arrival{id, time.Now()})
-	s.mu.Unlock()
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return
-	}
-	h.Set("X-Request-Id", id)
-	h.Set("X-Response-Seal", "seal."+s.ID+"."+id)
-	s.fleet.Note("server %s runs %s (tenant %q, after event %q)", s.ID, id, r.Header.Get("X-Tenant"), r.Header.Get("Last-Event-Id"))
-	if s.Events == 0 {
-		s.servePlain(w, r, id)
-		return
-	}
-	s.serveStream(w, r, id)
-}
-
-func (s *Server) servePlain(w http.ResponseWriter, r *http.Request, id string) {
-	select {
-	case <-time.After(s.Work):
-	case <-r.Context().Done():
-		s.fleet.Note("server %s drops %s: its connection was closed", s.ID, id)
-		return
-	}
-	_, _ = fmt.Fprintf(w, "%s by %s", id, s.ID)
-}
-
-func (s *Server) serveStream(w http.ResponseWriter, r *http.Request, id string) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for i := last + 1; i <= s.Events; i++ {
-		select {
-		case <-time.After(s.Gap):
-		case <-r.Context().Done():
-			return
-		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %s by version %s\n\n", i, i, id, s.Version); err != nil {
-			return
-		}
-		w.(http.Flusher).Flush()
-	}
-}
-
 // UntilPhase returns the time until the given time after the next heartbeat of the servers that were
 // started at the beginning.
 func (f *Fleet) UntilPhase(after time.Duration) time.Duration {
