Answers of servers: a head whose status is none ends the connection

Callers saw an answer that stood behind a head with the status 000, 099 or 101 on the same connection; without one behind it the request ended 502, and counted as one that crashed its server (two of them made the next ones with the same body refused as held back).

Cause: a status below 200 was passed over like an interim answer. Only 100 and 102 to 199 are interim; 101 answers a request for another protocol, which none of ours is.

The head of such a response is an error where heads are read, before anything in it is used; the outcome is unknown, so that only a request that may be repeated gets another attempt, and the server's connection is closed.

--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -49,12 +49,16 @@
 	return resp, checkHead(resp)
 }
 
-// checkHead returns an error for a response of another protocol, and for one that names its framing
-// in a way that http.ReadResponse ignores: with a space before the colon.
+// checkHead returns an error for a response of another protocol, for one whose status is none, and
+// for one that names its framing in a way that http.ReadResponse ignores: with a space before the
+// colon. No request asks for another protocol, so that 101 is no status of its response either.
 func checkHead(resp *http.Response) error {
 	if resp.ProtoMajor != 1 {
 		return errors.Newf("response of the protocol %.20q", resp.Proto)
 	}
+	if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
+		return errors.Newf("invalid status %.20q", resp.Status)
+	}
 	for name := range resp.Header {
 		if !strings.HasSuffix(name, " ") {
 			continue
