Answers of servers: names of fields that hold blanks end the connection

Callers saw a 200 with a body although a line of the head, or of the head of an interim answer, had a name with a blank in it, behind it or before it. The line was left out, or joined to the field before: to the server's signature, for one. If it was the length, another body than the server's was served.

Cause: the parser of net/http lets such names and every folded line through on purpose; after it the names can be seen, the folded lines not. What was checked were the two framing fields with a blank behind their names.

A line that begins with a blank and has a colon may be a field or continue the one before, so it is refused (RFC 9112 allows that); one without a colon is served. Bytes of a head that are in the reader already, behind a response to another request, are checked too.

--- a/internal/node/broken_answers_test.go
+++ b/internal/node/broken_answers_test.go
@@ -5,7 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -29,7 +29,23 @@
 	return func(sound string) string { return begin + sound }
 }
 
+// withLine returns a function that puts a line behind the fields of a head.
+func withLine(line string) func(string) string {
+	return func(sound string) string { return strings.Replace(sound, "\r\n\r\n", "\r\n"+line+"\r\n\r\n", 1) }
+}
+
 var brokenAnswers = []brokenAnswer{
+	{"blank in a name", withLine("Other Field: a")},
+	{"tab in a name", withLine("Other\tField: a")},
+	{"blank behind a name", withLine("Other-Field : a")},
+	{"blank before a name", withLine(" Other-Field: a")},
+	{"tab before a name", withLine("\tOther-Field: a")},
+	{"control byte in a name", withLine("Other\x02Field: a")},
+	{"field without a name", withLine(": a")},
+	{"blank in the name of the length", func(sound string) string { return strings.Replace(sound, "Content-Length", "Content Length", 1) }},
+	{"blank before the name of the length", func(sound string) string { return strings.Replace(sound, "Content-Length", " Content-Length", 1) }},
+	{"blank in a name of an interim answer", before("HTTP/1.1 103 Early Hints\r\nOther Field: a\r\n\r\n")},
+	{"blank before a name of an interim answer", before("HTTP/1.1 103 Early Hints\r\nOther: a\r\n Field: a\r\n\r\n")},
 	{"status 000", withStatus("000")},
 	{"status 099", withStatus("099")},
 	{"status 000 before a sound answer", before("HTTP/1.1 000 None\r\n\r\n")},
@@ -37,43 +53,22 @@
 	{"status 101 before a sound answer", before("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n")},
 }
 
-// breaking makes servers answer the first attempt of each request with bytes that are no answer.
+// breaking makes servers answer the first attempt of a request with bytes that are no answer.
 type breaking struct {
-	t    *testing.T
-	body string
-
-	mu       sync.Mutex
-	broken   brokenAnswer
-	attempts map[string]int
-}
-
-// setBroken sets what the next requests get.
-func (b *breaking) setBroken(broken brokenAnswer) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.broken = broken
-}
-
-// attemptsOf returns the number of attempts of a request.
-func (b *breaking) attemptsOf(id string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.attempts[id]
+	t        *testing.T
+	body     string
+	turn     func(sound string) string
+	attempts atomic.Int32
 }
 
 // answer answers a request in place of a server.
 func (b *breaking) answer(w http.ResponseWriter, r *http.Request) bool {
-	id := standin.RequestID(r.Header)
-	b.mu.Lock()
-	b.attempts[id]++
-	first, broken := b.attempts[id] == 1, b.broken
-	b.mu.Unlock()
-	text := responseBytes(b.t, http.StatusOK, id, b.body, func(h http.Header) {
+	text := responseBytes(b.t, http.StatusOK, standin.RequestID(r.Header), b.body, func(h http.Header) {
 		standin.SetSignature(h, "s")
 		h.Set("Content-Type", "text/event-stream")
 	})
-	if first {
-		text = broken.turn(text)
+	if b.attempts.Add(1) == 1 {
+		text = b.turn(text)
 	}
 	writeRaw(b.t, w, text)
 	return true
@@ -100,29 +95,32 @@
 		{"stream", standin.PathStream, firstEvent + lastEvents, false},
 		{"resumable stream", standin.PathResumable, firstEvent + lastEvents, true},
 	} {
-		t.Run(tt.name, func(t *testing.T) {
-			t.Parallel()
-			b := &breaking{t: t, body: tt.body, attempts: map[string]int{}}
-			f := newFleet(t)
-			f.putConfig()
-			for _, service := range []string{"plain", "model"} {
-				for n := range 3 {
-					f.startServer(service, fmt.Sprint(service, n), 0).SetHandler(b.answer)
-				}
-			}
-			e := f.startEntry("e1", 0).waitReady().waitRegistered()
-			for i, broken := range brokenAnswers {
-				b.setBroken(broken)
-				id := fmt.Sprint("r", i)
-				got := e.do(keyedCall(tt.path, id, "key-1"))
-				assert.NilError(t, got.err, broken.name)
-				attempts := b.attemptsOf(id)
+		for _, broken := range brokenAnswers {
+			t.Run(tt.name+", "+broken.name, func(t *testing.T) {
+				t.Parallel()
+				b := &breaking{t: t, body: tt.body, turn: broken.turn}
+				got := startAnsweredBy(t, b.answer).do(keyedCall(tt.path, "r", "key-1"))
+				assert.NilError(t, got.err)
 				if tt.repeated {
-					assert.Check(t, got.status == http.StatusOK && got.body == tt.body && attempts == 2, "%s: %d %q, %d attempts", broken.name, got.status, got.body, attempts)
-					continue
+					assert.Check(t, got.status == http.StatusOK && got.body == tt.body, "%d %q", got.status, got.body)
+					assert.Equal(t, b.attempts.Load(), int32(2))
+					return
 				}
-				assert.Check(t, got.status == http.StatusBadGateway && attempts == 1, "%s: %d %q, %d attempts", broken.name, got.status, got.body, attempts)
-			}
-		})
+				assert.Check(t, got.status == http.StatusBadGateway, "%d %q", got.status, got.body)
+				assert.Equal(t, b.attempts.Load(), int32(1))
+			})
+		}
+	}
+}
+
+// startAnsweredBy starts an entry and servers that answer as given.
+func startAnsweredBy(t *testing.T, answer func(w http.ResponseWriter, r *http.Request) bool) *runningEntry {
+	f := newFleet(t)
+	f.putConfig()
+	for _, service := range []string{"plain", "model"} {
+		for n := range 3 {
+			f.startServer(service, fmt.Sprint(service, n), 0).SetHandler(answer)
+		}
 	}
+	return f.startEntry("e1", 0).waitReady().waitRegistered()
 }
--- a/internal/node/cut_head_test.go
+++ b/internal/node/cut_head_test.go
@@ -118,7 +118,7 @@
 			t.Run(fmt.Sprintf("%s, %s", tt.name, end), func(t *testing.T) {
 				t.Parallel()
 				c := &cutHeads{t: t, path: tt.path, end: end, broken: tt.broken, attempts: map[string]int{}}
-				served := c.requestAll(startCutting(t, c))
+				served := c.requestAll(startAnsweredBy(t, c.answer))
 				assert.Assert(t, tt.served && served >= minRetried || !tt.served && served == 0, "%d served", served)
 				retried := c.countAttempts(tt.attempts)
 				assert.Assert(t, retried >= minRetried, "%d requests with %d attempts", retried, tt.attempts)
@@ -128,18 +128,6 @@
 	}
 }
 
-// startCutting starts an entry and servers of all services that cut their heads.
-func startCutting(t *testing.T, c *cutHeads) *runningEntry {
-	f := newFleet(t)
-	f.putConfig()
-	for _, service := range []string{"plain", "model"} {
-		for n := range 3 {
-			f.startServer(service, fmt.Sprint(service, n), 0).SetHandler(c.answer)
-		}
-	}
-	return f.startEntry("e1", 0).waitReady().waitRegistered()
-}
-
 // requestAll sends a request for each byte after which a success and a refusal are cut. It returns
 // how many were served.
 func (c *cutHeads) requestAll(e *runningEntry) (served int) {
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -129,6 +129,31 @@
 		{"no coding", head("Transfer-Encoding:"), false},
 		{"chunks twice", strings.Replace(head("Transfer-Encoding: chunked", "Transfer-Encoding: chunked"), "own", chunkedOwn, 1), false},
 		{"space before the colon", head("Content-Length : 3"), false},
+		{"blank in a name", head("Other Field: a", "Content-Length: 3"), false},
+		{"tab in a name", head("Other\tField: a", "Content-Length: 3"), false},
+		{"blank behind a name", head("Other : a", "Content-Length: 3"), false},
+		{"blank before a name", head("Content-Length: 3", " Other: a"), false},
+		{"tab before a name", head("Content-Length: 3", "\tOther: a"), false},
+		{"folded line with a field of the framing", head("Other: a", " Content-Length: 3"), false},
+		{"control byte in a name", head("Other\x01Field: a", "Content-Length: 3"), false},
+		{"DEL in a name", head("Other\x7f: a", "Content-Length: 3"), false},
+		{"byte beyond ASCII in a name", head("Oth\xe9r: a", "Content-Length: 3"), false},
+		{"field without a name", head(": a", "Content-Length: 3"), false},
+		{"blank in a long name", head(strings.Repeat("Long-", 2000)+" Name: a", "Content-Length: 3"), false},
+		{"blank in a name far behind", head(strings.Repeat("Other: a\r\n", 2000)+"Other Field: a", "Content-Length: 3"), false},
+		{"blank in a name of an interim response", "HTTP/1.1 103 Early Hints\r\nOther Field: a\r\n\r\n" + wholeAnswer, false},
+		{"blank before a name of an interim response", "HTTP/1.1 103 Early Hints\r\nOther: a\r\n Field: a\r\n\r\n" + wholeAnswer, false},
+		{"blank in a name behind interim responses", interim + interim + head("Other Field: a", "Content-Length: 3"), false},
+		{"blank in a name of HTTP/1.0", "HTTP/1.0 200 OK\r\nOther Field: a\r\nContent-Length: 3\r\n\r\nown", false},
+		{"HTTP/1.0 with a coding far behind", "HTTP/1.0 200 OK\r\n" + strings.Repeat("Other: a\r\n", 2000) + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nown", false},
+		{"blanks in values", head("Other: a b\tc ", "Empty: ", "None:", "Content-Length:  3 "), true},
+		{"colons in values", head("Other: a:b: c", "Content-Length: 3"), true},
+		{"obsolete bytes in values", head("Other: \xe9\xff", "Content-Length: 3"), true},
+		{"names in any case", head("oTHER: a", "CONTENT-length: 3"), true},
+		{"every byte that a name may have", head("!#$%&'*+-.^_`|~09azAZ: a", "Content-Length: 3"), true},
+		{"folded lines without a colon", head("Other: a", "\tb", "  c", " ", "Content-Length: 3"), true},
+		{"empty text of the status", "HTTP/1.1 200 \r\nContent-Length: 3\r\n\r\nown", true},
+		{"header-like lines in the body", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown" + "Other Field: a\r\n\r\n", true},
 		{"line without a colon", head("Content-Length 3"), false},
 		{"CR within a line", head("Other: a\rContent-Length: 3"), false},
 		{"NUL", head("Other: a\x00", "Content-Length: 3"), false},
@@ -173,6 +198,35 @@
 	}
 }
 
+// TestUnusualStatusIsReturned guards against a response being refused for a status that has no
+// meaning here. Those from 600 on count as errors of the server.
+func TestUnusualStatusIsReturned(t *testing.T) {
+	for _, status := range []int{200, 207, 299, 399, 418, 499, 599, 600, 999} {
+		answer := strings.Replace(wholeAnswer, "200 OK", fmt.Sprint(status), 1)
+		address := cutserver.Start(t, func(*http.Request, int) cutserver.Answer { return cutserver.Answer{Bytes: answer} })
+		resp, body, bodyErr, err := get(t, New(), address)
+		assert.NilError(t, errors.CombineErrors(err, bodyErr), status)
+		assert.Equal(t, resp.StatusCode, status)
+		assert.Equal(t, body, "own")
+	}
+}
+
+// TestStrayResponseIsChecked guards against a response behind one to another request, in the same
+// packet, being read without the checks of its head.
+func TestStrayResponseIsChecked(t *testing.T) {
+	const stray = "HTTP/1.1 503 Service Unavailable\r\nId: other\r\nContent-Length: 4\r\n\r\nfull"
+	for _, bad := range []string{head("Id: own", "Other Field: a", "Content-Length: 3"), strings.Replace(head("Id: own", "Content-Length: 3"), "200", "000", 1)} {
+		for _, answer := range []string{stray + bad, bad + stray} {
+			address := cutserver.Start(t, func(*http.Request, int) cutserver.Answer { return cutserver.Answer{Bytes: answer} })
+			_, err := New().Do(t.Context(), &Request{
+				Address: address, Method: http.MethodPost, Target: "/", Host: "h",
+				Matches: func(h http.Header) bool { return h.Get("Id") == "own" },
+			})
+			assert.Assert(t, errors.Is(err, ErrNoResponse), "%q: %v", answer, err)
+		}
+	}
+}
+
 // TestResetResponseIsNotComplete guards against a response without a length whose connection is
 // reset being taken for a whole one.
 func TestResetResponseIsNotComplete(t *testing.T) {
