Answers of servers: names with blanks in the trailer of a body in chunks

Callers saw a 200 as complete behind whose last chunk came a field with a blank in its name, or a line that begins with a blank and has a colon.

Cause: only heads were checked; the trailer is read by net/http together with the last bytes of the body, and the folded lines cannot be seen after it.

Change: the scanner of a connection goes on over the sizes of the chunks to the trailer. The body then ends with an error in place of its end, as it does where the last chunk is missing: a plain answer is not served, a stream is broken off or continued elsewhere.

Evidence: without the change three new rows of TestOddHeads, TestSlowTrailerIsChecked at each position behind the trailer's begin and eight subtests of TestBrokenAnswerIsNotServed fail; a sound trailer and lines like fields in a chunk or behind the response are served before and after.

--- a/core/responsescan/responsescan.go
+++ b/core/responsescan/responsescan.go
@@ -1,7 +1,8 @@
 // Package responsescan finds, in the bytes that a server sends, what is no HTTP/1 response although
 // the parser of net/http accepts it. That parser drops header lines whose name holds a blank, and
 // joins lines that begin with a blank to the line before, whatever they hold: a field that frames the
-// body, states that the request was not run, or names its request is then missing or another one.
+// body, states that the request was not run, or names its request is then missing or another one. The
+// same holds for the fields behind the chunks of a body.
 package responsescan
 
 import (
@@ -29,6 +30,8 @@
 	statusContinue           = 100
 	statusSwitchingProtocols = 101
 	statusOK                 = 200
+	statusNoContent          = 204
+	statusNotModified        = 304
 )
 
 // CheckStatus returns ErrStatus for a status below 100, and for 101, which answers a request for
@@ -70,6 +73,11 @@
 	unchecked part = iota
 	statusLine
 	headerLine
+	// chunkLine holds the size of a chunk, chunkData the chunk, chunkEnd the end of its last line.
+	chunkLine
+	chunkData
+	chunkEnd
+	trailerLine
 )
 
 // Scanner checks the bytes of a connection as they are read. Its zero value checks nothing until
@@ -77,9 +85,12 @@
 type Scanner struct {
 	part part
 	line line
-	// interim is set in a head after which another one follows; http10 in one of that version.
-	interim, http10 bool
-	err             error
+	// interim is set in a head after which another one follows; http10 in one of that version; bodyless
+	// in one after which there is no body; chunked in one that announces chunks.
+	interim, http10, bodyless, chunked bool
+	// chunkLeft is the number of bytes of the chunk that are to come.
+	chunkLeft uint64
+	err       error
 }
 
 // Begin makes the next byte the first one of a response.
@@ -88,6 +99,10 @@
 // Scan checks the next bytes. From the first error on it returns that one until Begin is called.
 func (s *Scanner) Scan(p []byte) error {
 	for len(p) > 0 && s.err == nil && s.part != unchecked {
+		if s.part == chunkData {
+			p = p[s.skipChunk(len(p)):]
+			continue
+		}
 		end := bytes.IndexByte(p, '\n')
 		if end < 0 {
 			s.line.add(p)
@@ -101,22 +116,64 @@
 	return s.err
 }
 
+// skipChunk passes over at most n bytes of a chunk and returns their number.
+func (s *Scanner) skipChunk(n int) int {
+	skipped := min(uint64(n), s.chunkLeft)
+	s.chunkLeft -= skipped
+	if s.chunkLeft == 0 {
+		s.part = chunkEnd
+	}
+	return int(skipped)
+}
+
 // endLine handles a whole line.
 func (s *Scanner) endLine() error {
 	text := s.line.text()
-	switch {
-	case s.part == statusLine:
+	switch s.part {
+	case statusLine:
 		return s.handleStatus(text)
-	case len(text) == 0:
-		s.part = unchecked
-		if s.interim {
-			s.part = statusLine
-		}
+	case chunkLine:
+		s.beginChunk(text)
+		return nil
+	case chunkEnd:
+		s.part = chunkLine
+		return nil
+	}
+	if len(text) == 0 {
+		s.endFields()
 		return nil
 	}
 	return s.handleField(text)
 }
 
+// endFields handles the empty line after a head or a trailer.
+func (s *Scanner) endFields() {
+	switch {
+	case s.part == trailerLine:
+		s.part = unchecked
+	case s.interim:
+		s.part = statusLine
+	case s.chunked && !s.bodyless:
+		s.part = chunkLine
+	default:
+		s.part = unchecked
+	}
+}
+
+// beginChunk handles the line before a chunk. One without a size the parser refuses.
+func (s *Scanner) beginChunk(text []byte) {
+	size, _, _ := bytes.Cut(text, []byte(";"))
+	n, err := strconv.ParseUint(string(bytes.TrimSpace(size)), 16, 64)
+	switch {
+	case err != nil:
+		s.part = unchecked
+	case n == 0:
+		s.part = trailerLine
+	default:
+		s.part, s.chunkLeft = chunkData, n
+	}
+}
+
 var (
 	http1Prefix  = []byte("HTTP/1.")
 	http10Prefix = []byte("HTTP/1.0 ")
@@ -135,10 +192,11 @@
 		return fmt.Errorf("%w %.20q", ErrStatus, code)
 	}
 	s.part, s.interim, s.http10 = headerLine, status < statusOK, bytes.HasPrefix(text, http10Prefix)
+	s.chunked, s.bodyless = false, status == statusNoContent || status == statusNotModified
 	return CheckStatus(status)
 }
 
-// handleField handles a header line.
+// handleField handles a line of a head or a trailer.
 func (s *Scanner) handleField(text []byte) error {
 	if !s.line.hasColon {
 		// The line continues the one before, or the parser refuses it.
@@ -148,9 +206,14 @@
 		return fmt.Errorf("%w %.64q", ErrField, text)
 	}
 	name, _, _ := bytes.Cut(text, []byte(":"))
-	if s.http10 && bytes.EqualFold(name, codingName) {
+	if s.part != headerLine || !bytes.EqualFold(name, codingName) {
+		return nil
+	}
+	if s.http10 {
 		return ErrFraming
 	}
+	// The parser refuses any other coding.
+	s.chunked = true
 	return nil
 }
 
--- a/core/responsescan/responsescan_test.go
+++ b/core/responsescan/responsescan_test.go
@@ -29,6 +29,7 @@
 // TestScanner checks heads that arrive in parts of any size.
 func TestScanner(t *testing.T) {
 	const ok, end = "HTTP/1.1 200 OK\r\n", "Content-Length: 0\r\n\r\n"
+	const chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nown\r\n"
 	tests := []struct {
 		text string
 		want error
@@ -55,6 +56,14 @@
 		{ok + strings.Repeat("a", 2*keptLineBytes) + " b: c\r\n" + end, ErrField},
 		{"HTTP/1.1 103 Early Hints\r\nA b: c\r\n\r\n" + ok + end, ErrField},
 		{"HTTP/1.1 103 Early Hints\r\n\r\n" + ok + "A b: c\r\n" + end, ErrField},
+		{chunks + "0\r\nA: b\r\n c\r\n\r\nNot Checked: a\r\n", nil},
+		{chunks + "A;x=y\r\nA b: c\r\n\r\n\r\n0\r\n\r\nNot Checked: a\r\n", nil},
+		{chunks + "no size\r\nNot Checked: a\r\n", nil},
+		{"HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nNot Checked: a\r\n\r\n", nil},
+		{chunks + "0\r\nA b: c\r\n\r\n", ErrField},
+		{chunks + "0\r\nA: b\r\n C: d\r\n\r\n", ErrField},
+		{chunks + "3\r\nown\r\n00 ;x=y\r\nA: b\r\nC : d\r\n\r\n", ErrField},
+		{"HTTP/1.1 103 Early Hints\r\n\r\n" + chunks + "0\r\nA b: c\r\n\r\n", ErrField},
 		{"HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n" + end, ErrFraming},
 	}
 	for _, tt := range tests {
@@ -87,6 +96,7 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 0\r\n\r\n"), 3)
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA b: c\r\n d: e\r\n\r\n"), 1)
 	f.Add([]byte("HTTP/1.0 000 \r\nTransfer-Encoding : chunked\n\n"), 7)
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\nA: b\r\nC d: e\r\n\r\n"), 5)
 	f.Fuzz(func(t *testing.T, text []byte, size int) {
 		whole, parts := scanIn(text, max(1, len(text))), scanIn(text, max(1, min(size, len(text))))
 		assert.Equal(t, whole == nil, parts == nil, "%v, %v", whole, parts)
@@ -96,9 +106,13 @@
 		}
 		if whole == nil {
 			assert.NilError(t, CheckStatus(resp.StatusCode))
+			_, err = io.Copy(io.Discard, resp.Body)
 			for name := range resp.Header {
 				assert.NilError(t, CheckName(name))
 			}
+			for name := range resp.Trailer {
+				assert.Assert(t, err != nil || CheckName(name) == nil, "%q", name)
+			}
 			return
 		}
 		// What the parser made of the response is sound once it is written again.
@@ -116,6 +130,5 @@
 		if resp.Write(&again) == nil {
 			assert.NilError(t, scanIn(again.Bytes(), max(1, min(size, again.Len()))), "%q", again.Bytes())
 		}
-		_, _ = io.Copy(io.Discard, resp.Body)
 	})
 }
--- a/internal/node/broken_answers_test.go
+++ b/internal/node/broken_answers_test.go
@@ -34,6 +34,15 @@
 	return func(sound string) string { return strings.Replace(sound, "\r\n\r\n", "\r\n"+line+"\r\n\r\n", 1) }
 }
 
+// inChunks returns a function that puts the body of a response into a chunk, with a trailer.
+func inChunks(trailer string) func(string) string {
+	return func(sound string) string {
+		head, body, _ := strings.Cut(sound, "\r\n\r\n")
+		head = strings.Replace(head, fmt.Sprint("Content-Length: ", len(body)), "Transfer-Encoding: chunked", 1)
+		return fmt.Sprintf("%s\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n\r\n", head, len(body), body, trailer)
+	}
+}
+
 var brokenAnswers = []brokenAnswer{
 	{"blank in a name", withLine("Other Field: a")},
 	{"tab in a name", withLine("Other\tField: a")},
@@ -46,6 +55,8 @@
 	{"blank before the name of the length", func(sound string) string { return strings.Replace(sound, "Content-Length", " Content-Length", 1) }},
 	{"blank in a name of an interim answer", before("HTTP/1.1 103 Early Hints\r\nOther Field: a\r\n\r\n")},
 	{"blank before a name of an interim answer", before("HTTP/1.1 103 Early Hints\r\nOther: a\r\n Field: a\r\n\r\n")},
+	{"blank in a name of the trailer", inChunks("Other Field: a")},
+	{"blank before a name of the trailer", inChunks("Other: a\r\n Field: a")},
 	{"status 000", withStatus("000")},
 	{"status 099", withStatus("099")},
 	{"status 000 before a sound answer", before("HTTP/1.1 000 None\r\n\r\n")},
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -95,6 +95,11 @@
 	return "HTTP/1.1 200 OK\r\n" + strings.Join(append(lines, "", ""), "\r\n") + "own"
 }
 
+// chunkedWithTrailer returns a response in chunks with a trailer.
+func chunkedWithTrailer(lines string) string {
+	return strings.Replace(head("Transfer-Encoding: chunked"), "own", "3\r\nown\r\n0\r\n"+lines+"\r\n\r\n", 1)
+}
+
 const chunkedOwn = "3\r\nown\r\n0\r\n\r\n"
 
 // TestOddHeads guards against a response whose head does not say unmistakably where its body ends,
@@ -146,6 +151,12 @@
 		{"blank in a name behind interim responses", interim + interim + head("Other Field: a", "Content-Length: 3"), false},
 		{"blank in a name of HTTP/1.0", "HTTP/1.0 200 OK\r\nOther Field: a\r\nContent-Length: 3\r\n\r\nown", false},
 		{"HTTP/1.0 with a coding far behind", "HTTP/1.0 200 OK\r\n" + strings.Repeat("Other: a\r\n", 2000) + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nown", false},
+		{"blank in a name of the trailer", chunkedWithTrailer("Other Field: a"), false},
+		{"blank behind a name of the trailer", chunkedWithTrailer("Other: a\r\nField : a"), false},
+		{"blank before a name of the trailer", chunkedWithTrailer("Other: a\r\n Field: a"), false},
+		{"control byte in a name of the trailer", chunkedWithTrailer("Other\x01: a"), false},
+		{"trailer", chunkedWithTrailer("Other: a b\r\n c\r\nField:"), true},
+		{"lines like fields in a chunk", strings.Replace(head("Transfer-Encoding: chunked"), "own", "3;a b: c\r\nown\r\n0\r\n\r\n", 1) + "Other Field: a\r\n", true},
 		{"blanks in values", head("Other: a b\tc ", "Empty: ", "None:", "Content-Length:  3 "), true},
 		{"colons in values", head("Other: a:b: c", "Content-Length: 3"), true},
 		{"obsolete bytes in values", head("Other: \xe9\xff", "Content-Length: 3"), true},
@@ -198,6 +209,22 @@
 	}
 }
 
+// TestSlowTrailerIsChecked guards against the trailer of a response passing unchecked because it
+// arrives after the head.
+func TestSlowTrailerIsChecked(t *testing.T) {
+	whole, pause := chunkedWithTrailer("Other: a\r\n Field: a"), 20*time.Millisecond
+	for n := strings.Index(whole, "own"); n < len(whole); n++ {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			address := cutserver.Start(t, func(*http.Request, int) cutserver.Answer {
+				return cutserver.Answer{Bytes: whole[:n], Rest: whole[n:], Pause: pause, End: cutserver.Keep}
+			})
+			_, body, bodyErr, err := get(t, New(), address)
+			assert.Assert(t, err != nil || bodyErr != nil, "%q", body)
+		})
+	}
+}
+
 // TestUnusualStatusIsReturned guards against a response being refused for a status that has no
 // meaning here. Those from 600 on count as errors of the server.
 func TestUnusualStatusIsReturned(t *testing.T) {
