Tests of early answers of which a part comes during a long upload

Reported from other systems: a 200 without a length, sent at once to a long upload, of which a part arrives before the connection is reset, reached the client as complete. Here it does not: the entry writes the whole request before it reads, and a write that fails ends the attempt. Nothing else changes.

--- a/test/cutserver/cutserver.go
+++ b/test/cutserver/cutserver.go
@@ -42,6 +42,45 @@
 // Start starts a server and returns its address. It calls answer for each request, of which the
 // body was read; n counts the requests of a connection from 1.
 func Start(t testing.TB, answer func(r *http.Request, n int) Answer) string {
+	t.Helper()
+	return listen(t, func(conn *net.TCPConn) { serve(conn, answer) })
+}
+
+// Early is what a server sends before it has read the body of a request.
+type Early struct {
+	Answer
+	// BodyBytes is the part of the body that it reads before.
+	BodyBytes int64
+	// ReceiveBuffer is the size of the buffer for what it has not read; 0 selects the usual one.
+	ReceiveBuffer int
+}
+
+// StartEarly starts a server that answers the first request of each connection as e says, and
+// returns its address. After the answer it waits for the pause and ends the connection.
+func StartEarly(t testing.TB, e Early) string {
+	t.Helper()
+	return listen(t, func(conn *net.TCPConn) { e.serve(conn) })
+}
+
+func (e *Early) serve(conn *net.TCPConn) {
+	defer func() { _ = conn.Close() }()
+	if e.ReceiveBuffer > 0 {
+		_ = conn.SetReadBuffer(e.ReceiveBuffer)
+	}
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, r.Body, e.BodyBytes)
+	_, _ = io.WriteString(conn, e.Bytes)
+	time.Sleep(e.Pause)
+	if e.End == Reset {
+		_ = conn.SetLinger(0)
+	}
+}
+
+// listen serves each connection to a new address, which it returns.
+func listen(t testing.TB, serve func(conn *net.TCPConn)) string {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -54,7 +93,7 @@
 			if err != nil {
 				return
 			}
-			go serve(conn.(*net.TCPConn), answer)
+			go serve(conn.(*net.TCPConn))
 		}
 	}()
 	return lis.Addr().String()
