Agents: what is no answer of a service or a model engine is refused

An agent took a 200 whose head, interim head or trailer had a name with a blank in it, behind it or before it for the whole result of a call, the stream of a model or a carried out order; a 503 with such a line for the statement that the call was not run; a status 000 or 101 for a cancelled stream.

Cause: the agent reads answers through net/http, whose parser lets these through, and which shows neither the bytes nor the folded lines afterwards.

Change: internal/httpcheck puts core/responsescan between the connection and net/http, and arms it when a request gets its connection, before it is written. After parsing, statuses and names are checked again, for connections whose bytes cannot be seen (TLS). A refused answer is a lost one: the outcome is unknown.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/internal/httpcheck"
 )
 
 // Limits of the connections to a server. Each call opens its own connection: a
@@ -75,12 +76,12 @@
 
 func newHTTPClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httpcheck.Transport(&http.Transport{
 			DialContext:            dialGated,
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
