Clients of the log and the instance list: what is no answer is refused

An answer with a blank in, behind or before the name of a field, or behind an interim head with one, was taken for the log's or the list's; a 503 with one counted as the refusal of an append.

Cause and change as for the agents: both are read through net/http, and use internal/httpcheck now.

Evidence: TestBrokenAnswerIsAnError fails without the change (five of the six heads for each of the calls concerned) and passes with it; internal/platform under -race.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/httpcheck"
 )
 
 // Limits of requests to the platform.
@@ -80,13 +82,16 @@
 }
 
 func newClient(opts []ClientOption) *http.Client {
-	c := &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
-	}}
+	}
+	c := &http.Client{Transport: transport}
 	for _, o := range opts {
 		o(c)
 	}
+	httpcheck.CheckConnections(transport)
+	c.Transport = httpcheck.Responses(c.Transport)
 	return c
 }
 
