Clients of the log and the instance list: answers are read to their end

An answer whose connection was lost behind its JSON value, before its announced end, or that went on behind it, was taken for whole.

Cause: a decoder reads one value and stops; the length, the last chunk and the trailer were never looked at. Change: the body is read to its end, within its limit, and then decoded as a whole.

Evidence: TestAnswerThatEndsEarlyIsAnError fails without the change and passes with it; answers with a length, in chunks with a trailer, and without a length are taken as before.

--- a/internal/platform/broken_answer_test.go
+++ b/internal/platform/broken_answer_test.go
@@ -44,6 +44,23 @@
 	}
 }
 
+// TestAnswerThatEndsEarlyIsAnError guards against the answer being taken for whole whose connection is
+// lost, or whose end is none, behind what it says.
+func TestAnswerThatEndsEarlyIsAnError(t *testing.T) {
+	for name, body := range soundBodies {
+		const head, chunked = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+		checkAnswer(t, name, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body), true)
+		checkAnswer(t, name, head+"\r\n"+body+" \n", true)
+		checkAnswer(t, name, chunked+chunk+"0\r\nOther: a\r\n\r\n", true)
+		checkAnswer(t, name, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body)+1, body), false)
+		checkAnswer(t, name, head+"\r\n"+body+body, false)
+		checkAnswer(t, name, chunked+chunk, false)
+		checkAnswer(t, name, chunked+chunk+"0\r\nOther Field: a\r\n\r\n", false)
+		checkAnswer(t, name, chunked+chunk+"0\r\nOther: a\r\n Field: a\r\n\r\n", false)
+	}
+}
+
 // checkAnswer checks whether a call takes an answer for a whole one.
 func checkAnswer(t *testing.T, name, answer string, whole bool) {
 	t.Helper()
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/magnoliawheel/magnoliawheel/internal/bounded"
 	"github.com/magnoliawheel/magnoliawheel/internal/httpcheck"
 )
 
@@ -100,10 +101,13 @@
 	return context.WithTimeout(ctx, requestTimeout+wait)
 }
 
-// readJSON decodes a response body of at most MaxResponseBytes.
+// readJSON reads a response body of at most MaxResponseBytes to its end and decodes it.
 func readJSON(body io.Reader, v any) error {
-	dec := json.NewDecoder(io.LimitReader(body, MaxResponseBytes))
-	return errors.Wrap(dec.Decode(v), "decode response")
+	data, err := bounded.ReadAll(body, MaxResponseBytes)
+	if err != nil {
+		return errors.Wrap(err, "read response")
+	}
+	return errors.Wrap(json.Unmarshal(data, v), "decode response")
 }
 
 // closeBody closes a body after reading the rest of a short one, so that the connection
