Callers' clients: what is no answer of an entry is refused

A caller's client took a 200 with a blank in, behind or before the name of a field, or behind an interim head with one, for the stream of its call, a status 000 or 101 for a success, and a 503 with such a line for a refusal after which the call may be repeated. The load generator took them for complete.

Cause: both read through net/http, and the client took every status below 300 for a success. Change: both use internal/httpcheck; the outcome of such a call is unknown. Where a caller brings an HTTP client of its own, that one's connections are not touched: what shows after parsing is refused there, folded lines and interim heads are not seen.

--- a/client/client.go
+++ b/client/client.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+
+	"github.com/magnoliawheel/magnoliawheel/internal/httpcheck"
 )
 
 const (
@@ -67,11 +69,21 @@
 		entries[i] = strings.TrimRight(e, "/")
 	}
 	o.Entries = entries
-	c := &Client{opts: o, http: o.HTTP}
-	if c.http == nil {
-		c.http = &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+	return &Client{opts: o, http: checkedClient(o.HTTP)}, nil
+}
+
+// checkedClient returns a client that refuses what is no response of an entry. It uses the transport
+// of base, or one of its own if base is nil.
+func checkedClient(base *http.Client) *http.Client {
+	if base == nil {
+		return &http.Client{Transport: httpcheck.Transport(http.DefaultTransport.(*http.Transport).Clone())}
+	}
+	checked := *base
+	if checked.Transport == nil {
+		checked.Transport = http.DefaultTransport
 	}
-	return c, nil
+	checked.Transport = httpcheck.Responses(checked.Transport)
+	return &checked
 }
 
 // Close closes idle connections.
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/internal/httpcheck"
 )
 
 const (
@@ -46,9 +47,9 @@
 
 // NewCaller returns a caller of the entries.
 func NewCaller(entries []string) *Caller {
-	return &Caller{Entries: entries, client: &http.Client{Transport: &http.Transport{
+	return &Caller{Entries: entries, client: &http.Client{Transport: httpcheck.Transport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdleConnsPerEntry, DisableCompression: true,
-	}}}
+	})}}
 }
 
 // Close closes idle connections.
