mwctl: what is no answer of the admin API is refused

An operator was told that a change is made, or that it is rejected, by bytes that are no answer: a status 000, or a blank in, behind or before the name of a field, in a head or an interim head.

Cause: mwctl read through net/http's default client. Change: it uses internal/httpcheck; a change then ends with the exit code for an unknown outcome, a question with the one for no answer.

--- a/cmd/mwctl/admin.go
+++ b/cmd/mwctl/admin.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/internal/adminapi"
 	"github.com/magnoliawheel/magnoliawheel/internal/cli"
+	"github.com/magnoliawheel/magnoliawheel/internal/httpcheck"
 )
 
 // Exit codes of commands that use the admin API. docs/OPERATIONS.md lists them.
@@ -30,6 +31,9 @@
 // adminTimeout is the timeout of a request to the admin API.
 const adminTimeout = 30 * time.Second
 
+// adminClient is the HTTP client of the admin API.
+var adminClient = &http.Client{Transport: httpcheck.Transport(http.DefaultTransport.(*http.Transport).Clone())}
+
 // adminFlags are the flags of commands that use the admin API of an entry.
 type adminFlags struct {
 	Admin   string `long:"admin" env:"MWCTL_ADMIN" default:"http://127.0.0.1:9000" description:"Base URL of an entry's admin listener"`
@@ -49,7 +53,7 @@
 	if err != nil {
 		return err
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := adminClient.Do(req)
 	if err != nil {
 		code := exitUnavailable
 		if method != http.MethodGet {
--- a/cmd/mwctl/burn.go
+++ b/cmd/mwctl/burn.go
@@ -120,7 +120,7 @@
 	if key != "" {
 		adminapi.SetAuthorization(req, key)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := adminClient.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "fetch burn report")
 	}
