mwctl: answers of the admin API are read to their end

An operator was told that a change is made although the connection was lost behind the JSON value of the answer, before its announced end; for requests without a reply (drain) the body was not read at all, and a status from 300 to 399 was a success. A report on burn over its limit was cut there.

Cause: a decoder reads one value and stops. Change: the body is read to its end, within a bound, and decoded as a whole; a change without a whole answer ends with the exit code for an unknown outcome.

Evidence: TestAdminAnswerThatEndsEarly fails without the change, and passes with it; cmd/mwctl under -race.

--- a/cmd/mwctl/admin.go
+++ b/cmd/mwctl/admin.go
@@ -14,6 +14,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/result"
 	"github.com/magnoliawheel/magnoliawheel/internal/adminapi"
+	"github.com/magnoliawheel/magnoliawheel/internal/bounded"
 	"github.com/magnoliawheel/magnoliawheel/internal/cli"
 	"github.com/magnoliawheel/magnoliawheel/internal/httpcheck"
 )
@@ -31,6 +32,9 @@
 // adminTimeout is the timeout of a request to the admin API.
 const adminTimeout = 30 * time.Second
 
+// maxAdminBytes bounds the body of a response of the admin API.
+const maxAdminBytes = 64 << 20
+
 // adminClient is the HTTP client of the admin API.
 var adminClient = &http.Client{Transport: httpcheck.Transport(http.DefaultTransport.(*http.Transport).Clone())}
 
@@ -44,7 +48,7 @@
 
 // call sends a request to the admin API and decodes the response into out. For an
 // error response, the error is an exitError whose code depends on the result code.
-// A transport error of a change has the exit code for an unknown outcome, since the
+// A change without a whole answer has the exit code for an unknown outcome, since the
 // change may have been made.
 func (f *adminFlags) call(ctx context.Context, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
@@ -55,20 +59,31 @@
 	}
 	res, err := adminClient.Do(req)
 	if err != nil {
-		code := exitUnavailable
-		if method != http.MethodGet {
-			code = exitOutcomeUnknown
-		}
-		return exitError{errors.Wrap(err, "admin API"), code}
+		return noAnswer(method, errors.Wrap(err, "admin API"))
 	}
 	defer func() { _ = res.Body.Close() }()
-	if res.StatusCode >= http.StatusBadRequest {
-		return apiError(res)
+	body, err := bounded.ReadAll(res.Body, maxAdminBytes)
+	if err != nil {
+		return noAnswer(method, errors.Wrap(err, "read admin API response"))
+	}
+	if res.StatusCode >= http.StatusMultipleChoices {
+		return apiError(res.Status, body)
 	}
 	if out == nil {
 		return nil
 	}
-	return errors.Wrap(json.NewDecoder(res.Body).Decode(out), "decode admin API response")
+	if err = json.Unmarshal(body, out); err != nil {
+		return noAnswer(method, errors.Wrap(err, "decode admin API response"))
+	}
+	return nil
+}
+
+// noAnswer returns the error of a request without a whole answer.
+func noAnswer(method string, err error) error {
+	if method == http.MethodGet {
+		return exitError{err, exitUnavailable}
+	}
+	return exitError{err, exitOutcomeUnknown}
 }
 
 func (f *adminFlags) newRequest(ctx context.Context, method, path string, in any) (*http.Request, error) {
@@ -103,12 +118,12 @@
 }
 
 // apiError converts an error response into an exitError.
-func apiError(res *http.Response) error {
-	body := &adminapi.ErrorBody{}
-	if err := json.NewDecoder(res.Body).Decode(body); err != nil || body.Code == 0 {
-		return exitError{errors.Newf("admin API: status %s", res.Status), exitFailed}
+func apiError(status string, body []byte) error {
+	e := &adminapi.ErrorBody{}
+	if err := json.Unmarshal(body, e); err != nil || e.Code == 0 {
+		return exitError{errors.Newf("admin API: status %s", status), exitFailed}
 	}
-	return exitError{body, exitCodeFor(body.Code)}
+	return exitError{e, exitCodeFor(e.Code)}
 }
 
 // exitCodeFor returns the exit code for a result code.
--- a/cmd/mwctl/broken_answer_test.go
+++ b/cmd/mwctl/broken_answer_test.go
@@ -46,3 +46,28 @@
 	_, err := fetchBurnReport(url, "")
 	assert.Assert(t, err != nil)
 }
+
+// TestAdminAnswerThatEndsEarly guards against an operator being told that a change is made by an answer
+// whose connection was lost, or that is none of the admin API.
+func TestAdminAnswerThatEndsEarly(t *testing.T) {
+	const head, chunked = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, answer := range []string{
+		head + "Content-Length: 3\r\n\r\n{}",
+		head + "\r\n{",
+		head + "\r\n{}{}",
+		chunked + "2\r\n{}\r\n",
+		chunked + "2\r\n{}\r\n0\r\nOther Field: a\r\n\r\n",
+	} {
+		assert.Check(t, callAdmin(t, http.MethodPost, answer, &struct{}{}) == exitOutcomeUnknown, "%q", answer)
+		assert.Check(t, callAdmin(t, http.MethodGet, answer, &struct{}{}) == exitUnavailable, "%q", answer)
+	}
+	for _, answer := range []string{head + "Content-Length: 3\r\n\r\n{}", chunked + "2\r\n{}\r\n"} {
+		assert.Check(t, callAdmin(t, http.MethodPost, answer, nil) == exitOutcomeUnknown, "%q", answer)
+	}
+	assert.Check(t, callAdmin(t, http.MethodPost, "HTTP/1.1 300 Multiple Choices\r\n\r\n", nil) != 0)
+	for _, answer := range []string{head + "Content-Length: 2\r\n\r\n{}", head + "\r\n{}\n", chunked + "2\r\n{}\r\n0\r\nOther: a\r\n\r\n"} {
+		assert.Equal(t, callAdmin(t, http.MethodPost, answer, &struct{}{}), 0, "%q", answer)
+		assert.Equal(t, callAdmin(t, http.MethodPost, answer, nil), 0, "%q", answer)
+	}
+	assert.Equal(t, callAdmin(t, http.MethodPost, "HTTP/1.1 204 No Content\r\n\r\n", nil), 0)
+}
--- a/cmd/mwctl/burn.go
+++ b/cmd/mwctl/burn.go
@@ -15,6 +15,7 @@
 
 	"github.com/magnoliawheel/magnoliawheel/core/burn"
 	"github.com/magnoliawheel/magnoliawheel/internal/adminapi"
+	"github.com/magnoliawheel/magnoliawheel/internal/bounded"
 	"github.com/magnoliawheel/magnoliawheel/internal/report"
 )
 
@@ -125,7 +126,7 @@
 		return nil, errors.Wrap(err, "fetch burn report")
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBurnReportBytes))
+	body, err := bounded.ReadAll(resp.Body, maxBurnReportBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "read burn report")
 	}
