Agents: an order counts by its whole answer

An order counted as carried out, or as rejected by a newer fence, by an answer whose connection was lost within its body, or whose body had no end.

Cause: only the status was looked at; errors of reading the body were dropped. Change: the body is read to its end within 1 MiB, and without a whole answer the outcome is unknown. So it is now for a refusal whose body broke off.

--- a/internal/engine/broken_answer_test.go
+++ b/internal/engine/broken_answer_test.go
@@ -103,3 +103,29 @@
 		})
 	}
 }
+
+// TestOrderAnswerThatEndsEarly guards against an order being taken for carried out, or for rejected, by
+// an answer whose connection was lost, or that has no end.
+func TestOrderAnswerThatEndsEarly(t *testing.T) {
+	long := strings.Repeat("x", maxOrderReplyBytes+1)
+	for answer, want := range map[string]result.Ran{
+		"200 OK\r\nContent-Length: 2\r\n\r\n{}":                         result.RanYes,
+		"200 OK\r\n\r\n{}":                                              result.RanYes,
+		"204 No Content\r\n\r\n":                                        result.RanUnknown,
+		"409 Conflict\r\nContent-Length: 2\r\n\r\n{}":                   result.RanNo,
+		"200 OK\r\nContent-Length: 3\r\n\r\n{}":                         result.RanUnknown,
+		"200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n":       result.RanUnknown,
+		"200 OK\r\n\r\n" + long:                                         result.RanUnknown,
+		"409 Conflict\r\nContent-Length: 3\r\n\r\n{}":                   result.RanUnknown,
+		"409 Conflict\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n": result.RanUnknown,
+		"503 Service Unavailable\r\nNot-Run: true\r\n\r\nbusy":          result.RanNo,
+		"503 Service Unavailable\r\nContent-Length: 9\r\n\r\nbusy":      result.RanUnknown,
+		"500 Internal Server Error\r\nContent-Length: 0\r\n\r\n":        result.RanUnknown,
+	} {
+		url := "http://" + cutserver.Start(t, func(*http.Request, int) cutserver.Answer {
+			return cutserver.Answer{Bytes: "HTTP/1.1 " + answer}
+		})
+		o := NewModelClient(url).SendOrder(t.Context(), Order{Kind: "load"}, func() result.Code { return result.OK })
+		assert.Check(t, o.Ran == want && (o.Code == result.OK) == (want == result.RanYes), "%.80q: %v", answer, o)
+	}
+}
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/internal/bounded"
 )
 
 // Order tells an engine to load or unload a model or adapter, or to change its role.
@@ -21,9 +23,13 @@
 	Fence uint64 `json:"fence"`
 }
 
-// maxReasonBytes is the maximum length of the reason that is read from the response to
-// a refused order.
-const maxReasonBytes = 256
+const (
+	// maxOrderReplyBytes bounds the body of a response to an order.
+	maxOrderReplyBytes = 1 << 20
+	// maxReasonBytes is the maximum length of the reason that is reported from the response to a
+	// refused order.
+	maxReasonBytes = 256
+)
 
 // SendOrder sends an order once. The function begin is called immediately before the
 // first byte is sent; if it returns a code other than OK, nothing is sent.
@@ -43,7 +49,10 @@
 		return requestErrorOutcome(ctx, g, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	reason, _ := io.ReadAll(io.LimitReader(resp.Body, maxReasonBytes))
+	reason, err := bounded.ReadAll(resp.Body, maxOrderReplyBytes)
+	if err != nil {
+		return requestErrorOutcome(ctx, g, errors.Wrap(err, "read the response to the order"))
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return successOutcome()
@@ -51,6 +60,6 @@
 		return Outcome{Code: result.OrderFenced, Message: "the server has seen a newer fencing number", Ran: result.RanNo}
 	}
 	out := errorStatusOutcome(resp)
-	out.Message += ": " + string(bytes.TrimSpace(reason))
+	out.Message += ": " + string(bytes.TrimSpace(reason[:min(len(reason), maxReasonBytes)]))
 	return out
 }
