--- a/test/crowd/fleet_test.go
+++ b/test/crowd/fleet_test.go
@@ -50,6 +50,7 @@
 	t        *testing.T
 	store    *standin.Store
 	plain    *standin.Server
+	model    *standin.Server
 	settings standin.Settings
 	// metricsAddr and peerAddr are addresses on which the entry listens besides those of the
 	// settings.
@@ -73,7 +74,7 @@
 	f.store = standin.NewStore()
 	t.Cleanup(f.store.Close)
 	f.plain = f.addServer("plain", 0)
-	f.addServer("model", 3)
+	f.model = f.addServer("model", 3)
 	f.putConfig(1)
 	f.peerAddr, f.metricsAddr = harness.FreeAddr(), harness.FreeAddr()
 	f.settings = standin.Settings{
