Agents: an event of a model engine has a bound

A model engine in trouble that sends an event of lines without end, within their length, made its agent keep them all until the deadline or the end of its memory; other calls of that agent end with it.

Cause: lines were bounded, the event was not. Change: the data of an event has at most 4 MiB, which is the usual bound of a whole answer; one beyond it breaks the connection off, and the stream resumes after the last whole event as after any lost connection.

--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -9,8 +9,15 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxLineBytes is the maximum length of a line of an event stream.
-const maxLineBytes = 1 << 20
+const (
+	// maxLineBytes is the maximum length of a line of an event stream.
+	maxLineBytes = 1 << 20
+	// maxEventBytes is the maximum size of the data of an event.
+	maxEventBytes = 4 << 20
+)
+
+// errEventTooLarge means that an event has no end, or one beyond maxEventBytes.
+var errEventTooLarge = errors.Newf("event of more than %d bytes", maxEventBytes)
 
 // event is a server-sent event.
 type event struct {
@@ -56,6 +63,9 @@
 			if len(ev.data) > 0 {
 				ev.data = append(ev.data, '\n')
 			}
+			if len(ev.data)+len(value) > maxEventBytes {
+				return event{}, errEventTooLarge
+			}
 			ev.data = append(ev.data, value...)
 		}
 	}
