Callers' client: answers have a bound

An entry, or what answers in its place, that sends a line or chunks without end made the caller's process keep them until the deadline of the call or the end of its memory.

Cause: lines were read without a limit, and so were the texts of an answer. Change: a line has at most 16 MiB, the texts and stage names of an answer together 128 MiB, which is twice what a schema allows; beyond it the answer is corrupt, a longer line is a lost connection.

--- a/client/stream.go
+++ b/client/stream.go
@@ -12,7 +12,15 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ErrCorrupt means that an answer has missing events, or that its number of chunks
+const (
+	// maxLineBytes bounds a line of an event. The longest one holds a chunk as JSON.
+	maxLineBytes = 16 << 20
+	// maxAnswerBytes bounds the texts of an answer and the names of its stages. A schema allows
+	// texts of half of that.
+	maxAnswerBytes = 128 << 20
+)
+
+// ErrCorrupt means that an answer has missing events or no end, or that its number of chunks
 // or its checksum does not match.
 var ErrCorrupt = errors.New("client: the answer is corrupt")
 
@@ -24,6 +32,8 @@
 	// delivered is set once a chunk was passed to onChunk.
 	delivered  bool
 	chunkCount uint64
+	// bytes is the size of the texts and the names of the stages.
+	bytes int
 	stages     []stageBuilder
 	hash       *xxhash.Digest
 	done       *doneData
@@ -55,7 +65,8 @@
 // errConnectionLost if the stream ends before it, and an *Error if the last event
 // reports an error.
 func (a *answerReader) readEvents(r io.Reader) error {
-	lines := bufio.NewReader(r)
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLineBytes)
 	for {
 		ev, err := nextEvent(lines)
 		if err != nil {
@@ -69,14 +80,10 @@
 }
 
 // nextEvent reads the next server-sent event.
-func nextEvent(r *bufio.Reader) (event, error) {
+func nextEvent(lines *bufio.Scanner) (event, error) {
 	var ev event
-	for {
-		line, err := r.ReadString('\n')
-		if err != nil {
-			return ev, err
-		}
-		line = strings.TrimRight(line, "\r\n")
+	for lines.Scan() {
+		line := lines.Text()
 		if line == "" && ev.eventType != "" {
 			return ev, nil
 		}
@@ -84,15 +91,21 @@
 		value = strings.TrimPrefix(value, " ")
 		switch name {
 		case "id":
-			if ev.seq, err = strconv.ParseUint(value, 10, 64); err != nil {
+			seq, err := strconv.ParseUint(value, 10, 64)
+			if err != nil {
 				return ev, errors.Wrap(err, "parse event id")
 			}
+			ev.seq = seq
 		case "event":
 			ev.eventType = value
 		case "data":
 			ev.data = value
 		}
 	}
+	if err := lines.Err(); err != nil {
+		return ev, errors.Wrap(err, "read event")
+	}
+	return ev, io.ErrUnexpectedEOF
 }
 
 // handleEvent handles one event. Events that were already handled are skipped, since a
@@ -134,6 +147,10 @@
 	a.chunkCount++
 	if n := len(a.stages); n == 0 || a.stages[n-1].stage != c.Stage {
 		a.stages = append(a.stages, stageBuilder{stage: c.Stage, text: &strings.Builder{}})
+		a.bytes += len(c.Stage)
+	}
+	if a.bytes += len(c.Text); a.bytes > maxAnswerBytes {
+		return errors.Wrapf(ErrCorrupt, "more than %d bytes", maxAnswerBytes)
 	}
 	a.stages[len(a.stages)-1].text.WriteString(c.Text)
 	if a.onChunk != nil {
