Load generator: answers and events have a bound

A body, or an event of many lines, without end was kept until the deadline of the request. Both have a bound now, as in the callers' client.

Evidence: TestEndlessAnswersAreCut of internal/load fails without the change for both, and passes with it.

--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/internal/bounded"
 	"github.com/magnoliawheel/magnoliawheel/internal/httpcheck"
 )
 
@@ -34,6 +35,7 @@
 	answerGrace          = time.Second
 	reattachDelay        = 50 * time.Millisecond
 	maxEventBytes        = 16 << 20
+	maxAnswerBytes       = 128 << 20
 	maxIdleConnsPerEntry = 256
 )
 
@@ -218,7 +220,7 @@
 
 // readAnswer reads a response that is not a stream.
 func (x *requestState) readAnswer(status int, r io.Reader) error {
-	text, err := io.ReadAll(r)
+	text, err := bounded.ReadAll(r, maxAnswerBytes)
 	if err != nil {
 		return err
 	}
@@ -274,6 +276,9 @@
 		case field == "event":
 			eventType = value
 		case field == "data":
+			if len(data)+len(value) > maxEventBytes {
+				return errors.Newf("event of more than %d bytes", maxEventBytes)
+			}
 			data += value
 		}
 	}
