--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -22,8 +22,6 @@
 	// SilenceTimeout is the time without data after which the connection of a stream
 	// is presumed lost.
 	SilenceTimeout = 750 * time.Millisecond
-	// maxHeaderBytes is the maximum size of the response headers.
-	maxHeaderBytes = 64 << 10
 )
 
 // notRunHeader is set to "true" in the response of a server that did not execute the
@@ -77,10 +75,9 @@
 func newHTTPClient() *http.Client {
 	return &http.Client{
 		Transport: httpcheck.Transport(&http.Transport{
-			DialContext:            dialGated,
-			DisableKeepAlives:      true,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxHeaderBytes,
+			DialContext:        dialGated,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
 		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/httpcheck/httpcheck.go
+++ b/internal/httpcheck/httpcheck.go
@@ -15,6 +15,9 @@
 	"github.com/magnoliawheel/magnoliawheel/core/responsescan"
 )
 
+// maxHeadBytes bounds the heads of a response, unless the transport has a limit of its own.
+const maxHeadBytes = 64 << 10
+
 // Transport makes t check the bytes of responses, and returns what clients use in its place. It must
 // be called before t is used.
 func Transport(t *http.Transport) http.RoundTripper {
@@ -23,8 +26,11 @@
 }
 
 // CheckConnections makes the connections that t opens check the responses to requests that are made
-// through Responses. Connections with TLS are not checked.
+// through Responses, and bounds their heads. Connections with TLS are not checked.
 func CheckConnections(t *http.Transport) {
+	if t.MaxResponseHeaderBytes == 0 {
+		t.MaxResponseHeaderBytes = maxHeadBytes
+	}
 	dial := t.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
