Answers of servers: more than two interim answers before an answer

A sound answer behind three or more interim ones was refused: 502, the outcome unknown. They counted as answers to other requests, of which three heads are read. Interim answers and the answer now share the bound of a head, 64 KiB, and are not counted.

Evidence: the row with 20 interim responses of TestOddHeads fails without the change and passes with it; interim answers without end are still cut (TestEndlessAnswersAreCut).

--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -7,14 +7,18 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxHeadBytes bounds the head of a response.
+// maxHeadBytes bounds the head of a response together with those of the interim responses before it.
 const maxHeadBytes = 64 << 10
 
-// readHead reads the head of a response. A server in trouble may send bytes without end.
+// readHead reads the head of a response and passes over interim responses. A server in trouble may
+// send bytes without end.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.limit.start(maxHeadBytes)
 	defer c.limit.stop()
 	resp, err := c.parseHead(method)
+	for err == nil && resp.StatusCode < http.StatusOK {
+		resp, err = c.parseHead(method)
+	}
 	if err == nil {
 		return resp, nil
 	}
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -188,6 +188,7 @@
 		{"interim response alone", interim, false},
 		{"interim response before", interim + wholeAnswer, true},
 		{"interim responses without end", strings.Repeat(interim, 1000), false},
+		{"many interim responses before", strings.Repeat(interim, 20) + wholeAnswer, true},
 		{"second response after the first", wholeAnswer + head("Content-Length: 0"), true},
 		{"bytes after the response", wholeAnswer + "bytes", true},
 		{"until close", head("Connection: close"), true},
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -208,9 +208,6 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		if req.Matches == nil || req.Matches(resp.Header) {
 			return resp, nil
 		}
