--- a/internal/node/broken_answers_test.go
+++ b/internal/node/broken_answers_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,7 +11,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnoliawheel/magnoliawheel/platform"
 	"github.com/magnoliawheel/magnoliawheel/platform/standin"
+	"github.com/magnoliawheel/magnoliawheel/test/cutserver"
 )
 
 // brokenAnswer turns a sound response into bytes that are none.
@@ -135,3 +138,73 @@
 	}
 	return f.startEntry("e1", 0).waitReady().waitRegistered()
 }
+
+// TestBrokenStageAnswerIsNotUsed guards against results of a stage that stand in bytes that are no
+// answer, on connections that are used again.
+func TestBrokenStageAnswerIsNotUsed(t *testing.T) {
+	for _, broken := range brokenAnswers {
+		t.Run(broken.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleetOfPairs(t)
+			f.putConfig()
+			var calls atomic.Int32
+			for _, id := range []string{"a1", "a2"} {
+				f.servers[id].SetHandler(func(w http.ResponseWriter, r *http.Request) bool {
+					if r.URL.Path != platform.StageRunPath || calls.Add(1) > 1 {
+						return false
+					}
+					text := responseBytes(t, http.StatusOK, "", `{"items":[{"handle":"broken"}]}`, func(h http.Header) { h.Set("Content-Type", "application/json") })
+					writeRaw(t, w, broken.turn(text))
+					return true
+				})
+			}
+			got := f.startEntry("e1", 0).waitReady().waitRegistered().do(stagedCall("r"))
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK, got.body)
+			assert.Assert(t, calls.Load() > 1)
+			for _, id := range []string{"model1", "model2"} {
+				inputs := standin.Inputs(f.servers[id].LastHeader("r"))
+				assert.Assert(t, !strings.Contains(inputs, "broken"), inputs)
+			}
+		})
+	}
+}
+
+// TestBrokenCacheListIsNotUsed guards against parts of prompts being looked for at a server because of
+// bytes that are no answer.
+func TestBrokenCacheListIsNotUsed(t *testing.T) {
+	sound := brokenAnswer{"sound answer", func(sound string) string { return sound }}
+	for _, broken := range append(brokenAnswers, sound) {
+		t.Run(broken.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.putServerRecord("model", "model1", cutserver.Start(t, func(r *http.Request, _ int) cutserver.Answer {
+				if r.URL.Path != platform.CacheListPath {
+					return cutserver.Answer{Bytes: responseBytes(t, http.StatusOK, "r", firstEvent, func(h http.Header) {
+						standin.SetSignature(h, "s")
+						h.Set("Content-Type", "text/event-stream")
+					})}
+				}
+				list := responseBytes(t, http.StatusOK, "", `{"epoch":1,"next":0,"held":[["","doc",100,"m"]]}`, func(http.Header) {})
+				return cutserver.Answer{Bytes: broken.turn(list)}
+			}), false)
+			f.putConfig()
+			type outcome struct {
+				Message string `json:"msg"`
+				Read    int    `json:"servers"`
+				Failed  int    `json:"failed"`
+			}
+			outcomes := make(chan outcome, 100)
+			f.onLog = func(line string) {
+				var o outcome
+				if json.Unmarshal([]byte(line), &o) == nil && o.Message == "Prompt caches read." && o.Read+o.Failed > 0 {
+					outcomes <- o
+				}
+			}
+			e := f.startEntry("e1", 0).waitReady().waitRegistered()
+			assert.Equal(t, e.do(keyedCall(standin.PathResumable, "r", "key-1")).status, http.StatusOK)
+			o := <-outcomes
+			assert.Assert(t, (o.Read > 0) == (broken.name == sound.name), "%+v", o)
+		})
+	}
+}
