Tests: one server that sends without end; a file formatted

The tests of answers without end of httpcheck, engine, client and load each had their own; they use cutserver.StartEndless now, with the same bytes and bounds. client/stream.go was committed without gofmt.

--- a/client/endless_test.go
+++ b/client/endless_test.go
@@ -2,15 +2,14 @@
 
 import (
 	"fmt"
-	"io"
-	"net/http"
-	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/magnoliawheel/magnoliawheel/test/cutserver"
 )
 
 // TestEndlessAnswersAreCut guards against an entry, or what answers in its place, that sends bytes
@@ -20,35 +19,21 @@
 	text := strings.Repeat("x", 64<<10)
 	for name, x := range map[string]struct {
 		begin string
-		more  func(i int) string
+		more  func(i int) []byte
 	}{
-		"head":  {"HTTP/1.1 200 OK\r\nOther: ", func(int) string { return text }},
-		"line":  {"HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: ", func(int) string { return text }},
-		"error": {"HTTP/1.1 500 Internal Server Error\r\n\r\n", func(int) string { return text }},
-		"chunks": {"HTTP/1.1 200 OK\r\n\r\n", func(i int) string {
-			return fmt.Sprintf("id: %d\nevent: chunk\ndata: {\"stage\":\"a\",\"text\":%q}\n\n", i+1, text)
+		"head":  {"HTTP/1.1 200 OK\r\nOther: ", cutserver.Repeat(text)},
+		"line":  {"HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: ", cutserver.Repeat(text)},
+		"error": {"HTTP/1.1 500 Internal Server Error\r\n\r\n", cutserver.Repeat(text)},
+		"chunks": {"HTTP/1.1 200 OK\r\n\r\n", func(i int) []byte {
+			return fmt.Appendf(nil, "id: %d\nevent: chunk\ndata: {\"stage\":\"a\",\"text\":%q}\n\n", i+1, text)
 		}},
-		"stages": {"HTTP/1.1 200 OK\r\n\r\n", func(i int) string {
-			return fmt.Sprintf("id: %d\nevent: chunk\ndata: {\"stage\":%q,\"text\":\"\"}\n\n", i+1, fmt.Sprint(text, i))
+		"stages": {"HTTP/1.1 200 OK\r\n\r\n", func(i int) []byte {
+			return fmt.Appendf(nil, "id: %d\nevent: chunk\ndata: {\"stage\":%q,\"text\":\"\"}\n\n", i+1, fmt.Sprint(text, i))
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			cut := make(chan bool, 1000)
-			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if !assert.Check(t, err) {
-					return
-				}
-				defer func() { _ = conn.Close() }()
-				_, err = io.WriteString(conn, x.begin)
-				for i, written := 0, 0; err == nil && written < answerBytes; i++ {
-					n, writeErr := io.WriteString(conn, x.more(i))
-					written, err = written+n, writeErr
-				}
-				cut <- err != nil
-			}))
-			defer srv.Close()
-			c, err := New(Options{Entries: []string{srv.URL}})
+			address, cut := cutserver.StartEndless(t, x.begin, x.more, answerBytes)
+			c, err := New(Options{Entries: []string{"http://" + address}})
 			assert.NilError(t, err)
 			defer c.Close()
 			var before, after runtime.MemStats
--- a/client/stream.go
+++ b/client/stream.go
@@ -33,10 +33,10 @@
 	delivered  bool
 	chunkCount uint64
 	// bytes is the size of the texts and the names of the stages.
-	bytes int
-	stages     []stageBuilder
-	hash       *xxhash.Digest
-	done       *doneData
+	bytes  int
+	stages []stageBuilder
+	hash   *xxhash.Digest
+	done   *doneData
 }
 
 // stageBuilder collects the text of one stage.
--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -1,16 +1,13 @@
 package engine
 
 import (
-	"io"
-	"net/http"
-	"net/http/httptest"
 	"runtime"
-	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/magnoliawheel/magnoliawheel/core/result"
+	"github.com/magnoliawheel/magnoliawheel/test/cutserver"
 )
 
 // TestEndlessAnswersAreCut guards against a model engine that sends bytes without end, in the head of
@@ -26,19 +23,10 @@
 		"answer to an order":       {"HTTP/1.1 200 OK\r\n\r\n", "0123456789abcdef"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			cut := make(chan bool, 100)
-			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if !assert.Check(t, err) {
-					return
-				}
-				defer func() { _ = conn.Close() }()
-				cut <- !writeRepeatedly(conn, x.begin, x.more, answerBytes)
-			}))
-			defer srv.Close()
+			address, cut := cutserver.StartEndless(t, x.begin, cutserver.Repeat(x.more), answerBytes)
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			m := NewModelClient(srv.URL)
+			m := NewModelClient("http://" + address)
 			if name == "answer to an order" {
 				o := m.SendOrder(t.Context(), Order{Kind: "load"}, func() result.Code { return result.OK })
 				assert.Assert(t, o.Code != result.OK)
@@ -54,17 +42,3 @@
 		})
 	}
 }
-
-// writeRepeatedly writes begin and then more, again and again. It reports whether it wrote size bytes.
-func writeRepeatedly(w io.Writer, begin, more string, size int) bool {
-	if _, err := io.WriteString(w, begin); err != nil {
-		return false
-	}
-	block := strings.Repeat(more, (64<<10)/len(more))
-	for written := 0; written < size; written += len(block) {
-		if _, err := io.WriteString(w, block); err != nil {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/httpcheck/httpcheck_test.go
+++ b/internal/httpcheck/httpcheck_test.go
@@ -137,31 +137,19 @@
 
 // TestHeadsAreBounded guards against a head without end being kept up to the usual 10 MiB of net/http.
 func TestHeadsAreBounded(t *testing.T) {
-	const headBytes, blockBytes, maxAllocatedBytes = 8 << 20, 64 << 10, 2 << 20
+	const headBytes, maxAllocatedBytes = 8 << 20, 2 << 20
 	client := &http.Client{Transport: Transport(&http.Transport{})}
 	for begin, more := range map[string]string{
 		"HTTP/1.1 200 OK\r\nOther: ": "0123456789abcdef",
 		"HTTP/1.1 200 OK\r\n":        "Other: 0123456789abcdef\r\n",
 		"":                           "HTTP/1.1 103 Early Hints\r\nOther: 0123456789abcdef\r\n\r\n",
 	} {
-		block := []byte(strings.Repeat(more, blockBytes/len(more)))
-		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if !assert.Check(t, err) {
-				return
-			}
-			defer func() { _ = conn.Close() }()
-			_, err = io.WriteString(conn, begin)
-			for written := 0; err == nil && written < headBytes; written += len(block) {
-				_, err = conn.Write(block)
-			}
-		}))
+		address, cut := cutserver.StartEndless(t, begin, cutserver.Repeat(more), headBytes)
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
-		_, err := post(client, srv.URL)
+		_, err := post(client, "http://"+address)
 		runtime.ReadMemStats(&after)
-		srv.Close()
-		assert.Assert(t, err != nil, "%.40q", begin)
+		assert.Assert(t, <-cut && err != nil, "%.40q", begin)
 		allocated := after.TotalAlloc - before.TotalAlloc
 		assert.Check(t, allocated < maxAllocatedBytes, "%.40q: %d KiB", begin, allocated>>10)
 	}
--- a/internal/load/broken_answer_test.go
+++ b/internal/load/broken_answer_test.go
@@ -1,9 +1,7 @@
 package load
 
 import (
-	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -39,21 +37,8 @@
 		"event": {"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", "data: " + strings.Repeat("x", 64<<10) + "\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			cut := make(chan bool, 1)
-			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if !assert.Check(t, err) {
-					return
-				}
-				defer func() { _ = conn.Close() }()
-				_, err = io.WriteString(conn, x.begin)
-				for written := 0; err == nil && written < answerBytes; written += len(x.more) {
-					_, err = io.WriteString(conn, x.more)
-				}
-				cut <- err != nil
-			}))
-			defer srv.Close()
-			c := NewCaller([]string{srv.URL})
+			address, cut := cutserver.StartEndless(t, x.begin, cutserver.Repeat(x.more), answerBytes)
+			c := NewCaller([]string{"http://" + address})
 			defer c.Close()
 			assert.Equal(t, c.Do(t.Context(), Request{Call: "chat", Timeout: time.Minute}, 0, time.Now()).Class, Unknown)
 			assert.Assert(t, <-cut, "the caller accepted all of the answer")
--- a/test/cutserver/cutserver.go
+++ b/test/cutserver/cutserver.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -79,6 +80,35 @@
 	}
 }
 
+// StartEndless starts a server that answers the first request of each connection with begin and then
+// with the blocks that more returns, until the caller closes the connection or size bytes are
+// written. It returns its address, and whether the caller closed each of the connections.
+func StartEndless(t testing.TB, begin string, more func(i int) []byte, size int) (address string, cut <-chan bool) {
+	t.Helper()
+	const maxConnections = 1000
+	outcomes := make(chan bool, maxConnections)
+	return listen(t, func(conn *net.TCPConn) {
+		defer func() { _ = conn.Close() }()
+		_, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, err = io.WriteString(conn, begin)
+		for i, written := 0, 0; err == nil && written < size; i++ {
+			n, writeErr := conn.Write(more(i))
+			written, err = written+n, writeErr
+		}
+		outcomes <- err != nil
+	}), outcomes
+}
+
+// Repeat returns blocks of about 64 KiB that repeat a text.
+func Repeat(text string) func(int) []byte {
+	const blockBytes = 64 << 10
+	block := bytes.Repeat([]byte(text), max(1, blockBytes/len(text)))
+	return func(int) []byte { return block }
+}
+
 // listen serves each connection to a new address, which it returns.
 func listen(t testing.TB, serve func(conn *net.TCPConn)) string {
 	t.Helper()
