Scanner of responses: a line's first bytes stand in the scanner

They were in a slice that grew on each new connection, and was handed on from line to line. A fixed array needs neither; what is found stays the same.

Tests of responsescan, upstream and httpcheck pass, FuzzScanner 10 s.

--- a/core/responsescan/responsescan.go
+++ b/core/responsescan/responsescan.go
@@ -94,7 +94,7 @@
 }
 
 // Begin makes the next byte the first one of a response.
-func (s *Scanner) Begin() { *s = Scanner{part: statusLine, line: line{start: s.line.start[:0]}} }
+func (s *Scanner) Begin() { *s = Scanner{part: statusLine} }
 
 // Scan checks the next bytes. From the first error on it returns that one until Begin is called.
 func (s *Scanner) Scan(p []byte) error {
@@ -111,7 +111,7 @@
 		s.line.add(p[:end])
 		p = p[end+1:]
 		s.err = s.endLine()
-		s.line.reset()
+		s.line = line{}
 	}
 	return s.err
 }
@@ -224,17 +224,17 @@
 // line is a line of which the bytes arrive in parts.
 type line struct {
 	// start holds the first bytes, size is the number of all.
-	start []byte
+	start [keptLineBytes]byte
 	size  int
 	// hasColon is set once there is a colon. malformedName is set if there is no name before it, or
 	// one that no field has.
 	hasColon, malformedName bool
 }
 
-func (l *line) reset() { *l = line{start: l.start[:0]} }
-
 func (l *line) add(p []byte) {
-	l.start = append(l.start, p[:min(len(p), keptLineBytes-len(l.start))]...)
+	if l.size < len(l.start) {
+		copy(l.start[l.size:], p)
+	}
 	if !l.hasColon {
 		l.addName(p)
 	}
@@ -255,8 +255,8 @@
 
 // text returns the first bytes of the line, without the carriage return at its end.
 func (l *line) text() []byte {
-	if l.size == len(l.start) {
-		return bytes.TrimSuffix(l.start, []byte("\r"))
+	if l.size > len(l.start) {
+		return l.start[:]
 	}
-	return l.start
+	return bytes.TrimSuffix(l.start[:l.size], []byte("\r"))
 }
