One bound for answers of the admin API; a comment

mwctl had the same bound of 64 MiB twice. The comment of requestErrorOutcome spoke only of requests without a response; an order whose answer breaks off uses it, too.

--- a/cmd/mwctl/burn.go
+++ b/cmd/mwctl/burn.go
@@ -26,8 +26,6 @@
 	exitBurnAlert = 12
 	// burnTimeout is the timeout of the request to one entry.
 	burnTimeout = 5 * time.Second
-	// maxBurnReportBytes is the maximum size of the report of one entry that is read.
-	maxBurnReportBytes = 64 << 20
 )
 
 type burnCommand struct {
@@ -126,7 +124,7 @@
 		return nil, errors.Wrap(err, "fetch burn report")
 	}
 	defer resp.Body.Close()
-	body, err := bounded.ReadAll(resp.Body, maxBurnReportBytes)
+	body, err := bounded.ReadAll(resp.Body, maxAdminBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "read burn report")
 	}
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -58,7 +58,7 @@
 func (s *ServiceClient) Cancel(context.Context, string) error { return nil }
 
 // requestErrorOutcome is the outcome of a request that failed with err before there was
-// a response.
+// a whole response that it could go by.
 func requestErrorOutcome(ctx context.Context, g *sendGate, err error) Outcome {
 	sent, code := g.status()
 	if code != result.OK {
